--- /dev/null
+++ b/src/verbenawick/_call_links.py
@@ -0,0 +1,262 @@
+"""Call links to other nodes: dialled on demand, requests matched with answers."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import eventlet
+from eventlet.event import Event
+from eventlet.greenthread import GreenThread
+from eventlet.semaphore import Semaphore
+
+from verbenawick._call_messages import CallCancel, CallRequest
+from verbenawick._clock import Clock
+from verbenawick._component import NodeIdentity
+from verbenawick._links import CALL_CHANNEL, Link, dial_link
+from verbenawick._members import Member
+from verbenawick._messages import Message
+from verbenawick._metrics import MetricKind, MetricSet, register_metric
+from verbenawick.errors import (
+    AnswerLostError,
+    LinkClosedError,
+    LinkOverflowError,
+    VerbenawickError,
+)
+
+RequestHandler = Callable[[NodeIdentity, Message, float], Message]
+
+# After a failed dial, calls to that node fail at once for this long, so that a dead
+# node costs each call nothing instead of a dial.
+REDIAL_PAUSE_S = 0.1
+
+DIAL_TIMEOUT_S = 1.0
+
+ANSWERS_DROPPED = register_metric(
+    "calls.answers_dropped",
+    MetricKind.COUNTER,
+    "answers",
+    "Late or duplicate answers for calls that no longer wait",
+)
+LINKS_DIALLED = register_metric(
+    "calls.links_dialled", MetricKind.COUNTER, "links", "Call links opened by this node"
+)
+
+
+@dataclass(eq=False, slots=True)
+class _Peer:
+    link: Link | None = None
+    dialling: Semaphore = field(default_factory=Semaphore)
+    retry_at: float = 0.0
+
+
+class CallLinks:
+    """Pool of call links; implements `RequestPort` and `LinkHandler`.
+
+    Requests travel on the links that a node dialled, their answers come back on the
+    same link. A request from another node runs in a green thread of its own, in the
+    handler registered for its type.
+    """
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        *,
+        clock: Clock,
+        metrics: MetricSet,
+        delay_for: Callable[[str], float] = lambda ip: 0.0,
+    ):
+        self._identity = identity
+        self._clock = clock
+        self._metrics = metrics
+        self._delay_for = delay_for
+        self._handlers_by_type: dict[type[Message], RequestHandler] = {}
+        self._peers_by_address: dict[str, _Peer] = {}
+        self._waiting_by_call_id: dict[int, tuple[Link, Event]] = {}
+        self._running: dict[tuple[Link, int], tuple[GreenThread, Message]] = {}
+
+    def register_handler(
+        self, message_type: type[Message], handler: RequestHandler
+    ) -> None:
+        """Set the handler of a request type.
+
+        Parameters
+        ----------
+        handler : callable
+            Gets the peer, the request and the estimated instant of the local clock at
+            which the peer sent it; returns the answer, with the same `call_id`.
+        """
+        self._handlers_by_type[message_type] = handler
+
+    @property
+    def running_count(self) -> int:
+        """Return the number of requests of other nodes that are running here."""
+        return len(self._running)
+
+    def request(self, member: Member, message: Message, *, deadline: float) -> Message:
+        """Send `message` to `member` and return its answer; see `RequestPort`."""
+        link = self._link_to(member, deadline)
+        call_id = message.call_id
+        answered = Event()
+        self._waiting_by_call_id[call_id] = (link, answered)
+        try:
+            try:
+                link.post(message)
+            except LinkOverflowError as error:
+                raise LinkClosedError(
+                    error.message, step="calls.request", peer=member.node_id
+                ) from error
+            answer = answered.wait(timeout=max(deadline - self._clock.now(), 0.0))
+        except VerbenawickError:
+            raise
+        except BaseException:
+            self._cancel(link, message)
+            raise
+        finally:
+            self._waiting_by_call_id.pop(call_id, None)
+        if answer is None:
+            self._cancel(link, message)
+            raise AnswerLostError(
+                "deadline passed before the answer arrived",
+                step="calls.request",
+                peer=member.node_id,
+            )
+        return answer
+
+    def close(self) -> None:
+        """Close all links that this node dialled."""
+        for peer in self._peers_by_address.values():
+            if peer.link is not None:
+                peer.link.close()
+
+    def on_open(self, link: Link) -> None:
+        """Do nothing; a link is used once a request needs it."""
+
+    def on_message(self, link: Link, message: Message) -> None:
+        """Pass an answer to its waiting request, or run the request of a peer."""
+        if link.is_dialled:
+            self._deliver(link, message)
+        elif isinstance(message, CallCancel):
+            self._kill(link, message.call_id)
+        else:
+            self._start(link, message)
+
+    def on_close(self, link: Link) -> None:
+        """Fail what waits for answers on `link`; cancel what its peer waits for."""
+        if not link.is_dialled:
+            for running_link, call_id in list(self._running):
+                if running_link is link:
+                    self._kill(link, call_id)
+            return
+        for waiting_link, answered in list(self._waiting_by_call_id.values()):
+            if waiting_link is link and not answered.ready():
+                answered.send_exception(
+                    AnswerLostError(
+                        "link closed before the answer arrived",
+                        step="calls.request",
+                        peer=link.peer.node_id,
+                    )
+                )
+
+    def _deliver(self, link: Link, message: Message) -> None:
+        waiting = self._waiting_by_call_id.get(message.call_id)
+        if waiting is None or waiting[0] is not link or waiting[1].ready():
+            self._metrics.count(ANSWERS_DROPPED)
+            return
+        waiting[1].send(message)
+
+    def _start(self, link: Link, message: Message) -> None:
+        handler = self._handlers_by_type.get(type(message))
+        if handler is None:
+            link.close(f"no handler for {type(message).__name__}")
+            return
+        sent_at = self._clock.now() - link.round_trip_s / 2
+        key = (link, message.call_id)
+        thread = eventlet.spawn(self._run, handler, link, message, sent_at, key)
+        self._running[key] = (thread, message)
+
+    def _run(self, handler, link, message, sent_at, key) -> None:
+        try:
+            answer = handler(link.peer, message, sent_at)
+            if link.is_open:
+                link.post(answer)
+        except (LinkClosedError, LinkOverflowError):
+            # The peer learns of the lost answer from the end of the link.
+            return
+        finally:
+            self._running.pop(key, None)
+
+    def _kill(self, link: Link, call_id: int) -> None:
+        thread, message = self._running.get((link, call_id), (None, None))
+        if thread is None or not _is_cancellable(message):
+            return
+        self._running.pop((link, call_id))
+        thread.kill()
+
+    @staticmethod
+    def _cancel(link: Link, message: Message) -> None:
+        if not isinstance(message, CallRequest) or not link.is_open:
+            return
+        try:
+            link.post(CallCancel(message.call_id))
+        except (LinkClosedError, LinkOverflowError):
+            # A closed link cancels the call as well.
+            return
+
+    def _link_to(self, member: Member, deadline: float) -> Link:
+        peer = self._peers_by_address.get(member.peer_address)
+        if peer is not None and peer.link is not None and peer.link.is_open:
+            return peer.link
+        if peer is None:
+            peer = self._peers_by_address[member.peer_address] = _Peer()
+        with peer.dialling:
+            if peer.link is not None and peer.link.is_open:
+                return peer.link
+            return self._dial(peer, member, deadline)
+
+    def _dial(self, peer: _Peer, member: Member, deadline: float) -> Link:
+        now = self._clock.now()
+        if now < peer.retry_at:
+            raise LinkClosedError(
+                "node was unreachable a moment ago",
+                step="calls.dial",
+                peer=member.node_id,
+            )
+        peer.link = None
+        timeout_s = min(DIAL_TIMEOUT_S, deadline - now)
+        if timeout_s <= 0:
+            raise LinkClosedError(
+                "deadline passed while the link was dialled",
+                step="calls.dial",
+                peer=member.node_id,
+            )
+        host = member.peer_address.rpartition(":")[0]
+        try:
+            link = dial_link(
+                member.peer_address,
+                channel=CALL_CHANNEL,
+                identity=self._identity,
+                handler=self,
+                delay_s=self._delay_for(host),
+                timeout_s=timeout_s,
+            )
+        except LinkClosedError:
+            peer.retry_at = self._clock.now() + REDIAL_PAUSE_S
+            raise
+        if link.peer.node_id != member.node_id:
+            link.close("address belongs to another node")
+            peer.retry_at = self._clock.now() + REDIAL_PAUSE_S
+            raise LinkClosedError(
+                f"{member.peer_address} is {link.peer.node_id}",
+                step="calls.dial",
+                peer=member.node_id,
+            )
+        peer.link = link
+        self._metrics.count(LINKS_DIALLED)
+        return link
+
+
+def _is_cancellable(message: Message) -> bool:
+    # The owner of an idempotency key carries on to the deadline: a response that is
+    # recorded answers the retry, a cancelled execution leaves its outcome unknown.
+    if not isinstance(message, CallRequest):
+        return False
+    return not message.idempotency_key or bool(message.claimed_by)
--- /dev/null
+++ b/src/verbenawick/_dispatch.py
@@ -0,0 +1,275 @@
+"""Dispatch of a call by the entry: endpoint, attempts, outcome."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import eventlet
+
+from verbenawick._balancer import Balancer
+from verbenawick._call_messages import (
+    CallAnswer,
+    CallRequest,
+    Headers,
+    Outcome,
+    next_call_id,
+)
+from verbenawick._clock import Clock
+from verbenawick._component import RequestPort
+from verbenawick._gateway import ClaimPort, Gateway
+from verbenawick._members import Member
+from verbenawick._metrics import MetricKind, MetricSet, register_metric
+from verbenawick._retry import CallTraits, RetryRules
+from verbenawick._table import Criticality, ServicePolicy
+from verbenawick.errors import (
+    AnswerLostError,
+    BadResponseError,
+    CallError,
+    CallTimeoutError,
+    DrainingError,
+    LinkClosedError,
+    NoEndpointError,
+    PeerLostError,
+    PeerUnreachableError,
+    QueueFullError,
+    UpstreamLostError,
+    UpstreamShedError,
+    UpstreamUnreachableError,
+)
+
+# A timeout counts against an endpoint only when the call had a usual amount of time.
+LEAST_TIME_OF_FAILURE_S = 0.1
+
+REFUSAL_CODES = frozenset({QueueFullError.code, UpstreamShedError.code})
+FAILURE_CODES = frozenset(
+    {
+        BadResponseError.code,
+        PeerLostError.code,
+        PeerUnreachableError.code,
+        UpstreamLostError.code,
+        UpstreamUnreachableError.code,
+    }
+)
+
+CROSS_REGION_BYTES = register_metric(
+    "calls.cross_region_bytes",
+    MetricKind.COUNTER,
+    "bytes",
+    "Request and response bodies sent between regions",
+)
+ATTEMPTS = register_metric(
+    "calls.attempts", MetricKind.COUNTER, "attempts", "Attempts sent to gateways"
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A call as the entry accepted it.
+
+    Attributes
+    ----------
+    deadline : float
+        Instant of the local clock.
+    version : int
+        Configuration version that the call was routed with.
+    """
+
+    service_id: str
+    policy: ServicePolicy
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    deadline: float
+    criticality: Criticality
+    attempt: int
+    depth: int
+    idempotency_key: str
+    is_repeatable: bool
+    traceparent: str
+    fingerprint: bytes
+    version: int
+
+
+class Dispatcher:
+    """Sends calls to gateways and repeats them within the retry rules.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        The own gateway; calls for the own upstream need no link.
+    on_crash : callable
+        Told the fingerprint and the node of an attempt that lost its upstream.
+    is_quarantined : callable
+        Whether requests with a fingerprint are refused.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        region: str,
+        balancer: Balancer,
+        retry_rules: RetryRules,
+        gateway: Gateway,
+        requests: RequestPort,
+        claims: ClaimPort,
+        clock: Clock,
+        metrics: MetricSet,
+        on_crash: Callable[[bytes, str], None] = lambda fingerprint, node_id: None,
+        on_complete: Callable[[bytes], None] = lambda fingerprint: None,
+        is_quarantined: Callable[[bytes], bool] = lambda fingerprint: False,
+    ):
+        self._node_id = node_id
+        self._region = region
+        self._balancer = balancer
+        self._retry_rules = retry_rules
+        self._gateway = gateway
+        self._requests = requests
+        self._claims = claims
+        self._clock = clock
+        self._metrics = metrics
+        self._on_crash = on_crash
+        self._on_complete = on_complete
+        self._is_quarantined = is_quarantined
+
+    def dispatch(self, call: Call) -> CallAnswer:
+        """Return the outcome of `call`.
+
+        Raises
+        ------
+        CallError
+            No attempt was sent.
+        """
+        self._retry_rules.add_call(call.service_id, call.policy)
+        if call.idempotency_key:
+            return self._dispatch_keyed(call)
+        return self._dispatch_repeatedly(call)
+
+    def _dispatch_keyed(self, call: Call) -> CallAnswer:
+        owner = self._claims.owner_of(call.service_id, call.idempotency_key)
+        if owner is None:
+            raise NoEndpointError("service has no member", step="entry.owner")
+        answer = self._attempt(call, owner, call.attempt)
+        if answer.code == PeerUnreachableError.code and call.attempt > 1:
+            # Nothing was sent now, but an earlier attempt of this key may have run.
+            return replace(answer, outcome=Outcome.UNKNOWN)
+        return answer
+
+    def _dispatch_repeatedly(self, call: Call) -> CallAnswer:
+        traits = CallTraits(
+            is_repeatable=call.is_repeatable,
+            has_key=False,
+            attempt=call.attempt,
+            depth=call.depth,
+        )
+        tried: list[str] = []
+        may_have_run = False
+        answer = None
+        while True:
+            member = self._balancer.choose(call.service_id, excluded=tried)
+            if member is None:
+                break
+            answer = self._attempt(call, member, call.attempt + len(tried))
+            tried.append(member.node_id)
+            if answer.outcome is Outcome.COMPLETE:
+                return answer
+            may_have_run = may_have_run or answer.outcome is Outcome.UNKNOWN
+            if self._is_quarantined(call.fingerprint):
+                break
+            if not self._retry_rules.may_retry(
+                call.service_id,
+                call.policy,
+                traits,
+                answer,
+                attempts_made=len(tried),
+                remaining_s=call.deadline - self._clock.now(),
+            ):
+                break
+        if answer is None:
+            raise NoEndpointError(
+                f"no usable member of {call.service_id}", step="entry.choose"
+            )
+        if may_have_run:
+            return replace(answer, outcome=Outcome.UNKNOWN)
+        return answer
+
+    def _attempt(self, call: Call, member: Member, attempt: int) -> CallAnswer:
+        request = self._request_for(call, attempt)
+        self._metrics.count(ATTEMPTS)
+        self._balancer.begin(member)
+        started_at = self._clock.now()
+        try:
+            answer = self._send(member, request, call.deadline)
+        except BaseException:
+            self._balancer.abandon(member)
+            raise
+        self._learn(call, member, answer, self._clock.now() - started_at)
+        if member.region != self._region:
+            crossed = len(request.body) + len(answer.body)
+            self._metrics.count(CROSS_REGION_BYTES, crossed)
+        return answer
+
+    def _send(self, member: Member, request: CallRequest, deadline: float):
+        if member.node_id == self._node_id:
+            return self._send_locally(request, deadline)
+        try:
+            return self._requests.request(member, request, deadline=deadline)
+        except LinkClosedError as error:
+            return _answer_for(PeerUnreachableError(error.message), request)
+        except AnswerLostError as error:
+            if self._clock.now() >= deadline:
+                return _answer_for(CallTimeoutError(error.message), request)
+            return _answer_for(PeerLostError(error.message), request)
+
+    def _send_locally(self, request: CallRequest, deadline: float) -> CallAnswer:
+        if not request.idempotency_key:
+            return self._gateway.handle(request, deadline=deadline)
+        # In a green thread of its own, a claimed execution outlives its caller.
+        thread = eventlet.spawn(self._gateway.handle, request, deadline=deadline)
+        return thread.wait()
+
+    def _learn(self, call, member, answer, elapsed_s) -> None:
+        if answer.outcome is Outcome.COMPLETE:
+            self._balancer.succeed(member, latency_s=elapsed_s)
+            self._on_complete(call.fingerprint)
+        elif answer.code == DrainingError.code:
+            self._balancer.refuse(member, is_draining=True)
+        elif answer.code in REFUSAL_CODES:
+            self._balancer.refuse(member)
+        elif _is_failure(answer, elapsed_s):
+            self._balancer.fail(member)
+        else:
+            self._balancer.abandon(member)
+        if answer.code == UpstreamLostError.code:
+            self._on_crash(call.fingerprint, answer.upstream_node_id or member.node_id)
+
+    def _request_for(self, call: Call, attempt: int) -> CallRequest:
+        return CallRequest(
+            call_id=next_call_id(),
+            service_id=call.service_id,
+            method=call.method,
+            target=call.target,
+            headers=call.headers,
+            body=call.body,
+            remaining_ms=(call.deadline - self._clock.now()) * 1000,
+            criticality=call.criticality,
+            attempt=attempt,
+            depth=call.depth,
+            idempotency_key=call.idempotency_key,
+            claimed_by="",
+            entry_node_id=self._node_id,
+            traceparent=call.traceparent,
+            fingerprint=call.fingerprint,
+            version=call.version,
+        )
+
+
+def _is_failure(answer: CallAnswer, elapsed_s: float) -> bool:
+    if answer.code == CallTimeoutError.code:
+        return elapsed_s >= LEAST_TIME_OF_FAILURE_S
+    return answer.code in FAILURE_CODES
+
+
+def _answer_for(error: CallError, request: CallRequest) -> CallAnswer:
+    outcome = Outcome(error.outcome)
+    return CallAnswer(request.call_id, outcome, error.code, 0, (), b"", "")
--- a/src/verbenawick/_gateway.py
+++ b/src/verbenawick/_gateway.py
@@ -1,11 +1,66 @@
 """Gateway role: serves calls for the upstream beside this node."""
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from typing import Protocol
 
-from verbenawick._call_messages import CallAnswer
-from verbenawick._members import Member
+from eventlet.event import Event
+from xxhash import xxh64_intdigest
+
+from verbenawick._admission import Admission
+from verbenawick._call_messages import (
+    CallAnswer,
+    CallRequest,
+    Headers,
+    Outcome,
+    next_call_id,
+)
+from verbenawick._clock import Clock
+from verbenawick._component import NodeIdentity, RequestPort
+from verbenawick._events import Event as LogEvent
+from verbenawick._events import emit, register_event
+from verbenawick._members import Member, MemberState, MemberView
+from verbenawick._metrics import MetricSet
+from verbenawick._table import Criticality, RoutingTable, ServicePolicy
+from verbenawick._tracing import Tracer
+from verbenawick._upstream import UpstreamConnections
+from verbenawick.errors import (
+    AnswerLostError,
+    CallError,
+    CallInProgressError,
+    ClaimRefusedError,
+    ClaimUnknownError,
+    DeadlineUnreachableError,
+    DrainingError,
+    LinkClosedError,
+    NotReadyError,
+    PeerLostError,
+    QueueFullError,
+    UpstreamLostError,
+    UpstreamShedError,
+    UpstreamUnreachableError,
+    WrongServiceError,
+)
+
+# Refusals of one upstream that another upstream of the service may accept.
+CODES_OF_BUSY_UPSTREAM = frozenset(
+    {
+        DrainingError.code,
+        QueueFullError.code,
+        UpstreamShedError.code,
+        UpstreamUnreachableError.code,
+    }
+)
+
+
+@register_event(501)
+@dataclass(frozen=True, slots=True)
+class GatewayDraining(LogEvent):
+    """The gateway refuses new work and finishes what is in flight."""
+
+    node: str
+    in_flight: int
 
 
 class ClaimVerdict(StrEnum):
@@ -40,6 +95,13 @@
     code: str = ""
 
 
+ERRORS_BY_VERDICT: dict[ClaimVerdict, type[CallError]] = {
+    ClaimVerdict.IN_PROGRESS: CallInProgressError,
+    ClaimVerdict.UNKNOWN: ClaimUnknownError,
+    ClaimVerdict.REFUSED: ClaimRefusedError,
+}
+
+
 class ClaimPort(Protocol):
     """At-most-once execution of keyed requests, as entry and gateway use it.
 
@@ -110,3 +172,295 @@
     def mark_unknown(self, key: str) -> None:
         """Record that the claimed request may have run."""
         ...
+
+
+class Gateway:
+    """Serves calls for the upstream beside this node.
+
+    Parameters
+    ----------
+    table : callable
+        Returns the `RoutingTable` in force, None before the first.
+    claims : ClaimPort
+        Decides on keyed requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        service_id: str,
+        admission: Admission,
+        upstream: UpstreamConnections,
+        table: Callable[[], RoutingTable | None],
+        members: MemberView,
+        requests: RequestPort,
+        claims: ClaimPort,
+        tracer: Tracer,
+        metrics: MetricSet,
+        clock: Clock,
+    ):
+        self._node_id = node_id
+        self._service_id = service_id
+        self._admission = admission
+        self._upstream = upstream
+        self._table = table
+        self._members = members
+        self._requests = requests
+        self._claims = claims
+        self._tracer = tracer
+        self._metrics = metrics
+        self._clock = clock
+        self._in_flight = 0
+        self._is_draining = False
+        self._idle = Event()
+
+    @property
+    def is_draining(self) -> bool:
+        """Return whether the gateway refuses new work."""
+        return self._is_draining
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of calls that the gateway is handling."""
+        return self._in_flight
+
+    @property
+    def busy_share(self) -> float:
+        """Return the share of the slots in use, 0 to 1."""
+        return self._admission.in_use / self._admission.slots
+
+    def drain(self) -> None:
+        """Refuse new work from now on; calls that hold a slot finish."""
+        if self._is_draining:
+            return
+        self._is_draining = True
+        self._idle = Event()
+        emit(GatewayDraining(self._node_id, self._in_flight))
+        self._admission.drain()
+        if not self._in_flight:
+            self._idle.send(True)
+
+    def resume(self) -> None:
+        """Accept new work again, for an upstream that ended its drain."""
+        self._is_draining = False
+        self._admission.resume()
+
+    def wait_drained(self, *, timeout_s: float) -> bool:
+        """Return whether the last call ended within `timeout_s`; after `drain`."""
+        is_idle = bool(self._idle.wait(timeout=timeout_s))
+        self._upstream.close_idle()
+        return is_idle
+
+    def on_request(
+        self, peer: NodeIdentity, request: CallRequest, sent_at: float
+    ) -> CallAnswer:
+        """Handle a call from another node; a handler of `CallLinks`."""
+        return self.handle(request, deadline=sent_at + request.remaining_ms / 1000)
+
+    def handle(self, request: CallRequest, *, deadline: float) -> CallAnswer:
+        """Return the outcome of a call; errors of the call path become answers."""
+        self._in_flight += 1
+        try:
+            context = self._tracer.context_from(request.traceparent)
+            with self._tracer.span("gateway", context) as span_context:
+                return self._handle(request, deadline, span_context)
+        except CallError as error:
+            return self._answer_for(error, request)
+        finally:
+            self._in_flight -= 1
+            if self._is_draining and not self._in_flight and not self._idle.ready():
+                self._idle.send(True)
+
+    def _handle(self, request, deadline, context) -> CallAnswer:
+        is_owner = bool(request.idempotency_key) and not request.claimed_by
+        try:
+            policy = self._check(request, deadline)
+        except CallError as error:
+            if is_owner and request.attempt > 1:
+                return unknown_answer(error, request)
+            raise
+        if is_owner:
+            return self._coordinate(request, deadline, context, policy)
+        return self._run(request, deadline, context, policy)
+
+    def _check(self, request: CallRequest, deadline: float) -> ServicePolicy:
+        table = self._table()
+        if table is None:
+            raise NotReadyError(
+                "no configuration in force", step="gateway", peer=self._node_id
+            )
+        if request.service_id != self._service_id:
+            raise WrongServiceError(
+                f"this gateway serves {self._service_id}",
+                step="gateway",
+                peer=self._node_id,
+            )
+        if self._is_draining and not request.idempotency_key:
+            raise DrainingError("gateway drains", step="gateway", peer=self._node_id)
+        if deadline <= self._clock.now():
+            raise DeadlineUnreachableError(
+                "deadline passed on the way", step="gateway", peer=self._node_id
+            )
+        return table.policies_by_service_id.get(self._service_id) or ServicePolicy("")
+
+    def _run(self, request, deadline, context, policy, before_send=None) -> CallAnswer:
+        """Run the request on the own upstream; the answer is always complete."""
+        self._admission.enter(
+            criticality=Criticality(request.criticality),
+            deadline=deadline,
+            policy=policy,
+        )
+        started_at = self._clock.now()
+        service_s = None
+        try:
+            response = self._upstream.exchange(
+                method=request.method,
+                target=request.target,
+                headers=self._headers_for(request, deadline, context),
+                body=request.body,
+                deadline=deadline,
+                max_body_bytes=policy.max_body_bytes,
+                before_send=before_send,
+            )
+            service_s = self._clock.now() - started_at
+        finally:
+            self._admission.leave(service_s=service_s)
+        return CallAnswer(
+            request.call_id,
+            Outcome.COMPLETE,
+            "",
+            response.status,
+            response.headers,
+            response.body,
+            self._node_id,
+        )
+
+    def _headers_for(self, request, deadline, context) -> Headers:
+        remaining_ms = max(int((deadline - self._clock.now()) * 1000), 1)
+        headers = (
+            *request.headers,
+            ("Request-Timeout", str(remaining_ms)),
+            ("Criticality", Criticality(request.criticality).name.lower()),
+            ("Attempt", str(request.attempt)),
+            ("Call-Depth", str(request.depth + 1)),
+            ("traceparent", context.header()),
+        )
+        if request.idempotency_key:
+            headers += (("Idempotency-Key", request.idempotency_key),)
+        return headers
+
+    def _coordinate(self, request, deadline, context, policy) -> CallAnswer:
+        key = request.idempotency_key
+        decision = self._claims.begin(
+            key,
+            fingerprint=request.fingerprint,
+            attempt=request.attempt,
+            deadline=deadline,
+        )
+        if decision.verdict is not ClaimVerdict.RUN:
+            return self._answer_without_run(request, decision)
+        try:
+            answer = self._run_claimed(request, deadline, context, policy)
+        except BaseException as error:
+            # GreenletExit, for one: whether bytes were sent is not known here.
+            self._claims.mark_unknown(key)
+            if isinstance(error, Exception):
+                return unknown_answer(error, request)
+            raise
+        if answer.outcome is Outcome.COMPLETE:
+            self._claims.finish(key, answer)
+        elif answer.outcome is Outcome.NOT_RUN:
+            self._claims.release(key)
+        else:
+            self._claims.mark_unknown(key)
+        return answer
+
+    def _answer_without_run(self, request, decision: ClaimDecision) -> CallAnswer:
+        if decision.verdict is ClaimVerdict.RECORDED:
+            return replace(decision.answer, call_id=request.call_id)
+        error_type = ERRORS_BY_VERDICT[decision.verdict]
+        error = error_type(
+            f"key was not claimed: {decision.verdict}",
+            step="gateway.claim",
+            peer=self._node_id,
+        )
+        if request.attempt > 1:
+            # An earlier attempt may have run elsewhere, so "not run" is not proven.
+            answer = unknown_answer(error, request)
+        else:
+            answer = answer_for(error, request)
+        return replace(answer, code=decision.code or answer.code)
+
+    def _run_claimed(self, request, deadline, context, policy) -> CallAnswer:
+        """Run on the own upstream, or on another one when this one refuses."""
+        key = request.idempotency_key
+
+        def confirm() -> None:
+            if not self._claims.confirm(key):
+                raise ClaimRefusedError(
+                    "claim ended before the request was sent", step="gateway.confirm"
+                )
+
+        try:
+            if self._is_draining:
+                raise DrainingError("gateway drains", step="gateway")
+            return self._run(request, deadline, context, policy, confirm)
+        except CallError as error:
+            answer = self._answer_for(error, request)
+        if answer.code not in CODES_OF_BUSY_UPSTREAM:
+            return answer
+        return self._run_elsewhere(request, deadline, policy, answer)
+
+    def _answer_for(self, error: CallError, request: CallRequest) -> CallAnswer:
+        answer = answer_for(error, request)
+        if isinstance(error, UpstreamLostError):
+            return replace(answer, upstream_node_id=self._node_id)
+        return answer
+
+    def _run_elsewhere(self, request, deadline, policy, answer) -> CallAnswer:
+        others = [
+            member
+            for member in self._members.members_of(self._service_id)
+            if member.node_id != self._node_id and member.state is MemberState.ACTIVE
+        ]
+        # Starting at the key's hash spreads what a full upstream passes on.
+        start = xxh64_intdigest(request.idempotency_key) % max(len(others), 1)
+        for member in (others[start:] + others[:start])[: policy.max_attempts - 1]:
+            if not self._claims.confirm(request.idempotency_key):
+                return answer
+            try:
+                result = self._requests.request(
+                    member, self._forwarded(request, deadline), deadline=deadline
+                )
+            except LinkClosedError:
+                continue
+            except AnswerLostError as error:
+                lost = PeerLostError(
+                    error.message, step="gateway.forward", peer=member.node_id
+                )
+                return answer_for(lost, request)
+            answer = replace(result, call_id=request.call_id)
+            if answer.outcome is not Outcome.NOT_RUN:
+                return answer
+        return answer
+
+    def _forwarded(self, request: CallRequest, deadline: float) -> CallRequest:
+        return replace(
+            request,
+            call_id=next_call_id(),
+            claimed_by=self._node_id,
+            remaining_ms=(deadline - self._clock.now()) * 1000,
+        )
+
+
+def answer_for(error: CallError, request: CallRequest) -> CallAnswer:
+    """Return the answer that tells the caller of `error`."""
+    outcome = Outcome(error.outcome)
+    return CallAnswer(request.call_id, outcome, error.code, 0, (), b"", "")
+
+
+def unknown_answer(error: Exception, request: CallRequest) -> CallAnswer:
+    """Return an answer with the outcome unknown, whatever `error` proves."""
+    code = getattr(error, "code", CallError.code)
+    return CallAnswer(request.call_id, Outcome.UNKNOWN, code, 0, (), b"", "")
--- /dev/null
+++ b/src/verbenawick/_upstream.py
@@ -0,0 +1,297 @@
+"""HTTP connections to the upstream beside this node.
+
+The connections are urllib3's, owned one by one by a limiter: urllib3's pool costs more
+than half of the added latency allowed per call.
+"""
+
+import select
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from http.client import HTTPConnection as StandardConnection
+from http.client import HTTPException, IncompleteRead
+from http.client import HTTPResponse as StandardResponse
+
+from eventlet import Timeout
+from eventlet.green import socket
+from urllib3.connection import HTTPConnection
+
+from verbenawick._call_messages import Headers
+from verbenawick._clock import Clock
+from verbenawick._metrics import MetricKind, MetricSet, register_metric
+from verbenawick.errors import (
+    BadResponseError,
+    CallTimeoutError,
+    DeadlineUnreachableError,
+    UpstreamLostError,
+    UpstreamShedError,
+    UpstreamUnreachableError,
+)
+
+NOT_RUN_HEADER = "upstream-not-run"
+
+# Below the 5 s after which common HTTP servers close an idle connection, so that a
+# request is seldom written to a connection that the upstream is closing.
+IDLE_LIMIT_S = 4.0
+
+# Opening a connection takes about 1 ms; an upstream that accepts none is unreachable.
+CONNECT_TIMEOUT_S = 1.0
+
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+CONNECTIONS_OPENED = register_metric(
+    "upstream.connections_opened",
+    MetricKind.COUNTER,
+    "connections",
+    "Connections opened to the own upstream",
+)
+CONNECTIONS_DISCARDED = register_metric(
+    "upstream.connections_discarded",
+    MetricKind.COUNTER,
+    "connections",
+    "Connections closed because a response was not read whole",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamResponse:
+    """A whole response of the upstream."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class _Connection(HTTPConnection):
+    """urllib3's connection over a socket of eventlet, without global patching."""
+
+    idle_since = 0.0
+
+    def _new_conn(self):
+        sock = socket.create_connection((self.host, self.port), CONNECT_TIMEOUT_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # The deadline of the call bounds each exchange, not a timeout per read.
+        sock.settimeout(None)
+        return sock
+
+
+class UpstreamConnections:
+    """Connections to one upstream, reused when a response was read whole.
+
+    Parameters
+    ----------
+    address : str
+        ``"ip:port"`` of the upstream.
+    max_connections : int
+        Open connections, idle ones included.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        max_connections: int,
+        clock: Clock,
+        metrics: MetricSet,
+    ):
+        host, _, port = address.rpartition(":")
+        self._address = address
+        self._host = host
+        self._port = int(port)
+        self._max_connections = max_connections
+        self._clock = clock
+        self._metrics = metrics
+        self._idle: deque[_Connection] = deque()
+        self._open_count = 0
+
+    @property
+    def open_count(self) -> int:
+        """Return the number of open connections."""
+        return self._open_count
+
+    def exchange(
+        self,
+        *,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        deadline: float,
+        max_body_bytes: int,
+        before_send: Callable[[], None] | None = None,
+    ) -> UpstreamResponse:
+        """Send a request and return the whole response.
+
+        Parameters
+        ----------
+        before_send : callable
+            Called immediately before the request is written; an exception that it
+            raises is passed on and nothing is sent.
+
+        Raises
+        ------
+        UpstreamUnreachableError, DeadlineUnreachableError
+            Nothing was sent.
+        UpstreamShedError
+            The upstream answered that it did not run the request.
+        CallTimeoutError, UpstreamLostError, BadResponseError
+            The request was sent; it may have run.
+        """
+        connection = self._acquire(deadline)
+        is_reusable = False
+        try:
+            if before_send is not None:
+                before_send()
+            with Timeout(max(deadline - self._clock.now(), 0.0), _DeadlinePassed()):
+                response = self._send(connection, method, target, headers, body)
+                whole = self._read_whole(response, max_body_bytes)
+            is_reusable = not response.will_close
+        except _DeadlinePassed:
+            raise CallTimeoutError(
+                "deadline passed while the upstream ran the request",
+                step="upstream.exchange",
+                peer=self._address,
+            ) from None
+        except (OSError, IncompleteRead) as error:
+            raise UpstreamLostError(
+                f"connection ended before the response was whole: {error!r}",
+                step="upstream.exchange",
+                peer=self._address,
+            ) from error
+        except HTTPException as error:
+            raise BadResponseError(
+                str(error) or type(error).__name__,
+                step="upstream.exchange",
+                peer=self._address,
+            ) from error
+        finally:
+            # Cancellation (GreenletExit) passes here too: an unread response must
+            # never be taken for the response to a later request.
+            self._give_back(connection, is_reusable=is_reusable)
+        if whole.status == 503 and response.getheader(NOT_RUN_HEADER) == "1":
+            raise UpstreamShedError(
+                "upstream did not run the request",
+                step="upstream.exchange",
+                peer=self._address,
+            )
+        return whole
+
+    def close_idle(self) -> None:
+        """Close the connections that no call uses."""
+        while self._idle:
+            self._discard(self._idle.popleft())
+
+    def _send(self, connection, method, target, headers, body) -> StandardResponse:
+        connection.putrequest(method, target, skip_host=True, skip_accept_encoding=True)
+        for name, value in headers:
+            connection.putheader(name, value)
+        if body or method in ("POST", "PUT", "PATCH"):
+            connection.putheader("Content-Length", str(len(body)))
+        connection.endheaders(body or None)
+        # The standard library's response: it raises on a short body, and wrapping it
+        # in urllib3's response adds only decoding, which a proxy must not do.
+        return StandardConnection.getresponse(connection)
+
+    def _read_whole(
+        self, response: StandardResponse, max_body_bytes: int
+    ) -> UpstreamResponse:
+        if response.length is None and not response.chunked:
+            raise HTTPException("response has neither a length nor chunks")
+        if (response.length or 0) > max_body_bytes:
+            raise HTTPException(f"response body exceeds {max_body_bytes} bytes")
+        if response.chunked:
+            body = _read_chunks(response, max_body_bytes)
+        else:
+            body = response.read()
+        headers = tuple(
+            (name, value)
+            for name, value in response.headers.items()
+            if name.lower() not in HOP_HEADERS
+        )
+        return UpstreamResponse(response.status, headers, body)
+
+    def _acquire(self, deadline: float) -> _Connection:
+        while self._idle:
+            connection = self._idle.pop()
+            if self._is_usable(connection):
+                return connection
+            self._discard(connection)
+        remaining_s = deadline - self._clock.now()
+        if remaining_s <= 0:
+            raise DeadlineUnreachableError(
+                "deadline passed before the request was sent",
+                step="upstream.connect",
+                peer=self._address,
+            )
+        if self._open_count >= self._max_connections:
+            raise UpstreamUnreachableError(
+                f"all {self._max_connections} connections are in use",
+                step="upstream.connect",
+                peer=self._address,
+            )
+        return self._open()
+
+    def _open(self) -> _Connection:
+        connection = _Connection(self._host, self._port)
+        self._open_count += 1
+        try:
+            connection.connect()
+        except BaseException as error:
+            self._discard(connection)
+            if isinstance(error, OSError):
+                raise UpstreamUnreachableError(
+                    f"cannot connect: {error}",
+                    step="upstream.connect",
+                    peer=self._address,
+                ) from error
+            raise
+        self._metrics.count(CONNECTIONS_OPENED)
+        return connection
+
+    def _is_usable(self, connection: _Connection) -> bool:
+        if self._clock.now() - connection.idle_since > IDLE_LIMIT_S:
+            return False
+        # Readable while idle: closed by the upstream, or bytes that belong to no call.
+        poll = select.poll()
+        poll.register(connection.sock.fileno(), select.POLLIN | select.POLLHUP)
+        return not poll.poll(0)
+
+    def _give_back(self, connection: _Connection, *, is_reusable: bool) -> None:
+        if not is_reusable:
+            self._metrics.count(CONNECTIONS_DISCARDED)
+            self._discard(connection)
+            return
+        connection.idle_since = self._clock.now()
+        self._idle.append(connection)
+
+    def _discard(self, connection: _Connection) -> None:
+        self._open_count -= 1
+        connection.close()
+
+
+class _DeadlinePassed(Exception):
+    """Raised inside an exchange by its timer."""
+
+
+def _read_chunks(response: StandardResponse, max_body_bytes: int) -> bytes:
+    parts = []
+    size = 0
+    # `read` of a chunked response with a size raises IncompleteRead at an early end.
+    while data := response.read(65536):
+        size += len(data)
+        if size > max_body_bytes:
+            raise HTTPException(f"response body exceeds {max_body_bytes} bytes")
+        parts.append(data)
+    return b"".join(parts)
--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -152,3 +152,164 @@
 @register_error("link.answer-lost")
 class AnswerLostError(VerbenawickError):
     """A request was sent to a peer and its answer did not arrive."""
+
+
+# Calls
+
+
+@register_error("call.failed")
+class CallError(VerbenawickError):
+    """A call has no complete response from an upstream.
+
+    Attributes
+    ----------
+    outcome : str
+        ``"not-run"`` when the request is proven not to have run, else ``"unknown"``.
+    http_status : int
+        Status of the answer to the caller.
+    """
+
+    outcome = "unknown"
+    http_status = 502
+
+
+class CallNotRunError(CallError):
+    """Base class: the request did not run."""
+
+    outcome = "not-run"
+    http_status = 503
+
+
+@register_error("call.no-route")
+class NoRouteError(CallNotRunError):
+    """No route matches the request."""
+
+    http_status = 404
+
+
+@register_error("call.bad-request")
+class BadCallError(CallNotRunError):
+    """A request header has an invalid value, or the body is incomplete."""
+
+    http_status = 400
+
+
+@register_error("call.request-too-large")
+class RequestTooLargeError(CallNotRunError):
+    """The request body exceeds the limit of the service."""
+
+    http_status = 413
+
+
+@register_error("call.key-required")
+class KeyRequiredError(CallNotRunError):
+    """A non-repeatable request has no idempotency key."""
+
+    http_status = 428
+
+
+@register_error("call.not-ready")
+class NotReadyError(CallNotRunError):
+    """The node has no configuration in force yet."""
+
+
+@register_error("call.below-floor")
+class BelowFloorError(CallNotRunError):
+    """The preset in force sheds calls of this criticality."""
+
+
+@register_error("call.no-endpoint")
+class NoEndpointError(CallNotRunError):
+    """The service has no usable member."""
+
+
+@register_error("call.wrong-service")
+class WrongServiceError(CallNotRunError):
+    """The gateway's upstream is of another service."""
+
+
+@register_error("call.draining")
+class DrainingError(CallNotRunError):
+    """The gateway accepts no new calls, since its node or upstream is stopping."""
+
+
+@register_error("call.queue-full")
+class QueueFullError(CallNotRunError):
+    """The gateway's queue is full, or a more critical call took the place."""
+
+
+@register_error("call.deadline-unreachable")
+class DeadlineUnreachableError(CallNotRunError):
+    """The call would not complete before its deadline, so it was not sent."""
+
+    http_status = 504
+
+
+@register_error("call.cancelled")
+class CallCancelledError(CallNotRunError):
+    """The caller went away before the request was sent."""
+
+    http_status = 499
+
+
+@register_error("call.quarantined")
+class QuarantinedError(CallNotRunError):
+    """Equal requests crashed several upstreams; it is refused for some minutes."""
+
+    http_status = 422
+
+
+@register_error("call.claim-refused")
+class ClaimRefusedError(CallNotRunError):
+    """The owner of the idempotency key may not claim it now."""
+
+
+@register_error("call.peer-unreachable")
+class PeerUnreachableError(CallNotRunError):
+    """No link to the gateway could be opened; nothing was sent."""
+
+
+@register_error("call.upstream-unreachable")
+class UpstreamUnreachableError(CallNotRunError):
+    """The upstream accepts no connection; nothing was sent."""
+
+
+@register_error("call.upstream-shed")
+class UpstreamShedError(CallNotRunError):
+    """The upstream answered that it did not run the request."""
+
+
+@register_error("call.peer-lost")
+class PeerLostError(CallError):
+    """The link to the gateway ended after the request was sent."""
+
+
+@register_error("call.upstream-lost")
+class UpstreamLostError(CallError):
+    """The upstream ended the connection before its response was whole."""
+
+
+@register_error("call.bad-response")
+class BadResponseError(CallError):
+    """The response is not valid HTTP, is too large, or its end cannot be verified."""
+
+
+@register_error("call.timeout")
+class CallTimeoutError(CallError):
+    """The deadline passed after the request was sent."""
+
+    http_status = 504
+
+
+@register_error("call.in-progress")
+class CallInProgressError(CallError):
+    """An earlier request with the same idempotency key is still running."""
+
+    http_status = 409
+
+
+@register_error("call.claim-unknown")
+class ClaimUnknownError(CallError):
+    """A request with this key may have run before; its response is not known."""
+
+    http_status = 409
--- /dev/null
+++ b/standins/upstream.py
@@ -0,0 +1,323 @@
+"""Stand-in for an upstream: slots, connections, drain, cold start, faults on demand.
+
+Run it with ``python -m standins.upstream --address 127.0.0.1:9000 --service archivo``.
+
+Each path except those below `/standin/`, `/health` and `/load` runs a request. Query
+parameters of a request ask for faults:
+
+================  ====================================================================
+``delay_ms=N``    service time of this request
+``bytes=N``       size of the response body (default 200)
+``status=N``      status of the response
+``chunked=1``     response in chunks, without a length
+``fault=cut``     half of the response, then end of the connection
+``fault=reset``   connection reset after the request ran
+``fault=crash``   end of the process while the request runs
+================  ====================================================================
+
+The response body of a request with a body is that body. ``GET /standin/runs`` returns
+the runs of each ``Request-Id`` in order; ``POST /standin/faults`` takes a JSON object
+with `Faults` fields.
+"""
+
+import argparse
+import json
+import os
+import socket as native_socket
+import struct
+from collections import deque
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, fields
+from time import monotonic
+from urllib.parse import parse_qsl
+
+import eventlet
+from eventlet import wsgi
+from eventlet.hubs import trampoline
+
+COLD_START_FACTOR = 5.0
+EXIT_CODE_CRASH = 70
+MAX_RUNS_KEPT = 200_000
+NOT_RUN = ("Upstream-Not-Run", "1")
+REASONS_BY_STATUS = {
+    200: "OK",
+    404: "Not Found",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+@dataclass
+class Faults:
+    """Faults of the whole stand-in, set at ``POST /standin/faults``.
+
+    Attributes
+    ----------
+    draining : bool
+        New requests are refused as not run; running ones finish.
+    shed_share : float
+        Share of requests refused as not run, 0 to 1.
+    load_lag_s : float
+        Age of what ``/load`` and ``/health`` report.
+    health_override : str
+        Fixed answer of ``/health``: ``"healthy"``, ``"unhealthy"`` or empty.
+    load_override : float
+        Fixed answer of ``/load``; negative for none.
+    latency_factor : float
+        Factor on the service time.
+    """
+
+    draining: bool = False
+    shed_share: float = 0.0
+    load_lag_s: float = 0.0
+    health_override: str = ""
+    load_override: float = -1.0
+    latency_factor: float = 1.0
+
+
+def _exit_process() -> None:
+    os._exit(EXIT_CODE_CRASH)
+
+
+class StandinUpstream:
+    """WSGI application of the stand-in.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that run at the same time; more are refused with 503 as not run.
+    connections : int
+        Open connections; more wait unaccepted.
+    service_time_s : float
+        Service time of a request that asks for none.
+    cold_start_s : float
+        Time after the start during which requests take up to `COLD_START_FACTOR` times
+        as long.
+    crash : callable
+        Called by a request with ``fault=crash``; ends the process by default.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        *,
+        slots: int = 12,
+        connections: int = 120,
+        service_time_s: float = 0.0,
+        cold_start_s: float = 0.0,
+        crash: Callable[[], None] = _exit_process,
+    ):
+        self.faults = Faults()
+        self.runs: deque[tuple[str, str]] = deque(maxlen=MAX_RUNS_KEPT)
+        self.running = 0
+        self.peak_running = 0
+        self.shed = 0
+        self.cancelled = 0
+        self._service = service
+        self._slots = slots
+        self._connections = connections
+        self._service_time_s = service_time_s
+        self._cold_start_s = cold_start_s
+        self._crash = crash
+        self._started_at = monotonic()
+        self._shed_debt = 0.0
+        self._load_history: deque[tuple[float, float, bool]] = deque(maxlen=4096)
+
+    def serve(self, listener) -> None:
+        """Serve requests on a listening socket until the green thread is killed."""
+        wsgi.server(
+            listener, self, log_output=False, max_size=self._connections, debug=False
+        )
+
+    def __call__(self, environ, start_response):
+        """Serve one request."""
+        path = environ["PATH_INFO"]
+        if path.startswith("/standin/"):
+            return self._administer(environ, start_response, path[9:])
+        if path == "/health":
+            return self._report_health(start_response)
+        if path == "/load":
+            return self._report_load(start_response)
+        return self._run(environ, start_response)
+
+    def _run(self, environ, start_response):
+        body = environ["wsgi.input"].read()
+        if len(body) < int(environ.get("CONTENT_LENGTH") or 0):
+            return []
+        options = dict(parse_qsl(environ.get("QUERY_STRING", "")))
+        if self._refuses():
+            self.shed += 1
+            return _answer(start_response, 503, b"not run", [NOT_RUN])
+        self._record_load()
+        self.running += 1
+        self.peak_running = max(self.peak_running, self.running)
+        request_id = environ.get("HTTP_REQUEST_ID", "")
+        self.runs.append((request_id, "started"))
+        try:
+            return self._respond(environ, start_response, options, body, request_id)
+        finally:
+            self.running -= 1
+            self._record_load()
+
+    def _refuses(self) -> bool:
+        if self.faults.draining or self.running >= self._slots:
+            return True
+        self._shed_debt += self.faults.shed_share
+        if self._shed_debt >= 1:
+            self._shed_debt -= 1
+            return True
+        return False
+
+    def _respond(self, environ, start_response, options, body, request_id):
+        fault = options.get("fault", "")
+        if fault == "crash":
+            self._crash()
+        sock = environ["eventlet.input"].get_socket()
+        service_s = self._service_time(options)
+        limit_s = float(environ.get("HTTP_REQUEST_TIMEOUT") or "inf") / 1000
+        if not _wait_connected(sock, min(service_s, limit_s)):
+            self.cancelled += 1
+            self.runs.append((request_id, "cancelled"))
+            return []
+        if service_s > limit_s:
+            self.runs.append((request_id, "expired"))
+            return _answer(start_response, 504, b"deadline exceeded", [])
+        self.runs.append((request_id, "finished"))
+        payload = body or b"x" * int(options.get("bytes", "200"))
+        if fault:
+            return _break_connection(sock, fault, payload)
+        status = int(options.get("status", "200"))
+        headers = [("Upstream-Request-Id", request_id)]
+        if options.get("chunked"):
+            start_response(_status_line(status), headers)
+            return [payload[i : i + 1000] for i in range(0, len(payload), 1000)]
+        return _answer(start_response, status, payload, headers)
+
+    def _service_time(self, options) -> float:
+        service_s = self._service_time_s
+        if "delay_ms" in options:
+            service_s = float(options["delay_ms"]) / 1000
+        service_s *= self.faults.latency_factor
+        age_s = monotonic() - self._started_at
+        if age_s < self._cold_start_s:
+            missing = 1 - age_s / self._cold_start_s
+            service_s *= 1 + (COLD_START_FACTOR - 1) * missing
+        return service_s
+
+    def _record_load(self) -> None:
+        entry = (monotonic(), self.running / self._slots, not self.faults.draining)
+        self._load_history.append(entry)
+
+    def _load_as_reported(self) -> tuple[float, bool]:
+        until = monotonic() - self.faults.load_lag_s
+        for at, busy_share, healthy in reversed(self._load_history):
+            if at <= until:
+                return busy_share, healthy
+        return 0.0, True
+
+    def _report_health(self, start_response):
+        healthy = self._load_as_reported()[1] and not self.faults.draining
+        if self.faults.health_override:
+            healthy = self.faults.health_override == "healthy"
+        text = b"healthy" if healthy else b"unhealthy"
+        return _answer(start_response, 200 if healthy else 503, text, [])
+
+    def _report_load(self, start_response):
+        share = self._load_as_reported()[0]
+        if self.faults.load_override >= 0:
+            share = self.faults.load_override
+        return _answer_json(start_response, {"busy_share": share, "slots": self._slots})
+
+    def _administer(self, environ, start_response, name):
+        if name == "runs":
+            return _answer_json(start_response, list(self.runs))
+        if name == "counters":
+            return _answer_json(start_response, self.counters())
+        if name == "faults" and environ["REQUEST_METHOD"] == "POST":
+            values = json.loads(environ["wsgi.input"].read())
+            known = {field.name for field in fields(Faults)}
+            if not set(values) <= known:
+                return _answer(start_response, 404, b"unknown fault", [])
+            for key, value in values.items():
+                setattr(self.faults, key, value)
+            return _answer_json(start_response, asdict(self.faults))
+        return _answer(start_response, 404, b"no such page", [])
+
+    def counters(self) -> dict[str, int]:
+        """Return what was counted since the start."""
+        return {
+            "running": self.running,
+            "peak_running": self.peak_running,
+            "shed": self.shed,
+            "cancelled": self.cancelled,
+            "started": sum(state == "started" for _, state in self.runs),
+            "finished": sum(state == "finished" for _, state in self.runs),
+        }
+
+
+def _status_line(status: int) -> str:
+    return f"{status} {REASONS_BY_STATUS.get(status, 'Status')}"
+
+
+def _answer(start_response, status, body, headers):
+    headers = [*headers, ("Content-Length", str(len(body)))]
+    start_response(_status_line(status), headers)
+    return [body]
+
+
+def _answer_json(start_response, value):
+    headers = [("Content-Type", "application/json")]
+    return _answer(start_response, 200, json.dumps(value).encode(), headers)
+
+
+def _wait_connected(sock, duration_s) -> bool:
+    """Wait; return False as soon as the other side closes the connection."""
+    if duration_s <= 0:
+        return True
+    try:
+        trampoline(sock, read=True, timeout=duration_s, timeout_exc=TimeoutError)
+    except TimeoutError:
+        return True
+    # Readable while the request runs: closed, since callers do not pipeline.
+    return False
+
+
+def _break_connection(sock, fault, payload):
+    if fault == "reset":
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(native_socket.SOL_SOCKET, native_socket.SO_LINGER, linger)
+        # The server's file objects keep the descriptor open after a close.
+        native_socket.close(sock.fd.detach())
+        return []
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(payload)}\r\n\r\n".encode()
+    sock.sendall(head + payload[: len(payload) // 2])
+    sock.shutdown(native_socket.SHUT_RDWR)
+    return []
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run the stand-in until it is ended."""
+    parser = argparse.ArgumentParser(prog="python -m standins.upstream")
+    parser.add_argument("--address", required=True, metavar="IP:PORT")
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--slots", type=int, default=12)
+    parser.add_argument("--connections", type=int, default=120)
+    parser.add_argument("--service-time-ms", type=float, default=0.0)
+    parser.add_argument("--cold-start-s", type=float, default=0.0)
+    options = parser.parse_args(arguments)
+    host, _, port = options.address.rpartition(":")
+    upstream = StandinUpstream(
+        options.service,
+        slots=options.slots,
+        connections=options.connections,
+        service_time_s=options.service_time_ms / 1000,
+        cold_start_s=options.cold_start_s,
+    )
+    listener = eventlet.listen((host, int(port)), backlog=1024)
+    print(f"upstream {options.service} listens on {options.address}", flush=True)
+    upstream.serve(listener)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/call_support.py
@@ -0,0 +1,307 @@
+"""Nodes, upstreams and callers in one process, for tests of the call path."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from http.client import HTTPConnection
+from random import Random
+
+import eventlet
+from eventlet.green import socket
+
+from standins.upstream import StandinUpstream
+from verbenawick._admission import Admission
+from verbenawick._balancer import Balancer
+from verbenawick._call_links import CallLinks
+from verbenawick._call_messages import CallAnswer, CallRequest
+from verbenawick._clock import MonotonicClock
+from verbenawick._component import NodeIdentity
+from verbenawick._dispatch import Dispatcher
+from verbenawick._gateway import ClaimDecision, ClaimVerdict, Gateway
+from verbenawick._links import CALL_CHANNEL, LinkServer
+from verbenawick._members import Member, MemberState, ReportedLoad
+from verbenawick._metrics import MetricSet
+from verbenawick._proxy import EntryApplication, EntryServer
+from verbenawick._retry import RetryRules
+from verbenawick._table import Route, RoutingTable, ServicePolicy
+from verbenawick._tracing import Tracer
+from verbenawick._upstream import UpstreamConnections
+
+SERVICE = "archivo"
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def wait_until(condition: Callable[[], object], timeout_s: float = 5.0) -> None:
+    """Yield to other green threads until `condition()` holds."""
+    with eventlet.Timeout(timeout_s):
+        while not condition():
+            eventlet.sleep(0.001)
+
+
+def member(
+    node_id: str,
+    *,
+    data_centre: str = "dc1",
+    region: str = "north",
+    port: int = 1,
+    state: MemberState = MemberState.ACTIVE,
+    incarnation: int = 1,
+) -> Member:
+    """Return a member of `SERVICE`."""
+    return Member(
+        node_id,
+        incarnation,
+        SERVICE,
+        data_centre,
+        region,
+        f"127.0.0.1:{port}",
+        4,
+        state,
+    )
+
+
+@dataclass
+class StaticMembers:
+    """Member view that a test sets."""
+
+    members: list[Member] = field(default_factory=list)
+    loads_by_node_id: dict[str, ReportedLoad] = field(default_factory=dict)
+
+    def members_of(self, service_id):
+        """Return all members of the service."""
+        return tuple(m for m in self.members if m.service_id == service_id)
+
+    def departed_of(self, service_id):
+        """Return nothing."""
+        return ()
+
+    def members_in(self, data_centre):
+        """Return the members of a data centre."""
+        return tuple(m for m in self.members if m.data_centre == data_centre)
+
+    def member(self, node_id):
+        """Return one member."""
+        return next((m for m in self.members if m.node_id == node_id), None)
+
+    def load_of(self, node_id):
+        """Return the load that the test set."""
+        return self.loads_by_node_id.get(node_id)
+
+    def authority_deadline(self):
+        """Return an instant that never comes."""
+        return float("inf")
+
+
+class MemoryClaims:
+    """Claims of one owner in memory; records which calls the gateway made."""
+
+    def __init__(self, owner: Callable[[], Member | None]):
+        self.owner = owner
+        self.state_by_key: dict[str, str] = {}
+        self.answers_by_key: dict[str, CallAnswer] = {}
+        self.confirms = True
+
+    def owner_of(self, service_id, key):
+        """Return the owner that the test chose."""
+        return self.owner()
+
+    def begin(self, key, *, fingerprint, attempt, deadline):
+        """Decide by the recorded state."""
+        state = self.state_by_key.get(key)
+        if state is None:
+            self.state_by_key[key] = "claimed"
+            return ClaimDecision(ClaimVerdict.RUN)
+        if state == "done":
+            return ClaimDecision(ClaimVerdict.RECORDED, self.answers_by_key[key])
+        if state == "claimed":
+            return ClaimDecision(ClaimVerdict.IN_PROGRESS)
+        return ClaimDecision(ClaimVerdict.UNKNOWN)
+
+    def confirm(self, key):
+        """Return what the test set."""
+        return self.confirms
+
+    def finish(self, key, answer):
+        """Record the answer."""
+        self.state_by_key[key] = "done"
+        self.answers_by_key[key] = answer
+
+    def release(self, key):
+        """Forget the claim."""
+        del self.state_by_key[key]
+
+    def mark_unknown(self, key):
+        """Record the unknown outcome."""
+        self.state_by_key[key] = "unknown"
+
+
+class CallNode:
+    """Entry and gateway of one node with real sockets on loopback."""
+
+    def __init__(
+        self, node_id, members, table, claims, *, upstream_address, slots=4, seed=1
+    ):
+        self.clock = MonotonicClock()
+        self.metrics = MetricSet()
+        self.member = member(node_id, port=free_port())
+        members.members.append(self.member)
+        identity = NodeIdentity(
+            node_id, 1, SERVICE, "dc1", "north", self.member.peer_address
+        )
+        shared = {"clock": self.clock, "metrics": self.metrics}
+        self.links = CallLinks(identity, **shared)
+        tracer = Tracer(node_id, sample_share=0.0, random=Random(seed))
+        self.admission = Admission(slots=slots, **shared)
+        self.upstream = UpstreamConnections(
+            upstream_address, max_connections=120, **shared
+        )
+        self.gateway = Gateway(
+            node_id=node_id,
+            service_id=SERVICE,
+            admission=self.admission,
+            upstream=self.upstream,
+            table=lambda: table,
+            members=members,
+            requests=self.links,
+            claims=claims,
+            tracer=tracer,
+            **shared,
+        )
+        self.links.register_handler(CallRequest, self.gateway.on_request)
+        self.balancer = Balancer(
+            data_centre="dc1",
+            region="north",
+            members=members,
+            random=Random(seed),
+            **shared,
+        )
+        self.dispatcher = Dispatcher(
+            node_id=node_id,
+            region="north",
+            balancer=self.balancer,
+            retry_rules=RetryRules(self.metrics),
+            gateway=self.gateway,
+            requests=self.links,
+            claims=claims,
+            **shared,
+        )
+        self.entry = EntryApplication(
+            node_id=node_id,
+            table=lambda: table,
+            dispatcher=self.dispatcher,
+            tracer=tracer,
+            **shared,
+        )
+        self.link_server = LinkServer(identity, {CALL_CHANNEL: self.links})
+        self.link_server.listen()
+        eventlet.spawn_n(self.link_server.run)
+        self.entry_server = EntryServer(self.entry)
+        self.call_address = f"127.0.0.1:{free_port()}"
+        self.entry_server.listen(self.call_address)
+        self.entry_server.start()
+
+    def close(self):
+        """Close all sockets."""
+        self.links.close()
+        self.link_server.stop()
+
+
+class Mesh:
+    """Nodes of one service with their upstreams in one process."""
+
+    def __init__(self, *, nodes=2, slots=4, policy=None):
+        self.members = StaticMembers()
+        policy = policy or ServicePolicy("p")
+        self.table = RoutingTable(
+            version=7,
+            digest=b"",
+            preset="ordinary",
+            routes=(Route("r", "/", SERVICE),),
+            policies_by_service_id={SERVICE: policy},
+        )
+        self.claims = MemoryClaims(lambda: self.members.members[-1])
+        self.upstreams: list[StandinUpstream] = []
+        self.nodes: list[CallNode] = []
+        self.upstream_threads = []
+        for number in range(nodes):
+            self._add(f"node-{number}", slots)
+
+    def _add(self, node_id, slots):
+        upstream = StandinUpstream(SERVICE, slots=slots)
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.upstream_threads.append(eventlet.spawn(upstream.serve, listener))
+        host, port = listener.getsockname()
+        self.upstreams.append(upstream)
+        self.nodes.append(
+            CallNode(
+                node_id,
+                self.members,
+                self.table,
+                self.claims,
+                upstream_address=f"{host}:{port}",
+                slots=slots,
+            )
+        )
+
+    def runs(self) -> list[tuple[str, str]]:
+        """Return the runs of all upstreams."""
+        return [run for upstream in self.upstreams for run in upstream.runs]
+
+    def close(self):
+        """Close all nodes."""
+        for node in self.nodes:
+            node.close()
+        for thread in self.upstream_threads:
+            thread.kill()
+
+
+@dataclass
+class CallerResponse:
+    """A response as a caller sees it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def outcome(self) -> str:
+        """Return the outcome header."""
+        return self.headers.get("Verbenawick-Outcome", "")
+
+    @property
+    def code(self) -> str:
+        """Return the code header."""
+        return self.headers.get("Verbenawick-Code", "")
+
+
+class Caller:
+    """HTTP client of a test with one connection."""
+
+    def __init__(self, address: str):
+        host, _, port = address.rpartition(":")
+        self.connection = HTTPConnection(host, int(port))
+        self.connection.sock = socket.create_connection((host, int(port)))
+
+    def send(self, method, target, *, body=None, headers=None) -> None:
+        """Send a request without waiting for its response."""
+        self.connection.request(method, target, body=body, headers=headers or {})
+
+    def receive(self) -> CallerResponse:
+        """Return the response to the last request."""
+        response = self.connection.getresponse()
+        body = response.read()
+        return CallerResponse(response.status, dict(response.getheaders()), body)
+
+    def call(self, method, target, *, body=None, headers=None) -> CallerResponse:
+        """Send a request and return its response."""
+        self.send(method, target, body=body, headers=headers)
+        return self.receive()
+
+    def close(self):
+        """Close the connection."""
+        self.connection.close()
