--- /dev/null
+++ b/src/verbenawick/_control.py
@@ -0,0 +1,306 @@
+"""Control task: calls the decision components of one node.
+
+One green thread with a bounded mailbox. Links and store workers put what happened into
+the mailbox; when it is full they wait, so that a flood is slowed down at its source by
+TCP. Everything that the components see happens in this green thread, one call at a
+time.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+import eventlet
+from eventlet.queue import Empty, LightQueue
+
+from verbenawick._clock import Clock, MonotonicClock
+from verbenawick._component import (
+    Component,
+    LinkPurpose,
+    NodeIdentity,
+    StoreObject,
+)
+from verbenawick._control_links import ControlLinks
+from verbenawick._events import Event, emit, register_event
+from verbenawick._explain import DecisionRecord
+from verbenawick._lease import Lease
+from verbenawick._links import Link
+from verbenawick._members import MemberView
+from verbenawick._membership_messages import RelayAnswer, RelayQuery
+from verbenawick._messages import Message
+from verbenawick._metrics import MetricKind, MetricSet, register_metric
+from verbenawick._settings import NodeSettings
+from verbenawick._store_workers import StoreAccess, StoreWatch, StoreWorkers
+from verbenawick._topology import Topology
+from verbenawick.errors import LinkClosedError, LinkOverflowError
+
+TICK_S = 0.1
+MAILBOX_ITEMS = 4096
+# Messages handled before other green threads run again.
+BATCH_ITEMS = 64
+# A longer gap between two ticks means that this process was paused.
+PAUSE_S = 1.0
+
+LINKS = register_metric(
+    "control.links", MetricKind.GAUGE, "links", "Open control links"
+)
+PAUSES = register_metric(
+    "control.pauses", MetricKind.COUNTER, "pauses", "Gaps of this process's own ticks"
+)
+
+
+@register_event(320, level="ERROR")
+@dataclass(frozen=True, slots=True)
+class ComponentFailed(Event):
+    """A component raised an exception; the control task goes on."""
+
+    component: str
+    call: str
+    reason: str
+
+
+@register_event(321, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class PauseNoticed(Event):
+    """The process did not run for a while; deadlines were extended."""
+
+    gap_s: float
+
+
+class ControlTask:
+    """Hosts the components of one node.
+
+    A component may have a method ``forget_pause(gap_s)``; it is called when this
+    process was paused, and extends the component's deadlines.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Neighbours, timing and test delays are used.
+    store : StoreAccess
+        Blocking client of the store.
+
+    Attributes
+    ----------
+    peers : ControlLinks
+        The `PeerPort` of the components; also the `LinkHandler` for
+        `CONTROL_CHANNEL`.
+    store : StoreWorkers
+        The `StorePort` of the components; refuses writes without a lease.
+    roles : Topology
+        The `RoleView` of the components.
+    record : DecisionRecord
+        Recent decisions, for `/explain`.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        identity: NodeIdentity,
+        *,
+        store: StoreAccess,
+        clock: Clock | None = None,
+        random: Random | None = None,
+        metrics: MetricSet | None = None,
+        record: DecisionRecord | None = None,
+    ):
+        self.identity = identity
+        self.clock = clock or MonotonicClock()
+        self.random = random or Random()
+        self.metrics = metrics or MetricSet()
+        self.record = record or DecisionRecord(self.clock)
+        self._timing = settings.timing
+        self._components: list[Component] = []
+        self._mailbox: LightQueue = LightQueue(MAILBOX_ITEMS)
+        self._local: deque[Callable[[], None]] = deque()
+        self._is_stopped = False
+        self._last_tick_at: float | None = None
+        self.peers = ControlLinks(
+            settings,
+            identity,
+            events=self,
+            post=self.call,
+            post_local=self._local.append,
+        )
+        lease_store = StoreWorkers(store, post=self.call, metrics=self.metrics)
+        self.roles = Topology(
+            identity,
+            seeds=tuple(settings.neighbours),
+            clock=self.clock,
+            random=self.random,
+            dialler=self.peers,
+            peers=self.peers,
+            data_centre_lease=self._lease(
+                f"leases/dc/{identity.data_centre}", lease_store
+            ),
+            region_lease=self._lease(f"leases/region/{identity.region}", lease_store),
+            record=self.record,
+        )
+        self.store = StoreWorkers(
+            store,
+            post=self.call,
+            metrics=self.metrics,
+            may_write=self.roles.has_authority,
+        )
+        self._watch = StoreWatch(
+            store,
+            is_wanted=self._is_watch_wanted,
+            deliver=lambda obj: self.call(lambda: self._deliver_object(obj)),
+            random=self.random,
+            metrics=self.metrics,
+        )
+
+    def _lease(self, key: str, store: StoreWorkers) -> Lease:
+        return Lease(
+            key,
+            self.identity,
+            clock=self.clock,
+            store=store,
+            timing=self._timing,
+            random=self.random,
+            record=self.record,
+        )
+
+    def add(self, component: Component) -> None:
+        """Host one more component; call before `run`."""
+        self._components.append(component)
+
+    def set_members(self, members: MemberView) -> None:
+        """Use the member table for ranks and for the choice of neighbours."""
+        self.roles.members = members
+
+    def call(self, function: Callable[[], None]) -> None:
+        """Run `function` in the control task; waits while the mailbox is full.
+
+        Calls from inside the control task use the components directly instead.
+        """
+        self._mailbox.put(function)
+
+    def run(self) -> None:
+        """Handle the mailbox and ticks until `stop` is called."""
+        next_tick_at = self.clock.now()
+        while not self._is_stopped:
+            self._run_batch(next_tick_at)
+            now = self.clock.now()
+            if now >= next_tick_at:
+                self.tick()
+                next_tick_at = max(next_tick_at + TICK_S, now)
+            eventlet.sleep(0)
+        self.peers.close_all()
+
+    def stop(self) -> None:
+        """Give the leases up, close all links and end `run`."""
+        self.call(self._shut_down)
+
+    def _shut_down(self) -> None:
+        self.roles.stop()
+        self._is_stopped = True
+
+    def tick(self) -> None:
+        """Call the topology and each component once."""
+        now = self.clock.now()
+        if self._last_tick_at is not None:
+            gap_s = now - self._last_tick_at - TICK_S
+            if gap_s > PAUSE_S:
+                self._forget_pause(gap_s)
+        self._last_tick_at = now
+        self._guard(self.roles, "on_tick", self.roles.on_tick)
+        for component in self._components:
+            self._guard(component, "on_tick", component.on_tick)
+        self._watch.on_tick()
+        self.metrics.gauge(LINKS, self.peers.link_count())
+
+    # LinkEvents
+
+    def on_peer_message(self, peer_id: str, message: Message) -> None:
+        """Pass a message to the topology and the components."""
+        if self.roles.on_message(peer_id, message):
+            self.peers.announce(peer_id, LinkPurpose.RELAY)
+        if isinstance(message, RelayAnswer | RelayQuery):
+            return
+        for component in self._components:
+            self._guard(component, "on_message", component.on_message, peer_id, message)
+
+    def on_attach(self, link: Link, purpose: LinkPurpose) -> LinkPurpose | None:
+        """Accept neighbours, and subscribers while this node is a relay."""
+        if purpose is LinkPurpose.NEIGHBOUR:
+            return LinkPurpose.NEIGHBOUR
+        try:
+            link.post(self.roles.answer())
+        except (LinkClosedError, LinkOverflowError):
+            return None
+        return LinkPurpose.SUBSCRIBER if self.roles.is_data_centre_relay() else None
+
+    def on_dialled(
+        self, address: str, peer: NodeIdentity, purpose: LinkPurpose
+    ) -> None:
+        """Pass on a link that this node opened."""
+        self.roles.on_dialled(address, peer, purpose)
+
+    def on_dial_failed(self, address: str, purpose: LinkPurpose) -> None:
+        """Pass on a link that could not be opened."""
+        self.roles.on_dial_failed(address, purpose)
+
+    def on_dialled_closed(self, node_id: str, purpose: LinkPurpose) -> None:
+        """Pass on the end of a link that this node opened."""
+        self.roles.on_closed(node_id, purpose)
+
+    def on_peer_link(
+        self, node_id: str, purpose: LinkPurpose, *, is_open: bool
+    ) -> None:
+        """Tell the components of the first or last link of a purpose to a peer."""
+        for component in self._components:
+            self._guard(
+                component,
+                "on_link",
+                component.on_link,
+                node_id,
+                purpose,
+                is_open=is_open,
+            )
+
+    # Calls in the control task
+
+    def _run_batch(self, next_tick_at: float) -> None:
+        for _ in range(BATCH_ITEMS):
+            item = self._next_item(next_tick_at)
+            if item is None:
+                return
+            self._guard(self, "mailbox", item)
+
+    def _next_item(self, next_tick_at: float) -> Callable[[], None] | None:
+        if self._local:
+            return self._local.popleft()
+        wait_s = next_tick_at - self.clock.now()
+        try:
+            if wait_s > 0:
+                return self._mailbox.get(timeout=wait_s)
+            return self._mailbox.get_nowait()
+        except Empty:
+            return None
+
+    def _guard(self, component: object, call: str, function, *args, **kwargs) -> None:
+        try:
+            function(*args, **kwargs)
+        except Exception as error:
+            # A fault in one component must not end distribution for all of them.
+            emit(ComponentFailed(type(component).__name__, call, repr(error)))
+
+    def _forget_pause(self, gap_s: float) -> None:
+        self.metrics.count(PAUSES)
+        self.record.note(PauseNoticed(round(gap_s, 3)), cause="gap between own ticks")
+        self.roles.forget_pause(gap_s)
+        for component in self._components:
+            forget = getattr(component, "forget_pause", None)
+            if forget is not None:
+                self._guard(component, "forget_pause", forget, gap_s)
+
+    def _deliver_object(self, obj: StoreObject) -> None:
+        if not self.roles.is_region_relay():
+            return
+        for component in self._components:
+            self._guard(component, "on_object", component.on_object, obj)
+
+    def _is_watch_wanted(self) -> bool:
+        return self.roles.is_region_relay() and not self._is_stopped
--- /dev/null
+++ b/src/verbenawick/_explain.py
@@ -0,0 +1,105 @@
+"""Bounded record of a node's recent decisions, with their causes."""
+
+from collections import deque
+from dataclasses import dataclass, fields
+from itertools import count
+
+from verbenawick._clock import Clock
+from verbenawick._events import Event, emit, number_of
+
+# About 400 bytes an entry, hence below 1 MB.
+MAX_ENTRIES = 2000
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """One recorded decision.
+
+    Attributes
+    ----------
+    sequence : int
+        Position in the order of decisions of this node, from 1.
+    instant : float
+        Instant of the local clock in seconds.
+    """
+
+    sequence: int
+    instant: float
+    event_number: int
+    event_name: str
+    cause: str
+    node_id: str
+    service_id: str
+    version: int
+    details: str
+
+
+class DecisionRecord:
+    """Ring buffer of decisions; the oldest entry is dropped at the bound.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of the instants.
+    max_entries : int
+        Bound of the buffer.
+    """
+
+    def __init__(self, clock: Clock, *, max_entries: int = MAX_ENTRIES):
+        self._clock = clock
+        self._decisions: deque[Decision] = deque(maxlen=max_entries)
+        self._sequences = count(1)
+
+    def note(
+        self,
+        event: Event,
+        *,
+        cause: str,
+        node_id: str = "",
+        service_id: str = "",
+        version: int = 0,
+    ) -> None:
+        """Write `event` to the log and record it with its cause."""
+        emit(event)
+        details = " ".join(f"{f.name}={getattr(event, f.name)}" for f in fields(event))
+        self._decisions.append(
+            Decision(
+                sequence=next(self._sequences),
+                instant=self._clock.now(),
+                event_number=number_of(type(event)),
+                event_name=type(event).__name__,
+                cause=cause,
+                node_id=node_id,
+                service_id=service_id,
+                version=version,
+                details=details,
+            )
+        )
+
+    def decisions(
+        self,
+        *,
+        node_id: str | None = None,
+        service_id: str | None = None,
+        version: int | None = None,
+        limit: int = 200,
+    ) -> tuple[Decision, ...]:
+        """Return the newest decisions that match all given keys, oldest first.
+
+        Parameters
+        ----------
+        limit : int
+            Largest number of decisions returned.
+        """
+        matching = [
+            decision
+            for decision in self._decisions
+            if node_id in (None, decision.node_id)
+            and service_id in (None, decision.service_id)
+            and version in (None, decision.version)
+        ]
+        return tuple(matching[-limit:]) if limit > 0 else ()
+
+    def age_s(self, decision: Decision) -> float:
+        """Return the time since a decision in seconds."""
+        return self._clock.now() - decision.instant
--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -152,3 +152,11 @@
 @register_error("link.answer-lost")
 class AnswerLostError(VerbenawickError):
     """A request was sent to a peer and its answer did not arrive."""
+
+
+# Leases and membership
+
+
+@register_error("lease.not-held")
+class LeaseNotHeldError(StoreUnavailableError):
+    """A write needs a lease that this node does not hold now; nothing was sent."""
