--- a/src/verbenawick/_control.py
+++ b/src/verbenawick/_control.py
@@ -25,7 +25,7 @@
 from verbenawick._events import Event, emit, register_event
 from verbenawick._explain import DecisionRecord
 from verbenawick._lease import Lease
-from verbenawick._links import Link
+from verbenawick._links import Link, dial_link
 from verbenawick._members import MemberView
 from verbenawick._membership_messages import RelayAnswer, RelayQuery
 from verbenawick._messages import Message
@@ -80,6 +80,8 @@
         Neighbours, timing and test delays are used.
     store : StoreAccess
         Blocking client of the store.
+    dial : callable
+        Opens a link; replaced by tests.
 
     Attributes
     ----------
@@ -104,6 +106,7 @@
         random: Random | None = None,
         metrics: MetricSet | None = None,
         record: DecisionRecord | None = None,
+        dial: Callable[..., Link] = dial_link,
     ):
         self.identity = identity
         self.clock = clock or MonotonicClock()
@@ -122,6 +125,7 @@
             events=self,
             post=self.call,
             post_local=self._local.append,
+            dial=dial,
         )
         lease_store = StoreWorkers(store, post=self.call, metrics=self.metrics)
         self.roles = Topology(
@@ -147,6 +151,7 @@
             store,
             is_wanted=self._is_watch_wanted,
             deliver=lambda obj: self.call(lambda: self._deliver_object(obj)),
+            clock=self.clock,
             random=self.random,
             metrics=self.metrics,
         )
@@ -189,6 +194,11 @@
             eventlet.sleep(0)
         self.peers.close_all()
 
+    def drain(self) -> None:
+        """Handle what is in the mailbox now, without waiting."""
+        while (item := self._next_item(self.clock.now())) is not None:
+            self._guard(self, "mailbox", item)
+
     def stop(self) -> None:
         """Give the leases up, close all links and end `run`."""
         self.call(self._shut_down)
--- a/src/verbenawick/_control_links.py
+++ b/src/verbenawick/_control_links.py
@@ -82,12 +82,14 @@
         events: LinkEvents,
         post: Callable[[Callable[[], None]], None],
         post_local: Callable[[Callable[[], None]], None],
+        dial: Callable[..., Link] = dial_link,
     ):
         self._settings = settings
         self._identity = identity
         self._events = events
         self._post = post
         self._post_local = post_local
+        self._dial_link = dial
         self._entries_by_node: dict[str, list[_Entry]] = {}
         self._closed_bytes = 0
 
@@ -161,7 +163,7 @@
     def _dial(self, address: str, purpose: LinkPurpose) -> None:
         ip = address.rpartition(":")[0]
         try:
-            link = dial_link(
+            link = self._dial_link(
                 address,
                 channel=CONTROL_CHANNEL,
                 identity=self._identity,
--- /dev/null
+++ b/src/verbenawick/_membership.py
@@ -0,0 +1,570 @@
+"""Membership component: registration, heartbeats, member tables and loads.
+
+Each node registers with its data centre's relay and sends a heartbeat a second. The
+data centre relay passes changes to the region relay, which merges them, writes the
+region's table to the store and passes deltas down the tree.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+from verbenawick._centre_registry import CentreRegistry
+from verbenawick._clock import Clock
+from verbenawick._component import (
+    LinkPurpose,
+    NodeIdentity,
+    PeerPort,
+    StoreObject,
+    StorePort,
+)
+from verbenawick._explain import DecisionRecord
+from verbenawick._member_table import (
+    MemberTable,
+    decode_region_table,
+    encode_region_table,
+)
+from verbenawick._membership_events import (
+    AuthorityWithdrawn,
+    TableInvalid,
+    TableReplaced,
+)
+from verbenawick._membership_messages import (
+    DepartedRow,
+    Goodbye,
+    Heartbeat,
+    HeartbeatReply,
+    Hello,
+    LoadBatch,
+    LoadRow,
+    MemberBatch,
+    MemberRow,
+    TableDelta,
+    TableSnapshot,
+    TableVersion,
+    TableVersions,
+)
+from verbenawick._messages import Message
+from verbenawick._region_members import RegionMembers, members_key
+from verbenawick._settings import TimingSettings
+from verbenawick._topology import Topology
+from verbenawick.errors import MemberTableError
+
+BATCH_INTERVAL_S = 0.5
+LOAD_INTERVAL_S = 1.0
+# Repairs a node that missed a delta without noticing it.
+VERSIONS_INTERVAL_S = 10.0
+MIN_REQUEST_INTERVAL_S = 1.0
+MAX_PENDING_LOADS = 2_000
+# A longer time without health counts as the end of the upstream: it gets no new work
+# in any region.
+UNHEALTHY_S = 4.0
+MAX_UNANSWERED = 16
+# Joined instants travel as whole seconds; a rejoined member is at most this much older.
+REJOIN_TOLERANCE_S = 5.0
+
+
+@dataclass(slots=True)
+class _Timers:
+    heartbeat_at: float = 0.0
+    batch_at: float = 0.0
+    loads_at: float = 0.0
+    versions_at: float = 0.0
+    request_at: float = 0.0
+
+
+class Membership:
+    """Membership of one node, in whichever roles it holds.
+
+    Attributes
+    ----------
+    table : MemberTable
+        The `MemberView` of the node.
+    """
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        *,
+        slots: int,
+        timing: TimingSettings,
+        clock: Clock,
+        peers: PeerPort,
+        store: StorePort,
+        roles: Topology,
+        record: DecisionRecord,
+    ):
+        self.table = MemberTable(
+            identity, clock=clock, horizon_s=timing.takeover_horizon_s
+        )
+        self._identity = identity
+        self._slots = slots
+        self._timing = timing
+        self._clock = clock
+        self._peers = peers
+        self._store = store
+        self._roles = roles
+        self._record = record
+        self._timers = _Timers()
+        self._busy_percent = 0
+        self._is_healthy = True
+        self._unhealthy_since: float | None = None
+        self._is_draining = False
+        self._is_leaving = False
+        self._relay_id: str | None = None
+        self._unanswered: deque[float] = deque(maxlen=MAX_UNANSWERED)
+        self._rejoined_at: float | None = None
+        self._confirmed_at: float | None = None
+        self._registry: CentreRegistry | None = None
+        self._is_full_batch_due = False
+        self._is_final_batch_due = False
+        self._region: RegionMembers | None = None
+        self._loads_down: dict[str, LoadRow] = {}
+        self._encoded: dict[str, tuple[tuple[int, int], float, bytes]] = {}
+
+    # Calls of the node
+
+    def set_load(self, busy_share: float, *, is_healthy: bool) -> None:
+        """Set what the next heartbeat reports.
+
+        Parameters
+        ----------
+        busy_share : float
+            Share of the upstream's slots in use, 0 to 1.
+        """
+        self._busy_percent = min(max(round(busy_share * 100), 0), 100)
+        if is_healthy:
+            self._unhealthy_since = None
+        elif self._unhealthy_since is None:
+            self._unhealthy_since = self._clock.now()
+        self._is_healthy = is_healthy
+
+    def start_drain(self) -> None:
+        """Tell everyone that this member takes no new work; effective at once."""
+        self._is_draining = True
+        self._timers.heartbeat_at = self._clock.now()
+
+    def announce_stop(self, *, handed_over: bool) -> None:
+        """Leave: the process ends now."""
+        self._is_leaving = True
+        if self._registry is not None:
+            self._registry.goodbye(
+                self._identity.node_id,
+                self._identity.incarnation,
+                handed_over=handed_over,
+            )
+            self._pass_changes_up()
+            if self._region is not None:
+                self._pass_delta_down()
+        elif self._relay_id is not None:
+            goodbye = Goodbye(self._identity.incarnation, handed_over)
+            self._peers.send(self._relay_id, goodbye)
+
+    # Component
+
+    def on_link(self, peer_id: str, purpose: LinkPurpose, *, is_open: bool) -> None:
+        """Register with a new relay; forget a lost one."""
+        if purpose is LinkPurpose.RELAY and is_open:
+            self._unanswered.clear()
+            self._relay_id = peer_id
+            self._greet(peer_id)
+        elif purpose is LinkPurpose.RELAY and peer_id == self._relay_id:
+            self._relay_id = None
+
+    def on_message(self, peer_id: str, message: Message) -> None:
+        """Handle the messages of membership; others are ignored."""
+        match message:
+            case Heartbeat():
+                self._on_heartbeat(peer_id, message)
+            case HeartbeatReply():
+                self._on_reply(peer_id, message)
+            case Hello():
+                self._on_hello(peer_id, message)
+            case TableDelta():
+                self._on_delta(peer_id, message)
+            case LoadBatch():
+                self._on_loads(peer_id, message)
+            case MemberBatch():
+                if self._region is not None:
+                    self._region.add_batch(message)
+            case TableSnapshot():
+                self._on_snapshot(peer_id, message)
+            case TableVersions():
+                self._send_newer(peer_id, message.tables)
+            case Goodbye():
+                if self._registry is not None:
+                    self._registry.goodbye(
+                        peer_id, message.incarnation, handed_over=message.handed_over
+                    )
+
+    def on_object(self, obj: StoreObject) -> None:
+        """Pass on the members of another region that its relay wrote."""
+        if not obj.key.startswith("members/") or not obj.version:
+            return
+        if obj.key == members_key(self._identity.region):
+            if self._region is not None:
+                self._region.on_object(obj)
+            return
+        self._take_snapshot(obj.value, held_s=obj.age_s, source=obj.key)
+
+    def on_tick(self) -> None:
+        """Follow changes of roles; send what is due."""
+        now = self._clock.now()
+        self._follow_roles(now)
+        if self._registry is not None:
+            self._tick_data_centre(now)
+        if self._region is not None:
+            self._tick_region(now)
+        elif now >= self._timers.heartbeat_at and self._relay_id is not None:
+            self._timers.heartbeat_at = now + self._timing.heartbeat_s
+            self._unanswered.append(now)
+            self._peers.send(self._relay_id, self._heartbeat(now))
+        if now >= self._timers.versions_at and self._relay_id is not None:
+            self._timers.versions_at = now + VERSIONS_INTERVAL_S
+            self._peers.send(self._relay_id, TableVersions(self.table.versions()))
+
+    def forget_pause(self, gap_s: float) -> None:
+        """Extend all deadlines by a gap in which this process did not run."""
+        if self._registry is not None:
+            self._registry.forget_pause(gap_s)
+        if self._region is not None:
+            self._region.forget_pause(gap_s)
+
+    # Node
+
+    def _effective_drain(self, now: float) -> bool:
+        if self._is_draining or self._is_leaving:
+            return True
+        since = self._unhealthy_since
+        return since is not None and now - since >= UNHEALTHY_S
+
+    def _heartbeat(self, now: float) -> Heartbeat:
+        return Heartbeat(
+            self._busy_percent, self._is_healthy, self._effective_drain(now)
+        )
+
+    def _own_row(self) -> MemberRow:
+        identity = self._identity
+        return MemberRow(
+            identity.node_id,
+            identity.incarnation,
+            identity.service_id,
+            identity.data_centre,
+            identity.peer_address,
+            self._slots,
+            self._effective_drain(self._clock.now()),
+            0,
+        )
+
+    def _greet(self, relay_id: str) -> None:
+        if self._registry is not None:
+            # The region relay admits members through batches only.
+            self._is_full_batch_due = True
+            self._peers.send(relay_id, TableVersions(self.table.versions()))
+        elif not self._is_leaving:
+            hello = Hello(self._own_row(), self.table.versions())
+            self._peers.send(relay_id, hello)
+
+    def _on_reply(self, peer_id: str, reply: HeartbeatReply) -> None:
+        if peer_id != self._relay_id:
+            return
+        sent_at = self._unanswered.popleft() if self._unanswered else None
+        if self._registry is None and reply.epoch < self._roles.lease_epoch():
+            return
+        if not reply.is_member:
+            self._withdraw_authority(peer_id)
+            self._greet(peer_id)
+            return
+        if sent_at is None or reply.confirmed_age_s < 0:
+            return
+        # Counted from the send time of the heartbeat, which is earlier than the
+        # instant at which the relay answered.
+        self._confirm(sent_at - reply.confirmed_age_s)
+
+    def _withdraw_authority(self, relay_id: str) -> None:
+        now = self._clock.now()
+        if self._rejoined_at is None and self.table.authority_deadline() > now:
+            self._record.note(
+                AuthorityWithdrawn(relay_id),
+                cause="the relay does not count this node as a member",
+                node_id=self._identity.node_id,
+            )
+        if self._rejoined_at is None:
+            self._rejoined_at = now
+            if self._registry is not None:
+                # The region did not count this data centre's members either.
+                self._registry.rejoin()
+        self._confirmed_at = None
+        self.table.withdraw_authority()
+
+    def _confirm(self, confirmed_at: float) -> None:
+        if self._rejoined_at is not None:
+            joined_at = self.table.joined_at(self._identity.node_id)
+            if joined_at is None or joined_at < self._rejoined_at - REJOIN_TOLERANCE_S:
+                # The own table does not show yet that this node was away.
+                return
+            self._rejoined_at = None
+        self._confirmed_at = max(self._confirmed_at or confirmed_at, confirmed_at)
+        self.table.extend_authority(self._confirmed_at + self._timing.authority_s)
+
+    def _on_delta(self, peer_id: str, delta: TableDelta) -> None:
+        if peer_id != self._relay_id:
+            return
+        table = self.table.region(delta.region)
+        if (delta.epoch, delta.serial) <= table.version:
+            return
+        if (delta.base_epoch, delta.base_serial) != table.version:
+            self._request_tables(peer_id)
+            return
+        self.table.apply(
+            delta.region,
+            delta.epoch,
+            delta.serial,
+            joined=delta.joined,
+            departed=delta.departed,
+        )
+        self._send_down(delta)
+
+    def _request_tables(self, peer_id: str) -> None:
+        now = self._clock.now()
+        if now >= self._timers.request_at:
+            self._timers.request_at = now + MIN_REQUEST_INTERVAL_S
+            self._peers.send(peer_id, TableVersions(self.table.versions()))
+
+    def _on_snapshot(self, peer_id: str, message: TableSnapshot) -> None:
+        if peer_id == self._relay_id:
+            held_s = max(message.held_ms, 0) / 1000
+            self._take_snapshot(message.data, held_s=held_s, source=peer_id)
+
+    def _take_snapshot(self, data: bytes, *, held_s: float, source: str) -> None:
+        try:
+            snapshot = decode_region_table(data)
+        except MemberTableError as error:
+            self._record.note(TableInvalid(source, str(error)), cause="cannot be read")
+            return
+        table = self.table.region(snapshot.region)
+        base = table.version
+        if (snapshot.epoch, snapshot.serial) <= base:
+            return
+        old_members = dict(table.members_by_id)
+        old_departed = set(table.departed)
+        self.table.replace(snapshot, held_s=held_s)
+        self._record.note(
+            TableReplaced(
+                snapshot.region,
+                snapshot.epoch,
+                snapshot.serial,
+                len(snapshot.members),
+            ),
+            cause=f"from {source}",
+        )
+        if self._registry is not None:
+            self._send_difference(base, snapshot.region, old_members, old_departed)
+
+    def _send_difference(self, base, region, old_members, old_departed) -> None:
+        table, now = self.table.region(region), self._clock.now()
+        joined = [
+            new.to_row(now)
+            for node_id, new in table.members_by_id.items()
+            if node_id not in old_members or old_members[node_id].member != new.member
+        ]
+        current = {
+            (m.member.node_id, m.member.incarnation)
+            for m in table.members_by_id.values()
+        }
+        departed = [
+            DepartedRow(
+                d.node_id,
+                d.incarnation,
+                d.service_id,
+                d.handed_over,
+                d.process_ended,
+                max(0, int(now - d.departed_at)),
+            )
+            for key, d in table.departed.items()
+            if key not in old_departed
+        ]
+        for old in old_members.values():
+            key = (old.member.node_id, old.member.incarnation)
+            if key not in current and key not in table.departed:
+                member = old.member
+                departed.append(DepartedRow(*key, member.service_id, False, False, 0))
+        self._send_down(
+            TableDelta(region, *base, table.epoch, table.serial, joined, departed)
+        )
+
+    def _on_loads(self, peer_id: str, message: LoadBatch) -> None:
+        if peer_id == self._relay_id:
+            self.table.set_loads(message.loads)
+            self._send_down(message)
+        elif self._region is not None:
+            self._add_loads(message.loads)
+
+    # Data centre relay
+
+    def _follow_roles(self, now: float) -> None:
+        if not self._roles.is_data_centre_relay():
+            if self._registry is not None:
+                self._registry = None
+                self._confirmed_at = None
+        elif self._registry is None:
+            self._start_registry()
+        if not self._roles.is_region_relay():
+            self._region = None
+        elif self._region is None or self._region.epoch != self._roles.region_epoch():
+            self._relay_id = None
+            self._is_full_batch_due = True
+            self._region = RegionMembers(
+                self._identity.region,
+                epoch=self._roles.region_epoch(),
+                table=self.table,
+                clock=self._clock,
+                store=self._store,
+                roles=self._roles,
+                record=self._record,
+            )
+
+    def _start_registry(self) -> None:
+        self._registry = CentreRegistry(
+            self._identity.data_centre,
+            clock=self._clock,
+            member_timeout_s=self._timing.member_timeout_s,
+            record=self._record,
+        )
+        members = self.table.region(self._identity.region).members_by_id
+        self._registry.seed(
+            [
+                joined
+                for joined in members.values()
+                if joined.member.data_centre == self._identity.data_centre
+            ]
+        )
+        self._is_full_batch_due = True
+
+    def _on_hello(self, peer_id: str, hello: Hello) -> None:
+        if self._registry is None or hello.member.node_id != peer_id:
+            return
+        if hello.member.data_centre != self._identity.data_centre:
+            return
+        self._registry.register(hello.member)
+        self._send_newer(peer_id, hello.tables)
+
+    def _on_heartbeat(self, peer_id: str, beat: Heartbeat) -> None:
+        peer = self._peers.identity(peer_id)
+        if peer is None or self._registry is None:
+            return
+        if peer.data_centre == self._identity.data_centre:
+            is_member = self._registry.heartbeat(peer_id, peer.incarnation, beat)
+            epoch = self._roles.lease_epoch()
+        elif self._region is not None:
+            self._region.heard(peer.data_centre)
+            member = self.table.member(peer_id)
+            is_member = member is not None and member.incarnation == peer.incarnation
+            epoch = self._region.epoch
+        else:
+            return
+        age_s = -1
+        if self._confirmed_at is not None:
+            age_s = int(self._clock.now() - self._confirmed_at) + 1
+        self._peers.send(peer_id, HeartbeatReply(epoch, is_member, age_s))
+
+    def _tick_data_centre(self, now: float) -> None:
+        own_id, incarnation = self._identity.node_id, self._identity.incarnation
+        if not self._is_leaving:
+            beat = self._heartbeat(now)
+            if not self._registry.heartbeat(own_id, incarnation, beat):
+                self._registry.register(self._own_row())
+        self._registry.expire()
+        if now >= self._timers.batch_at:
+            self._timers.batch_at = now + BATCH_INTERVAL_S
+            self._pass_changes_up()
+        if now >= self._timers.loads_at:
+            self._timers.loads_at = now + LOAD_INTERVAL_S
+            self._pass_loads(self._registry.take_loads())
+
+    def _pass_changes_up(self) -> None:
+        relay_id = self._roles.relay_id()
+        if self._region is None and relay_id != self._relay_id:
+            relay_id = None
+        if relay_id is None:
+            return
+        epoch = self._roles.lease_epoch()
+        if self._is_final_batch_due and self._registry.is_settled():
+            self._is_full_batch_due = True
+        if self._is_full_batch_due:
+            batch = self._registry.take_full_batch(epoch)
+            self._is_full_batch_due = False
+            # Sent once more when it may count as full.
+            self._is_final_batch_due = not batch.is_full
+        else:
+            batch = self._registry.take_batch(epoch)
+        if batch is None:
+            return
+        if self._region is not None:
+            self._region.add_batch(batch)
+        elif not self._peers.send(relay_id, batch):
+            self._is_full_batch_due = True
+
+    def _pass_loads(self, loads: list[LoadRow]) -> None:
+        if not loads:
+            return
+        if self._region is not None:
+            self._add_loads(loads)
+        elif self._relay_id is not None:
+            self._peers.send(self._relay_id, LoadBatch(loads))
+
+    def _send_down(self, message: Message) -> None:
+        if self._registry is None:
+            return
+        for node_id in self._peers.peers(LinkPurpose.SUBSCRIBER):
+            self._peers.send(node_id, message)
+
+    def _send_newer(self, peer_id: str, tables: list[TableVersion]) -> None:
+        if self._registry is None:
+            return
+        known = {t.region: (t.epoch, t.serial) for t in tables}
+        for table in self.table.regions():
+            if table.version > known.get(table.region, (0, 0)):
+                self._peers.send(peer_id, self._encoded_snapshot(table.region))
+
+    def _encoded_snapshot(self, region: str) -> TableSnapshot:
+        # Encoded once per version: after a takeover the whole data centre asks.
+        version, now = self.table.region(region).version, self._clock.now()
+        encoded = self._encoded.get(region)
+        if encoded is None or encoded[0] != version:
+            data = encode_region_table(self.table.snapshot(region))
+            encoded = self._encoded[region] = (version, now, data)
+        return TableSnapshot(encoded[2], int((now - encoded[1]) * 1000))
+
+    # Region relay
+
+    def _tick_region(self, now: float) -> None:
+        self._region.heard(self._identity.data_centre)
+        self._region.expire()
+        self._confirm_own()
+        if now >= self._timers.heartbeat_at:
+            # Deltas are collected for the same time as the batches below.
+            self._timers.heartbeat_at = now + BATCH_INTERVAL_S
+            self._pass_delta_down()
+            self._pass_loads_down()
+        self._region.write_if_due()
+
+    def _confirm_own(self) -> None:
+        renewed_at = self._roles.confirmed_at()
+        if renewed_at:
+            self._confirm(renewed_at)
+
+    def _pass_delta_down(self) -> None:
+        delta = self._region.take_delta()
+        if delta is not None:
+            self._send_down(delta)
+
+    def _add_loads(self, loads: list[LoadRow]) -> None:
+        self.table.set_loads(loads)
+        for row in loads:
+            if len(self._loads_down) < MAX_PENDING_LOADS:
+                self._loads_down[row.node_id] = row
+
+    def _pass_loads_down(self) -> None:
+        if self._loads_down:
+            loads, self._loads_down = self._loads_down, {}
+            self._send_down(LoadBatch(list(loads.values())))
--- /dev/null
+++ b/src/verbenawick/_membership_events.py
@@ -0,0 +1,92 @@
+"""Log events of membership (numbers 400 to 449)."""
+
+from dataclasses import dataclass
+
+from verbenawick._events import Event, register_event
+
+
+@register_event(400)
+@dataclass(frozen=True, slots=True)
+class MemberJoined(Event):
+    """A relay admitted a member."""
+
+    node: str
+    service: str
+    incarnation: int
+
+
+@register_event(401)
+@dataclass(frozen=True, slots=True)
+class MemberDeparted(Event):
+    """A relay removed a member."""
+
+    node: str
+    service: str
+    handed_over: bool
+    process_ended: bool
+
+
+@register_event(402, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class DataCentreDeparted(Event):
+    """The region relay removed all members of a data centre that is silent."""
+
+    data_centre: str
+    members: int
+
+
+@register_event(403, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class DeparturesDoubted(Event):
+    """Most members fell silent at once; the relay waits once more before it acts."""
+
+    silent: int
+    members: int
+
+
+@register_event(404)
+@dataclass(frozen=True, slots=True)
+class MemberStateChanged(Event):
+    """A member started or ended draining."""
+
+    node: str
+    is_draining: bool
+
+
+@register_event(405, level="DEBUG")
+@dataclass(frozen=True, slots=True)
+class MembersWritten(Event):
+    """The region relay wrote its members to the store."""
+
+    region: str
+    epoch: int
+    serial: int
+    members: int
+
+
+@register_event(406, level="DEBUG")
+@dataclass(frozen=True, slots=True)
+class TableReplaced(Event):
+    """A region's table was replaced by a snapshot."""
+
+    region: str
+    epoch: int
+    serial: int
+    members: int
+
+
+@register_event(407, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class AuthorityWithdrawn(Event):
+    """The relay does not know this node; it claims no keys until it is a member."""
+
+    relay: str
+
+
+@register_event(408, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class TableInvalid(Event):
+    """A member table from a peer or the store could not be read; it is ignored."""
+
+    source: str
+    reason: str
--- a/src/verbenawick/_membership_messages.py
+++ b/src/verbenawick/_membership_messages.py
@@ -163,9 +163,11 @@
 @register_message(18)
 @dataclass(frozen=True, slots=True)
 class TableDelta(Message):
-    """Changes of one region's table; applies to the version just before it."""
+    """Changes of one region's table from one version to a later one."""
 
     region: str
+    base_epoch: int
+    base_serial: int
     epoch: int
     serial: int
     joined: list[Row[MemberRow]]
--- a/src/verbenawick/_store_workers.py
+++ b/src/verbenawick/_store_workers.py
@@ -9,6 +9,7 @@
 from eventlet.semaphore import Semaphore
 
 from verbenawick._backoff import Backoff
+from verbenawick._clock import Clock
 from verbenawick._component import StoreCallback, StoreObject
 from verbenawick._events import Event, emit, register_event
 from verbenawick._metrics import MetricKind, MetricSet, register_metric
@@ -50,8 +51,8 @@
         """Read one object; an absent one has version 0."""
         ...
 
-    def update(self, key: str, value: bytes, *, expected_version: int) -> StoreObject:
-        """Write if the object's version is `expected_version`."""
+    def update(self, key: str, value: bytes, *, expected_version: int) -> int:
+        """Write if the object's version is `expected_version`; return the new one."""
         ...
 
     def watch(self, prefixes: tuple[str, ...], *, after: int, wait_s: float):
@@ -102,7 +103,8 @@
                     step="store.update",
                     peer=key,
                 )
-            return self._store.update(key, value, expected_version=expected_version)
+            version = self._store.update(key, value, expected_version=expected_version)
+            return StoreObject(key, value, version)
 
         self._start(write, callback)
 
@@ -142,33 +144,42 @@
         *,
         is_wanted: Callable[[], bool],
         deliver: Callable[[StoreObject], None],
+        clock: Clock,
         random: Random,
         metrics: MetricSet,
     ):
         self._store = store
         self._is_wanted = is_wanted
         self._deliver = deliver
+        self._clock = clock
         self._metrics = metrics
         self._backoff = Backoff(random)
         self._is_running = False
+        self._is_fresh = True
+        self._next_at = 0.0
         self.revision = 0
 
     def on_tick(self) -> None:
         """Start the watch when it is wanted and not running."""
-        if self._is_wanted() and not self._is_running:
+        if not self._is_wanted():
+            self._is_fresh = True
+        elif not self._is_running and self._clock.now() >= self._next_at:
+            if self._is_fresh:
+                # A new region relay reads everything; one that goes on after an
+                # outage resumes where it was.
+                self.revision = 0
+                self._is_fresh = False
             self._is_running = True
-            self.revision = 0
             eventlet.spawn_n(self._run)
 
     def _run(self) -> None:
         try:
             while self._is_wanted():
-                try:
-                    self._watch_once()
-                    self._backoff.reset()
-                except VerbenawickError as error:
-                    emit(WatchFailed(self.revision, str(error)))
-                    eventlet.sleep(self._backoff.next_wait_s())
+                self._watch_once()
+                self._backoff.reset()
+        except VerbenawickError as error:
+            emit(WatchFailed(self.revision, str(error)))
+            self._next_at = self._clock.now() + self._backoff.next_wait_s()
         finally:
             self._is_running = False
 
--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -160,3 +160,8 @@
 @register_error("lease.not-held")
 class LeaseNotHeldError(StoreUnavailableError):
     """A write needs a lease that this node does not hold now; nothing was sent."""
+
+
+@register_error("member.invalid-table")
+class MemberTableError(VerbenawickError):
+    """A member table from a peer or from the store is invalid."""
--- /dev/null
+++ b/tests/control_simulation.py
@@ -0,0 +1,358 @@
+"""Control tasks with in-memory links and store, driven by a manual clock."""
+
+from collections import Counter
+from random import Random
+from types import SimpleNamespace
+
+import eventlet
+from eventlet.event import Event
+
+from verbenawick._clock import ManualClock
+from verbenawick._component import NodeIdentity, StoreObject
+from verbenawick._control import ControlTask
+from verbenawick._membership import Membership
+from verbenawick._messages import decode_message, encode_message
+from verbenawick._settings import NodeSettings
+from verbenawick.errors import (
+    LinkClosedError,
+    StoreAnswerLostError,
+    StoreConditionError,
+    StoreUnavailableError,
+)
+
+STEP_S = 0.1
+
+
+class MemoryStore:
+    """Object store with faults; counts calls by kind and by second."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.objects = {}
+        self.revision = 0
+        self.is_down = False
+        self.cut_nodes = set()
+        # Called with node, method and key; True loses the answer after the effect.
+        self.loses_answer = lambda node_id, method, key: False
+        self.calls = Counter()
+        self.calls_by_second = Counter()
+        self._watches = []
+
+    def set_down(self, is_down):
+        """Start or end an outage."""
+        self.is_down = is_down
+        self.break_watches()
+
+    def break_watches(self):
+        """End all waiting watches."""
+        watches, self._watches = self._watches, []
+        for event in watches:
+            event.send(None)
+
+    def enter(self, node_id, method, key):
+        """Count a call; raise when the store cannot be reached."""
+        if self.is_down or node_id in self.cut_nodes:
+            raise StoreUnavailableError("down", step=method, peer="store")
+        self.calls[method, key] += 1
+        self.calls_by_second[int(self.clock.now())] += 1
+
+    def write(self, key, value, expected):
+        """Write conditionally and return the new version."""
+        current = self.objects.get(key)
+        if (current.version if current else 0) != expected:
+            raise StoreConditionError("condition", step="update", peer="store")
+        self.revision += 1
+        self.objects[key] = StoreObject(key, value, self.revision)
+        self.break_watches()
+        return self.revision
+
+    def wait(self):
+        """Block until the next write or the start of an outage."""
+        event = Event()
+        self._watches.append(event)
+        event.wait()
+
+    def lease(self, key):
+        """Return the record of a lease object."""
+        from verbenawick._lease import parse_lease_record
+
+        found = self.objects.get(key)
+        return parse_lease_record(found.value) if found else None
+
+
+class MemoryStoreClient:
+    """Client of one node."""
+
+    def __init__(self, store, node_id):
+        self._store = store
+        self._node_id = node_id
+
+    def get(self, key):
+        """Read one object."""
+        self._store.enter(self._node_id, "get", key)
+        return self._store.objects.get(key, StoreObject(key, b"", 0))
+
+    def update(self, key, value, *, expected_version):
+        """Write one object, possibly losing the answer."""
+        self._store.enter(self._node_id, "update", key)
+        version = self._store.write(key, value, expected_version)
+        if self._store.loses_answer(self._node_id, "update", key):
+            raise StoreAnswerLostError("lost", step="update", peer="store")
+        return version
+
+    def watch(self, prefixes, *, after, wait_s):
+        """Wait for changes after a revision."""
+        self._store.enter(self._node_id, "watch", "")
+        while True:
+            found = tuple(
+                obj
+                for obj in self._store.objects.values()
+                if obj.version > after and obj.key.startswith(prefixes)
+            )
+            if found:
+                return SimpleNamespace(revision=self._store.revision, objects=found)
+            self._store.wait()
+            if self._store.is_down or self._node_id in self._store.cut_nodes:
+                raise StoreUnavailableError("down", step="watch", peer="store")
+
+
+class MemoryLink:
+    """One end of a link between two simulated nodes."""
+
+    def __init__(self, owner, peer_node, *, is_dialled):
+        self.owner = owner
+        self.peer_node = peer_node
+        self.peer = peer_node.identity
+        self.is_dialled = is_dialled
+        self.is_open = True
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.other = None
+
+    def post(self, message):
+        """Deliver at the peer's next step; lost on a cut path."""
+        if not self.is_open:
+            raise LinkClosedError("closed", step="post", peer=self.peer.node_id)
+        data = encode_message(message)
+        self.bytes_sent += len(data)
+        if self.owner.mesh.is_connected(self.owner, self.peer_node):
+            self.peer_node.inbox.append((self.other, data))
+
+    def close(self, reason=""):
+        """Close both ends; the other one only when the path is whole."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        self.owner.inbox.append((self, None))
+        if self.owner.mesh.is_connected(self.owner, self.peer_node):
+            self.peer_node.inbox.append((self.other, None))
+
+
+class SimulatedNode:
+    """A control task with membership and without sockets."""
+
+    def __init__(self, mesh, settings, incarnation):
+        self.mesh = mesh
+        self.settings = settings
+        self.is_alive = True
+        self.is_paused = False
+        self.inbox = []
+        self.identity = NodeIdentity(
+            settings.node_id,
+            incarnation,
+            settings.upstream.service,
+            settings.data_centre,
+            settings.region,
+            settings.peer_address,
+        )
+        self.task = ControlTask(
+            settings,
+            self.identity,
+            store=MemoryStoreClient(mesh.store, settings.node_id),
+            clock=mesh.clock,
+            random=Random(f"{settings.node_id}/{incarnation}"),
+            dial=self._dial,
+        )
+        self.membership = Membership(
+            self.identity,
+            slots=settings.upstream.slots,
+            timing=settings.timing,
+            clock=mesh.clock,
+            peers=self.task.peers,
+            store=self.task.store,
+            roles=self.task.roles,
+            record=self.task.record,
+        )
+        self.task.add(self.membership)
+        self.task.set_members(self.membership.table)
+
+    @property
+    def table(self):
+        """Member table of the node."""
+        return self.membership.table
+
+    @property
+    def roles(self):
+        """Roles of the node."""
+        return self.task.roles
+
+    def _dial(self, address, *, channel, identity, handler, delay_s, timeout_s):
+        peer = self.mesh.nodes_by_address.get(address)
+        if peer is None or not peer.is_alive or peer.is_paused:
+            raise LinkClosedError("no listener", step="dial", peer=address)
+        if not self.mesh.is_connected(self, peer):
+            raise LinkClosedError("cut", step="dial", peer=address)
+        near = MemoryLink(self, peer, is_dialled=True)
+        near.other = MemoryLink(peer, self, is_dialled=False)
+        near.other.other = near
+        return near
+
+    def step(self):
+        """Handle the inbox, the mailbox and one tick."""
+        inbox, self.inbox = self.inbox, []
+        for link, data in inbox:
+            if data is None:
+                link.is_open = False
+                self.task.peers.on_close(link)
+            else:
+                link.bytes_received += len(data)
+                self.task.peers.on_message(link, decode_message(data))
+            self.task.drain()
+        self.task.tick()
+        self.task.drain()
+
+
+class Mesh:
+    """Simulated nodes, their network and the store."""
+
+    def __init__(self, *, seed=1):
+        self.clock = ManualClock()
+        self.store = MemoryStore(self.clock)
+        self.nodes = {}
+        self.nodes_by_address = {}
+        # Pairs of region or node ids between which nothing passes.
+        self.cuts = set()
+        self._incarnations = Random(seed)
+
+    def add_region(self, region, *, centres=2, nodes_per_centre=3, services=2):
+        """Start the nodes of a region; each knows two neighbours."""
+        for centre in range(centres):
+            data_centre = f"{region}-{centre}"
+            addresses = [
+                self._address(len(self.nodes) + i) for i in range(nodes_per_centre)
+            ]
+            for i, address in enumerate(addresses):
+                others = [addresses[(i + k) % nodes_per_centre] for k in (1, 2)]
+                self._start_new(
+                    f"{data_centre}-n{i}",
+                    data_centre,
+                    region,
+                    address,
+                    [a for a in dict.fromkeys(others) if a != address],
+                    f"svc{i % services}",
+                )
+
+    def _address(self, index):
+        return f"10.0.{index // 250}.{index % 250 + 1}:7000"
+
+    def _start_new(self, node_id, data_centre, region, address, neighbours, service):
+        host = address.rpartition(":")[0]
+        settings = NodeSettings(
+            node_id=node_id,
+            data_centre=data_centre,
+            region=region,
+            call_address=f"{host}:8000",
+            peer_address=address,
+            admin_address=f"{host}:9000",
+            store={"address": "10.9.9.9:80"},
+            upstream={"address": f"{host}:81", "service": service, "slots": 12},
+            neighbours=neighbours,
+        )
+        self._start(settings)
+
+    def _start(self, settings):
+        node = SimulatedNode(self, settings, self._incarnations.getrandbits(32))
+        self.nodes[settings.node_id] = node
+        self.nodes_by_address[settings.peer_address] = node
+        return node
+
+    def is_connected(self, a, b):
+        """Return whether messages pass between two nodes."""
+        if not (a.is_alive and b.is_alive):
+            return False
+        for x in (a.identity.node_id, a.identity.region):
+            for y in (b.identity.node_id, b.identity.region):
+                if (x, y) in self.cuts or (y, x) in self.cuts:
+                    return False
+        return True
+
+    def kill(self, *node_ids):
+        """End processes; their peers see closed links."""
+        for node_id in node_ids:
+            node = self.nodes[node_id]
+            for entries in node.task.peers._entries_by_node.values():
+                for entry in entries:
+                    entry.link.close()
+            node.is_alive = False
+            node.inbox = []
+
+    def restart(self, *node_ids):
+        """Start processes again, with new incarnations."""
+        return [self._start(self.nodes[node_id].settings) for node_id in node_ids]
+
+    def alive(self):
+        """Return the nodes that run."""
+        return [n for n in self.nodes.values() if n.is_alive and not n.is_paused]
+
+    def advance(self, seconds, *, step_s=STEP_S):
+        """Run all nodes for a while."""
+        for _ in range(round(seconds / step_s)):
+            self.clock.advance(step_s)
+            for node in self.alive():
+                node.step()
+            for _ in range(3):
+                eventlet.sleep(0)
+                for node in self.alive():
+                    node.task.drain()
+
+    def advance_until(self, condition, limit_s):
+        """Run until `condition()` holds; return the seconds it took."""
+        started_at = self.clock.now()
+        while not condition():
+            if self.clock.now() - started_at > limit_s:
+                raise AssertionError(f"not reached within {limit_s} s")
+            self.advance(STEP_S)
+        return self.clock.now() - started_at
+
+    def relays(self, region=None):
+        """Return the nodes that act as data centre relays."""
+        return [
+            n
+            for n in self.alive()
+            if n.roles.is_data_centre_relay() and region in (None, n.identity.region)
+        ]
+
+    def region_relays(self, region=None):
+        """Return the nodes that act as region relays."""
+        return [
+            n
+            for n in self.alive()
+            if n.roles.is_region_relay() and region in (None, n.identity.region)
+        ]
+
+    def agree(self, expected_ids=None):
+        """Return whether each running node knows exactly the running nodes."""
+        expected = {
+            (n.identity.node_id, n.identity.incarnation)
+            for n in self.alive()
+            if expected_ids is None or n.identity.node_id in expected_ids
+        }
+        return all(
+            {
+                (j.member.node_id, j.member.incarnation)
+                for t in node.table.regions()
+                for j in t.members_by_id.values()
+            }
+            == expected
+            for node in self.alive()
+        )
