Add the client of the object API and its stand-in

Cause: configuration, leases and status all go through the platform's store, and none of it can be tested without one. Change: `StoreClient` over urllib3 tells "nothing was sent", "sent, answer lost" and "condition failed" apart and counts bytes; `standins.store` serves the interface of section 2.3 with counters, faults, delays by client and a bounded history. The stand-in answers 410 to a watch beyond its history; the client then lists everything. `StoreConditionError` names the current version. Ruled out: a slow write as an error of its own; it may still take effect after the client stopped waiting, which is the same as a lost answer.

--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -123,7 +123,16 @@
 
 @register_error("store.condition-failed")
 class StoreConditionError(VerbenawickError):
-    """The condition of a conditional update did not hold."""
+    """The condition of a conditional update did not hold.
+
+    `current_version` is the version that the store named, 0 for an absent object.
+    """
+
+    def __init__(
+        self, message: str, *, current_version: int = 0, step: str = "", peer: str = ""
+    ):
+        super().__init__(message, step=step, peer=peer)
+        self.current_version = current_version
 
 
 @register_error("store.value-too-large")
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,385 @@
+"""Stand-in for the platform's object API (docs/design.md, section 2.3).
+
+Run it with ``python -m standins.store --address IP:PORT``. Versions are store-wide
+revisions. `POST /standin/faults` takes a JSON object with any of `outage` (bool),
+`slowness_ms`, `lost_answers` and `stale_reads`; `GET /standin/counters` answers the
+calls by kind, the waiting watches and the bytes by client.
+"""
+
+if __name__ == "__main__":
+    import eventlet
+
+    eventlet.monkey_patch()
+
+import argparse
+import base64
+import json
+import threading
+from collections import Counter, deque
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs
+
+import eventlet
+import eventlet.event
+import eventlet.wsgi
+from eventlet.green import socket
+
+from verbenawick._clock import Clock, MonotonicClock
+
+MAX_VALUE_BYTES = 1_000_000
+HISTORY_LENGTH = 4096
+# The baseline of the benchmarks has a waiting watch for each of 1,300 nodes.
+MAX_CONNECTIONS = 8192
+STOP_POLL_S = 0.02
+STATUS_LINES = {
+    200: "200 OK",
+    400: "400 Bad Request",
+    404: "404 Not Found",
+    410: "410 Gone",
+    412: "412 Precondition Failed",
+    413: "413 Content Too Large",
+    503: "503 Service Unavailable",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A value at one version; version 0 stands for an absent object."""
+
+    value: bytes = b""
+    version: int = 0
+    written_at: float = 0.0
+
+
+@dataclass(slots=True)
+class Faults:
+    """Faults in force; the counts go down as they are used up."""
+
+    outage: bool = False
+    slowness_ms: float = 0.0
+    lost_answers: int = 0
+    stale_reads: int = 0
+
+
+@dataclass(slots=True)
+class Answer:
+    """An HTTP answer of the stand-in."""
+
+    status: int = 200
+    body: bytes = b""
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    is_lost: bool = False
+
+
+def _json_answer(value: object, status: int = 200) -> Answer:
+    return Answer(status, json.dumps(value).encode())
+
+
+class ObjectStore:
+    """Objects, revisions and the bounded history that watches read.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of the ages.
+    history_length : int
+        Changes that a watch can look back on.
+    """
+
+    def __init__(self, clock: Clock, *, history_length: int = HISTORY_LENGTH):
+        self.revision = 0
+        self._clock = clock
+        self._entries_by_key: dict[str, Entry] = {}
+        self._previous_by_key: dict[str, Entry] = {}
+        self._history: deque[tuple[int, str]] = deque(maxlen=history_length)
+
+    def get(self, key: str, *, is_stale: bool = False) -> Entry:
+        """Return the entry, or the one before it for a stale read."""
+        entries = self._previous_by_key if is_stale else self._entries_by_key
+        return entries.get(key, Entry())
+
+    def write(self, key: str, value: bytes | None, expected_version: int) -> Entry:
+        """Write (None: delete) on a condition; return the entry then at hand.
+
+        The write took effect when the returned version is the store's revision and
+        differs from the one before.
+        """
+        current = self.get(key)
+        if current.version != expected_version or (
+            value is None and not current.version
+        ):
+            return current
+        self.revision += 1
+        self._previous_by_key[key] = current
+        self._history.append((self.revision, key))
+        if value is None:
+            self._entries_by_key.pop(key, None)
+        else:
+            self._entries_by_key[key] = Entry(value, self.revision, self._clock.now())
+        return self.get(key)
+
+    def describe(self, key: str, entry: Entry) -> dict:
+        """Return an entry as `GET /list` and `GET /watch` show it."""
+        if not entry.version:
+            return {"key": key, "version": 0, "deleted": True}
+        return {
+            "key": key,
+            "version": entry.version,
+            "age_ms": self.age_ms(entry),
+            "value": base64.b64encode(entry.value).decode(),
+        }
+
+    def age_ms(self, entry: Entry) -> int:
+        """Return the time since the entry was written."""
+        return int((self._clock.now() - entry.written_at) * 1000)
+
+    def objects_below(self, prefix: str, *, is_stale: bool = False) -> dict:
+        """Return the objects below a prefix."""
+        keys = sorted(key for key in self._entries_by_key if key.startswith(prefix))
+        entries = [(key, self.get(key, is_stale=is_stale)) for key in keys]
+        objects = [self.describe(key, entry) for key, entry in entries if entry.version]
+        return {"revision": self.revision, "objects": objects}
+
+    def is_in_history(self, after: int) -> bool:
+        """Return whether all changes after a revision are still known."""
+        return after <= self.revision <= after + len(self._history)
+
+    def changes(self, prefixes: list[str], after: int) -> dict:
+        """Return the last state of the objects changed after a revision."""
+        keys = {
+            key
+            for revision, key in self._history
+            if revision > after and key.startswith(tuple(prefixes))
+        }
+        objects = [self.describe(key, self.get(key)) for key in sorted(keys)]
+        return {"revision": self.revision, "objects": objects}
+
+
+class StoreApplication:
+    """WSGI application of the stand-in.
+
+    Parameters
+    ----------
+    delays_ms_by_prefix : dict of str to float
+        Added one-way delay in milliseconds by prefix of the client's IP number.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        *,
+        delays_ms_by_prefix: dict[str, float] | None = None,
+    ):
+        self.store = store
+        self.faults = Faults()
+        self.calls_by_kind: Counter[str] = Counter()
+        self.bytes_by_client: dict[str, list[int]] = {}
+        self._delays_ms_by_prefix = delays_ms_by_prefix or {}
+        self._waiting: set[eventlet.event.Event] = set()
+
+    def __call__(self, environ, start_response):
+        """Answer one request."""
+        path = environ["PATH_INFO"]
+        body = environ["wsgi.input"].read()
+        if path.startswith("/standin/"):
+            return self._send(environ, start_response, self._control(path, body))
+        client = environ["REMOTE_ADDR"]
+        delay_s = self._delay_s(client)
+        eventlet.sleep(delay_s + self.faults.slowness_ms / 1000)
+        answer = self._answer(environ, path, body)
+        eventlet.sleep(delay_s)
+        traffic = self.bytes_by_client.setdefault(client, [0, 0])
+        traffic[0] += len(body)
+        traffic[1] += len(answer.body)
+        return self._send(environ, start_response, answer)
+
+    def _delay_s(self, client: str) -> float:
+        for prefix, delay_ms in self._delays_ms_by_prefix.items():
+            if client.startswith(prefix):
+                return delay_ms / 1000
+        return 0.0
+
+    def _send(self, environ, start_response, answer: Answer):
+        if answer.is_lost:
+            environ["eventlet.input"].get_socket().shutdown(socket.SHUT_RDWR)
+        length = ("Content-Length", str(len(answer.body)))
+        start_response(STATUS_LINES[answer.status], [length, *answer.headers])
+        return [answer.body]
+
+    def _control(self, path: str, body: bytes) -> Answer:
+        if path == "/standin/counters":
+            return _json_answer(self.counters())
+        if path != "/standin/faults":
+            return Answer(404)
+        for name, value in json.loads(body).items():
+            setattr(self.faults, name, value)
+        if self.faults.outage:
+            self._wake_watches()
+        return Answer()
+
+    def counters(self) -> dict:
+        """Return calls by kind, waiting watches and body bytes by client."""
+        return {
+            **{kind: 0 for kind in ("get", "put", "delete", "list", "watch")},
+            **self.calls_by_kind,
+            "waiting": len(self._waiting),
+            "bytes_by_client": self.bytes_by_client,
+        }
+
+    def _answer(self, environ, path: str, body: bytes) -> Answer:
+        query = parse_qs(environ.get("QUERY_STRING", ""))
+        method = environ["REQUEST_METHOD"]
+        kind = path[1:] if path in ("/list", "/watch") else method.lower()
+        self.calls_by_kind[kind] += 1
+        if self.faults.outage:
+            return Answer(503)
+        try:
+            if path == "/list":
+                return self._list(query)
+            if path == "/watch":
+                return self._watch(query)
+            key = path.removeprefix("/objects/")
+            if method == "GET":
+                return self._get(key)
+            expected = int(environ["HTTP_IF_OBJECT_VERSION"])
+        except (KeyError, ValueError) as error:
+            return Answer(400, f"missing or invalid: {error}".encode())
+        if len(body) > MAX_VALUE_BYTES:
+            return Answer(413)
+        return self._write(key, body if method == "PUT" else None, expected)
+
+    def _get(self, key: str) -> Answer:
+        entry = self.store.get(key, is_stale=self._take_stale_read())
+        if not entry.version:
+            return Answer(404)
+        headers = [
+            ("Object-Version", str(entry.version)),
+            ("Object-Age-Ms", str(self.store.age_ms(entry))),
+        ]
+        return Answer(200, entry.value, headers)
+
+    def _take_stale_read(self) -> bool:
+        if not self.faults.stale_reads:
+            return False
+        self.faults.stale_reads -= 1
+        return True
+
+    def _write(self, key: str, value: bytes | None, expected: int) -> Answer:
+        revision = self.store.revision
+        entry = self.store.write(key, value, expected)
+        headers = [("Object-Version", str(entry.version))]
+        if self.store.revision == revision:
+            return Answer(412, headers=headers)
+        self._wake_watches()
+        is_lost = self.faults.lost_answers > 0
+        self.faults.lost_answers -= is_lost
+        return Answer(200, headers=headers, is_lost=is_lost)
+
+    def _list(self, query: dict) -> Answer:
+        is_stale = self._take_stale_read()
+        return _json_answer(
+            self.store.objects_below(query["prefix"][0], is_stale=is_stale)
+        )
+
+    def _watch(self, query: dict) -> Answer:
+        after = int(query["after"][0])
+        wait_s = int(query["wait_ms"][0]) / 1000
+        with eventlet.Timeout(wait_s, False):
+            while self._is_current(query["prefix"], after):
+                self._wait_for_write()
+        if self.faults.outage:
+            return Answer(503)
+        if not self.store.is_in_history(after):
+            return _json_answer({"revision": self.store.revision}, 410)
+        return _json_answer(self.store.changes(query["prefix"], after))
+
+    def _is_current(self, prefixes: list[str], after: int) -> bool:
+        return (
+            not self.faults.outage
+            and self.store.is_in_history(after)
+            and not self.store.changes(prefixes, after)["objects"]
+        )
+
+    def _wait_for_write(self) -> None:
+        event = eventlet.event.Event()
+        self._waiting.add(event)
+        try:
+            event.wait()
+        finally:
+            self._waiting.discard(event)
+
+    def _wake_watches(self) -> None:
+        waiting, self._waiting = self._waiting, set()
+        for event in waiting:
+            event.send()
+
+
+def serve(application: StoreApplication, listener) -> None:
+    """Serve until the green thread is killed."""
+    eventlet.wsgi.server(
+        listener, application, max_size=MAX_CONNECTIONS, log_output=False, debug=False
+    )
+
+
+def listen(address: str):
+    """Return a listening socket."""
+    host, _, port = address.rpartition(":")
+    return eventlet.listen((host, int(port)), backlog=2048)
+
+
+@contextmanager
+def running_store(
+    application: StoreApplication, *, address: str = "127.0.0.1:0"
+) -> Iterator[str]:
+    """Serve from a thread with its own event loop; yield the address.
+
+    The caller may use plain blocking sockets, patched by eventlet or not.
+    """
+    listener = listen(address)
+    host, port = listener.getsockname()
+    stopping = threading.Event()
+
+    def run():
+        server = eventlet.spawn(serve, application, listener)
+        while not stopping.is_set():
+            eventlet.sleep(STOP_POLL_S)
+        server.kill()
+
+    thread = threading.Thread(target=run, daemon=True)
+    thread.start()
+    try:
+        yield f"{host}:{port}"
+    finally:
+        stopping.set()
+        thread.join()
+        listener.close()
+
+
+def _parse_delay(text: str) -> tuple[str, float]:
+    prefix, _, delay_ms = text.partition("=")
+    return prefix, float(delay_ms)
+
+
+def main() -> None:
+    """Run the stand-in until it is ended."""
+    parser = argparse.ArgumentParser(prog="python -m standins.store")
+    parser.add_argument("--address", required=True, metavar="IP:PORT")
+    parser.add_argument(
+        "--delay",
+        action="append",
+        default=[],
+        type=_parse_delay,
+        metavar="PREFIX=MS",
+        help="one-way delay each way for clients whose IP number starts with PREFIX",
+    )
+    arguments = parser.parse_args()
+    application = StoreApplication(
+        ObjectStore(MonotonicClock()), delays_ms_by_prefix=dict(arguments.delay)
+    )
+    serve(application, listen(arguments.address))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,191 @@
+"""Contract of the object API, run against the stand-in over a real socket."""
+
+import json
+import os
+import subprocess
+import sys
+import threading
+from contextlib import ExitStack
+
+import urllib3
+from testtools import TestCase
+
+from standins.store import ObjectStore, StoreApplication, running_store
+from verbenawick._clock import ManualClock
+from verbenawick._store import MAX_VALUE_BYTES, StoreClient
+from verbenawick.errors import (
+    StoreAnswerLostError,
+    StoreConditionError,
+    StoreUnavailableError,
+    StoreValueTooLargeError,
+)
+
+PATCHED_CLIENT = """
+import sys
+import eventlet
+eventlet.monkey_patch()
+from verbenawick._store import StoreClient
+client = StoreClient(sys.argv[1])
+watch = eventlet.spawn(client.watch, ("a/",), after=0, wait_s=5)
+eventlet.sleep(0.05)
+client.update("a/1", b"x", expected_version=0)
+print(watch.wait().objects[0].value)
+"""
+
+
+class StoreCase(TestCase):
+    """Base of tests against a stand-in in process."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.application = StoreApplication(ObjectStore(self.clock, history_length=4))
+        self.resources = ExitStack()
+        self.addCleanup(self.resources.close)
+        self.address = self.resources.enter_context(running_store(self.application))
+        self.client = StoreClient(self.address, timeout_s=0.3)
+        self.addCleanup(self.client.close)
+
+    def set_faults(self, **faults):
+        """Put faults in force through the stand-in's own interface."""
+        url = f"http://{self.address}/standin/faults"
+        urllib3.request("POST", url, body=json.dumps(faults))
+
+
+class TestObjects(StoreCase):
+    """Reads and conditional writes; guards against lost updates."""
+
+    def test_absent_object_has_version_zero(self):
+        self.assertEqual(0, self.client.get("a/1").version)
+
+    def test_versions_are_store_wide_revisions(self):
+        first = self.client.update("a/1", b"x", expected_version=0)
+        second = self.client.update("b/1", b"y", expected_version=0)
+        self.clock.advance(1.5)
+        obj = self.client.get("a/1")
+        self.assertEqual((1, 2), (first, second))
+        self.assertEqual((b"x", 1, 1.5), (obj.value, obj.version, obj.age_s))
+
+    def test_failed_condition_names_the_current_version(self):
+        self.client.update("a/1", b"x", expected_version=0)
+        error = self.assertRaises(
+            StoreConditionError, self.client.update, "a/1", b"y", expected_version=0
+        )
+        self.assertEqual(1, error.current_version)
+        self.assertEqual(b"x", self.client.get("a/1").value)
+
+    def test_delete_is_conditional(self):
+        self.client.update("a/1", b"x", expected_version=0)
+        self.assertRaises(
+            StoreConditionError, self.client.delete, "a/1", expected_version=9
+        )
+        self.client.delete("a/1", expected_version=1)
+        self.assertEqual(0, self.client.get("a/1").version)
+
+    def test_value_over_the_limit_is_refused_before_it_is_sent(self):
+        value = bytes(MAX_VALUE_BYTES + 1)
+        self.assertRaises(
+            StoreValueTooLargeError,
+            self.client.update,
+            "a/1",
+            value,
+            expected_version=0,
+        )
+        self.assertEqual(0, self.client.traffic.bytes_sent)
+
+    def test_traffic_is_counted_in_both_directions(self):
+        self.client.update("a/1", bytes(5000), expected_version=0)
+        self.client.get("a/1")
+        traffic = self.client.traffic
+        self.assertTrue(5000 < traffic.bytes_sent < 6000, traffic)
+        self.assertTrue(5000 < traffic.bytes_received < 6000, traffic)
+
+
+class TestWatch(StoreCase):
+    """Watches; guards against missed changes and missed removals."""
+
+    def test_watch_wakes_on_a_change_below_its_prefixes(self):
+        found = []
+
+        def run():
+            found.append(self.client.watch(("a/", "c/"), after=0, wait_s=5))
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        self.client.update("b/1", b"x", expected_version=0)
+        self.client.update("c/1", b"y", expected_version=0)
+        thread.join(5)
+        self.assertEqual(2, found[0].revision)
+        self.assertEqual([b"y"], [obj.value for obj in found[0].objects])
+        self.assertEqual(1, self.application.counters()["watch"])
+
+    def test_watch_ends_empty_when_its_time_is_over(self):
+        listing = self.client.watch(("a/",), after=0, wait_s=0.02)
+        self.assertEqual((0, ()), (listing.revision, listing.objects))
+
+    def test_watch_reports_a_removed_object(self):
+        version = self.client.update("a/1", b"x", expected_version=0)
+        self.client.delete("a/1", expected_version=version)
+        listing = self.client.watch(("a/",), after=version, wait_s=1)
+        self.assertEqual([("a/1", 0)], [(o.key, o.version) for o in listing.objects])
+
+    def test_watch_beyond_the_history_answers_everything(self):
+        for number in range(6):
+            self.client.update(f"a/{number}", b"x", expected_version=0)
+        listing = self.client.watch(("a/",), after=0, wait_s=1)
+        self.assertTrue(listing.is_complete)
+        self.assertEqual(6, len(listing.objects))
+        self.assertEqual(6, listing.revision)
+
+    def test_client_works_under_the_patching_of_eventlet(self):
+        result = subprocess.run(
+            [sys.executable, "-W", "ignore", "-c", PATCHED_CLIENT, self.address],
+            env={"PYTHONPATH": os.pathsep.join(sys.path)},
+            capture_output=True,
+            text=True,
+            timeout=20,
+        )
+        self.assertEqual("b'x'\n", result.stdout, result.stderr)
+
+
+class TestFaults(StoreCase):
+    """Faults; guards against taking an unknown outcome for a known one."""
+
+    def test_outage_is_unavailable_for_all_calls_and_ends_watches(self):
+        self.set_faults(outage=True)
+        self.assertRaises(StoreUnavailableError, self.client.get, "a/1")
+        self.assertRaises(
+            StoreUnavailableError, self.client.update, "a/1", b"", expected_version=0
+        )
+        self.assertRaises(
+            StoreUnavailableError, self.client.watch, ("a/",), after=0, wait_s=5
+        )
+        self.set_faults(outage=False)
+        self.assertEqual(0, self.client.get("a/1").version)
+
+    def test_no_listener_is_unavailable(self):
+        self.resources.close()
+        self.assertRaises(
+            StoreUnavailableError, self.client.update, "a/1", b"", expected_version=0
+        )
+
+    def test_lost_answer_follows_a_write_that_took_effect(self):
+        self.set_faults(lost_answers=1)
+        self.assertRaises(
+            StoreAnswerLostError, self.client.update, "a/1", b"x", expected_version=0
+        )
+        self.assertEqual(b"x", self.client.get("a/1").value)
+
+    def test_slow_write_is_a_lost_answer_and_slow_read_is_unavailable(self):
+        self.set_faults(slowness_ms=600)
+        self.assertRaises(
+            StoreAnswerLostError, self.client.update, "a/1", b"x", expected_version=0
+        )
+        self.assertRaises(StoreUnavailableError, self.client.get, "a/1")
+
+    def test_stale_read_answers_the_version_before(self):
+        self.client.update("a/1", b"x", expected_version=0)
+        self.client.update("a/1", b"y", expected_version=1)
+        self.set_faults(stale_reads=1)
+        self.assertEqual(b"x", self.client.get("a/1").value)
+        self.assertEqual(b"y", self.client.get("a/1").value)
