Add distribution of accepted configuration with staging and floor

Cause: nodes need the accepted configuration within seconds, never partially and never a version older than one they served, without a store call per node.

Change: ConfigState holds staged and in-force versions of a node and stops changes that break an invariant. FloorKeeper and HeadConfirmer find the floor of a restarted node.

Ruled out: counting acknowledgements by node id alone. A node that acknowledges, restarts and asks for its floor before the others hold the version would be counted although it no longer holds it.

--- /dev/null
+++ b/src/verbenawick/_config_state.py
@@ -0,0 +1,336 @@
+"""Staged and in-force versions of one node, and the invariants on them."""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from typing import Any, Protocol
+
+from verbenawick._events import Event, emit, register_event
+from verbenawick._table import RoutingTable
+from verbenawick.errors import (
+    BaseMismatchError,
+    DigestMismatchError,
+    DocumentError,
+    InvariantError,
+    OlderVersionError,
+    VerbenawickError,
+)
+
+PRESET_IDS = frozenset({"ordinary", "peak", "maintenance"})
+
+# A burst of changes can run ahead of the commits by this many versions; the lowest
+# staged version is dropped beyond that, and a later commit covers it.
+MAX_STAGED_VERSIONS = 8
+MAX_REFUSALS = 16
+
+
+@register_event(350)
+@dataclass(frozen=True, slots=True)
+class VersionInForce(Event):
+    """A version was put in force on this node."""
+
+    version: int
+    previous_version: int
+    preset: str
+
+
+@register_event(351, level="ERROR")
+@dataclass(frozen=True, slots=True)
+class VersionRefused(Event):
+    """A version could not be verified or compiled; the current one stays in force."""
+
+    version: int
+    code: str
+    reason: str
+
+
+@register_event(352, level="ERROR")
+@dataclass(frozen=True, slots=True)
+class InvariantViolated(Event):
+    """A change would have broken an invariant of the design; it was stopped."""
+
+    invariant: int
+    version: int
+    reason: str
+
+
+@register_event(353, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class RoutesWithheld(Event):
+    """Routes are withheld until their service has a known endpoint."""
+
+    version: int
+    route_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class VersionRef:
+    """A version number with the digest of its document; version 0 is none."""
+
+    version: int = 0
+    digest: bytes = b""
+
+
+NO_VERSION = VersionRef()
+
+
+class DocumentCodec(Protocol):
+    """Functions on documents that a node needs; a document is opaque here."""
+
+    def apply_delta(self, document: Any, delta: bytes) -> Any:
+        """Return the changed document.
+
+        Raises
+        ------
+        BaseMismatchError
+            The delta does not apply to `document`.
+        """
+        ...
+
+    def digest_of(self, document: Any) -> bytes:
+        """Return the digest of a document."""
+        ...
+
+    def compile(self, document: Any, *, version: int, digest: bytes) -> RoutingTable:
+        """Return the routing table; raise `DocumentError` when there is none."""
+        ...
+
+    def encode_snapshot(self, document: Any) -> bytes:
+        """Return the document as bytes."""
+        ...
+
+    def decode_snapshot(self, data: bytes, digest: bytes) -> Any:
+        """Return the document in a snapshot.
+
+        Raises
+        ------
+        DigestMismatchError
+            It is another document than announced.
+        DocumentError
+            `data` is corrupt.
+        """
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class HeldVersion:
+    """A verified and compiled version."""
+
+    ref: VersionRef
+    document: Any
+    table: RoutingTable
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a version is not held."""
+
+    ref: VersionRef
+    code: str
+    reason: str
+
+
+class ConfigState:
+    """Configuration versions of one node.
+
+    `in_force` is replaced by one assignment, so a call that reads it once serves all
+    of one version. The floor is the highest version that an earlier process of this
+    node may have served; nothing is put in force before it is known.
+    """
+
+    def __init__(self, codec: DocumentCodec):
+        self.in_force: HeldVersion | None = None
+        self.floor: int | None = None
+        self._codec = codec
+        self._staged_by_version: dict[int, HeldVersion] = {}
+        self._refusals_by_version: OrderedDict[int, Refusal] = OrderedDict()
+
+    @property
+    def in_force_ref(self) -> VersionRef:
+        """Version in force; version 0 when there is none."""
+        return self.in_force.ref if self.in_force else NO_VERSION
+
+    @property
+    def held(self) -> HeldVersion | None:
+        """Highest version that is staged or in force."""
+        if self._staged_by_version:
+            return self._staged_by_version[max(self._staged_by_version)]
+        return self.in_force
+
+    @property
+    def held_ref(self) -> VersionRef:
+        """Reference of `held`; version 0 when there is none."""
+        return self.held.ref if self.held else NO_VERSION
+
+    def is_held(self, ref: VersionRef) -> bool:
+        """Return whether exactly this version is staged or in force."""
+        return self._find(ref) is not None
+
+    def refusal_of(self, ref: VersionRef) -> Refusal | None:
+        """Return why a version was refused, if it was."""
+        refusal = self._refusals_by_version.get(ref.version)
+        return refusal if refusal and refusal.ref == ref else None
+
+    def last_refusal(self) -> Refusal | None:
+        """Return the refusal of the highest refused version above the held one."""
+        refusals = [
+            refusal
+            for version, refusal in self._refusals_by_version.items()
+            if version > self.held_ref.version
+        ]
+        return max(refusals, key=lambda refusal: refusal.ref.version, default=None)
+
+    def stage_deltas(
+        self, target: VersionRef, base: VersionRef, deltas: Sequence[bytes]
+    ) -> HeldVersion:
+        """Stage the version that `deltas` make of a held base.
+
+        Raises
+        ------
+        BaseMismatchError
+            The base is not held; ask for deltas on a held one or for a snapshot.
+        DigestMismatchError
+            The result is not the announced version; a snapshot is needed.
+        DocumentError, InvariantError
+            The version cannot be served; it is recorded as refused.
+        OlderVersionError
+            A higher version is in force.
+        """
+        held = self._find(base)
+        if held is None:
+            raise BaseMismatchError(
+                f"version {base.version} is not held", step="stage.base"
+            )
+        document = held.document
+        try:
+            for delta in deltas:
+                document = self._codec.apply_delta(document, delta)
+        except DocumentError as error:
+            # A corrupt delta says nothing about the version itself.
+            raise DigestMismatchError(error.message, step="stage.delta") from error
+        return self._stage(target, document)
+
+    def stage_snapshot(self, target: VersionRef, snapshot: bytes) -> HeldVersion:
+        """Stage a version from a whole document; raises as `stage_deltas`."""
+        try:
+            document = self._codec.decode_snapshot(snapshot, target.digest)
+        except DocumentError as error:
+            self.refuse(target, error)
+            raise
+        return self._stage(target, document)
+
+    def refuse(self, target: VersionRef, error: VerbenawickError) -> None:
+        """Record that a version cannot be served."""
+        if self.refusal_of(target) is None:
+            emit(VersionRefused(target.version, error.code, error.message))
+        self._refusals_by_version[target.version] = Refusal(
+            target, error.code, error.message
+        )
+        while len(self._refusals_by_version) > MAX_REFUSALS:
+            self._refusals_by_version.popitem(last=False)
+
+    def commit(self, ref: VersionRef) -> bool:
+        """Put a staged version in force; return whether it is in force now.
+
+        Raises
+        ------
+        OlderVersionError
+            The version is below the floor.
+        """
+        if self.in_force_ref == ref:
+            return True
+        held = self._staged_by_version.get(ref.version)
+        if held is None or held.ref != ref:
+            return False
+        self._put_in_force(held)
+        return True
+
+    def raise_floor(self, version: int) -> None:
+        """Set the floor; it never falls."""
+        self.floor = max(version, self.floor or 0)
+
+    def encode_held(self) -> bytes:
+        """Return a snapshot of the highest held version."""
+        return self._codec.encode_snapshot(self.held.document)
+
+    def _find(self, ref: VersionRef) -> HeldVersion | None:
+        for held in (self._staged_by_version.get(ref.version), self.in_force):
+            if held is not None and held.ref == ref:
+                return held
+        return None
+
+    def _stage(self, target: VersionRef, document: Any) -> HeldVersion:
+        if target.version < self.in_force_ref.version:
+            raise OlderVersionError(
+                f"version {target.version} is below {self.in_force_ref.version}",
+                step="stage.version",
+            )
+        digest = self._codec.digest_of(document)
+        if digest != target.digest:
+            raise DigestMismatchError(
+                f"version {target.version} has digest {digest.hex()}, "
+                f"not {target.digest.hex()}",
+                step="stage.digest",
+            )
+        try:
+            table = self._codec.compile(
+                document, version=target.version, digest=target.digest
+            )
+            self._check(table, target)
+        except (DocumentError, InvariantError) as error:
+            self.refuse(target, error)
+            raise
+        held = HeldVersion(target, document, table)
+        self._staged_by_version[target.version] = held
+        self._refusals_by_version.pop(target.version, None)
+        if len(self._staged_by_version) > MAX_STAGED_VERSIONS:
+            del self._staged_by_version[min(self._staged_by_version)]
+        return held
+
+    def _check(self, table: RoutingTable, target: VersionRef) -> None:
+        if VersionRef(table.version, table.digest) != target:
+            _stop(3, target.version, f"the table is of version {table.version}")
+        for route in table.routes:
+            if route.service_id not in table.policies_by_service_id:
+                reason = f"route {route.route_id} refers to {route.service_id}"
+                _stop(2, target.version, f"{reason}, which the table does not have")
+        if table.preset not in PRESET_IDS:
+            _stop(10, target.version, f"preset {table.preset!r} does not exist")
+
+    def _put_in_force(self, held: HeldVersion) -> None:
+        previous = self.in_force_ref
+        if self.floor is None:
+            _stop(1, held.ref.version, "the floor is not known")
+        lowest = max(self.floor, previous.version)
+        if held.ref.version < lowest:
+            reason = f"version {lowest} may have been served before"
+            emit(InvariantViolated(1, held.ref.version, reason))
+            raise OlderVersionError(reason, step="commit.version")
+        if held.ref.version == previous.version:
+            _stop(3, held.ref.version, "two documents have the same version")
+        self.in_force = held
+        for version in [v for v in self._staged_by_version if v <= held.ref.version]:
+            del self._staged_by_version[version]
+        emit(VersionInForce(held.ref.version, previous.version, held.table.preset))
+
+
+def _stop(invariant: int, version: int, reason: str) -> None:
+    emit(InvariantViolated(invariant, version, reason))
+    raise InvariantError(
+        f"invariant {invariant}: {reason}", step="config-state.invariant"
+    )
+
+
+def withhold_routes(
+    table: RoutingTable, known_service_ids: frozenset[str]
+) -> tuple[RoutingTable, tuple[str, ...]]:
+    """Return the table without routes to unknown services, and the ids withheld."""
+    withheld = tuple(
+        route.route_id
+        for route in table.routes
+        if route.service_id not in known_service_ids
+    )
+    if not withheld:
+        return table, ()
+    routes = tuple(r for r in table.routes if r.service_id in known_service_ids)
+    return replace(table, routes=routes), withheld
--- /dev/null
+++ b/src/verbenawick/_floor.py
@@ -0,0 +1,356 @@
+"""Floor of a restarted node: the lowest version that it may put in force.
+
+A node has nothing on disk. It learns the highest version it may have served before
+from enough other nodes of its data centre, or from a confirmed read of the store's
+head. See section 3.4 of docs/design.md.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from verbenawick._clock import Clock
+from verbenawick._component import (
+    LinkPurpose,
+    NodeIdentity,
+    PeerPort,
+    RoleView,
+    StoreObject,
+    StorePort,
+)
+from verbenawick._config_messages import (
+    FloorAnswer,
+    FloorQuery,
+    HeadConfirmed,
+    HeadQuery,
+    ProcessStart,
+)
+from verbenawick._config_state import VersionRef
+from verbenawick._events import Event, emit, register_event
+from verbenawick._members import MemberView
+from verbenawick.errors import VerbenawickError
+
+HEAD_KEY = "config/head"
+
+QUERY_INTERVAL_S = 0.5
+# Neighbours are asked first: a confirmation of the head costs store calls.
+HEAD_QUERY_DELAY_S = 1.0
+HEAD_QUERY_INTERVAL_S = 1.0
+# Bounds of the random pause before a confirmation is tried again, so that the
+# conditional updates of all regions do not collide again.
+CONFIRM_RETRY_S = (0.05, 0.5)
+ABSENT_HEAD_RETRY_S = 5.0
+# The store's client answers earlier than this in any case; see _store.
+STORE_ATTEMPT_S = 10.0
+MAX_KNOWN_STARTS = 1024
+MAX_PENDING_QUERIES = 4096
+
+
+@register_event(354)
+@dataclass(frozen=True, slots=True)
+class FloorConfirmed(Event):
+    """The floor of this node is known."""
+
+    version: int
+    source: str
+    answers: int
+
+
+@register_event(355)
+@dataclass(frozen=True, slots=True)
+class HeadConfirmedByStore(Event):
+    """The store's head was confirmed by an update with unchanged content."""
+
+    version: int
+    queries: int
+
+
+@register_event(356, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class HeadConfirmationFailed(Event):
+    """The store's head could not be confirmed; it is tried again."""
+
+    code: str
+    reason: str
+
+
+def answers_needed(member_count: int) -> int:
+    """Return how many other members have to answer a restarted node.
+
+    A version in force was held by a majority of the `member_count` members, of which
+    at most one is the restarted node; half of the members, rounded up, always include
+    one of the others.
+    """
+    return (member_count + 1) // 2
+
+
+class FloorKeeper:
+    """Finds this node's floor, and answers the floor queries of other nodes.
+
+    Parameters
+    ----------
+    held : callable
+        Returns the highest version that this node holds.
+    is_confirmed : callable
+        Returns whether this node's floor is known and the node holds it.
+    on_found : callable
+        Called with the floor once it is known.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: NodeIdentity,
+        clock: Clock,
+        peers: PeerPort,
+        members: MemberView,
+        held: Callable[[], VersionRef],
+        is_confirmed: Callable[[], bool],
+        on_found: Callable[[VersionRef], None],
+    ):
+        self._identity = identity
+        self._own_start = ProcessStart(identity.node_id, identity.incarnation)
+        self._clock = clock
+        self._peers = peers
+        self._members = members
+        self._held = held
+        self._is_confirmed = is_confirmed
+        self._on_found = on_found
+        self._is_found = False
+        self._started_at = clock.now()
+        self._next_query_at = clock.now()
+        self._answers_by_node_id: dict[str, FloorAnswer] = {}
+        self._starts_by_node_id: OrderedDict[str, ProcessStart] = OrderedDict()
+        self._passed_on: set[ProcessStart] = set()
+
+    @property
+    def restarts(self) -> tuple[ProcessStart, ...]:
+        """Process starts whose floor query this node answered."""
+        return tuple(self._starts_by_node_id.values())
+
+    def on_tick(self) -> None:
+        """Ask for the floor until it is known, and pass on the queries of others."""
+        if self._passed_on:
+            self._broadcast(FloorQuery(tuple(self._passed_on)), LinkPurpose.SUBSCRIBER)
+            self._passed_on.clear()
+        now = self._clock.now()
+        if self._is_found or now < self._next_query_at:
+            return
+        self._next_query_at = now + QUERY_INTERVAL_S
+        query = FloorQuery((self._own_start,))
+        for purpose in LinkPurpose:
+            self._broadcast(query, purpose)
+
+    def on_query(self, peer_id: str, query: FloorQuery) -> None:
+        """Answer for this node; as a relay, pass the query on to the other nodes."""
+        if not self._is_in_data_centre(peer_id):
+            return
+        member_count = self.member_count()
+        for asker in query.askers:
+            if asker.node_id == self._identity.node_id:
+                continue
+            is_confirmed = self._is_confirmed()
+            if is_confirmed:
+                self._remember_start(asker)
+            held = self._held()
+            answer = FloorAnswer(
+                asker, self._own_start, is_confirmed, held.version, held.digest,
+                member_count,
+            )  # fmt: skip
+            self._peers.send(peer_id, answer)
+            is_direct = peer_id == asker.node_id
+            if is_direct and len(self._passed_on) < MAX_PENDING_QUERIES:
+                self._passed_on.add(asker)
+
+    def on_answer(self, peer_id: str, answer: FloorAnswer) -> None:
+        """Count an answer to this node's query; pass on one to another node's."""
+        if not self._is_in_data_centre(peer_id):
+            return
+        if answer.asker.node_id != self._identity.node_id:
+            self._peers.send(answer.asker.node_id, answer)
+            return
+        if self._is_found or answer.asker != self._own_start:
+            return
+        self._answers_by_node_id[answer.answerer.node_id] = answer
+        self._evaluate()
+
+    def on_peer_start(self, node_id: str, incarnation: int) -> None:
+        """Drop the answer of a node that has restarted since."""
+        answer = self._answers_by_node_id.get(node_id)
+        if answer is not None and answer.answerer.incarnation != incarnation:
+            del self._answers_by_node_id[node_id]
+
+    def needs_head(self) -> bool:
+        """Return whether the neighbours had their time and the floor is not known."""
+        waited_s = self._clock.now() - self._started_at
+        return not self._is_found and waited_s >= HEAD_QUERY_DELAY_S
+
+    def on_head(self, ref: VersionRef) -> None:
+        """Take the confirmed head as the floor."""
+        self._find(ref, "head", 0)
+
+    def member_count(self) -> int:
+        """Return how many members this node knows in its data centre, with itself."""
+        members = self._members.members_in(self._identity.data_centre)
+        return len({member.node_id for member in members} | {self._identity.node_id})
+
+    def _evaluate(self) -> None:
+        answers = [a for a in self._answers_by_node_id.values() if a.is_confirmed]
+        counts = [answer.member_count for answer in answers]
+        member_count = max(counts + [self.member_count()])
+        # A single node without answers never counts as a majority of itself.
+        if len(answers) < max(1, answers_needed(member_count)):
+            return
+        highest = max(answers, key=lambda answer: answer.version)
+        ref = VersionRef(highest.version, highest.digest)
+        self._find(ref, "neighbours", len(answers))
+
+    def _find(self, ref: VersionRef, source: str, answers: int) -> None:
+        if self._is_found:
+            return
+        self._is_found = True
+        self._answers_by_node_id.clear()
+        emit(FloorConfirmed(ref.version, source, answers))
+        self._on_found(ref)
+
+    def _remember_start(self, start: ProcessStart) -> None:
+        self._starts_by_node_id[start.node_id] = start
+        self._starts_by_node_id.move_to_end(start.node_id)
+        while len(self._starts_by_node_id) > MAX_KNOWN_STARTS:
+            self._starts_by_node_id.popitem(last=False)
+
+    def _broadcast(self, query: FloorQuery, purpose: LinkPurpose) -> None:
+        for peer_id in self._peers.peers(purpose):
+            askers = tuple(a for a in query.askers if a.node_id != peer_id)
+            if askers and self._is_in_data_centre(peer_id):
+                self._peers.send(peer_id, FloorQuery(askers))
+
+    def _is_in_data_centre(self, peer_id: str) -> bool:
+        peer = self._peers.identity(peer_id)
+        return peer is not None and peer.data_centre == self._identity.data_centre
+
+
+@dataclass(frozen=True, slots=True)
+class _ForwardedQuery:
+    query: HeadQuery
+    sequence: int
+
+
+class HeadConfirmer:
+    """Confirms the store's head for this node and the nodes below it.
+
+    The region relay asks the store; every other node asks the node above. A query is
+    answered only by a confirmation that began after the query arrived, since a node
+    may have served a version that was accepted after an earlier one.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: NodeIdentity,
+        clock: Clock,
+        peers: PeerPort,
+        roles: RoleView,
+        store: StorePort,
+        random: Random,
+        on_confirmed: Callable[[VersionRef], None],
+        parse_head: Callable[[bytes], VersionRef],
+    ):
+        self._identity = identity
+        self._clock = clock
+        self._peers = peers
+        self._roles = roles
+        self._store = store
+        self._random = random
+        self._on_confirmed = on_confirmed
+        self._parse_head = parse_head
+        self._waiting: dict[str, HeadQuery] = {}
+        self._in_flight: dict[str, _ForwardedQuery] = {}
+        self._sequence = 0
+        self._next_try_at = clock.now()
+
+    def on_query(self, peer_id: str, query: HeadQuery) -> None:
+        """Queue the query of a node below; at the bound it is dropped and repeated."""
+        if len(self._waiting) < MAX_PENDING_QUERIES:
+            self._waiting[peer_id] = query
+
+    def on_tick(self, *, needs_head: bool) -> None:
+        """Start a confirmation when one is wanted and none is under way."""
+        if needs_head:
+            own_id = self._identity.node_id
+            self._waiting[own_id] = HeadQuery(self._identity.incarnation, 0)
+        if not self._waiting and not self._in_flight:
+            return
+        if self._clock.now() < self._next_try_at:
+            return
+        self._sequence += 1
+        self._take_waiting()
+        if self._roles.is_region_relay():
+            self._next_try_at = self._clock.now() + STORE_ATTEMPT_S
+            self._ask_store(self._sequence)
+            return
+        self._next_try_at = self._clock.now() + HEAD_QUERY_INTERVAL_S
+        relay_id = self._roles.relay_id()
+        if relay_id is not None and relay_id != self._identity.node_id:
+            query = HeadQuery(self._identity.incarnation, self._sequence)
+            self._peers.send(relay_id, query)
+
+    def on_answer(self, message: HeadConfirmed) -> None:
+        """Take the answer of the node above to a query of this process."""
+        if message.incarnation == self._identity.incarnation:
+            ref = VersionRef(message.version, message.digest)
+            self._complete(message.sequence, ref)
+
+    def _take_waiting(self) -> None:
+        for peer_id, query in tuple(self._waiting.items()):
+            forwarded = self._in_flight.get(peer_id)
+            if forwarded and forwarded.query.incarnation == query.incarnation:
+                continue
+            del self._waiting[peer_id]
+            self._in_flight[peer_id] = _ForwardedQuery(query, self._sequence)
+
+    def _ask_store(self, sequence: int) -> None:
+        def on_read(obj: StoreObject | None, error: VerbenawickError | None) -> None:
+            if error is not None:
+                self._retry(error)
+            elif obj.version == 0:
+                self._next_try_at = self._clock.now() + ABSENT_HEAD_RETRY_S
+            else:
+                self._store.update(
+                    HEAD_KEY,
+                    obj.value,
+                    expected_version=obj.version,
+                    callback=lambda _, failure: on_written(obj, failure),
+                )
+
+        def on_written(obj: StoreObject, error: VerbenawickError | None) -> None:
+            if error is not None:
+                self._retry(error)
+                return
+            ref = self._parse_head(obj.value)
+            emit(HeadConfirmedByStore(ref.version, len(self._in_flight)))
+            self._next_try_at = self._clock.now()
+            self._complete(sequence, ref)
+
+        self._store.get(HEAD_KEY, on_read)
+
+    def _retry(self, error: VerbenawickError) -> None:
+        emit(HeadConfirmationFailed(error.code, error.message))
+        # An unknown outcome is a failure here: only a known success confirms.
+        self._next_try_at = self._clock.now() + self._random.uniform(*CONFIRM_RETRY_S)
+
+    def _complete(self, sequence: int, ref: VersionRef) -> None:
+        for node_id, forwarded in tuple(self._in_flight.items()):
+            if forwarded.sequence > sequence:
+                continue
+            del self._in_flight[node_id]
+            query = forwarded.query
+            if node_id == self._identity.node_id:
+                self._waiting.pop(node_id, None)
+                self._on_confirmed(ref)
+                continue
+            confirmed = HeadConfirmed(
+                query.incarnation, query.sequence, ref.version, ref.digest
+            )
+            self._peers.send(node_id, confirmed)
--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -152,3 +152,11 @@
 @register_error("link.answer-lost")
 class AnswerLostError(VerbenawickError):
     """A request was sent to a peer and its answer did not arrive."""
+
+
+# Distribution of configuration
+
+
+@register_error("dist.invariant")
+class InvariantError(VerbenawickError):
+    """A change would break an invariant; it was stopped."""
--- /dev/null
+++ b/tests/memory_mesh.py
@@ -0,0 +1,454 @@
+"""In-memory mesh for tests of distribution and status: links, store, roles, members.
+
+Messages and store answers wait in a queue until the test delivers them, in any order.
+"""
+
+import json
+from dataclasses import dataclass, field
+from random import Random
+
+from verbenawick._clock import ManualClock
+from verbenawick._component import LinkPurpose, NodeIdentity, StoreObject
+from verbenawick._config_feed import ChangeInfo, HeadInfo
+from verbenawick._config_state import ConfigState, VersionRef
+from verbenawick._distribution import ConfigDistribution
+from verbenawick._lifecycle import Lifecycle
+from verbenawick._members import Member
+from verbenawick._messages import decode_message, encode_message
+from verbenawick._table import Route, RoutingTable, ServicePolicy
+from verbenawick.errors import (
+    BaseMismatchError,
+    DocumentError,
+    StoreAnswerLostError,
+    StoreConditionError,
+    StoreUnavailableError,
+)
+
+HEAD = "config/head"
+
+
+def document(routes_by_id: dict[str, str], preset: str = "ordinary") -> dict:
+    """Return a document whose services are those that the routes name, and `base`."""
+    return {"routes": routes_by_id, "preset": preset}
+
+
+class JsonCodec:
+    """Documents as JSON; a delta is the base digest with the whole new document."""
+
+    def __init__(self):
+        self.broken_versions: set[int] = set()
+
+    def digest_of(self, document) -> bytes:
+        """Return a digest that names the content."""
+        return json.dumps(document, sort_keys=True).encode()[-40:]
+
+    def apply_delta(self, document, delta: bytes):
+        """Return the new document if the base is right."""
+        base, new = json.loads(delta)
+        if base != document:
+            raise BaseMismatchError("other base")
+        return new
+
+    def compile(self, document, *, version: int, digest: bytes) -> RoutingTable:
+        """Return the table, or fail for a version that the test calls broken."""
+        if version in self.broken_versions:
+            raise DocumentError("cannot be compiled")
+        routes = tuple(
+            Route(route_id, f"/{route_id}", service_id)
+            for route_id, service_id in sorted(document["routes"].items())
+        )
+        policies = {route.service_id: ServicePolicy("p") for route in routes}
+        return RoutingTable(
+            version=version,
+            digest=digest,
+            preset=document["preset"],
+            routes=routes,
+            policies_by_service_id=policies,
+        )
+
+    def encode_snapshot(self, document) -> bytes:
+        """Return the document as JSON."""
+        return json.dumps(document).encode()
+
+    def decode_snapshot(self, data: bytes, digest: bytes):
+        """Return the document in a snapshot."""
+        return json.loads(data)
+
+    def parse_head(self, value: bytes) -> HeadInfo:
+        """Return the head in a store object."""
+        head = json.loads(value)
+        return HeadInfo(
+            VersionRef(head["version"], bytes.fromhex(head["digest"])),
+            VersionRef(head["version"] - 1, bytes.fromhex(head["base"])),
+            bytes.fromhex(head["delta"]),
+            f"config/change/{head['version']}",
+            f"config/snapshot/{head['version']}",
+        )
+
+    def parse_change(self, value: bytes) -> ChangeInfo:
+        """Return the change in a store object."""
+        head = self.parse_head(value)
+        parent = f"config/change/{head.base.version}"
+        return ChangeInfo(
+            head.ref, head.base, bytes.fromhex(json.loads(value)["delta"]), parent
+        )
+
+
+class MemoryStore:
+    """Store with faults; answers are queued in the mesh."""
+
+    def __init__(self, mesh: "MemoryMesh"):
+        self._mesh = mesh
+        self.history: dict[str, list[StoreObject]] = {}
+        self.revision = 0
+        self.is_down = False
+        self.loses_answers = False
+        self.is_stale = False
+        self.calls: list[tuple[str, str]] = []
+        self.accepted: list[dict] = []
+
+    def read(self, key: str) -> StoreObject:
+        """Return the current object."""
+        return self.history.get(key, [StoreObject(key, b"", 0)])[-1]
+
+    def write(self, key: str, value: bytes) -> StoreObject:
+        """Write at once."""
+        self.revision += 1
+        obj = StoreObject(key, value, self.revision)
+        self.history.setdefault(key, []).append(obj)
+        return obj
+
+    def accept(self, new: dict, *, inline: bool = True) -> int:
+        """Accept a change as an operator does, and return its version."""
+        codec = JsonCodec()
+        version = len(self.accepted) + 1
+        base = self.accepted[-1] if self.accepted else document({})
+        change = {
+            "version": version,
+            "digest": codec.digest_of(new).hex(),
+            "base": codec.digest_of(base).hex(),
+            "delta": json.dumps([base, new]).encode().hex(),
+        }
+        self.write(f"config/change/{version}", json.dumps(change).encode())
+        self.write(f"config/snapshot/{version}", codec.encode_snapshot(new))
+        head = change if inline else {**change, "delta": ""}
+        self.accepted.append(new)
+        self.write(HEAD, json.dumps(head).encode())
+        return version
+
+    def get(self, key, callback) -> None:
+        """Queue a read."""
+        self.calls.append(("get", key))
+        if self.is_down:
+            error = StoreUnavailableError("down")
+            self._mesh.post(lambda: callback(None, error))
+            return
+        older = self.history.get(key, [])[:-1]
+        obj = older[-1] if self.is_stale and older else self.read(key)
+        self._mesh.post(lambda: callback(obj, None))
+
+    def update(self, key, value, *, expected_version, callback) -> None:
+        """Queue a conditional update; it takes effect now."""
+        self.calls.append(("update", key))
+        error, obj = None, None
+        if self.is_down:
+            error = StoreUnavailableError("down")
+        elif self.read(key).version != expected_version:
+            error = StoreConditionError("changed")
+        else:
+            obj = self.write(key, value)
+            if self.loses_answers:
+                error, obj = StoreAnswerLostError("lost"), None
+        self._mesh.post(lambda: callback(obj, error))
+
+
+@dataclass
+class MemoryRoles:
+    """Roles as one node sees them; a paused node keeps an old view."""
+
+    node: "MemoryNode"
+    epoch: int = 0
+    holds_data_centre: bool = False
+    holds_region: bool = False
+    above: str | None = None
+
+    def is_data_centre_relay(self) -> bool:
+        return self.holds_data_centre
+
+    def is_region_relay(self) -> bool:
+        return self.holds_region
+
+    def relay_id(self) -> str | None:
+        return self.above
+
+    def lease_epoch(self) -> int:
+        return self.epoch
+
+
+class MemoryMembers:
+    """Members that every node sees; a test may withhold some."""
+
+    def __init__(self):
+        self.members_by_id: dict[str, Member] = {}
+
+    def members_of(self, service_id):
+        return tuple(
+            m for m in self.members_by_id.values() if m.service_id == service_id
+        )
+
+    def departed_of(self, service_id):
+        return ()
+
+    def members_in(self, data_centre):
+        return tuple(
+            m for m in self.members_by_id.values() if m.data_centre == data_centre
+        )
+
+    def member(self, node_id):
+        return self.members_by_id.get(node_id)
+
+    def load_of(self, node_id):
+        return None
+
+    def authority_deadline(self):
+        return 0.0
+
+
+class MemoryNode:
+    """One process of a node, with its components and ports."""
+
+    def __init__(self, mesh: "MemoryMesh", identity: NodeIdentity):
+        self.mesh = mesh
+        self.identity = identity
+        self.codec = JsonCodec()
+        self.roles = MemoryRoles(self)
+        self.is_paused = False
+        self.lifecycle = Lifecycle()
+        self.state = ConfigState(self.codec)
+        self.distribution = ConfigDistribution(
+            identity=identity,
+            clock=mesh.clock,
+            peers=MemoryPeers(mesh, self),
+            store=mesh.store,
+            roles=self.roles,
+            members=mesh.members,
+            state=self.state,
+            feed_codec=self.codec,
+            lifecycle=self.lifecycle,
+            random=mesh.random,
+        )
+        self.components = [self.distribution]
+
+    @property
+    def node_id(self) -> str:
+        return self.identity.node_id
+
+    @property
+    def served(self) -> int:
+        """Version that calls are served from; 0 for none."""
+        table = self.distribution.table
+        return table.version if table else 0
+
+
+class MemoryPeers:
+    """`PeerPort` of one process."""
+
+    def __init__(self, mesh: "MemoryMesh", node: MemoryNode):
+        self._mesh = mesh
+        self._node = node
+
+    def send(self, node_id, message) -> bool:
+        target = self._mesh.nodes_by_id.get(node_id)
+        if target is None or not self._mesh.is_linked(self._node, target):
+            return False
+        self._mesh.sent.append(message)
+        data = encode_message(message)
+        self._mesh.post_message(self._node, target, data)
+        return True
+
+    def identity(self, node_id):
+        return self._mesh.identities_by_id.get(node_id)
+
+    def peers(self, purpose):
+        return self._mesh.peers_of(self._node, purpose)
+
+
+@dataclass
+class InFlight:
+    """A message or a store answer that has not arrived."""
+
+    deliver: object
+    sender: str = ""
+    receiver: str = ""
+    message: object = None
+
+
+@dataclass
+class MemoryMesh:
+    """Nodes named `<region><data centre><number>`, for example ``a1x`` in ``a1``."""
+
+    random: Random = field(default_factory=lambda: Random(1))
+
+    def __post_init__(self):
+        self.clock = ManualClock()
+        self.store = MemoryStore(self)
+        self.members = MemoryMembers()
+        self.nodes_by_id: dict[str, MemoryNode] = {}
+        self.identities_by_id: dict[str, NodeIdentity] = {}
+        self.queue: list[InFlight] = []
+        self.sent: list = []
+        self.cut_regions: set[str] = set()
+        self.epochs_by_data_centre: dict[str, int] = {}
+        self.relays_by_data_centre: dict[str, str] = {}
+        self.relays_by_region: dict[str, str] = {}
+        self.node_hook = lambda node: None
+
+    def start(self, node_id: str, service_id: str = "base") -> MemoryNode:
+        """Start a process for a node; its former process must have ended."""
+        former = self.identities_by_id.get(node_id)
+        incarnation = former.incarnation + 1 if former else 1
+        identity = NodeIdentity(
+            node_id, incarnation, service_id, node_id[:2], node_id[:1], "127.0.0.1:1"
+        )
+        self.identities_by_id[node_id] = identity
+        self.members.members_by_id[node_id] = Member(
+            node_id, incarnation, service_id, node_id[:2], node_id[:1], "", 1
+        )
+        node = self.nodes_by_id[node_id] = MemoryNode(self, identity)
+        self.node_hook(node)
+        self._set_above(node)
+        for other in tuple(self.nodes_by_id.values()):
+            if other is not node and self.is_linked(node, other):
+                self._open_link(node, other)
+                self._open_link(other, node)
+        return node
+
+    def kill(self, node_id: str) -> None:
+        """End a process; what it holds is lost."""
+        node = self.nodes_by_id.pop(node_id)
+        for table in (self.relays_by_data_centre, self.relays_by_region):
+            for key in [key for key, holder in table.items() if holder == node_id]:
+                del table[key]
+        self.queue = [i for i in self.queue if i.receiver != node_id]
+        self._set_all_above()
+        node.roles.holds_data_centre = node.roles.holds_region = False
+
+    def elect(self, node_id: str, *, region: bool = False) -> None:
+        """Give a node the lease of its data centre, and of its region if asked to."""
+        node = self.nodes_by_id[node_id]
+        dc = node.identity.data_centre
+        if self.relays_by_data_centre.get(dc) != node_id:
+            epoch = self.epochs_by_data_centre.get(dc, 0) + 1
+            self.epochs_by_data_centre[dc] = epoch
+            self.relays_by_data_centre[dc] = node_id
+        if region:
+            self.relays_by_region[node.identity.region] = node_id
+        self._set_all_above()
+        node.roles.holds_data_centre = True
+        if region:
+            node.roles.holds_region = True
+            self.watch(node)
+
+    def watch(self, node: MemoryNode) -> None:
+        """Deliver the head to a region relay as its watch does."""
+        obj = self.store.read(HEAD)
+        if not self.store.is_down and obj.version:
+            self.post(lambda: node.distribution.on_object(obj))
+
+    def watch_all(self) -> None:
+        """Deliver the head to all region relays that are not cut off."""
+        for node in self.nodes_by_id.values():
+            if node.roles.holds_region and not node.is_paused:
+                if node.identity.region not in self.cut_regions:
+                    self.watch(node)
+
+    def is_linked(self, node: MemoryNode, other: MemoryNode) -> bool:
+        """Return whether messages between two nodes arrive."""
+        regions = {node.identity.region, other.identity.region}
+        return len(regions) == 1 or not regions & self.cut_regions
+
+    def peers_of(self, node: MemoryNode, purpose: LinkPurpose) -> tuple[str, ...]:
+        """Return the linked peers of a node, from the roles as they are."""
+        own = node.identity
+        if purpose is LinkPurpose.RELAY:
+            above = node.roles.above
+            return (above,) if above and above != own.node_id else ()
+        others = [
+            other
+            for other in self.nodes_by_id.values()
+            if other is not node and self.is_linked(node, other)
+        ]
+        if purpose is LinkPurpose.NEIGHBOUR:
+            same = [o for o in others if o.identity.data_centre == own.data_centre]
+            return tuple(o.node_id for o in same)
+        return tuple(o.node_id for o in others if o.roles.above == own.node_id)
+
+    def post(self, deliver) -> None:
+        """Queue something that arrives later."""
+        self.queue.append(InFlight(deliver))
+
+    def post_message(self, sender: MemoryNode, target: MemoryNode, data: bytes) -> None:
+        """Queue a message to one process of a node."""
+        message = decode_message(data)
+
+        def deliver():
+            if self.nodes_by_id.get(target.node_id) is target:
+                for component in target.components:
+                    component.on_message(sender.node_id, message)
+
+        item = InFlight(deliver, sender.node_id, target.node_id, message)
+        self.queue.append(item)
+
+    def deliver_all(self, limit: int = 100_000) -> None:
+        """Deliver in order until nothing is in flight; paused receivers wait."""
+        held = []
+        while self.queue and limit:
+            item = self.queue.pop(0)
+            receiver = self.nodes_by_id.get(item.receiver)
+            if receiver is not None and receiver.is_paused:
+                held.append(item)
+                continue
+            item.deliver()
+            limit -= 1
+        self.queue = held + self.queue
+
+    def tick(self, *, deliver: bool = True) -> None:
+        """Let 0.1 s pass."""
+        self.clock.advance(0.1)
+        for node in tuple(self.nodes_by_id.values()):
+            if not node.is_paused:
+                for component in node.components:
+                    component.on_tick()
+        if deliver:
+            self.deliver_all()
+
+    def run(self, seconds: float) -> None:
+        """Let time pass with every message delivered in order."""
+        self.deliver_all()
+        for _ in range(round(seconds * 10)):
+            self.tick()
+
+    def served_versions(self) -> dict[str, int]:
+        """Return the version that each node serves."""
+        return {node_id: node.served for node_id, node in self.nodes_by_id.items()}
+
+    def _open_link(self, node: MemoryNode, other: MemoryNode) -> None:
+        for purpose in LinkPurpose:
+            if other.node_id in self.peers_of(node, purpose):
+                for component in node.components:
+                    component.on_link(other.node_id, purpose, is_open=True)
+
+    def _set_all_above(self) -> None:
+        for node in self.nodes_by_id.values():
+            self._set_above(node)
+
+    def _set_above(self, node: MemoryNode) -> None:
+        if node.is_paused:
+            return
+        identity, roles = node.identity, node.roles
+        roles.epoch = self.epochs_by_data_centre.get(identity.data_centre, 0)
+        relay = self.relays_by_data_centre.get(identity.data_centre)
+        roles.holds_data_centre = relay == identity.node_id
+        above = self.relays_by_region.get(identity.region)
+        roles.holds_region = above == identity.node_id
+        roles.above = above if roles.holds_data_centre else relay
