--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -330,3 +330,9 @@
     """A request with this key may have run before; its response is not known."""
 
     http_status = 409
+# Distribution of configuration
+
+
+@register_error("dist.invariant")
+class InvariantError(VerbenawickError):
+    """A change would break an invariant; it was stopped."""
