--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -330,6 +330,8 @@
     """A request with this key may have run before; its response is not known."""
 
     http_status = 409
+
+
 # Distribution of configuration
 
 
