Add claims of idempotency keys

Change: rendezvous hashing with a preferred home region, bounded record table, seals at possible earlier owners, answers for departed owners, authority check at the claim and before the write, handover in bounded batches.

--- /dev/null
+++ b/src/verbenawick/_claim_handover.py
@@ -0,0 +1,152 @@
+"""Handover of all claim records at a planned stop."""
+
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from verbenawick._claim_messages import (
+    ClaimHandover,
+    ClaimHandoverAnswer,
+    OwnerRef,
+    RecordRow,
+)
+from verbenawick._claim_records import ClaimTable, size_of
+from verbenawick._clock import Clock
+from verbenawick._component import NodeIdentity, RequestPort
+from verbenawick._events import Event, emit, register_event
+from verbenawick._members import Member, MemberView
+from verbenawick._rendezvous import find_owner
+from verbenawick.errors import (
+    AnswerLostError,
+    ClaimStoppingError,
+    LinkClosedError,
+)
+
+# A batch takes a few milliseconds to decode, so that calls are not held up longer.
+MAX_BATCH_RECORDS = 256
+MAX_BATCH_ANSWER_BYTES = 1024 * 1024
+BATCH_TIMEOUT_S = 5.0
+
+
+@register_event(604)
+@dataclass(frozen=True, slots=True)
+class ClaimsHandedOver(Event):
+    """All claim records were handed over before a planned stop."""
+
+    records: int
+    batches: int
+
+
+@register_event(605, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class ClaimHandoverFailed(Event):
+    """Not all records were handed over; the stop counts as a crash."""
+
+    reason: str
+    remaining: int
+
+
+class HandoverSender:
+    """Sends the records of a frozen table to the owners without this node."""
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        table: ClaimTable,
+        *,
+        members: MemberView,
+        requests: RequestPort,
+        clock: Clock,
+        next_call_id: Callable[[], int],
+    ):
+        self._identity = identity
+        self._table = table
+        self._members = members
+        self._requests = requests
+        self._clock = clock
+        self._next_call_id = next_call_id
+        # Nodes that refused since they stop too; they claim no keys any more.
+        self._excluded = {identity.node_id}
+        self._grouping: tuple = ()
+        self._keys_by_owner: dict[Member | None, list[str]] = {}
+
+    def run(self, deadline: float) -> bool:
+        """Return whether every record was accepted by its new owner.
+
+        With False the departure must be announced without `handed_over`, even when
+        some records were accepted.
+        """
+        remaining = dict.fromkeys(self._table.keys())
+        total, batches = len(remaining), 0
+        while remaining:
+            if self._clock.now() >= self._members.authority_deadline():
+                # Without a recent member table the new owners are not known.
+                return _fail("authority ended", remaining)
+            owner, keys = self._next_group(remaining)
+            if owner is None:
+                return _fail("no other member", remaining)
+            batch = self._batch(keys)
+            reason = self._send(owner, batch, deadline)
+            if reason == ClaimStoppingError.code:
+                self._excluded.add(owner.node_id)
+            elif reason:
+                return _fail(f"{owner.node_id}: {reason}", remaining)
+            else:
+                batches += 1
+                for row in batch:
+                    del remaining[row.key]
+        emit(ClaimsHandedOver(total, batches))
+        return True
+
+    def _next_group(self, remaining) -> tuple[Member | None, list[str]]:
+        """Return a new owner and those of its keys that were not sent yet."""
+        members = self._members.members_of(self._identity.service_id)
+        grouping = (members, frozenset(self._excluded))
+        if grouping != self._grouping:
+            self._grouping = grouping
+            self._keys_by_owner = defaultdict(list)
+            for key in remaining:
+                owner = find_owner(key, members, without=self._excluded)
+                self._keys_by_owner[owner].append(key)
+        owner, keys = next(iter(self._keys_by_owner.items()))
+        first = [key for key in keys[:MAX_BATCH_RECORDS] if key in remaining]
+        if first:
+            return owner, first
+        del keys[:MAX_BATCH_RECORDS]
+        if not keys:
+            del self._keys_by_owner[owner]
+        return self._next_group(remaining)
+
+    def _batch(self, keys: list[str]) -> tuple[RecordRow, ...]:
+        """Return the records of the first of `keys`, as many as one message holds."""
+        rows: list[RecordRow] = []
+        answer_bytes = 0
+        for key in keys:
+            row = self._table.row(key)
+            answer_bytes += size_of(row.answer) if row.answer is not None else 0
+            if rows and answer_bytes > MAX_BATCH_ANSWER_BYTES:
+                break
+            rows.append(row)
+        return tuple(rows)
+
+    def _send(self, owner: Member, rows: tuple[RecordRow, ...], deadline) -> str:
+        """Return why `owner` did not accept `rows`, or an empty string."""
+        message = ClaimHandover(
+            self._next_call_id(),
+            self._identity.service_id,
+            OwnerRef(self._identity.node_id, self._identity.incarnation),
+            rows,
+        )
+        deadline = min(deadline, self._clock.now() + BATCH_TIMEOUT_S)
+        try:
+            answer = self._requests.request(owner, message, deadline=deadline)
+        except (LinkClosedError, AnswerLostError) as error:
+            return str(error)
+        if not isinstance(answer, ClaimHandoverAnswer):
+            return f"unexpected {type(answer).__name__}"
+        return "" if answer.is_accepted else answer.reason or "refused"
+
+
+def _fail(reason: str, remaining) -> bool:
+    emit(ClaimHandoverFailed(reason, len(remaining)))
+    return False
--- /dev/null
+++ b/src/verbenawick/_claim_records.py
@@ -0,0 +1,283 @@
+"""Bounded table of the claim records of one node."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from verbenawick._call_messages import CallAnswer
+from verbenawick._claim_messages import ClaimState, OwnerRef, RecordRow
+from verbenawick._clock import Clock
+from verbenawick._events import Event, emit, register_event
+from verbenawick.errors import ClaimTableFullError
+
+
+@register_event(600, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class ClaimTableFull(Event):
+    """The record table is full within the horizon; new keys are refused."""
+
+    records: int
+
+
+@register_event(601, level="ERROR")
+@dataclass(frozen=True, slots=True)
+class ClaimConflict(Event):
+    """Two nodes hold different results for one key: it ran twice."""
+
+    key: str
+    sender: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimLimits:
+    """Times and bounds of the claims.
+
+    Attributes
+    ----------
+    horizon_s : float
+        Takeover horizon H. Records younger than it are never dropped, and the member
+        table lists who joined or departed within it.
+    authority_s : float
+        L: how long a node claims keys after its membership was last confirmed. Longer
+        than the hour that a partition or an outage of the store lasts.
+    longest_call_s : float
+        Longest time for which an upstream runs one request.
+    seal_timeout_s : float
+        Longest wait for one earlier owner.
+    max_records : int
+        Records, seals included. At 1.8 keyed calls/s they reach back 15 hours.
+    max_kept_answer_bytes : int
+        Largest response that is kept with its record.
+    max_answers_bytes : int
+        All kept responses together. Beyond it the oldest responses are dropped; their
+        records stay, so a retry is told that the request ran.
+    max_key_length : int
+        Characters of the longest key.
+    """
+
+    horizon_s: float = 2 * 3600.0
+    authority_s: float = 75 * 60.0
+    longest_call_s: float = 30.0
+    seal_timeout_s: float = 2.0
+    max_records: int = 100_000
+    max_kept_answer_bytes: int = 64 * 1024
+    max_answers_bytes: int = 32 * 1024 * 1024
+    max_key_length: int = 200
+
+
+# Processes remembered per sealed key. More than one only after several member changes
+# within the horizon between two uses of a key.
+MAX_SEALERS = 8
+
+
+@dataclass(slots=True)
+class ClaimRecord:
+    """What this node knows about one key; fields as in `RecordRow`."""
+
+    fingerprint: bytes
+    state: ClaimState
+    created_at: float
+    answer: CallAnswer | None = None
+    sealers: tuple[OwnerRef, ...] = ()
+
+
+def size_of(answer: CallAnswer) -> int:
+    """Return the bytes of the body and the headers of a response."""
+    return len(answer.body) + sum(len(n) + len(v) for n, v in answer.headers)
+
+
+class ClaimTable:
+    """Claim records by key, oldest first.
+
+    At the bound the oldest record is dropped when it is older than the horizon;
+    otherwise a new record is refused with `ClaimTableFullError`.
+    """
+
+    def __init__(self, clock: Clock, limits: ClaimLimits):
+        self._clock = clock
+        self._limits = limits
+        self._records_by_key: OrderedDict[str, ClaimRecord] = OrderedDict()
+        # Keys with a kept response, oldest first.
+        self._answered_keys: OrderedDict[str, None] = OrderedDict()
+        self._answers_bytes = 0
+        self._is_full = False
+
+    def __len__(self) -> int:
+        return len(self._records_by_key)
+
+    @property
+    def answers_bytes(self) -> int:
+        """Size of all kept responses."""
+        return self._answers_bytes
+
+    def get(self, key: str) -> ClaimRecord | None:
+        """Return the record of `key`."""
+        return self._records_by_key.get(key)
+
+    def keys(self) -> tuple[str, ...]:
+        """Return all keys, oldest record first."""
+        return tuple(self._records_by_key)
+
+    def require_room(self) -> None:
+        """Make room for one record.
+
+        Raises
+        ------
+        ClaimTableFullError
+            All records are within the horizon, or the oldest one is still running.
+        """
+        if len(self) < self._limits.max_records:
+            self._is_full = False
+            return
+        key, oldest = next(iter(self._records_by_key.items()))
+        age_s = self._clock.now() - oldest.created_at
+        if oldest.state is ClaimState.CLAIMED or age_s <= self._limits.horizon_s:
+            if not self._is_full:
+                self._is_full = True
+                emit(ClaimTableFull(len(self)))
+            raise ClaimTableFullError(
+                f"{len(self)} claim records, the oldest {age_s:.0f} s old",
+                step="claim.room",
+            )
+        self.remove(key)
+
+    def claim(self, key: str, fingerprint: bytes) -> None:
+        """Record that `key` is claimed; replaces a seal."""
+        self._insert(key, ClaimRecord(fingerprint, ClaimState.CLAIMED, self._now()))
+
+    def finish(self, key: str, answer: CallAnswer) -> None:
+        """Record the response; it is kept when it is small enough."""
+        record = self._records_by_key.get(key)
+        if record is None or record.state is ClaimState.SEALED:
+            return
+        record.state = ClaimState.DONE
+        self._keep_answer(key, record, answer)
+
+    def mark_unknown(self, key: str) -> None:
+        """Record that the claimed request may have run."""
+        record = self._records_by_key.get(key)
+        if record is not None and record.state is ClaimState.CLAIMED:
+            record.state = ClaimState.UNKNOWN
+
+    def remove(self, key: str) -> None:
+        """Drop the record of `key`."""
+        record = self._records_by_key.pop(key, None)
+        if record is not None:
+            self._drop_answer(key, record)
+
+    def seal(self, key: str, sealer: OwnerRef) -> tuple[tuple[OwnerRef, ...], float]:
+        """Record that `sealer` asked for a key that has no claim here.
+
+        Returns
+        -------
+        earlier : tuple of OwnerRef
+            The other processes that asked before.
+        age_s : float
+            Time since the last of them did, 0 without any.
+
+        Raises
+        ------
+        ClaimTableFullError
+            There is no room for the seal.
+        """
+        record = self._records_by_key.get(key)
+        if record is None:
+            self._add_sealers(key, (sealer,), self._now())
+            return (), 0.0
+        age_s = self._now() - record.created_at
+        earlier = tuple(other for other in record.sealers if other != sealer)
+        self._add_sealers(key, (sealer,), self._now())
+        return earlier, age_s
+
+    def row(self, key: str) -> RecordRow:
+        """Return the record of `key` for the wire."""
+        record = self._records_by_key[key]
+        return RecordRow(
+            key,
+            record.fingerprint,
+            record.state,
+            record.answer,
+            self._now() - record.created_at,
+            record.sealers,
+        )
+
+    def adopt(self, row: RecordRow, *, sender: str = "") -> None:
+        """Take over a record of another node; knowledge is only ever added.
+
+        Raises
+        ------
+        ClaimTableFullError
+            There is no room for it.
+        """
+        created_at = self._now() - row.age_s
+        if row.state is ClaimState.SEALED:
+            if self._is_sealed_or_absent(row.key) and row.sealers:
+                self._add_sealers(row.key, row.sealers, created_at)
+            return
+        # A record that its former owner left running has an unknown outcome.
+        state = ClaimState.DONE if row.state is ClaimState.DONE else ClaimState.UNKNOWN
+        own = self._records_by_key.get(row.key)
+        if own is None or own.state is ClaimState.SEALED:
+            record = ClaimRecord(row.fingerprint, state, created_at)
+            self._insert(row.key, record)
+            if row.answer is not None:
+                self._keep_answer(row.key, record, row.answer)
+            return
+        if state is not ClaimState.DONE:
+            return
+        if own.state is ClaimState.UNKNOWN and own.fingerprint == row.fingerprint:
+            own.state = ClaimState.DONE
+            if row.answer is not None:
+                self._keep_answer(row.key, own, row.answer)
+        elif own.state is ClaimState.CLAIMED or _differ(own.answer, row.answer):
+            emit(ClaimConflict(row.key, sender))
+
+    def _now(self) -> float:
+        return self._clock.now()
+
+    def _is_sealed_or_absent(self, key: str) -> bool:
+        record = self._records_by_key.get(key)
+        return record is None or record.state is ClaimState.SEALED
+
+    def _add_sealers(self, key, sealers, created_at) -> None:
+        known = self._records_by_key.get(key)
+        merged = dict.fromkeys((*(known.sealers if known else ()), *sealers))
+        if len(merged) > MAX_SEALERS:
+            raise ClaimTableFullError(
+                f"more than {MAX_SEALERS} nodes asked for one key", step="claim.seal"
+            )
+        if known is not None:
+            created_at = max(created_at, known.created_at)
+        self._insert(
+            key,
+            ClaimRecord(b"", ClaimState.SEALED, created_at, sealers=tuple(merged)),
+        )
+
+    def _insert(self, key: str, record: ClaimRecord) -> None:
+        if key in self._records_by_key:
+            del self._records_by_key[key]
+        else:
+            self.require_room()
+        self._records_by_key[key] = record
+
+    def _keep_answer(self, key, record, answer: CallAnswer) -> None:
+        size = size_of(answer)
+        if record.answer is not None or size > self._limits.max_kept_answer_bytes:
+            return
+        record.answer = answer
+        self._answered_keys[key] = None
+        self._answers_bytes += size
+        while self._answers_bytes > self._limits.max_answers_bytes:
+            oldest = next(iter(self._answered_keys))
+            self._drop_answer(oldest, self._records_by_key[oldest])
+
+    def _drop_answer(self, key: str, record: ClaimRecord) -> None:
+        if record.answer is not None:
+            self._answers_bytes -= size_of(record.answer)
+            record.answer = None
+            self._answered_keys.pop(key, None)
+
+
+def _differ(one: CallAnswer | None, other: CallAnswer | None) -> bool:
+    if one is None or other is None:
+        return False
+    return (one.status, one.body) != (other.status, other.body)
--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -152,3 +152,94 @@
 @register_error("link.answer-lost")
 class AnswerLostError(VerbenawickError):
     """A request was sent to a peer and its answer did not arrive."""
+
+
+# Claims of idempotency keys
+
+
+class ClaimError(VerbenawickError):
+    """Base class of the reasons for which a key is not claimed.
+
+    Attributes
+    ----------
+    proves_not_run : bool
+        Whether a first attempt that meets this error is known not to have run. A later
+        attempt is never told "not run", since an earlier one may have.
+    """
+
+    proves_not_run = True
+
+
+@register_error("claim.not-owner")
+class NotOwnerError(ClaimError):
+    """The node does not own the key under its own member table; refresh and resend."""
+
+
+@register_error("claim.taken")
+class ClaimTakenError(ClaimError):
+    """Another node asked for the key while this one was about to claim it; resend."""
+
+    proves_not_run = False
+
+
+@register_error("claim.authority-ended")
+class AuthorityEndedError(ClaimError):
+    """The node's membership was not confirmed recently enough to claim keys."""
+
+
+@register_error("claim.deadline-passed")
+class ClaimDeadlineError(ClaimError):
+    """The deadline of the call passed before its key could be claimed."""
+
+
+@register_error("claim.stopping")
+class ClaimStoppingError(ClaimError):
+    """The node is about to stop and claims no more keys; refresh and resend."""
+
+
+@register_error("claim.table-full")
+class ClaimTableFullError(ClaimError):
+    """The record table is full and its oldest record is within the horizon."""
+
+
+@register_error("claim.key-invalid")
+class ClaimKeyError(ClaimError):
+    """The idempotency key is empty or too long."""
+
+
+@register_error("claim.key-reused")
+class ClaimKeyReusedError(ClaimError):
+    """The key belongs to a request with another method, target or body."""
+
+    proves_not_run = False
+
+
+@register_error("claim.in-progress")
+class ClaimInProgressError(ClaimError):
+    """An earlier request with this key is running or about to run."""
+
+    proves_not_run = False
+
+
+@register_error("claim.outcome-unknown")
+class ClaimOutcomeUnknownError(ClaimError):
+    """An earlier request with this key may have run; its response is not known."""
+
+    proves_not_run = False
+
+
+@register_error("claim.answer-not-kept")
+class ClaimAnswerNotKeptError(ClaimError):
+    """An earlier request with this key ran in full; its response was not kept."""
+
+    proves_not_run = False
+
+
+@register_error("claim.earlier-owner-unreachable")
+class EarlierOwnerUnreachableError(ClaimError):
+    """A possible earlier owner of the key did not seal it; resend later."""
+
+
+@register_error("claim.earlier-owner-departed")
+class EarlierOwnerDepartedError(ClaimError):
+    """An earlier owner of the key departed and may still run it; resend later."""
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,418 @@
+"""Claims: a key runs at most once, whatever owner, entry and upstream do."""
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from tests.claim_fakes import KEY, Mesh, answer, lose_answer, member, ranked
+from verbenawick._claim_messages import OwnerRef, SealRequest
+from verbenawick._claim_records import ClaimLimits
+from verbenawick._members import MemberState
+
+
+class ClaimTestCase(TestCase):
+    """Checks shared by the claim tests."""
+
+    def expect(self, decision, verdict: str, code: str = "") -> None:
+        """Check verdict and code of a decision."""
+        self.assertThat((str(decision.verdict), decision.code), Equals((verdict, code)))
+
+
+class OwnerTest(ClaimTestCase):
+    """One stable owner: the states of a record."""
+
+    def setUp(self):
+        super().setUp()
+        self.first, self.second = ranked(2)
+        self.mesh = Mesh(self.first, self.second)
+        self.owner = self.mesh.keeper(self.first)
+
+    def test_retry_gets_recorded_answer(self):
+        """Guards against a second run after the answer was lost on its way back."""
+        self.mesh.run(self.first)
+        retry = self.mesh.begin(self.first, attempt=2)
+        self.expect(retry, "recorded")
+        self.assertEqual(answer(), retry.answer)
+        self.assertEqual([], self.mesh.network.sent)
+
+    def test_concurrent_request_is_in_progress(self):
+        """Guards against two concurrent requests with one key both running."""
+        self.expect(self.mesh.begin(self.first), "run")
+        for attempt in (1, 2):
+            decision = self.mesh.begin(self.first, attempt=attempt)
+            self.expect(decision, "in-progress", "claim.in-progress")
+
+    def test_released_key_runs_again(self):
+        """Guards against a key that stays blocked after it was proven not run."""
+        self.expect(self.mesh.begin(self.first), "run")
+        self.owner.release(KEY)
+        self.expect(self.mesh.begin(self.first), "run")
+
+    def test_upstream_crash_is_unknown(self):
+        """Guards against a run after the upstream crashed with the request sent."""
+        self.expect(self.mesh.begin(self.first), "run")
+        self.owner.mark_unknown(KEY)
+        for attempt in (1, 2):
+            self.expect(
+                self.mesh.begin(self.first, attempt=attempt),
+                "unknown",
+                "claim.outcome-unknown",
+            )
+        self.owner.release(KEY)
+        self.expect(
+            self.mesh.begin(self.first, attempt=3), "unknown", "claim.outcome-unknown"
+        )
+
+    def test_reused_key_is_refused(self):
+        """Guards against the answer of one request being given to another."""
+        self.expect(self.mesh.begin(self.first), "run")
+        other = self.mesh.begin(self.first, fingerprint=b"POST /fee 2", attempt=2)
+        self.expect(other, "unknown", "claim.key-reused")
+        self.owner.finish(KEY, answer())
+        other = self.mesh.begin(self.first, fingerprint=b"POST /fee 2")
+        self.expect(other, "unknown", "claim.key-reused")
+
+    def test_large_answer_is_not_kept(self):
+        """Guards against memory growth, and against a run for want of an answer."""
+        self.mesh.run(self.first, body=b"x" * 70_000)
+        retry = self.mesh.begin(self.first, attempt=2)
+        self.expect(retry, "unknown", "claim.answer-not-kept")
+
+    def test_invalid_keys(self):
+        """Guards against keys that break the memory bound."""
+        for key in ("", "k" * 201):
+            self.expect(
+                self.mesh.begin(self.first, key=key), "refused", "claim.key-invalid"
+            )
+
+    def test_not_the_owner(self):
+        """Guards against a claim by a node that does not own the key."""
+        self.expect(self.mesh.begin(self.second), "refused", "claim.not-owner")
+        self.expect(
+            self.mesh.begin(self.second, attempt=2), "unknown", "claim.not-owner"
+        )
+        self.assertEqual(0, len(self.mesh.keeper(self.second).table))
+
+    def test_node_missing_from_its_own_table(self):
+        """Guards against claims before a restarted node knows its predecessor left."""
+        self.mesh.tables[self.first].change(self.first, incarnation=99)
+        self.expect(self.mesh.begin(self.first), "refused", "claim.not-owner")
+
+    def test_deadline_passed(self):
+        """Guards against a claim for a caller that has gone."""
+        decision = self.owner.begin(
+            KEY, fingerprint=b"", attempt=1, deadline=self.mesh.clock.now()
+        )
+        self.expect(decision, "refused", "claim.deadline-passed")
+
+
+class AuthorityTest(ClaimTestCase):
+    """The membership has to be confirmed recently, at the claim and at the write."""
+
+    def setUp(self):
+        super().setUp()
+        self.first = ranked(2)[0]
+        self.mesh = Mesh(*ranked(2))
+        self.table = self.mesh.tables[self.first]
+
+    def test_no_claim_without_authority(self):
+        """Guards against a claim by a node that was replaced while cut off."""
+        self.table.authority_until = self.mesh.clock.now()
+        self.expect(self.mesh.begin(self.first), "refused", "claim.authority-ended")
+        self.expect(
+            self.mesh.begin(self.first, attempt=2), "unknown", "claim.authority-ended"
+        )
+
+    def test_lapse_between_claim_and_write(self):
+        """Guards against a write by an owner that was paused after its claim."""
+        self.expect(self.mesh.begin(self.first), "run")
+        self.table.authority_until = self.mesh.clock.now()
+        self.assertFalse(self.mesh.keeper(self.first).confirm(KEY))
+
+    def test_deadline_between_claim_and_write(self):
+        """Guards against a write after the caller was told the outcome is unknown."""
+        self.expect(self.mesh.begin(self.first), "run")
+        self.mesh.clock.advance(4.9)
+        self.assertTrue(self.mesh.keeper(self.first).confirm(KEY))
+        self.mesh.clock.advance(0.1)
+        self.assertFalse(self.mesh.keeper(self.first).confirm(KEY))
+
+    def test_confirm_without_claim(self):
+        """Guards against a write of a request that was finished or never claimed."""
+        keeper = self.mesh.keeper(self.first)
+        self.assertFalse(keeper.confirm(KEY))
+        self.mesh.run(self.first)
+        self.assertFalse(keeper.confirm(KEY))
+
+    def test_lapse_while_sealing(self):
+        """Guards against a claim by an owner paused while it waited for a seal."""
+        new, old = ranked(2)
+        mesh = Mesh(old)
+        mesh.join(new, old)
+
+        def pause(receiver, reply):
+            mesh.tables[new].authority_until = mesh.clock.now()
+
+        mesh.network.before_answer = pause
+        self.expect(mesh.begin(new), "refused", "claim.authority-ended")
+
+
+class TakeoverTest(ClaimTestCase):
+    """A member that joined recently asks those that may have owned the key."""
+
+    def setUp(self):
+        super().setUp()
+        self.new, self.old, self.third = ranked(3)
+        self.mesh = Mesh(self.old, self.third)
+
+    def join(self) -> None:
+        """Enter the new owner at every node."""
+        self.mesh.join(self.new, self.old, self.third)
+
+    def test_record_of_earlier_owner(self):
+        """Guards against a run at the new owner after a run at the old one."""
+        self.mesh.run(self.old)
+        self.join()
+        retry = self.mesh.begin(self.new, attempt=2)
+        self.expect(retry, "recorded")
+        self.assertEqual(b"paid", retry.answer.body)
+        self.assertEqual([self.old], [node for node, _ in self.mesh.network.sent])
+        self.mesh.crash(self.old, process_ended=True)
+        self.expect(self.mesh.begin(self.new, attempt=3), "recorded")
+
+    def test_earlier_owner_still_runs(self):
+        """Guards against a second run while the first is at the old owner."""
+        self.expect(self.mesh.begin(self.old), "run")
+        self.join()
+        self.expect(
+            self.mesh.begin(self.new, attempt=2), "in-progress", "claim.in-progress"
+        )
+        self.mesh.keeper(self.old).finish(KEY, answer())
+        self.expect(self.mesh.begin(self.new, attempt=2), "recorded")
+
+    def test_old_owner_promised(self):
+        """Guards against a run at the old owner, for an entry with an old table."""
+        self.join()
+        self.mesh.run(self.new)
+        del self.mesh.tables[self.old].by_id[self.new]
+        retry = self.mesh.begin(self.old, attempt=2)
+        self.expect(retry, "unknown", "claim.earlier-owner-unreachable")
+        self.mesh.tables[self.old].add(member(self.new, recently_joined=True))
+        self.expect(self.mesh.begin(self.old, attempt=2), "unknown", "claim.not-owner")
+
+    def test_two_new_owners_that_do_not_know_each_other(self):
+        """Guards against two runs with two different member tables."""
+        newest, new, stable = ranked(3)
+        mesh = Mesh(stable)
+        mesh.join(newest, stable)
+        mesh.tables[stable].by_id.pop(newest)
+        mesh.join(new, stable)
+        mesh.run(new)
+        decision = mesh.begin(newest, attempt=2)
+        self.expect(decision, "unknown", "claim.earlier-owner-unreachable")
+        mesh.tables[newest].add(member(new, recently_joined=True))
+        self.expect(mesh.begin(newest, attempt=2), "recorded")
+
+    def test_earlier_owner_unreachable(self):
+        """Guards against a claim without the promise of a member that is cut off."""
+        self.join()
+        keepers = self.mesh.network.keepers_by_id
+        cut_off = keepers.pop(self.old)
+        code = "claim.earlier-owner-unreachable"
+        self.expect(self.mesh.begin(self.new), "refused", code)
+        self.expect(self.mesh.begin(self.new, attempt=2), "unknown", code)
+        keepers[self.old] = cut_off
+        self.mesh.network.before_answer = lose_answer
+        self.expect(self.mesh.begin(self.new), "refused", code)
+        self.mesh.network.before_answer = lambda receiver, reply: None
+        self.expect(self.mesh.begin(self.new), "run")
+
+    def test_restarted_process_does_not_answer_for_its_predecessor(self):
+        """Guards against a promise by a restarted node that lost its records."""
+        self.mesh.run(self.old)
+        self.join()
+        self.mesh.start(self.old, incarnation=2)
+        self.expect(
+            self.mesh.begin(self.new, attempt=2),
+            "unknown",
+            "claim.earlier-owner-unreachable",
+        )
+
+    def test_draining_member_does_not_end_the_list(self):
+        """Guards against a run at the next owner when a drain was cancelled or lost."""
+        mesh = self.mesh
+        for table in mesh.tables.values():
+            table.change(self.old, state=MemberState.DRAINING)
+        mesh.run(self.third)
+        self.join()
+        self.expect(mesh.begin(self.new, attempt=2), "recorded")
+        self.assertIn(self.third, [node for node, _ in mesh.network.sent])
+
+    def test_seal_while_claiming(self):
+        """Guards against two runs when two nodes claim a key at the same time."""
+        high, low, stable = ranked(3)
+        for first in (low, high):
+            mesh = Mesh(stable)
+            mesh.join(low, stable)
+            mesh.join(high, stable, low)
+            mesh.tables[low].by_id.pop(high)  # so that both see themselves as owner
+            second = low if first == high else high
+            inner = []
+
+            def race(receiver, reply, mesh=mesh, second=second, inner=inner):
+                if not inner:
+                    inner.append(None)
+                    inner[0] = mesh.begin(second, attempt=2)
+
+            mesh.network.before_answer = race
+            decisions = [mesh.begin(first), *inner]
+            ran = [d for d in decisions if d.verdict == "run"]
+            self.assertEqual(1, len(ran), decisions)
+
+    def test_record_arrives_while_sealing(self):
+        """Guards against a run when a handover arrives while the owner waits."""
+        for table in self.mesh.tables.values():
+            table.change(self.old, state=MemberState.DRAINING)
+        self.mesh.run(self.third)
+        self.join()
+        third = self.mesh.keeper(self.third)
+        started = []
+
+        def hand_over(receiver, message):
+            if not started:
+                started.append(True)
+                self.assertTrue(third.hand_over(self.mesh.clock.now() + 5))
+
+        self.mesh.network.before_delivery = hand_over
+        self.expect(self.mesh.begin(self.new, attempt=2), "recorded")
+
+    def test_bound_of_sealers(self):
+        """Guards against unbounded growth of one record by many membership changes."""
+        owner = self.mesh.keeper(self.old)
+        verdicts = [self._seal(owner, f"x{number}").verdict for number in range(9)]
+        self.assertEqual(["sealed"] * 8 + ["refused"], [str(v) for v in verdicts])
+
+    @staticmethod
+    def _seal(keeper, sealer):
+        return keeper.answer_to(SealRequest(1, "treasury", KEY, OwnerRef(sealer, 1), 1))
+
+
+class DepartureTest(ClaimTestCase):
+    """An earlier owner departed, with its records or with a handover."""
+
+    def setUp(self):
+        super().setUp()
+        self.gone, self.next, self.third = ranked(3)
+        self.mesh = Mesh(self.gone, self.next, self.third)
+        self.limits = ClaimLimits()
+
+    def first_attempt_waits(self, wait_s: float) -> None:
+        """Check that a first attempt runs after `wait_s` and not before."""
+        self.mesh.tables[self.next].authority_until += 2 * wait_s
+        code = "claim.earlier-owner-departed"
+        self.expect(self.mesh.begin(self.next), "refused", code)
+        self.mesh.clock.advance(wait_s - 0.001)
+        self.expect(self.mesh.begin(self.next), "refused", code)
+        self.mesh.clock.advance(0.002)
+        self.expect(self.mesh.begin(self.next), "run")
+
+    def test_retry_after_crash_is_unknown(self):
+        """Guards against a second run after the owner crashed with the request sent."""
+        self.expect(self.mesh.begin(self.gone), "run")
+        self.mesh.crash(self.gone, process_ended=True)
+        for wait_s in (0.0, 31.0, self.limits.authority_s):
+            self.mesh.clock.advance(wait_s)
+            self.mesh.tables[self.next].authority_until = self.mesh.clock.now() + 60
+            self.expect(
+                self.mesh.begin(self.next, attempt=2),
+                "unknown",
+                "claim.outcome-unknown",
+            )
+
+    def test_first_attempt_after_proven_end(self):
+        """Guards against a first attempt beside a call that the old process sent."""
+        self.mesh.crash(self.gone, process_ended=True)
+        self.first_attempt_waits(30.0)
+
+    def test_first_attempt_after_departure_without_proof(self):
+        """Guards against a first attempt beside an owner that is only cut off."""
+        self.mesh.crash(self.gone, process_ended=False)
+        self.first_attempt_waits(75 * 60 + 30.0)
+
+    def test_restarted_owner(self):
+        """Guards against a run by a restarted owner that lost its records."""
+        self.mesh.run(self.gone)
+        self.mesh.crash(self.gone, process_ended=True)
+        self.mesh.join(self.gone, self.next, self.third, incarnation=2)
+        retry = self.mesh.begin(self.gone, attempt=2)
+        self.expect(retry, "unknown", "claim.outcome-unknown")
+        self.expect(
+            self.mesh.begin(self.gone), "refused", "claim.earlier-owner-departed"
+        )
+
+    def test_record_elsewhere_counts_more_than_a_departure(self):
+        """Guards against a needless unknown when another node has the record."""
+        self.mesh.tables[self.next].depart(self.gone, process_ended=True)
+        self.mesh.tables[self.third].depart(self.gone, process_ended=True)
+        self.mesh.clock.advance(31)
+        self.mesh.run(self.next)
+        newest = next(name for name in ranked(40) if name not in self.mesh.tables)
+        self.mesh.join(newest, self.next, self.third)
+        self.expect(self.mesh.begin(newest, attempt=2), "recorded")
+
+    def test_owner_that_returns_without_restart(self):
+        """Guards against a lost record of an owner that was cut off for a while."""
+        self.mesh.run(self.gone)
+        for node in (self.next, self.third):
+            self.mesh.tables[node].depart(self.gone)
+        for table in self.mesh.tables.values():
+            table.add(member(self.gone, recently_joined=True))
+        self.expect(self.mesh.begin(self.gone, attempt=2), "recorded")
+
+    def test_replaced_while_paused(self):
+        """Guards against a run by an owner that resumes after it was replaced."""
+        self.expect(self.mesh.begin(self.gone), "run")
+        for node in (self.next, self.third):
+            self.mesh.tables[node].depart(self.gone)
+        self.mesh.clock.advance(self.limits.authority_s + 31)
+        self.mesh.tables[self.next].authority_until = self.mesh.clock.now() + 60
+        self.expect(self.mesh.begin(self.next, attempt=1), "run")
+        self.assertFalse(self.mesh.keeper(self.gone).confirm(KEY))
+
+
+class BoundTest(ClaimTestCase):
+    """The record table is full."""
+
+    def setUp(self):
+        super().setUp()
+        self.mesh = Mesh("n0", limits=ClaimLimits(max_records=2))
+        self.table = self.mesh.keeper("n0").table
+
+    def test_new_key_is_refused_within_the_horizon(self):
+        """Guards against a dropped record whose key then runs a second time."""
+        self.mesh.run("n0", key="a")
+        self.mesh.run("n0", key="b")
+        self.expect(self.mesh.begin("n0", key="c"), "refused", "claim.table-full")
+        self.expect(self.mesh.begin("n0", key="a", attempt=2), "recorded")
+        self.mesh.clock.advance(2 * 3600 + 1)
+        self.mesh.tables["n0"].authority_until += 2 * 3600
+        self.expect(self.mesh.begin("n0", key="c"), "run")
+        self.assertIsNone(self.table.get("a"))
+
+    def test_running_record_is_never_dropped(self):
+        """Guards against a second run beside a call that takes very long."""
+        self.expect(self.mesh.begin("n0", key="a"), "run")
+        self.mesh.run("n0", key="b")
+        self.mesh.clock.advance(2 * 3600 + 1)
+        self.mesh.tables["n0"].authority_until += 2 * 3600
+        self.expect(self.mesh.begin("n0", key="c"), "refused", "claim.table-full")
+
+    def test_answers_are_bounded_together(self):
+        """Guards against memory growth by many answers below the single bound."""
+        mesh = Mesh("n0", limits=ClaimLimits(max_answers_bytes=250))
+        for key in ("a", "b", "c"):
+            mesh.run("n0", key=key, body=b"x" * 100)
+        self.assertLessEqual(mesh.keeper("n0").table.answers_bytes, 250)
+        self.expect(
+            mesh.begin("n0", key="a", attempt=2), "unknown", "claim.answer-not-kept"
+        )
+        self.expect(mesh.begin("n0", key="c", attempt=2), "recorded")
--- /dev/null
+++ b/tests/test_rendezvous.py
@@ -0,0 +1,68 @@
+"""Owners of keys by rendezvous hashing."""
+
+from testtools import TestCase
+
+from tests.claim_fakes import member
+from verbenawick._members import DepartedMember, MemberState
+from verbenawick._rendezvous import find_owner, possible_earlier_owners
+
+MEMBERS = tuple(
+    member(f"n{number}", region=("ashanti", "northern")[number % 2])
+    for number in range(8)
+)
+KEYS = [f"key-{number}" for number in range(400)]
+
+
+class RendezvousTest(TestCase):
+    """Who owns a key and who may have owned it."""
+
+    def test_a_departure_moves_only_its_own_keys(self):
+        """Guards against a change of owner for keys of members that stay."""
+        for key in KEYS:
+            owner = find_owner(key, MEMBERS)
+            after = find_owner(key, tuple(m for m in MEMBERS if m != MEMBERS[3]))
+            if owner != MEMBERS[3]:
+                self.assertEqual(owner, after)
+
+    def test_keys_are_spread(self):
+        """Guards against one member that owns far more keys than the others."""
+        owners = [find_owner(key, MEMBERS) for key in KEYS]
+        counts = [owners.count(m) for m in MEMBERS]
+        self.assertGreater(min(counts), 25)
+        self.assertLess(max(counts), 85)
+
+    def test_home_region(self):
+        """Guards against a key that leaves its home region while that has members."""
+        for key in KEYS:
+            owner = find_owner(f"northern/{key}", MEMBERS)
+            self.assertEqual("northern", owner.region)
+            owner = find_owner(f"northern/{key}", MEMBERS[::2])
+            self.assertEqual("ashanti", owner.region)
+
+    def test_draining_members_own_nothing(self):
+        """Guards against new keys at a member that is about to stop."""
+        draining = member("n0", state=MemberState.DRAINING)
+        self.assertIsNone(find_owner("key", (draining,)))
+
+    def test_earlier_owners_end_at_the_first_stable_member(self):
+        """Guards against an owner of the last two hours that is not asked."""
+        recent = [
+            member(m.node_id, region=m.region, recently_joined=m.node_id in "n1 n2 n3")
+            for m in MEMBERS[1:]
+        ]
+        gone = DepartedMember("n0", 1, "treasury", "ashanti", False, False, 0.0)
+        for key in KEYS:
+            earlier = list(possible_earlier_owners(key, tuple(recent), (gone,)))
+            self.assertEqual(
+                find_owner(key, tuple(recent)).node_id,
+                next(e.node_id for e in earlier if e is not gone),
+            )
+            for candidate in earlier[:-1]:
+                self.assertIn(candidate.node_id, "n0 n1 n2 n3")
+            self.assertNotIn(earlier[-1].node_id, "n0 n1 n2 n3")
+
+    def test_process_that_departed_and_returned_counts_once(self):
+        """Guards against an unknown answer for an owner whose records are intact."""
+        gone = DepartedMember("n0", 1, "treasury", "ashanti", False, False, 0.0)
+        for key in KEYS[:20]:
+            self.assertNotIn(gone, possible_earlier_owners(key, MEMBERS, (gone,)))
