--- /dev/null
+++ b/src/verbenawick/_config_codec.py
@@ -0,0 +1,72 @@
+"""Encoding of configuration as distribution uses it: documents and store objects."""
+
+from typing import Any
+
+from verbenawick._compile import compile_document
+from verbenawick._config_feed import ChangeInfo, HeadInfo
+from verbenawick._config_state import NO_VERSION, VersionRef
+from verbenawick._delta import (
+    apply_delta,
+    decode_delta,
+    decode_snapshot,
+    digest_of,
+    encode_snapshot,
+)
+from verbenawick._document import parse_document
+from verbenawick._head import change_key, decode_change, decode_head
+from verbenawick._table import RoutingTable
+
+
+class ConfigCodec:
+    """The `DocumentCodec` and `FeedCodec` of a node.
+
+    A document is the plain data that deltas apply to; it is validated when it is
+    compiled, by the same functions that acceptance uses.
+    """
+
+    def apply_delta(self, document: Any, delta: bytes) -> Any:
+        """Return the changed document; see `DocumentCodec`."""
+        return apply_delta(document, decode_delta(delta))
+
+    def digest_of(self, document: Any) -> bytes:
+        """Return the digest of a document."""
+        return digest_of(document)
+
+    def compile(self, document: Any, *, version: int, digest: bytes) -> RoutingTable:
+        """Return the routing table; raise `DocumentError` when there is none."""
+        return compile_document(parse_document(document), version, digest)
+
+    def encode_snapshot(self, document: Any) -> bytes:
+        """Return the document as compressed bytes."""
+        return encode_snapshot(document)
+
+    def decode_snapshot(self, data: bytes, digest: bytes) -> Any:
+        """Return the document in a snapshot; see `DocumentCodec`."""
+        return decode_snapshot(data, digest)
+
+    def parse_head(self, value: bytes) -> HeadInfo:
+        """Return what `config/head` says."""
+        head = decode_head(value)
+        return HeadInfo(
+            ref=VersionRef(head.version, head.digest),
+            base=_base_of(head.version, head.delta),
+            delta=head.delta,
+            change_key=head.change_key,
+            snapshot_key=head.snapshot_key,
+        )
+
+    def parse_change(self, value: bytes) -> ChangeInfo:
+        """Return what a change object says."""
+        change = decode_change(value)
+        return ChangeInfo(
+            ref=VersionRef(change.version, change.digest),
+            base=_base_of(change.version, change.delta),
+            delta=change.delta,
+            parent_key=change_key(change.parent_id) if change.parent_id else "",
+        )
+
+
+def _base_of(version: int, delta: bytes) -> VersionRef:
+    if not delta or version <= 1:
+        return NO_VERSION
+    return VersionRef(version - 1, decode_delta(delta).base_digest)
