--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -123,7 +123,16 @@
 
 @register_error("store.condition-failed")
 class StoreConditionError(VerbenawickError):
-    """The condition of a conditional update did not hold."""
+    """The condition of a conditional update did not hold.
+
+    `current_version` is the version that the store named, 0 for an absent object.
+    """
+
+    def __init__(
+        self, message: str, *, current_version: int = 0, step: str = "", peer: str = ""
+    ):
+        super().__init__(message, step=step, peer=peer)
+        self.current_version = current_version
 
 
 @register_error("store.value-too-large")
@@ -160,3 +169,16 @@
 @register_error("dist.invariant")
 class InvariantError(VerbenawickError):
     """A change would break an invariant; it was stopped."""
+
+
+# Leases and membership
+
+
+@register_error("lease.not-held")
+class LeaseNotHeldError(StoreUnavailableError):
+    """A write needs a lease that this node does not hold now; nothing was sent."""
+
+
+@register_error("status.invalid")
+class StatusError(VerbenawickError):
+    """A region's status object cannot be decoded."""
--- a/tests/memory_mesh.py
+++ b/tests/memory_mesh.py
@@ -15,6 +15,7 @@
 from verbenawick._lifecycle import Lifecycle
 from verbenawick._members import Member
 from verbenawick._messages import decode_message, encode_message
+from verbenawick._status import StatusAggregator
 from verbenawick._table import Route, RoutingTable, ServicePolicy
 from verbenawick.errors import (
     BaseMismatchError,
@@ -237,7 +238,16 @@
             lifecycle=self.lifecycle,
             random=mesh.random,
         )
-        self.components = [self.distribution]
+        self.status = StatusAggregator(
+            identity=identity,
+            clock=mesh.clock,
+            peers=MemoryPeers(mesh, self),
+            store=mesh.store,
+            roles=self.roles,
+            members=mesh.members,
+            distribution=self.distribution,
+        )
+        self.components = [self.distribution, self.status]
 
     @property
     def node_id(self) -> str:
