--- a/src/verbenawick/_config_messages.py
+++ b/src/verbenawick/_config_messages.py
@@ -105,12 +105,20 @@
     wants_snapshot: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Asker:
+    """A process that asks for its floor; `attempt` tells its own queries apart."""
+
+    start: Row[ProcessStart]
+    attempt: int
+
+
 @register_message(35)
 @dataclass(frozen=True, slots=True)
 class FloorQuery(Message):
     """Asks for the highest version held, on behalf of restarted nodes."""
 
-    askers: tuple[Row[ProcessStart], ...]
+    askers: tuple[Row[Asker], ...]
 
 
 @register_message(36)
@@ -127,7 +135,7 @@
         Members of the data centre that the answering node knows, itself included.
     """
 
-    asker: Row[ProcessStart]
+    asker: Row[Asker]
     answerer: Row[ProcessStart]
     is_confirmed: bool
     version: int
--- a/src/verbenawick/_distribution.py
+++ b/src/verbenawick/_distribution.py
@@ -52,7 +52,7 @@
 )
 
 EXCHANGE_INTERVAL_S = 1.0
-ANNOUNCE_INTERVAL_S = 1.0
+ANNOUNCE_INTERVAL_S = 0.5
 FETCH_TIMEOUT_S = 1.0
 FEED_RETRY_S = 1.0
 WITHHELD_CHECK_INTERVAL_S = 0.5
@@ -171,7 +171,7 @@
         self._random = random
         self._feed = ConfigFeed(store=store, codec=feed_codec)
         self._head: HeadInfo | None = None
-        self._tally = AckTally()
+        self._tally = AckTally(clock)
         self._cache = StepCache()
         self._digests_by_version: OrderedDict[int, bytes] = OrderedDict()
         self._known = NO_VERSION
@@ -193,7 +193,6 @@
             peers=peers,
             members=members,
             held=lambda: state.held_ref,
-            is_confirmed=self._is_confirmed,
             on_found=self._on_floor,
         )
         self._confirmer = HeadConfirmer(
@@ -263,7 +262,9 @@
         """Do what is due."""
         now = self._clock.now()
         self._floor.on_tick()
-        self._confirmer.on_tick(needs_head=self._floor.needs_head())
+        if self._floor.needs_head():
+            self._confirmer.want(self._floor.attempt)
+        self._confirmer.on_tick()
         if now >= self._next_exchange_at:
             self._next_exchange_at = now + EXCHANGE_INTERVAL_S
             self._exchange()
@@ -435,14 +436,10 @@
     def _advance(self) -> None:
         """Commit the highest version that a majority of the data centre holds."""
         if self._is_relaying():
-            start = ProcessStart(self._identity.node_id, self._identity.incarnation)
             self._tally.report_starts(self._floor.restarts)
-            self._tally.record(
-                start,
-                round_number=self._tally.round_number,
-                ref=self.state.held_ref,
-            )
-            ref = self._tally.highest_of_majority(self._member_ids())
+            own_ref = self.state.held_ref
+            member_ids = self._member_ids()
+            ref = self._tally.highest_of_majority(member_ids, own_ref=own_ref)
             if ref.version > self._committed.version:
                 self._learn_committed(ref)
                 for peer_id in self._subscribers_in_data_centre():
@@ -573,13 +570,10 @@
 
     # Floor and service
 
-    def _is_confirmed(self) -> bool:
-        floor = self.state.floor
-        return floor is not None and self.state.held_ref.version >= floor
-
     def _on_floor(self, ref: VersionRef) -> None:
-        self.state.raise_floor(ref.version)
         self._learn(ref)
+        if self.state.floor is None:
+            self.state.raise_floor(ref.version)
         if self.lifecycle.state is LifecycleState.STARTING:
             self.lifecycle.confirm_floor()
         self._put_in_force()
--- a/src/verbenawick/_floor.py
+++ b/src/verbenawick/_floor.py
@@ -20,6 +20,7 @@
     StorePort,
 )
 from verbenawick._config_messages import (
+    Asker,
     FloorAnswer,
     FloorQuery,
     HeadConfirmed,
@@ -43,6 +44,9 @@
 ABSENT_HEAD_RETRY_S = 5.0
 # The store's client answers earlier than this in any case; see _store.
 STORE_ATTEMPT_S = 10.0
+# A node whose ticks stopped for longer may have been dropped from the members, which
+# happens after TimingSettings.member_timeout_s, 4 s.
+PAUSE_S = 2.0
 MAX_KNOWN_STARTS = 1024
 MAX_PENDING_QUERIES = 4096
 
@@ -88,14 +92,15 @@
 class FloorKeeper:
     """Finds this node's floor, and answers the floor queries of other nodes.
 
+    A node that was paused asks again before its answers count: it may have been
+    dropped from the members meanwhile, and a version committed without it.
+
     Parameters
     ----------
     held : callable
         Returns the highest version that this node holds.
-    is_confirmed : callable
-        Returns whether this node's floor is known and the node holds it.
     on_found : callable
-        Called with the floor once it is known.
+        Called with the floor once it is known, and after each later confirmation.
     """
 
     def __init__(
@@ -106,7 +111,6 @@
         peers: PeerPort,
         members: MemberView,
         held: Callable[[], VersionRef],
-        is_confirmed: Callable[[], bool],
         on_found: Callable[[VersionRef], None],
     ):
         self._identity = identity
@@ -115,65 +119,76 @@
         self._peers = peers
         self._members = members
         self._held = held
-        self._is_confirmed = is_confirmed
         self._on_found = on_found
-        self._is_found = False
-        self._started_at = clock.now()
+        self._found: VersionRef | None = None
+        self.attempt = 1
+        self._started_at = self._last_tick_at = clock.now()
         self._next_query_at = clock.now()
         self._answers_by_node_id: dict[str, FloorAnswer] = {}
         self._starts_by_node_id: OrderedDict[str, ProcessStart] = OrderedDict()
-        self._passed_on: set[ProcessStart] = set()
+        self._passed_on: set[Asker] = set()
 
     @property
     def restarts(self) -> tuple[ProcessStart, ...]:
         """Process starts whose floor query this node answered."""
         return tuple(self._starts_by_node_id.values())
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Return whether the floor is known and this node holds it."""
+        found = self._found
+        return found is not None and self._held().version >= found.version
+
     def on_tick(self) -> None:
         """Ask for the floor until it is known, and pass on the queries of others."""
+        self._notice_pause()
+        now = self._last_tick_at = self._clock.now()
         if self._passed_on:
             self._broadcast(FloorQuery(tuple(self._passed_on)), LinkPurpose.SUBSCRIBER)
             self._passed_on.clear()
-        now = self._clock.now()
-        if self._is_found or now < self._next_query_at:
+        if self._found is not None or now < self._next_query_at:
             return
         self._next_query_at = now + QUERY_INTERVAL_S
-        query = FloorQuery((self._own_start,))
+        query = FloorQuery((Asker(self._own_start, self.attempt),))
         for purpose in LinkPurpose:
             self._broadcast(query, purpose)
 
     def on_query(self, peer_id: str, query: FloorQuery) -> None:
         """Answer for this node; as a relay, pass the query on to the other nodes."""
+        self._notice_pause()
         if not self._is_in_data_centre(peer_id):
             return
-        member_count = self.member_count()
+        held, member_count = self._held(), self.member_count()
         for asker in query.askers:
-            if asker.node_id == self._identity.node_id:
+            if asker.start.node_id == self._identity.node_id:
                 continue
-            is_confirmed = self._is_confirmed()
-            if is_confirmed:
-                self._remember_start(asker)
-            held = self._held()
+            if self.is_confirmed:
+                self._remember_start(asker.start)
             answer = FloorAnswer(
-                asker, self._own_start, is_confirmed, held.version, held.digest,
+                asker,
+                self._own_start,
+                self.is_confirmed,
+                held.version,
+                held.digest,
                 member_count,
-            )  # fmt: skip
+            )
             self._peers.send(peer_id, answer)
-            is_direct = peer_id == asker.node_id
+            is_direct = peer_id == asker.start.node_id
             if is_direct and len(self._passed_on) < MAX_PENDING_QUERIES:
                 self._passed_on.add(asker)
 
     def on_answer(self, peer_id: str, answer: FloorAnswer) -> None:
         """Count an answer to this node's query; pass on one to another node's."""
+        self._notice_pause()
         if not self._is_in_data_centre(peer_id):
             return
-        if answer.asker.node_id != self._identity.node_id:
-            self._peers.send(answer.asker.node_id, answer)
-            return
-        if self._is_found or answer.asker != self._own_start:
+        if answer.asker.start.node_id != self._identity.node_id:
+            self._peers.send(answer.asker.start.node_id, answer)
             return
-        self._answers_by_node_id[answer.answerer.node_id] = answer
-        self._evaluate()
+        is_current = answer.asker == Asker(self._own_start, self.attempt)
+        if self._found is None and is_current:
+            self._answers_by_node_id[answer.answerer.node_id] = answer
+            self._evaluate()
 
     def on_peer_start(self, node_id: str, incarnation: int) -> None:
         """Drop the answer of a node that has restarted since."""
@@ -184,7 +199,7 @@
     def needs_head(self) -> bool:
         """Return whether the neighbours had their time and the floor is not known."""
         waited_s = self._clock.now() - self._started_at
-        return not self._is_found and waited_s >= HEAD_QUERY_DELAY_S
+        return self._found is None and waited_s >= HEAD_QUERY_DELAY_S
 
     def on_head(self, ref: VersionRef) -> None:
         """Take the confirmed head as the floor."""
@@ -198,22 +213,31 @@
     def _evaluate(self) -> None:
         answers = [a for a in self._answers_by_node_id.values() if a.is_confirmed]
         counts = [answer.member_count for answer in answers]
-        member_count = max(counts + [self.member_count()])
-        # A single node without answers never counts as a majority of itself.
-        if len(answers) < max(1, answers_needed(member_count)):
+        needed = answers_needed(max([*counts, self.member_count()]))
+        # Without any answer the store's head is the only source.
+        if len(answers) < max(1, needed):
             return
         highest = max(answers, key=lambda answer: answer.version)
         ref = VersionRef(highest.version, highest.digest)
         self._find(ref, "neighbours", len(answers))
 
     def _find(self, ref: VersionRef, source: str, answers: int) -> None:
-        if self._is_found:
+        if self._found is not None:
             return
-        self._is_found = True
+        self._found = ref
         self._answers_by_node_id.clear()
         emit(FloorConfirmed(ref.version, source, answers))
         self._on_found(ref)
 
+    def _notice_pause(self) -> None:
+        gap_s = self._clock.now() - self._last_tick_at
+        if gap_s <= PAUSE_S:
+            return
+        self._last_tick_at = self._started_at = self._clock.now()
+        self._found = None
+        self.attempt += 1
+        self._answers_by_node_id.clear()
+
     def _remember_start(self, start: ProcessStart) -> None:
         self._starts_by_node_id[start.node_id] = start
         self._starts_by_node_id.move_to_end(start.node_id)
@@ -222,7 +246,7 @@
 
     def _broadcast(self, query: FloorQuery, purpose: LinkPurpose) -> None:
         for peer_id in self._peers.peers(purpose):
-            askers = tuple(a for a in query.askers if a.node_id != peer_id)
+            askers = tuple(a for a in query.askers if a.start.node_id != peer_id)
             if askers and self._is_in_data_centre(peer_id):
                 self._peers.send(peer_id, FloorQuery(askers))
 
@@ -275,11 +299,12 @@
         if len(self._waiting) < MAX_PENDING_QUERIES:
             self._waiting[peer_id] = query
 
-    def on_tick(self, *, needs_head: bool) -> None:
+    def want(self, attempt: int) -> None:
+        """Queue a query of this node; a later attempt replaces an earlier one."""
+        self._waiting[self._identity.node_id] = HeadQuery(attempt, 0)
+
+    def on_tick(self) -> None:
         """Start a confirmation when one is wanted and none is under way."""
-        if needs_head:
-            own_id = self._identity.node_id
-            self._waiting[own_id] = HeadQuery(self._identity.incarnation, 0)
         if not self._waiting and not self._in_flight:
             return
         if self._clock.now() < self._next_try_at:
--- a/tests/memory_mesh.py
+++ b/tests/memory_mesh.py
@@ -5,6 +5,7 @@
 
 import json
 from dataclasses import dataclass, field
+from hashlib import blake2b
 from random import Random
 
 from verbenawick._clock import ManualClock
@@ -26,6 +27,8 @@
 )
 
 HEAD = "config/head"
+# The other regions reach the store only while they are not cut off.
+STORE_REGION = "a"
 
 
 def document(routes_by_id: dict[str, str], preset: str = "ordinary") -> dict:
@@ -40,8 +43,9 @@
         self.broken_versions: set[int] = set()
 
     def digest_of(self, document) -> bytes:
-        """Return a digest that names the content."""
-        return json.dumps(document, sort_keys=True).encode()[-40:]
+        """Return the digest of the content."""
+        data = json.dumps(document, sort_keys=True).encode()
+        return blake2b(data, digest_size=8).digest()
 
     def apply_delta(self, document, delta: bytes):
         """Return the new document if the base is right."""
@@ -96,10 +100,9 @@
 
 
 class MemoryStore:
-    """Store with faults; answers are queued in the mesh."""
+    """Objects of the store, with all their versions, and its faults."""
 
-    def __init__(self, mesh: "MemoryMesh"):
-        self._mesh = mesh
+    def __init__(self):
         self.history: dict[str, list[StoreObject]] = {}
         self.revision = 0
         self.is_down = False
@@ -137,30 +140,43 @@
         self.write(HEAD, json.dumps(head).encode())
         return version
 
+
+class MemoryStorePort:
+    """`StorePort` of one process; answers are queued, updates take effect at once."""
+
+    def __init__(self, mesh: "MemoryMesh", node: "MemoryNode"):
+        self._mesh = mesh
+        self._store = mesh.store
+        self._node = node
+
     def get(self, key, callback) -> None:
         """Queue a read."""
-        self.calls.append(("get", key))
-        if self.is_down:
-            error = StoreUnavailableError("down")
-            self._mesh.post(lambda: callback(None, error))
-            return
-        older = self.history.get(key, [])[:-1]
-        obj = older[-1] if self.is_stale and older else self.read(key)
-        self._mesh.post(lambda: callback(obj, None))
+        self._store.calls.append(("get", key))
+        older = self._store.history.get(key, [])[:-1]
+        is_stale = self._store.is_stale and older
+        self._answer(callback, older[-1] if is_stale else self._store.read(key))
 
     def update(self, key, value, *, expected_version, callback) -> None:
-        """Queue a conditional update; it takes effect now."""
-        self.calls.append(("update", key))
-        error, obj = None, None
-        if self.is_down:
-            error = StoreUnavailableError("down")
-        elif self.read(key).version != expected_version:
-            error = StoreConditionError("changed")
+        """Queue the answer to a conditional update."""
+        self._store.calls.append(("update", key))
+        if not self._is_reachable():
+            self._answer(callback, None)
+        elif self._store.read(key).version != expected_version:
+            self._answer(callback, None, StoreConditionError("changed"))
         else:
-            obj = self.write(key, value)
-            if self.loses_answers:
-                error, obj = StoreAnswerLostError("lost"), None
-        self._mesh.post(lambda: callback(obj, error))
+            obj = self._store.write(key, value)
+            lost = StoreAnswerLostError("lost") if self._store.loses_answers else None
+            self._answer(callback, None if lost else obj, lost)
+
+    def _is_reachable(self) -> bool:
+        region = self._node.identity.region
+        is_cut = region in self._mesh.cut_regions and region != STORE_REGION
+        return not (self._store.is_down or is_cut)
+
+    def _answer(self, callback, obj, error=None) -> None:
+        if not self._is_reachable():
+            obj, error = None, StoreUnavailableError("down")
+        self._mesh.post(lambda: callback(obj, error), receiver=self._node.node_id)
 
 
 @dataclass
@@ -230,7 +246,7 @@
             identity=identity,
             clock=mesh.clock,
             peers=MemoryPeers(mesh, self),
-            store=mesh.store,
+            store=MemoryStorePort(mesh, self),
             roles=self.roles,
             members=mesh.members,
             state=self.state,
@@ -242,7 +258,7 @@
             identity=identity,
             clock=mesh.clock,
             peers=MemoryPeers(mesh, self),
-            store=mesh.store,
+            store=MemoryStorePort(mesh, self),
             roles=self.roles,
             members=mesh.members,
             distribution=self.distribution,
@@ -301,7 +317,7 @@
 
     def __post_init__(self):
         self.clock = ManualClock()
-        self.store = MemoryStore(self)
+        self.store = MemoryStore()
         self.members = MemoryMembers()
         self.nodes_by_id: dict[str, MemoryNode] = {}
         self.identities_by_id: dict[str, NodeIdentity] = {}
@@ -311,7 +327,7 @@
         self.epochs_by_data_centre: dict[str, int] = {}
         self.relays_by_data_centre: dict[str, str] = {}
         self.relays_by_region: dict[str, str] = {}
-        self.node_hook = lambda node: None
+        self.node_codec = JsonCodec()
 
     def start(self, node_id: str, service_id: str = "base") -> MemoryNode:
         """Start a process for a node; its former process must have ended."""
@@ -321,11 +337,8 @@
             node_id, incarnation, service_id, node_id[:2], node_id[:1], "127.0.0.1:1"
         )
         self.identities_by_id[node_id] = identity
-        self.members.members_by_id[node_id] = Member(
-            node_id, incarnation, service_id, node_id[:2], node_id[:1], "", 1
-        )
+        self.rejoin(node_id)
         node = self.nodes_by_id[node_id] = MemoryNode(self, identity)
-        self.node_hook(node)
         self._set_above(node)
         for other in tuple(self.nodes_by_id.values()):
             if other is not node and self.is_linked(node, other):
@@ -333,6 +346,19 @@
                 self._open_link(other, node)
         return node
 
+    def rejoin(self, node_id: str) -> None:
+        """Enter a node in the member table."""
+        identity = self.identities_by_id[node_id]
+        self.members.members_by_id[node_id] = Member(
+            node_id,
+            identity.incarnation,
+            identity.service_id,
+            identity.data_centre,
+            identity.region,
+            identity.peer_address,
+            1,
+        )
+
     def kill(self, node_id: str) -> None:
         """End a process; what it holds is lost."""
         node = self.nodes_by_id.pop(node_id)
@@ -363,13 +389,18 @@
         """Deliver the head to a region relay as its watch does."""
         obj = self.store.read(HEAD)
         if not self.store.is_down and obj.version:
-            self.post(lambda: node.distribution.on_object(obj))
+            self.deliver_object(node, obj)
+
+    def deliver_object(self, node: MemoryNode, obj: StoreObject) -> None:
+        """Queue a watched object for a region relay."""
+        self.post(lambda: node.distribution.on_object(obj), receiver=node.node_id)
 
     def watch_all(self) -> None:
         """Deliver the head to all region relays that are not cut off."""
         for node in self.nodes_by_id.values():
             if node.roles.holds_region and not node.is_paused:
-                if node.identity.region not in self.cut_regions:
+                region = node.identity.region
+                if region == STORE_REGION or region not in self.cut_regions:
                     self.watch(node)
 
     def is_linked(self, node: MemoryNode, other: MemoryNode) -> bool:
@@ -393,9 +424,9 @@
             return tuple(o.node_id for o in same)
         return tuple(o.node_id for o in others if o.roles.above == own.node_id)
 
-    def post(self, deliver) -> None:
+    def post(self, deliver, *, receiver: str = "") -> None:
         """Queue something that arrives later."""
-        self.queue.append(InFlight(deliver))
+        self.queue.append(InFlight(deliver, receiver=receiver))
 
     def post_message(self, sender: MemoryNode, target: MemoryNode, data: bytes) -> None:
         """Queue a message to one process of a node."""
@@ -442,6 +473,18 @@
         """Return the version that each node serves."""
         return {node_id: node.served for node_id, node in self.nodes_by_id.items()}
 
+    def pause(self, node_id: str) -> None:
+        """Freeze a process; it keeps its view of the roles."""
+        self.nodes_by_id[node_id].is_paused = True
+
+    def resume(self, node_id: str) -> None:
+        """Let a process run again; its roles follow with `refresh_roles`."""
+        self.nodes_by_id[node_id].is_paused = False
+
+    def refresh_roles(self) -> None:
+        """Let every running node see the leases as they are."""
+        self._set_all_above()
+
     def _open_link(self, node: MemoryNode, other: MemoryNode) -> None:
         for purpose in LinkPurpose:
             if other.node_id in self.peers_of(node, purpose):
