Add acceptance by one conditional update of the head

Cause: an operator's change has to be accepted whole or not at all, whatever the store, a rival or a kill does to the command. Errors: `ConflictError` and `ChangeOutcomeUnknownError` carry what the command line shows.

--- /dev/null
+++ b/src/verbenawick/_change_plan.py
@@ -0,0 +1,151 @@
+"""What a change is made of, built and checked before anything is written."""
+
+from dataclasses import dataclass
+
+from verbenawick._compile import compile_document
+from verbenawick._config_store import HeadState
+from verbenawick._delta import (
+    Content,
+    Difference,
+    diff_documents,
+    digest_of,
+    encode_delta,
+    encode_snapshot,
+    find_differences,
+)
+from verbenawick._document import parse_document
+from verbenawick._head import (
+    MAX_INLINE_DELTA_BYTES,
+    Change,
+    Head,
+    change_key,
+    encode_record,
+    snapshot_key,
+)
+from verbenawick._store import MAX_VALUE_BYTES
+from verbenawick.errors import DocumentError
+
+MAX_SUMMARY_LENGTH = 200
+MAX_AUTHOR_LENGTH = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Base:
+    """What a change starts from; the content is empty before the first one."""
+
+    state: HeadState
+    content: Content
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """A compiled change that can be written.
+
+    Attributes
+    ----------
+    deadline : float
+        Instant after which the change is given up, because its objects could be
+        taken for those of a command that was killed.
+    """
+
+    base: Base
+    head: Head
+    change: Change
+    snapshot: bytes
+    differences: tuple[Difference, ...]
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class Acceptance:
+    """Outcome of a change.
+
+    Attributes
+    ----------
+    is_new : bool
+        False when the document was in force already and nothing was written.
+    """
+
+    version: int
+    change_id: str
+    preset: str
+    is_new: bool
+    differences: tuple[Difference, ...] = ()
+
+
+def build_plan(
+    base: Base,
+    content: Content,
+    *,
+    change_id: str,
+    author: str,
+    summary: str,
+    deadline: float,
+) -> Plan:
+    """Validate and compile a document and build the objects to write.
+
+    Raises
+    ------
+    DocumentError
+        The document breaks a rule, or is over the store's limit.
+    """
+    document = parse_document(content)
+    content = document.content()
+    version = base.state.version + 1
+    digest = digest_of(content)
+    compile_document(document, version, digest)
+    differences = tuple(find_differences(base.content, content))
+    change = Change(
+        change_id=change_id,
+        parent_id=base.state.change_id,
+        version=version,
+        digest=digest,
+        author=author[:MAX_AUTHOR_LENGTH],
+        summary=(summary or _summarize(differences))[:MAX_SUMMARY_LENGTH],
+        preset=document.preset_in_force,
+        delta=encode_delta(diff_documents(base.content, content)),
+    )
+    plan = Plan(
+        base=base,
+        head=_head_of(change),
+        change=change,
+        snapshot=encode_snapshot(content),
+        differences=differences,
+        deadline=deadline,
+    )
+    _check_sizes(plan)
+    return plan
+
+
+def _head_of(change: Change) -> Head:
+    is_inline = len(change.delta) <= MAX_INLINE_DELTA_BYTES
+    return Head(
+        version=change.version,
+        digest=change.digest,
+        change_id=change.change_id,
+        author=change.author,
+        summary=change.summary,
+        preset=change.preset,
+        delta=change.delta if is_inline else b"",
+        change_key=change_key(change.change_id),
+        snapshot_key=snapshot_key(change.change_id),
+    )
+
+
+def _summarize(differences: tuple[Difference, ...]) -> str:
+    count = len(differences)
+    return f"{count} change{'s' * (count != 1)}: {differences[0].path}"
+
+
+def _check_sizes(plan: Plan) -> None:
+    for name, value in (
+        ("change", encode_record(plan.change)),
+        ("document", plan.snapshot),
+    ):
+        if len(value) > MAX_VALUE_BYTES:
+            raise DocumentError(
+                f"the {name} has {len(value)} bytes compressed, the store takes "
+                f"{MAX_VALUE_BYTES}; remove entities or split the change",
+                path="(top)",
+                step="apply.plan",
+            )
--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -95,7 +95,26 @@
 
 @register_error("accept.conflict")
 class ConflictError(VerbenawickError):
-    """Another operator's change was accepted first."""
+    """Another operator's change was accepted first.
+
+    `winner_version` and `winner_author` name it, `differences` has a line for each
+    value that it changed.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        winner_version: int = 0,
+        winner_author: str = "",
+        differences: tuple[str, ...] = (),
+        step: str = "",
+        peer: str = "",
+    ):
+        super().__init__(message, step=step, peer=peer)
+        self.winner_version = winner_version
+        self.winner_author = winner_author
+        self.differences = differences
 
 
 @register_error("accept.not-begun")
@@ -105,7 +124,16 @@
 
 @register_error("accept.unknown")
 class ChangeOutcomeUnknownError(VerbenawickError):
-    """The answer to the conditional update was lost and cannot be read back now."""
+    """The answer to the conditional update was lost and cannot be read back now.
+
+    `change_id` is what `verbenawick ctl resolve` takes.
+    """
+
+    def __init__(
+        self, message: str, *, change_id: str = "", step: str = "", peer: str = ""
+    ):
+        super().__init__(message, step=step, peer=peer)
+        self.change_id = change_id
 
 
 # Store
