--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -189,3 +189,289 @@
 @register_error("link.answer-lost")
 class AnswerLostError(VerbenawickError):
     """A request was sent to a peer and its answer did not arrive."""
+
+
+# Claims of idempotency keys
+
+
+class ClaimError(VerbenawickError):
+    """Base class of the reasons for which a key is not claimed.
+
+    Attributes
+    ----------
+    proves_not_run : bool
+        Whether a first attempt that meets this error is known not to have run. A later
+        attempt is never told "not run", since an earlier one may have.
+    """
+
+    proves_not_run = True
+
+
+@register_error("claim.not-owner")
+class NotOwnerError(ClaimError):
+    """The node does not own the key under its own member table; refresh and resend."""
+
+
+@register_error("claim.taken")
+class ClaimTakenError(ClaimError):
+    """Another node asked for the key while this one was about to claim it; resend."""
+
+    proves_not_run = False
+
+
+@register_error("claim.authority-ended")
+class AuthorityEndedError(ClaimError):
+    """The node's membership was not confirmed recently enough to claim keys."""
+
+
+@register_error("claim.deadline-passed")
+class ClaimDeadlineError(ClaimError):
+    """The deadline of the call passed before its key could be claimed."""
+
+
+@register_error("claim.stopping")
+class ClaimStoppingError(ClaimError):
+    """The node is about to stop and claims no more keys; refresh and resend."""
+
+
+@register_error("claim.table-full")
+class ClaimTableFullError(ClaimError):
+    """The record table is full and its oldest record is within the horizon."""
+
+
+@register_error("claim.key-invalid")
+class ClaimKeyError(ClaimError):
+    """The idempotency key is empty or too long."""
+
+
+@register_error("claim.key-reused")
+class ClaimKeyReusedError(ClaimError):
+    """The key belongs to a request with another method, target or body."""
+
+    proves_not_run = False
+
+
+@register_error("claim.in-progress")
+class ClaimInProgressError(ClaimError):
+    """An earlier request with this key is running or about to run."""
+
+    proves_not_run = False
+
+
+@register_error("claim.outcome-unknown")
+class ClaimOutcomeUnknownError(ClaimError):
+    """An earlier request with this key may have run; its response is not known."""
+
+    proves_not_run = False
+
+
+@register_error("claim.answer-not-kept")
+class ClaimAnswerNotKeptError(ClaimError):
+    """An earlier request with this key ran in full; its response was not kept."""
+
+    proves_not_run = False
+
+
+@register_error("claim.earlier-owner-unreachable")
+class EarlierOwnerUnreachableError(ClaimError):
+    """A possible earlier owner of the key did not seal it; resend later."""
+
+
+@register_error("claim.earlier-owner-departed")
+class EarlierOwnerDepartedError(ClaimError):
+    """An earlier owner of the key departed and may still run it; resend later."""
+
+
+# Leases and membership
+
+
+@register_error("lease.not-held")
+class LeaseNotHeldError(StoreUnavailableError):
+    """A write needs a lease that this node does not hold now; nothing was sent."""
+
+
+@register_error("member.invalid-table")
+class MemberTableError(VerbenawickError):
+    """A member table from a peer or from the store is invalid."""
+
+
+# Calls
+
+
+@register_error("call.failed")
+class CallError(VerbenawickError):
+    """A call has no complete response from an upstream.
+
+    Attributes
+    ----------
+    outcome : str
+        ``"not-run"`` when the request is proven not to have run, else ``"unknown"``.
+    http_status : int
+        Status of the answer to the caller.
+    """
+
+    outcome = "unknown"
+    http_status = 502
+
+
+class CallNotRunError(CallError):
+    """Base class: the request did not run."""
+
+    outcome = "not-run"
+    http_status = 503
+
+
+@register_error("call.no-route")
+class NoRouteError(CallNotRunError):
+    """No route matches the request."""
+
+    http_status = 404
+
+
+@register_error("call.bad-request")
+class BadCallError(CallNotRunError):
+    """A request header has an invalid value, or the body is incomplete."""
+
+    http_status = 400
+
+
+@register_error("call.request-too-large")
+class RequestTooLargeError(CallNotRunError):
+    """The request body exceeds the limit of the service."""
+
+    http_status = 413
+
+
+@register_error("call.key-required")
+class KeyRequiredError(CallNotRunError):
+    """A non-repeatable request has no idempotency key."""
+
+    http_status = 428
+
+
+@register_error("call.not-ready")
+class NotReadyError(CallNotRunError):
+    """The node has no configuration in force yet."""
+
+
+@register_error("call.below-floor")
+class BelowFloorError(CallNotRunError):
+    """The preset in force sheds calls of this criticality."""
+
+
+@register_error("call.no-endpoint")
+class NoEndpointError(CallNotRunError):
+    """The service has no usable member."""
+
+
+@register_error("call.wrong-service")
+class WrongServiceError(CallNotRunError):
+    """The gateway's upstream is of another service."""
+
+
+@register_error("call.draining")
+class DrainingError(CallNotRunError):
+    """The gateway accepts no new calls, since its node or upstream is stopping."""
+
+
+@register_error("call.queue-full")
+class QueueFullError(CallNotRunError):
+    """The gateway's queue is full, or a more critical call took the place."""
+
+
+@register_error("call.deadline-unreachable")
+class DeadlineUnreachableError(CallNotRunError):
+    """The call would not complete before its deadline, so it was not sent."""
+
+    http_status = 504
+
+
+@register_error("call.cancelled")
+class CallCancelledError(CallNotRunError):
+    """The caller went away before the request was sent."""
+
+    http_status = 499
+
+
+@register_error("call.quarantined")
+class QuarantinedError(CallNotRunError):
+    """Equal requests crashed several upstreams; it is refused for some minutes."""
+
+    http_status = 422
+
+
+@register_error("call.claim-refused")
+class ClaimRefusedError(CallNotRunError):
+    """The owner of the idempotency key may not claim it now."""
+
+
+@register_error("call.peer-unreachable")
+class PeerUnreachableError(CallNotRunError):
+    """No link to the gateway could be opened; nothing was sent."""
+
+
+@register_error("call.upstream-unreachable")
+class UpstreamUnreachableError(CallNotRunError):
+    """The upstream accepts no connection; nothing was sent."""
+
+
+@register_error("call.upstream-shed")
+class UpstreamShedError(CallNotRunError):
+    """The upstream answered that it did not run the request."""
+
+
+@register_error("call.peer-lost")
+class PeerLostError(CallError):
+    """The link to the gateway ended after the request was sent."""
+
+
+@register_error("call.upstream-lost")
+class UpstreamLostError(CallError):
+    """The upstream ended the connection before its response was whole."""
+
+
+@register_error("call.bad-response")
+class BadResponseError(CallError):
+    """The response is not valid HTTP, is too large, or its end cannot be verified."""
+
+
+@register_error("call.timeout")
+class CallTimeoutError(CallError):
+    """The deadline passed after the request was sent."""
+
+    http_status = 504
+
+
+@register_error("call.in-progress")
+class CallInProgressError(CallError):
+    """An earlier request with the same idempotency key is still running."""
+
+    http_status = 409
+
+
+@register_error("call.claim-unknown")
+class ClaimUnknownError(CallError):
+    """A request with this key may have run before; its response is not known."""
+
+    http_status = 409
+
+
+# Distribution of configuration
+
+
+@register_error("dist.invariant")
+class InvariantError(VerbenawickError):
+    """A change would break an invariant; it was stopped."""
+
+
+# Leases and membership
+
+
+@register_error("lease.not-held")
+class LeaseNotHeldError(StoreUnavailableError):
+    """A write needs a lease that this node does not hold now; nothing was sent."""
+
+
+@register_error("status.invalid")
+class StatusError(VerbenawickError):
+    """A region's status object cannot be decoded."""
