Add the quarantine of requests that crash upstreams

Cause: a caller that retries one crashing request takes down upstream after upstream.

Change: the entry reports the fingerprint of a request during which an upstream was lost; reports go up through the relays and across regions through quarantine/<region>; after 3 crashes all nodes refuse it for 10 minutes, the own entry at once. Calls that one crash cuts off count once, and completed runs outweigh crashes, since a popular read is in flight whenever an upstream crashes for another reason. A request that crashes only a part of its runs is therefore refused only while its crashes outnumber its completed runs.

--- a/src/verbenawick/_dispatch.py
+++ b/src/verbenawick/_dispatch.py
@@ -99,6 +99,8 @@
         The own gateway; calls for the own upstream need no link.
     on_crash : callable
         Told the fingerprint and the node of an attempt that lost its upstream.
+    on_complete : callable
+        Told the fingerprint of a call with a complete response.
     is_quarantined : callable
         Whether requests with a fingerprint are refused.
     """
--- a/src/verbenawick/_gateway.py
+++ b/src/verbenawick/_gateway.py
@@ -36,6 +36,7 @@
     LinkClosedError,
     NotReadyError,
     PeerLostError,
+    QuarantinedError,
     QueueFullError,
     UpstreamLostError,
     UpstreamShedError,
@@ -192,6 +193,8 @@
         Returns the `RoutingTable` in force, None before the first.
     claims : ClaimPort
         Decides on keyed requests.
+    is_quarantined : callable
+        Whether requests with a fingerprint are refused.
     """
 
     def __init__(
@@ -208,6 +211,7 @@
         tracer: Tracer,
         metrics: MetricSet,
         clock: Clock,
+        is_quarantined: Callable[[bytes], bool] = lambda fingerprint: False,
     ):
         self._node_id = node_id
         self._service_id = service_id
@@ -220,6 +224,7 @@
         self._tracer = tracer
         self._metrics = metrics
         self._clock = clock
+        self._is_quarantined = is_quarantined
         self._in_flight = 0
         self._is_draining = False
         self._idle = Event()
@@ -310,6 +315,10 @@
             )
         if self._is_draining and not request.idempotency_key:
             raise DrainingError("gateway drains", step="gateway", peer=self._node_id)
+        if self._is_quarantined(request.fingerprint):
+            raise QuarantinedError(
+                "equal requests crashed upstreams", step="gateway", peer=self._node_id
+            )
         if deadline <= self._clock.now():
             raise DeadlineUnreachableError(
                 "deadline passed on the way", step="gateway", peer=self._node_id
--- a/src/verbenawick/_node.py
+++ b/src/verbenawick/_node.py
@@ -31,6 +31,7 @@
 from verbenawick._membership import Membership
 from verbenawick._metrics import FLUSH_INTERVAL_S, MetricSet
 from verbenawick._proxy import EntryApplication, EntryServer
+from verbenawick._quarantine import Quarantine
 from verbenawick._retry import RetryRules
 from verbenawick._settings import NodeSettings, TimingSettings
 from verbenawick._store import StoreClient
@@ -152,7 +153,16 @@
             random=self.random,
         )
         self.control.add(self.membership)
+        self.quarantine = Quarantine(
+            self.identity,
+            clock=self.clock,
+            peers=self.control.peers,
+            store=self.control.store,
+            roles=self.control.roles,
+            metrics=self.metrics,
+        )
         self.control.add(self.distribution)
+        self.control.add(self.quarantine)
 
     def _build_calls(self) -> None:
         settings = self.settings
@@ -188,6 +198,7 @@
             tracer=self.tracer,
             metrics=self.metrics,
             clock=self.clock,
+            is_quarantined=self.quarantine.is_refused,
         )
         self.call_links.register_handler(CallRequest, self.gateway.on_request)
         for message_type in (SealRequest, ClaimHandover):
@@ -224,6 +235,9 @@
             claims=self.claims,
             clock=self.clock,
             metrics=self.metrics,
+            on_crash=self.quarantine.record_crash,
+            on_complete=self.quarantine.record_completion,
+            is_quarantined=self.quarantine.is_refused,
         )
         self.balancer = balancer
         self.entry_application = EntryApplication(
@@ -233,6 +247,7 @@
             tracer=self.tracer,
             metrics=self.metrics,
             clock=self.clock,
+            is_quarantined=self.quarantine.is_refused,
         )
         self.entry = EntryServer(self.entry_application)
 
--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -467,11 +467,6 @@
 # Leases and membership
 
 
-@register_error("lease.not-held")
-class LeaseNotHeldError(StoreUnavailableError):
-    """A write needs a lease that this node does not hold now; nothing was sent."""
-
-
 @register_error("status.invalid")
 class StatusError(VerbenawickError):
     """A region's status object cannot be decoded."""
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,272 @@
+"""Quarantine of requests that crash upstreams."""
+
+from dataclasses import dataclass
+
+from testtools import TestCase
+
+from tests.call_support import SERVICE, Caller, Mesh, wait_until
+from verbenawick._clock import ManualClock
+from verbenawick._component import LinkPurpose, NodeIdentity, StoreObject
+from verbenawick._messages import decode_message, encode_message
+from verbenawick._metrics import MetricSet
+from verbenawick._quarantine import (
+    KEY_PREFIX,
+    MAX_SUSPECTS,
+    QUARANTINE_S,
+    Quarantine,
+)
+from verbenawick._table import ServicePolicy
+from verbenawick.errors import StoreConditionError, StoreUnavailableError
+
+POISON = b"p" * 16
+
+
+@dataclass
+class TreeRoles:
+    """Fixed roles of one node."""
+
+    above: str
+    is_top: bool
+
+    def is_data_centre_relay(self):
+        """Return whether the node is a relay."""
+        return self.is_top
+
+    def is_region_relay(self):
+        """Return whether the node is the region's relay."""
+        return self.is_top
+
+    def relay_id(self):
+        """Return the node above."""
+        return self.above
+
+    def lease_epoch(self):
+        """Return a fixed epoch."""
+        return 1
+
+
+class TreePort:
+    """Peers and store of one node in a `Tree`."""
+
+    def __init__(self, tree, node_id):
+        self.tree = tree
+        self.node_id = node_id
+
+    def send(self, node_id, message):
+        """Deliver at once, through the codec."""
+        if node_id in self.tree.down:
+            return False
+        self.tree.sent += 1
+        decoded = decode_message(encode_message(message))
+        self.tree.nodes[node_id].on_message(self.node_id, decoded)
+        return True
+
+    def identity(self, node_id):
+        """Return nothing."""
+        return None
+
+    def peers(self, purpose):
+        """Return the nodes below."""
+        if purpose is not LinkPurpose.SUBSCRIBER:
+            return ()
+        return self.tree.below(self.node_id)
+
+    def get(self, key, callback):
+        """Read from the store."""
+        if self.tree.store_is_down:
+            callback(None, StoreUnavailableError("down"))
+            return
+        callback(self.tree.objects.get(key, StoreObject(key, b"", 0)), None)
+
+    def update(self, key, value, *, expected_version, callback):
+        """Write to the store."""
+        current = self.tree.objects.get(key, StoreObject(key, b"", 0))
+        if current.version != expected_version:
+            callback(None, StoreConditionError("changed"))
+            return
+        self.tree.writes += 1
+        obj = StoreObject(key, value, current.version + 1)
+        self.tree.objects[key] = obj
+        callback(obj, None)
+        for node_id in ("a", "b"):
+            self.tree.nodes[node_id].on_object(obj)
+
+
+class Tree:
+    """Regions a and b: region relay ``a``, data centre relay ``a1``, node ``a1x``."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.nodes = {}
+        self.objects = {}
+        self.down = set()
+        self.sent = 0
+        self.writes = 0
+        self.store_is_down = False
+        for node_id in ("a", "a1", "a1x", "a1y", "b", "b1", "b1x"):
+            self.nodes[node_id] = self.build(node_id)
+
+    def build(self, node_id):
+        """Return a new quarantine for a node."""
+        above = {1: node_id, 2: node_id[0], 3: node_id[:2]}[len(node_id)]
+        port = TreePort(self, node_id)
+        return Quarantine(
+            NodeIdentity(node_id, 1, SERVICE, node_id[:2], node_id[0], ""),
+            clock=self.clock,
+            peers=port,
+            store=port,
+            roles=TreeRoles(above, len(node_id) == 1),
+            metrics=MetricSet(),
+        )
+
+    def below(self, node_id):
+        """Return the ids one level below."""
+        return tuple(
+            other
+            for other in self.nodes
+            if other.startswith(node_id) and len(other) == len(node_id) + 1
+        )
+
+    def run(self, seconds=4.0):
+        """Let all nodes tick."""
+        for _ in range(int(seconds * 10)):
+            self.clock.advance(0.1)
+            for node in self.nodes.values():
+                node.on_tick()
+
+    def refusing(self, fingerprint=POISON):
+        """Return the ids of the nodes that refuse a fingerprint."""
+        return {i for i, node in self.nodes.items() if node.is_refused(fingerprint)}
+
+
+class QuarantineTest(TestCase):
+    """Counting and spreading of crashes."""
+
+    def setUp(self):
+        super().setUp()
+        self.tree = Tree()
+        self.nodes = self.tree.nodes
+
+    def test_crashes_in_different_places_add_up(self):
+        """One crash each at three entries quarantines on every node."""
+        self.nodes["a1x"].record_crash(POISON, "u1")
+        self.nodes["a1y"].record_crash(POISON, "u2")
+        self.tree.run()
+        self.assertEqual(set(), self.tree.refusing())
+        self.nodes["b1x"].record_crash(POISON, "u3")
+        self.tree.run()
+        self.assertEqual(set(self.nodes), self.tree.refusing())
+        self.assertEqual(set(), self.tree.refusing(b"other"))
+
+    def test_the_entry_counts_its_own_attempts_at_once(self):
+        """Guards against a fourth upstream before the news has spread."""
+        for node_id in ("u1", "u2", "u3"):
+            self.assertFalse(self.nodes["a1x"].is_refused(POISON))
+            self.nodes["a1x"].record_crash(POISON, node_id)
+        self.assertEqual({"a1x"}, self.tree.refusing())
+
+    def test_the_quarantine_ends_on_all_nodes(self):
+        """Ten minutes after the last crash the request is allowed, and forgotten."""
+        for node_id in ("u1", "u2", "u3"):
+            self.nodes["a1x"].record_crash(POISON, node_id)
+        self.tree.run()
+        self.tree.clock.advance(QUARANTINE_S - 10)
+        self.assertEqual(set(self.nodes), self.tree.refusing())
+        self.tree.clock.advance(10)
+        self.tree.run()
+        self.assertEqual(set(), self.tree.refusing())
+        self.assertEqual([0] * 7, [len(n._suspects) for n in self.nodes.values()])
+
+    def test_calls_cut_off_by_one_crash_count_once(self):
+        """Guards against twelve calls in flight that look like twelve crashes."""
+        for _ in range(12):
+            self.nodes["a1x"].record_crash(POISON, "u1")
+            self.nodes["a1y"].record_crash(POISON, "u1")
+        self.tree.run()
+        self.assertEqual(set(), self.tree.refusing())
+
+    def test_a_request_that_mostly_completes_is_not_refused(self):
+        """A popular read is in flight at each crash and must stay available."""
+        for number in range(6):
+            self.nodes["a1x"].record_crash(POISON, f"u{number}")
+            for node_id in ("a1x", "a1y", "b1x"):
+                self.nodes[node_id].record_completion(POISON)
+            self.tree.run()
+            for node_id in ("a1y", "b1x"):
+                self.nodes[node_id].record_completion(POISON)
+        self.tree.run()
+        self.assertEqual(set(), self.tree.refusing())
+
+    def test_a_node_that_joins_learns_of_the_quarantine(self):
+        """A restarted node refuses too; a new region relay reads the object."""
+        for node_id in ("u1", "u2", "u3"):
+            self.nodes["a1x"].record_crash(POISON, node_id)
+        self.tree.run()
+        self.nodes["b1x"] = self.tree.build("b1x")
+        self.nodes["b1"].on_link("b1x", LinkPurpose.SUBSCRIBER, is_open=True)
+        self.assertIn("b1x", self.tree.refusing())
+        self.nodes["b"] = self.tree.build("b")
+        self.nodes["b"].on_object(self.tree.objects[KEY_PREFIX + "a"])
+        self.assertIn("b", self.tree.refusing())
+
+    def test_lost_relays_and_a_lost_store_delay_the_news_only(self):
+        """Reports wait for a relay; the object is written once the store is back."""
+        self.tree.down = {"a1"}
+        self.tree.store_is_down = True
+        for node_id in ("u1", "u2", "u3"):
+            self.nodes["a1x"].record_crash(POISON, node_id)
+        self.tree.run()
+        self.assertEqual({"a1x"}, self.tree.refusing())
+        self.tree.down = set()
+        self.tree.run()
+        self.assertEqual({"a", "a1", "a1x", "a1y"}, self.tree.refusing())
+        self.tree.store_is_down = False
+        self.tree.run()
+        self.assertEqual(set(self.nodes), self.tree.refusing())
+
+    def test_memory_and_traffic_are_bounded(self):
+        """Any number of fingerprints fits; quiet trees send and write nothing."""
+        for number in range(MAX_SUSPECTS * 2):
+            self.nodes["a1x"].record_crash(number.to_bytes(16, "big"), "u1")
+        self.tree.run()
+        for node in self.nodes.values():
+            self.assertLessEqual(len(node._suspects), MAX_SUSPECTS)
+        self.assertLess(self.tree.writes, 8)
+        self.tree.sent = self.tree.writes = 0
+        self.tree.run(30)
+        self.assertEqual((0, 0), (self.tree.sent, self.tree.writes))
+
+    def test_an_invalid_object_is_ignored(self):
+        """Garbage in the store neither raises nor quarantines."""
+        self.nodes["a"].on_object(StoreObject(KEY_PREFIX + "b", b"\xff", 3))
+        self.assertEqual(set(), self.tree.refusing())
+
+
+class CrashingRequestTest(TestCase):
+    """The whole path with upstreams that crash."""
+
+    def test_a_crashing_request_stops_after_three_upstreams(self):
+        """A caller that retries does not take down a fourth upstream."""
+        mesh = Mesh(nodes=5, policy=ServicePolicy("p", max_attempts=5))
+        self.addCleanup(mesh.close)
+        node = mesh.nodes[0]
+        tree = Tree()
+        quarantine = tree.nodes["a1x"]
+        for target in (node.dispatcher, node.entry, node.gateway):
+            target._is_quarantined = quarantine.is_refused
+        node.dispatcher._on_crash = quarantine.record_crash
+        node.dispatcher._on_complete = quarantine.record_completion
+        caller = Caller(node.call_address)
+        self.addCleanup(caller.close)
+        response = caller.call("GET", "/a?fault=reset")
+        self.assertEqual("unknown", response.outcome)
+        for _ in range(5):
+            response = caller.call("GET", "/a?fault=reset")
+            self.assertEqual(
+                (422, "call.quarantined", "not-run"),
+                (response.status, response.code, response.outcome),
+            )
+        self.assertEqual(200, caller.call("GET", "/a?other=1").status)
+        wait_until(lambda: len(mesh.runs()) == 8)
+        crashed = [u for u in mesh.upstreams if len(u.runs)]
+        self.assertLessEqual(len(crashed), 4)
