Poll sockets with the unpatched select module

Cause: eventlet's monkey patching removes select.poll, so in a patched process (the node daemon) each call that reused a connection ended as unknown with event 504, and the watcher of callers died.

The claim keeper draws its call ids from next_call_id: its own counter could collide with ids of calls on the same link.

--- a/src/verbenawick/_claims.py
+++ b/src/verbenawick/_claims.py
@@ -6,9 +6,8 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from itertools import count
 
-from verbenawick._call_messages import CallAnswer
+from verbenawick._call_messages import CallAnswer, next_call_id
 from verbenawick._claim_handover import HandoverSender
 from verbenawick._claim_messages import (
     ClaimHandover,
@@ -126,7 +125,7 @@
         self._table = ClaimTable(clock, self._limits)
         self._pending_by_key: dict[str, PendingClaim] = {}
         self._deadlines_by_key: dict[str, float] = {}
-        self._next_call_id = count(1).__next__
+        self._next_call_id = next_call_id
         self._is_stopping = False
         self._is_handing_over = False
 
--- /dev/null
+++ b/src/verbenawick/_polling.py
@@ -0,0 +1,28 @@
+"""Polling of sockets without blocking and without the hub.
+
+eventlet's monkey patching removes ``select.poll``, since a blocking poll would stop all
+green threads. Here polls return at once.
+"""
+
+from collections.abc import Iterable
+
+from eventlet.patcher import original
+
+_select = original("select")
+
+_CLOSED = _select.POLLRDHUP | _select.POLLHUP | _select.POLLERR | _select.POLLNVAL
+
+
+def is_readable(fileno: int) -> bool:
+    """Return whether bytes or the end of the connection can be read now."""
+    poll = _select.poll()
+    poll.register(fileno, _select.POLLIN | _select.POLLHUP)
+    return bool(poll.poll(0))
+
+
+def closed_by_peer(filenos: Iterable[int]) -> list[int]:
+    """Return those of the connected sockets whose peer closed the connection."""
+    poll = _select.poll()
+    for fileno in filenos:
+        poll.register(fileno, _select.POLLRDHUP)
+    return [fileno for fileno, events in poll.poll(0) if events & _CLOSED]
--- a/src/verbenawick/_proxy.py
+++ b/src/verbenawick/_proxy.py
@@ -1,6 +1,5 @@
 """Entry role: the WSGI application that callers talk to."""
 
-import select
 from collections.abc import Callable
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -18,6 +17,7 @@
 from verbenawick._events import Event as LogEvent
 from verbenawick._events import emit, register_event
 from verbenawick._metrics import MetricKind, MetricSet, register_metric
+from verbenawick._polling import closed_by_peer
 from verbenawick._routing import Router
 from verbenawick._table import Criticality, RoutingTable, ServicePolicy
 from verbenawick._tracing import TraceContext, Tracer
@@ -384,12 +384,7 @@
             self._is_running = False
 
     def _check(self) -> None:
-        poll = select.poll()
-        for fileno in self._threads_by_fileno:
-            poll.register(fileno, select.POLLRDHUP | select.POLLHUP)
-        for fileno, events in poll.poll(0):
-            if not events & (select.POLLRDHUP | select.POLLHUP | select.POLLERR):
-                continue
+        for fileno in closed_by_peer(self._threads_by_fileno):
             thread = self._threads_by_fileno.pop(fileno, None)
             if thread is not None:
                 eventlet.kill(thread)
--- a/src/verbenawick/_upstream.py
+++ b/src/verbenawick/_upstream.py
@@ -4,7 +4,6 @@
 than half of the added latency allowed per call.
 """
 
-import select
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -19,6 +18,7 @@
 from verbenawick._call_messages import Headers
 from verbenawick._clock import Clock
 from verbenawick._metrics import MetricKind, MetricSet, register_metric
+from verbenawick._polling import is_readable
 from verbenawick.errors import (
     BadResponseError,
     CallTimeoutError,
@@ -264,9 +264,7 @@
         if self._clock.now() - connection.idle_since > IDLE_LIMIT_S:
             return False
         # Readable while idle: closed by the upstream, or bytes that belong to no call.
-        poll = select.poll()
-        poll.register(connection.sock.fileno(), select.POLLIN | select.POLLHUP)
-        return not poll.poll(0)
+        return not is_readable(connection.sock.fileno())
 
     def _give_back(self, connection: _Connection, *, is_reusable: bool) -> None:
         if not is_reusable:
