--- /dev/null
+++ b/bench/call_client.py
@@ -0,0 +1,68 @@
+"""HTTP client of the call benchmarks: one socket, little work of its own."""
+
+from dataclasses import dataclass
+
+RECEIVE_BYTES = 65536
+
+
+@dataclass(slots=True)
+class Response:
+    """A response; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    size: int
+
+    @property
+    def outcome(self) -> str:
+        """Return the outcome header, empty from an upstream."""
+        return self.headers.get("verbenawick-outcome", "")
+
+
+def encode_request(
+    method: str,
+    target: str,
+    *,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+) -> bytes:
+    """Return the bytes of a request."""
+    lines = [f"{method} {target} HTTP/1.1", "Host: bench"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def exchange(sock, request: bytes) -> Response:
+    """Send a request and return its whole response.
+
+    Raises
+    ------
+    ConnectionError
+        The connection ended before the response was whole.
+    """
+    sock.sendall(request)
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += _receive(sock)
+    head, _, body = data.partition(b"\r\n\r\n")
+    status_line, *lines = head.decode("latin-1").split("\r\n")
+    headers = dict(_split(line) for line in lines)
+    size = int(headers.get("content-length", "0"))
+    received = len(body)
+    while received < size:
+        received += len(_receive(sock))
+    return Response(int(status_line.split(" ", 2)[1]), headers, size)
+
+
+def _split(line: str) -> tuple[str, str]:
+    name, _, value = line.partition(":")
+    return name.lower(), value.strip()
+
+
+def _receive(sock) -> bytes:
+    data = sock.recv(RECEIVE_BYTES)
+    if not data:
+        raise ConnectionError("connection ended within a response")
+    return data
