Measure with client processes; bound bodies, dial waits and chunked lengths

- Waiting for a link that another call dials ends at the call's own deadline.
- A Content-Length beside chunks is dropped: forwarded, it would have contradicted the body.
- Bodies are limited by the size of a message between nodes as well as by the policy.

--- a/bench/calls.py
+++ b/bench/calls.py
@@ -5,14 +5,15 @@
 import socket
 import subprocess
 import sys
-import threading
 import time
 from argparse import ArgumentParser, Namespace
 from collections import Counter
 from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
 from itertools import count
+from multiprocessing import get_context
 from random import Random
 from urllib.request import urlopen
 
@@ -25,7 +26,7 @@
 from bench.registry import register_benchmark
 
 SERVICE = "archivo"
-CLIENT_THREADS = 3
+CLIENTS = 3
 LONGEST_US = 60_000_000
 
 # Overload: four upstreams of 4 slots and 20 ms serve 800 calls/s.
@@ -40,7 +41,7 @@
 )
 OVERLOAD_CAPACITY = len(OVERLOAD_PLACES) * OVERLOAD_SLOTS * 1000 / OVERLOAD_SERVICE_MS
 KEYED_SHARE = 0.2
-MAX_CLIENT_THREADS = 3000
+MAX_CALLERS = 3000
 
 
 @dataclass
@@ -191,42 +192,52 @@
 def measure_latency(
     addresses_by_path: dict[str, str], *, rate: float, duration_s: float, seed: int
 ) -> dict[str, HdrHistogram]:
-    """Call all paths in random order, each at `rate` calls/s; return latencies."""
-    results = [{path: histogram() for path in addresses_by_path} for _ in range(3)]
-    pace_s = CLIENT_THREADS / (rate * len(addresses_by_path))
-
-    def run(number: int) -> None:
-        random = Random(seed * 1000 + number)
-        paths = sorted(addresses_by_path)
-        sockets = {path: connect(addresses_by_path[path]) for path in paths}
-        request = encode_request("GET", "/reads/7")
-        for path in paths * 20:
-            exchange(sockets[path], request)
-        next_at = time.perf_counter() + pace_s * number / CLIENT_THREADS
-        until = next_at + duration_s
-        while next_at < until:
-            time.sleep(max(next_at - time.perf_counter(), 0))
-            next_at += pace_s
-            path = random.choice(paths)
-            began_at = time.perf_counter()
-            response = exchange(sockets[path], request)
-            elapsed_us = (time.perf_counter() - began_at) * 1e6
-            if response.status != 200:
-                raise RuntimeError(f"{path} answered {response.status}")
-            results[number][path].record_value(int(elapsed_us))
-
-    threads = [threading.Thread(target=run, args=(n,)) for n in range(CLIENT_THREADS)]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    """Call all paths in random order, each at `rate` calls/s; return latencies.
+
+    The clients are processes: as threads of one process they would wait for each other
+    and add to the latencies that they measure.
+    """
+    pace_s = CLIENTS / (rate * len(addresses_by_path))
     merged = {path: histogram() for path in addresses_by_path}
-    for part in results:
-        for path, values in part.items():
-            merged[path].add(values)
+    with ProcessPoolExecutor(CLIENTS, mp_context=get_context("spawn")) as executor:
+        parts = [
+            executor.submit(
+                call_paths, addresses_by_path, pace_s, duration_s, seed * 1000 + number
+            )
+            for number in range(CLIENTS)
+        ]
+        for part in parts:
+            for path, elapsed_us in part.result():
+                merged[path].record_value(elapsed_us)
     return merged
 
 
+def call_paths(
+    addresses_by_path: dict[str, str], pace_s: float, duration_s: float, seed: int
+) -> list[tuple[str, int]]:
+    """Call one path after the other at a fixed pace; return each latency."""
+    random = Random(seed)
+    paths = sorted(addresses_by_path)
+    sockets = {path: connect(addresses_by_path[path]) for path in paths}
+    request = encode_request("GET", "/reads/7")
+    for path in paths * 20:
+        exchange(sockets[path], request)
+    latencies = []
+    next_at = time.perf_counter() + pace_s * random.random()
+    until = next_at + duration_s
+    while next_at < until:
+        time.sleep(max(next_at - time.perf_counter(), 0))
+        next_at += pace_s
+        path = random.choice(paths)
+        began_at = time.perf_counter()
+        response = exchange(sockets[path], request)
+        elapsed_us = int((time.perf_counter() - began_at) * 1e6)
+        if response.status != 200:
+            raise RuntimeError(f"{path} answered {response.status}")
+        latencies.append((path, elapsed_us))
+    return latencies
+
+
 def bench_latency(options: Namespace) -> dict:
     """Return latencies through the mesh, on one node, and through the baseline."""
     with ExitStack() as stack:
@@ -328,7 +339,7 @@
     random = Random(seed)
     result = LoadResult()
     idle: dict[str, list] = {address: [] for address in addresses}
-    pool = eventlet.GreenPool(MAX_CLIENT_THREADS)
+    pool = eventlet.GreenPool(MAX_CALLERS)
 
     def run(address: str, request_id: str, is_keyed: bool, due_at: float) -> None:
         headers = {
--- a/src/verbenawick/_call_links.py
+++ b/src/verbenawick/_call_links.py
@@ -207,10 +207,19 @@
             return peer.link
         if peer is None:
             peer = self._peers_by_address[member.peer_address] = _Peer()
-        with peer.dialling:
+        wait_s = max(deadline - self._clock.now(), 0.0)
+        if not peer.dialling.acquire(timeout=wait_s):
+            raise LinkClosedError(
+                "deadline passed while the link was dialled",
+                step="calls.dial",
+                peer=member.node_id,
+            )
+        try:
             if peer.link is not None and peer.link.is_open:
                 return peer.link
             return self._dial(peer, member, deadline)
+        finally:
+            peer.dialling.release()
 
     def _dial(self, peer: _Peer, member: Member, deadline: float) -> Link:
         now = self._clock.now()
--- a/src/verbenawick/_call_messages.py
+++ b/src/verbenawick/_call_messages.py
@@ -4,11 +4,14 @@
 from enum import StrEnum
 from itertools import count
 
-from verbenawick._messages import Message, register_message
+from verbenawick._messages import MAX_MESSAGE_BYTES, Message, register_message
 
 next_call_id = count(1).__next__
 """Return a number that is unique among the requests of this process."""
 
+# Leaves room in a message between nodes for headers (64 KiB at most) and other fields.
+LARGEST_BODY_BYTES = MAX_MESSAGE_BYTES - 256 * 1024
+
 Headers = tuple[tuple[str, str], ...]
 
 
--- a/src/verbenawick/_gateway.py
+++ b/src/verbenawick/_gateway.py
@@ -10,6 +10,7 @@
 
 from verbenawick._admission import Admission
 from verbenawick._call_messages import (
+    LARGEST_BODY_BYTES,
     CallAnswer,
     CallRequest,
     Headers,
@@ -341,7 +342,7 @@
                 headers=self._headers_for(request, deadline, context),
                 body=request.body,
                 deadline=deadline,
-                max_body_bytes=policy.max_body_bytes,
+                max_body_bytes=min(policy.max_body_bytes, LARGEST_BODY_BYTES),
                 before_send=before_send,
             )
             service_s = self._clock.now() - started_at
--- a/src/verbenawick/_proxy.py
+++ b/src/verbenawick/_proxy.py
@@ -11,7 +11,12 @@
 from greenlet import GreenletExit
 from xxhash import xxh3_128_digest
 
-from verbenawick._call_messages import CallAnswer, Headers, Outcome
+from verbenawick._call_messages import (
+    LARGEST_BODY_BYTES,
+    CallAnswer,
+    Headers,
+    Outcome,
+)
 from verbenawick._clock import Clock
 from verbenawick._dispatch import Call, Dispatcher
 from verbenawick._events import Event as LogEvent
@@ -245,7 +250,7 @@
                 f"{method} needs an Idempotency-Key", step="entry.headers"
             )
         timeout_s = _timeout_s(environ, policy)
-        body = _read_body(environ, policy.max_body_bytes)
+        body = _read_body(environ, min(policy.max_body_bytes, LARGEST_BODY_BYTES))
         fingerprint = _fingerprint(method, target, body)
         if self._is_quarantined(fingerprint):
             raise QuarantinedError(
--- a/src/verbenawick/_upstream.py
+++ b/src/verbenawick/_upstream.py
@@ -222,10 +222,12 @@
             body = _read_chunks(response, max_body_bytes)
         else:
             body = response.read()
+        # The length of a chunked response is that of its chunks, whatever it claims.
+        dropped = HOP_HEADERS | {"content-length"} if response.chunked else HOP_HEADERS
         headers = tuple(
             (name, value)
             for name, value in response.headers.items()
-            if name.lower() not in HOP_HEADERS
+            if name.lower() not in dropped
         )
         return UpstreamResponse(response.status, headers, body)
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -101,6 +101,39 @@
         response = self.caller.call("POST", "/a", headers={"Idempotency-Key": "k2"})
         self.assertEqual("not-run", response.outcome)
 
+    def test_responses_without_a_body_keep_their_headers(self):
+        """HEAD, 204 and 304 arrive whole and leave the connection usable."""
+        self.start(nodes=1)
+
+        def serve(listener):
+            while True:
+                sock, _ = listener.accept()
+                head = sock.recv(65536)
+                status = b"204 No Content" if b"/204" in head else b"304 Not Modified"
+                if head.startswith(b"HEAD"):
+                    status = b"200 OK\r\nContent-Length: 77"
+                sock.sendall(
+                    b"HTTP/1.1 " + status + b"\r\nSet-Cookie: a\r\nSet-Cookie: b"
+                    b"\r\nConnection: close\r\n\r\n"
+                )
+                sock.close()
+
+        listener = eventlet.listen(("127.0.0.1", 0))
+        thread = eventlet.spawn(serve, listener)
+        self.addCleanup(thread.kill)
+        self.node.upstream._port = listener.getsockname()[1]
+        for method, path, status, length in (
+            ("HEAD", "/a", 200, "77"),
+            ("GET", "/204", 204, None),
+            ("GET", "/304", 304, None),
+        ):
+            self.caller.send(method, path)
+            response = self.caller.connection.getresponse()
+            self.assertEqual((status, b""), (response.status, response.read()))
+            self.assertEqual(length, response.getheader("Content-Length"))
+            cookies = response.headers.get_all("Set-Cookie")
+            self.assertEqual(["a", "b"], cookies)
+
     def test_a_body_over_the_limit_is_refused(self):
         """Guards against unbounded memory, with and without a length."""
         self.start(policy=ServicePolicy("p", max_body_bytes=1000))
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -90,6 +90,13 @@
         self.listen_with(b"HTTP/1.1 200 OK\r\n\r\nhello")
         self.assertRaises(BadResponseError, self.exchange)
 
+    def test_a_chunked_body_needs_no_length(self):
+        """A wrong length beside chunks is dropped, not forwarded."""
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+        self.listen_with(head + b"Content-Length: 99\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+        response = self.exchange()
+        self.assertEqual((b"hello", ()), (response.body, response.headers))
+
     def test_a_body_over_the_limit_is_refused(self):
         """Guards against unbounded memory, with and without a length."""
         self.assertRaises(BadResponseError, self.exchange, "/a?bytes=100001")
