Carry calls through the assembled nodes

Cause: in the first run of the whole path the call watcher raised, since eventlet removes select.poll from the patched module, and stopping an entry without connections raised GreenletExit. Ruled out: unpatched daemons; urllib3 and the store client need the patch. Change: the original select module is used for polls without wait, and the entry's stop expects its own kill; the node hosts the status component. Before: a keyed call ended as unknown and every node exited with 1.

--- a/src/verbenawick/_node.py
+++ b/src/verbenawick/_node.py
@@ -33,6 +33,7 @@
 from verbenawick._proxy import EntryApplication, EntryServer
 from verbenawick._retry import RetryRules
 from verbenawick._settings import NodeSettings, TimingSettings
+from verbenawick._status import StatusAggregator
 from verbenawick._store import StoreClient
 from verbenawick._tracing import Tracer
 from verbenawick._upstream import UpstreamConnections
@@ -153,6 +154,16 @@
         )
         self.control.add(self.membership)
         self.control.add(self.distribution)
+        self.status_aggregator = StatusAggregator(
+            identity=self.identity,
+            clock=self.clock,
+            peers=self.control.peers,
+            store=self.control.store,
+            roles=self.control.roles,
+            members=self.members,
+            distribution=self.distribution,
+        )
+        self.control.add(self.status_aggregator)
 
     def _build_calls(self) -> None:
         settings = self.settings
--- a/src/verbenawick/_proxy.py
+++ b/src/verbenawick/_proxy.py
@@ -1,12 +1,11 @@
 """Entry role: the WSGI application that callers talk to."""
 
-import select
 from collections.abc import Callable
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 
 import eventlet
-from eventlet import wsgi
+from eventlet import patcher, wsgi
 from eventlet.event import Event
 from eventlet.greenthread import getcurrent
 from greenlet import GreenletExit
@@ -34,6 +33,9 @@
     errors_by_code,
 )
 
+# eventlet removes `poll` from the patched module; polling with no wait never blocks.
+select = patcher.original("select")
+
 # Headers that the entry reads and the gateway writes anew.
 CALL_HEADERS = frozenset(
     {
@@ -341,7 +343,8 @@
         self._thread.kill()
         self._listener.close()
         is_idle = self._application.wait_idle(timeout_s=timeout_s)
-        with eventlet.Timeout(timeout_s, False):
+        # The server ends by the kill itself when no connection is open.
+        with eventlet.Timeout(timeout_s, False), suppress(GreenletExit):
             self._thread.wait()
         return is_idle
 
--- a/src/verbenawick/_upstream.py
+++ b/src/verbenawick/_upstream.py
@@ -4,7 +4,6 @@
 than half of the added latency allowed per call.
 """
 
-import select
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -12,7 +11,7 @@
 from http.client import HTTPException, IncompleteRead
 from http.client import HTTPResponse as StandardResponse
 
-from eventlet import Timeout
+from eventlet import Timeout, patcher
 from eventlet.green import socket
 from urllib3.connection import HTTPConnection
 
@@ -28,6 +27,9 @@
     UpstreamUnreachableError,
 )
 
+# eventlet removes `poll` from the patched module; polling with no wait never blocks.
+select = patcher.original("select")
+
 NOT_RUN_HEADER = "upstream-not-run"
 
 # Below the 5 s after which common HTTP servers close an idle connection, so that a
--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -464,14 +464,6 @@
     """A change would break an invariant; it was stopped."""
 
 
-# Leases and membership
-
-
-@register_error("lease.not-held")
-class LeaseNotHeldError(StoreUnavailableError):
-    """A write needs a lease that this node does not hold now; nothing was sent."""
-
-
 @register_error("status.invalid")
 class StatusError(VerbenawickError):
     """A region's status object cannot be decoded."""
