--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -464,6 +464,9 @@
     """A change would break an invariant; it was stopped."""
 
 
+# Leases and membership
+
+
 @register_error("status.invalid")
 class StatusError(VerbenawickError):
     """A region's status object cannot be decoded."""
