Test leases, relay roles and membership in simulation

The tests found: rank delay hashed strings instead of bytes; a data centre that fell silent member by member was not doubted as a whole; a proof that a process had ended did not reach other regions. All three are fixed.

--- a/src/verbenawick/_centre_registry.py
+++ b/src/verbenawick/_centre_registry.py
@@ -24,6 +24,8 @@
 # 1 s) and to dial it with backoff (up to 5 s).
 TAKEOVER_GRACE_S = 10.0
 MAX_REGISTERED = 1_000
+# In member timeouts; members of a half-dead data centre leave after about 8 s.
+DOUBT_TIMEOUTS = 1.5
 # Departures repeated in a full batch, so that their causes are not lost with a relay.
 MAX_RECENT_DEPARTURES = 1_000
 LOAD_CHANGE_SHARE = 0.2
@@ -71,14 +73,22 @@
         self._doubted_since: float | None = None
         self._started_at = clock.now()
 
-    def seed(self, members: list[JoinedMember]) -> None:
-        """Take the members over that a former relay had registered."""
+    def seed(self, members: list[JoinedMember], *, missed_id: str | None) -> None:
+        """Take the members over that a former relay had registered.
+
+        Parameters
+        ----------
+        missed_id : str or None
+            The former relay; it was missed for a lease timeout already and gets no
+            grace period.
+        """
         now = self._clock.now()
         for joined in members:
             row = joined.to_row(now)
             load = LoadRow(row.node_id, 0, True)
+            grace_s = 0.0 if row.node_id == missed_id else TAKEOVER_GRACE_S
             self._registered[row.node_id] = _Registered(
-                row, joined.joined_at, now + TAKEOVER_GRACE_S, load
+                row, joined.joined_at, now + grace_s, load
             )
 
     def is_settled(self) -> bool:
@@ -139,22 +149,13 @@
         """Remove members without a sign of life.
 
         When more than half of them fall silent at once, the relay's own network or
-        process is more likely at fault; it waits for one more timeout.
+        process is more likely at fault; it waits longer before it removes any.
         """
         now = self._clock.now()
+        if self._is_doubtful(now):
+            return
         limit = now - self._member_timeout_s
         silent = [m for m in self._registered.values() if m.last_heard_at < limit]
-        if len(silent) * 2 <= len(self._registered) or len(silent) < 2:
-            self._doubted_since = None
-        elif self._doubted_since is None:
-            self._doubted_since = now
-            self._record.note(
-                DeparturesDoubted(len(silent), len(self._registered)),
-                cause="more than half of the data centre fell silent at once",
-            )
-        doubted_until = (self._doubted_since or 0.0) + self._member_timeout_s
-        if self._doubted_since is not None and now < doubted_until:
-            return
         for known in silent:
             cause = f"no heartbeat for {now - known.last_heard_at:.1f} s"
             self._remove(known, False, False, cause)
@@ -212,6 +213,21 @@
                 due.append(known.load)
         return due
 
+    def _is_doubtful(self, now: float) -> bool:
+        # Half the timeout, so that the rule holds before the first member is removed.
+        limit = now - self._member_timeout_s / 2
+        late = sum(m.last_heard_at < limit for m in self._registered.values())
+        if late * 2 <= len(self._registered) or late < 2:
+            self._doubted_since = None
+            return False
+        if self._doubted_since is None:
+            self._doubted_since = now
+            self._record.note(
+                DeparturesDoubted(late, len(self._registered)),
+                cause="more than half of the data centre fell silent at once",
+            )
+        return now - self._doubted_since < DOUBT_TIMEOUTS * self._member_timeout_s
+
     def _is_load_due(self, known: _Registered, now: float) -> bool:
         sent, load = known.sent_load, known.load
         if sent is None or now - known.sent_load_at >= LOAD_MAX_AGE_S:
--- a/src/verbenawick/_membership.py
+++ b/src/verbenawick/_membership.py
@@ -21,8 +21,10 @@
 from verbenawick._member_table import (
     MemberTable,
     decode_region_table,
+    departed_row,
     encode_region_table,
 )
+from verbenawick._members import DepartedMember
 from verbenawick._membership_events import (
     AuthorityWithdrawn,
     TableInvalid,
@@ -346,7 +348,7 @@
         if (snapshot.epoch, snapshot.serial) <= base:
             return
         old_members = dict(table.members_by_id)
-        old_departed = set(table.departed)
+        old_departed = dict(table.departed)
         self.table.replace(snapshot, held_s=held_s)
         self._record.note(
             TableReplaced(
@@ -372,16 +374,9 @@
             for m in table.members_by_id.values()
         }
         departed = [
-            DepartedRow(
-                d.node_id,
-                d.incarnation,
-                d.service_id,
-                d.handed_over,
-                d.process_ended,
-                max(0, int(now - d.departed_at)),
-            )
-            for key, d in table.departed.items()
-            if key not in old_departed
+            departed_row(departed, now)
+            for key, departed in table.departed.items()
+            if not _is_same_departure(old_departed.get(key), departed)
         ]
         for old in old_members.values():
             key = (old.member.node_id, old.member.incarnation)
@@ -436,7 +431,8 @@
                 joined
                 for joined in members.values()
                 if joined.member.data_centre == self._identity.data_centre
-            ]
+            ],
+            missed_id=self._roles.predecessor_id(),
         )
         self._is_full_batch_due = True
 
@@ -568,3 +564,11 @@
         if self._loads_down:
             loads, self._loads_down = self._loads_down, {}
             self._send_down(LoadBatch(list(loads.values())))
+
+
+def _is_same_departure(old: DepartedMember | None, new: DepartedMember) -> bool:
+    # The instants differ by the rounding of ages.
+    if old is None:
+        return False
+    old_proof = (old.handed_over, old.process_ended)
+    return old_proof == (new.handed_over, new.process_ended)
--- a/src/verbenawick/_region_members.py
+++ b/src/verbenawick/_region_members.py
@@ -1,5 +1,7 @@
 """Members of a region as its relay keeps them, and their object in the store."""
 
+from dataclasses import replace
+
 from verbenawick._clock import Clock
 from verbenawick._component import RoleView, StoreObject, StorePort
 from verbenawick._explain import DecisionRecord
@@ -7,6 +9,7 @@
     AGE_TOLERANCE_S,
     MemberTable,
     decode_region_table,
+    departed_row,
     encode_region_table,
 )
 from verbenawick._membership_events import (
@@ -256,6 +259,18 @@
             joined_at = self._clock.now()
             self._departed.pop(key, None)
         self._joined[row.node_id] = (row, joined_at)
+        self._prove_ends(row)
+
+    def _prove_ends(self, row: MemberRow) -> None:
+        # A new process of a node proves that the ones before it have ended.
+        departed = self._table.region(self._region).departed
+        for (node_id, incarnation), old in departed.items():
+            if node_id != row.node_id or incarnation == row.incarnation:
+                continue
+            if not old.process_ended:
+                proven = replace(old, process_ended=True)
+                now = self._clock.now()
+                self._add_departed(departed_row(proven, now), old.departed_at)
 
     def _replace(self, old: MemberRow) -> None:
         departed = DepartedRow(
--- a/src/verbenawick/_topology.py
+++ b/src/verbenawick/_topology.py
@@ -367,6 +367,11 @@
         reference = self._region.reference() or self._region.known
         return reference.epoch if reference else 0
 
+    def predecessor_id(self) -> str | None:
+        """Return the relay of the data centre that this node knew last."""
+        known = self._data_centre.known
+        return known.node_id if known else None
+
     def has_authority(self) -> bool:
         """Return whether a lease of this node allows writes to the store now."""
         return self.data_centre_lease.is_held() or self.region_lease.is_held()
@@ -550,6 +555,6 @@
         if missed is not None:
             node_ids.discard(missed.node_id)
         salt = self.lease_epoch()
-        own_digest = xxh64_intdigest(own_id, salt)
-        rank = sum(xxh64_intdigest(n, salt) < own_digest for n in node_ids)
+        own_digest = xxh64_intdigest(own_id.encode(), salt)
+        rank = sum(xxh64_intdigest(n.encode(), salt) < own_digest for n in node_ids)
         return min(rank * RANK_DELAY_S, MAX_RANK_DELAY_S) + self._random.random()
--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -174,6 +174,8 @@
 @register_error("member.invalid-table")
 class MemberTableError(VerbenawickError):
     """A member table from a peer or from the store is invalid."""
+
+
 # Calls
 
 
--- a/tests/control_simulation.py
+++ b/tests/control_simulation.py
@@ -6,10 +6,12 @@
 
 import eventlet
 from eventlet.event import Event
+from loguru import logger
 
 from verbenawick._clock import ManualClock
 from verbenawick._component import NodeIdentity, StoreObject
 from verbenawick._control import ControlTask
+from verbenawick._lease import parse_lease_record
 from verbenawick._membership import Membership
 from verbenawick._messages import decode_message, encode_message
 from verbenawick._settings import NodeSettings
@@ -74,8 +76,6 @@
 
     def lease(self, key):
         """Return the record of a lease object."""
-        from verbenawick._lease import parse_lease_record
-
         found = self.objects.get(key)
         return parse_lease_record(found.value) if found else None
 
@@ -233,6 +233,11 @@
         # Pairs of region or node ids between which nothing passes.
         self.cuts = set()
         self._incarnations = Random(seed)
+        # The control task survives faults of components; tests must not.
+        self._failures = []
+        logger.add(
+            self._failures.append, filter=lambda r: r["extra"].get("event") == 320
+        )
 
     def add_region(self, region, *, centres=2, nodes_per_centre=3, services=2):
         """Start the nodes of a region; each knows two neighbours."""
@@ -314,6 +319,8 @@
                 eventlet.sleep(0)
                 for node in self.alive():
                     node.task.drain()
+        if self._failures:
+            raise AssertionError(self._failures[0])
 
     def advance_until(self, condition, limit_s):
         """Run until `condition()` holds; return the seconds it took."""
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,241 @@
+"""Relay roles of simulated nodes: discovery, takeover, outages, mass restarts."""
+
+from random import Random
+
+from testtools import TestCase
+
+from tests.control_simulation import Mesh
+from verbenawick._backoff import Backoff
+from verbenawick._clock import ManualClock
+from verbenawick._explain import DecisionRecord
+from verbenawick._lease import LeaseAcquired, LeaseReleased
+
+
+def settled_mesh(*regions, **options):
+    """Return a mesh whose nodes agree and whose grace periods are over."""
+    mesh = Mesh()
+    for region in regions:
+        mesh.add_region(region, **options)
+    mesh.advance_until(mesh.agree, 30)
+    mesh.advance(16)
+    return mesh
+
+
+class RelayRolesTest(TestCase):
+    """Exactly one relay per data centre and region, found without the store."""
+
+    def assert_one_relay_each(self, mesh):
+        """Check relays, and that each node is linked to the one above it."""
+        centres = {n.identity.data_centre for n in mesh.alive()}
+        regions = {n.identity.region for n in mesh.alive()}
+        relays = {n.identity.data_centre: n for n in mesh.relays()}
+        region_relays = {n.identity.region: n for n in mesh.region_relays()}
+        self.assertEqual(len(centres), len(mesh.relays()))
+        self.assertEqual(len(regions), len(mesh.region_relays()))
+        for node in mesh.alive():
+            above = relays[node.identity.data_centre]
+            if above is node:
+                above = region_relays[node.identity.region]
+            self.assertEqual(above.identity.node_id, node.roles.relay_id())
+
+    def test_cold_start_elects_relays_and_links_all_nodes(self):
+        """All nodes start at once with an empty store."""
+        mesh = settled_mesh("r1", "r2")
+        self.assert_one_relay_each(mesh)
+
+    def test_steady_state_costs_renewals_only(self):
+        """Store calls do not grow with the nodes; guards against polling."""
+        calls = []
+        for nodes_per_centre in (3, 9):
+            mesh = settled_mesh("r1", nodes_per_centre=nodes_per_centre)
+            before = mesh.store.calls.total()
+            mesh.advance(30)
+            calls.append(mesh.store.calls.total() - before)
+        # Three leases, renewed once a second.
+        self.assertLessEqual(calls[0], 95)
+        self.assertLessEqual(calls[1], 95)
+
+    def test_new_node_finds_the_relay_without_the_store(self):
+        """A node that starts in a running mesh asks its neighbours only."""
+        mesh = settled_mesh("r1")
+        node_id = next(
+            n.identity.node_id
+            for n in mesh.alive()
+            if not n.roles.is_data_centre_relay()
+        )
+        mesh.kill(node_id)
+        mesh.advance(10)
+        before = {k: v for k, v in mesh.store.calls.items() if k[0] == "get"}
+        (node,) = mesh.restart(node_id)
+        mesh.advance_until(mesh.agree, 10)
+        after = {k: v for k, v in mesh.store.calls.items() if k[0] == "get"}
+        self.assertEqual(before, after)
+        self.assertIsNotNone(node.roles.relay_id())
+
+    def test_killed_relay_is_replaced(self):
+        """Data centre relay, then region relay; new relays within 8 s."""
+        mesh = settled_mesh("r1", nodes_per_centre=4)
+        for is_region in (False, True):
+            lost = next(
+                n for n in mesh.relays() if n.roles.is_region_relay() is is_region
+            )
+            mesh.kill(lost.identity.node_id)
+            took_s = mesh.advance_until(
+                lambda: len(mesh.relays()) == 2 and len(mesh.region_relays()) == 1, 20
+            )
+            self.assertLessEqual(took_s, 12.0 if is_region else 8.0)
+            mesh.advance_until(mesh.agree, 20)
+            mesh.advance(16)
+            self.assert_one_relay_each(mesh)
+
+    def test_paused_relay_steps_down_when_it_resumes(self):
+        """A relay that sleeps past its lease finds its successor."""
+        mesh = settled_mesh("r1", nodes_per_centre=4)
+        (paused,) = mesh.region_relays()
+        paused.is_paused = True
+        mesh.advance(30)
+        self.assertEqual(1, len(mesh.region_relays()))
+        writes = mesh.store.calls["update", "members/r1"]
+        paused.is_paused = False
+        mesh.advance(1)
+        self.assertFalse(paused.roles.is_data_centre_relay())
+        mesh.advance_until(mesh.agree, 10)
+        self.assert_one_relay_each(mesh)
+        self.assertLessEqual(mesh.store.calls["update", "members/r1"] - writes, 5)
+
+    def test_store_outage_keeps_the_roles(self):
+        """An hour without store: same relays, and membership goes on."""
+        mesh = settled_mesh("r1", nodes_per_centre=4)
+        relays = {n.identity.node_id for n in mesh.relays()}
+        mesh.store.set_down(True)
+        mesh.advance(3600, step_s=0.5)
+        self.assertEqual(relays, {n.identity.node_id for n in mesh.relays()})
+        plain = next(n for n in mesh.alive() if not n.roles.is_data_centre_relay())
+        mesh.kill(plain.identity.node_id)
+        mesh.advance_until(mesh.agree, 8)
+        mesh.restart(plain.identity.node_id)
+        mesh.advance_until(mesh.agree, 8)
+        mesh.store.set_down(False)
+        mesh.advance(12)
+        self.assertEqual(relays, {n.identity.node_id for n in mesh.relays()})
+        self.assertTrue(all(n.roles.has_authority() for n in mesh.relays()))
+
+    def test_partitioned_region_lives_on_and_catches_up(self):
+        """A region cut off from store and others keeps its own members current."""
+        mesh = settled_mesh("r1", "r2")
+        far = [n.identity.node_id for n in mesh.alive() if n.identity.region == "r2"]
+        mesh.cuts.add(("r1", "r2"))
+        mesh.store.cut_nodes.update(far)
+        mesh.store.break_watches()
+        mesh.advance(120)
+        self.assertEqual(1, len(mesh.region_relays("r2")))
+        lost = next(i for i in far if not mesh.nodes[i].roles.is_data_centre_relay())
+        mesh.kill(lost)
+        mesh.advance(8)
+        near = next(n for n in mesh.alive() if n.identity.region == "r1")
+        inside = next(n for n in mesh.alive() if n.identity.region == "r2")
+        self.assertIsNone(inside.table.member(lost))
+        self.assertIsNotNone(near.table.member(lost))
+        mesh.cuts.clear()
+        mesh.store.cut_nodes.clear()
+        mesh.store.break_watches()
+        mesh.advance_until(mesh.agree, 15)
+        self.assert_one_relay_each(mesh)
+
+    def test_claimant_in_a_partitioned_region_claims_nothing(self):
+        """With the store out of reach no second relay arises."""
+        mesh = settled_mesh("r1", nodes_per_centre=4)
+        (relay,) = mesh.region_relays()
+        mesh.store.cut_nodes.update(mesh.nodes)
+        mesh.store.break_watches()
+        mesh.kill(relay.identity.node_id)
+        mesh.advance(60)
+        self.assertEqual([], mesh.region_relays())
+        mesh.store.cut_nodes.clear()
+        mesh.advance_until(lambda: len(mesh.region_relays()) == 1, 25)
+
+    def test_restart_of_all_nodes_keeps_store_calls_bounded(self):
+        """Lease reads and claims per data centre, not per node."""
+        mesh = settled_mesh("r1", nodes_per_centre=12)
+        mesh.store.calls_by_second.clear()
+        ids = list(mesh.nodes)
+        mesh.kill(*ids)
+        mesh.restart(*ids)
+        took_s = mesh.advance_until(mesh.agree, 40)
+        self.assertLessEqual(took_s, 30.0)
+        self.assertLessEqual(max(mesh.store.calls_by_second.values()), 20)
+        mesh.advance(16)
+        self.assert_one_relay_each(mesh)
+
+    def test_loss_of_all_relays_at_once(self):
+        """All holders die together; each level is taken over again."""
+        mesh = settled_mesh("r1", "r2", nodes_per_centre=4)
+        mesh.kill(*(n.identity.node_id for n in mesh.relays()))
+        mesh.advance_until(
+            lambda: len(mesh.relays()) == 4 and len(mesh.region_relays()) == 2, 30
+        )
+        mesh.advance_until(mesh.agree, 30)
+
+    def test_lost_answers_do_not_multiply_relays(self):
+        """A third of all write answers is lost while relays are killed."""
+        mesh = Mesh()
+        mesh.add_region("r1", nodes_per_centre=4)
+        random = Random(7)
+        mesh.store.loses_answer = lambda *call: random.random() < 0.3
+        mesh.advance_until(mesh.agree, 60)
+        mesh.kill(mesh.region_relays()[0].identity.node_id)
+        mesh.advance_until(mesh.agree, 90)
+        self.assertEqual(1, len(mesh.region_relays()))
+
+    def test_planned_stop_hands_the_role_over_quickly(self):
+        """A released lease needs no timeout."""
+        mesh = settled_mesh("r1", nodes_per_centre=4)
+        (relay,) = mesh.region_relays()
+        relay.membership.announce_stop(handed_over=True)
+        relay.task._shut_down()
+        mesh.advance(0.2)
+        mesh.kill(relay.identity.node_id)
+        took_s = mesh.advance_until(lambda: len(mesh.region_relays()) == 1, 20)
+        self.assertLessEqual(took_s, 6.0)
+        mesh.advance_until(mesh.agree, 10)
+
+
+class BackoffTest(TestCase):
+    """Reconnects spread over a growing, capped time."""
+
+    def test_waits_stay_within_doubling_limits_and_the_cap(self):
+        """Guards against reconnect storms and against unbounded waits."""
+        backoff = Backoff(Random(3))
+        limits = (0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 5.0, 5.0)
+        for limit in limits:
+            wait_s = backoff.next_wait_s()
+            self.assertLessEqual(wait_s, limit)
+            self.assertLessEqual(-wait_s, 0.0)
+        backoff.reset()
+        self.assertLessEqual(backoff.next_wait_s(), 0.1)
+
+
+class DecisionRecordTest(TestCase):
+    """The record is bounded, ordered, and searchable by key."""
+
+    def test_oldest_entries_are_dropped_and_keys_filter(self):
+        """Guards against unbounded memory and against lost causes."""
+        clock = ManualClock()
+        record = DecisionRecord(clock, max_entries=3)
+        for epoch in range(5):
+            clock.advance(1)
+            record.note(
+                LeaseAcquired("leases/dc/x", epoch),
+                cause=f"cause {epoch}",
+                node_id="n1" if epoch % 2 else "n2",
+                version=epoch,
+            )
+        record.note(LeaseReleased("leases/dc/x", 9), cause="planned stop")
+        found = record.decisions()
+        self.assertEqual([4, 5, 6], [d.sequence for d in found])
+        self.assertEqual([300, 300, 305], [d.event_number for d in found])
+        self.assertEqual(1.0, record.age_s(found[0]) - record.age_s(found[1]))
+        (by_node,) = record.decisions(node_id="n1")
+        self.assertEqual("cause 3", by_node.cause)
+        self.assertEqual((), record.decisions(version=99))
+        self.assertEqual(1, len(record.decisions(limit=1)))
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,305 @@
+"""Leases: claim, renewal, expiry by the own clock, lost answers, pauses."""
+
+from random import Random
+
+import eventlet
+from testtools import TestCase
+
+from tests.control_simulation import MemoryStore, MemoryStoreClient
+from verbenawick._clock import ManualClock
+from verbenawick._component import NodeIdentity, StoreObject
+from verbenawick._explain import DecisionRecord
+from verbenawick._lease import Lease, LeaseState, parse_lease_record
+from verbenawick._metrics import MetricSet
+from verbenawick._settings import TimingSettings
+from verbenawick._store_workers import StoreWorkers
+from verbenawick.errors import LeaseNotHeldError, VerbenawickError
+
+KEY = "leases/dc/dc-1"
+
+
+class ClaimantPort:
+    """`StorePort` of one claimant; answers at once or when `release` is called."""
+
+    def __init__(self, store, node_id):
+        self.client = MemoryStoreClient(store, node_id)
+        self.is_held_back = False
+        self.held_back = []
+        self.stale_value = None
+
+    def get(self, key, callback):
+        """Read, or return an older object where the test set one."""
+        stale, self.stale_value = self.stale_value, None
+        self._run(lambda: stale or self.client.get(key), callback)
+
+    def update(self, key, value, *, expected_version, callback):
+        """Write conditionally."""
+
+        def write():
+            version = self.client.update(key, value, expected_version=expected_version)
+            return StoreObject(key, value, version)
+
+        self._run(write, callback)
+
+    def _run(self, call, callback):
+        def finish():
+            try:
+                obj = call()
+            except VerbenawickError as error:
+                callback(None, error)
+            else:
+                callback(obj, None)
+
+        if self.is_held_back:
+            self.held_back.append(finish)
+        else:
+            finish()
+
+    def release(self):
+        """Carry out what was held back."""
+        held_back, self.held_back = self.held_back, []
+        self.is_held_back = False
+        for finish in held_back:
+            finish()
+
+
+class LeaseTest(TestCase):
+    """At most one holder has authority, whatever is lost or paused."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.store = MemoryStore(self.clock)
+        self.leases = {}
+        self.ports = {}
+        for name in ("a", "b", "c"):
+            self.add(name)
+
+    def add(self, name, incarnation=1):
+        """Add a claimant, or a new process of one."""
+        port = self.ports[name] = ClaimantPort(self.store, name)
+        identity = NodeIdentity(
+            name, incarnation, "svc", "dc-1", "r", f"10.0.0.1:{1 + ord(name)}"
+        )
+        self.leases[name] = Lease(
+            KEY,
+            identity,
+            clock=self.clock,
+            store=port,
+            timing=TimingSettings(),
+            random=Random(name),
+            record=DecisionRecord(self.clock),
+        )
+        return self.leases[name]
+
+    def advance(self, seconds, *names):
+        """Tick the named claimants, all by default."""
+        for _ in range(round(seconds * 10)):
+            self.clock.advance(0.1)
+            for name in names or self.leases:
+                self.leases[name].on_tick()
+
+    def holders(self):
+        """Return the claimants with authority."""
+        return [name for name, lease in self.leases.items() if lease.is_held()]
+
+    def test_one_of_two_claimants_wins(self):
+        """Both claim a vacant lease at once; guards against two relays."""
+        self.ports["a"].is_held_back = self.ports["b"].is_held_back = True
+        self.leases["a"].compete(0.0)
+        self.leases["b"].compete(0.0)
+        self.advance(0.1)
+        for _ in range(4):
+            for port in (self.ports["b"], self.ports["a"]):
+                port.release()
+                port.is_held_back = True
+        self.ports["a"].is_held_back = self.ports["b"].is_held_back = False
+        self.advance(1)
+        self.assertEqual(["b"], self.holders())
+        self.assertEqual("b", self.leases["a"].last_seen.holder)
+
+    def test_without_claimant_nothing_is_sent(self):
+        """Nobody misses the relay; guards against idle polling of the store."""
+        self.advance(60)
+        self.assertEqual(0, self.store.calls.total())
+
+    def test_claimant_waits_a_full_timeout_and_raises_the_epoch(self):
+        """A dead holder is replaced after 4 s, not before its authority ended."""
+        self.leases["a"].compete(0.0)
+        self.advance(10, "a")
+        ends_at = self.leases["a"].authority_ends_at
+        self.leases["b"].compete(0.0)
+        while not self.leases["b"].is_held():
+            self.advance(0.1, "b")
+        self.assertGreater(self.clock.now(), ends_at)
+        self.assertEqual(2, self.leases["b"].epoch)
+        self.assertLess(self.clock.now() - ends_at, 5.0)
+
+    def test_a_live_holder_is_not_replaced(self):
+        """A claimant that wrongly misses the holder changes nothing."""
+        self.leases["a"].compete(0.0)
+        self.advance(2)
+        self.leases["b"].compete(0.0)
+        self.advance(60)
+        self.assertEqual(["a"], self.holders())
+        self.assertEqual(1, self.leases["a"].epoch)
+
+    def test_lost_answer_of_a_claim_is_read_back(self):
+        """The claim took effect; guards against a lease that nobody knows it holds."""
+        self.store.loses_answer = lambda *call: self.store.revision == 1
+        self.leases["a"].compete(0.0)
+        self.advance(1)
+        self.assertEqual(["a"], self.holders())
+        self.assertEqual(1, self.leases["a"].epoch)
+
+    def test_lost_answers_of_renewals_are_read_back(self):
+        """Each second answer is lost; the holder keeps its authority throughout."""
+        self.leases["a"].compete(0.0)
+        self.advance(1)
+        self.store.loses_answer = lambda *call: self.store.revision % 2 == 0
+        for _ in range(300):
+            self.advance(0.1)
+            self.assertEqual(["a"], self.holders())
+        self.assertGreater(self.store.revision, 20)
+
+    def test_late_answer_gives_no_authority_beyond_its_request(self):
+        """Authority counts from the send time, not from the answer."""
+        self.leases["a"].compete(0.0)
+        self.advance(1.5)
+        self.ports["a"].is_held_back = True
+        self.advance(1)
+        sent_at = self.clock.now()
+        self.advance(10)
+        self.ports["a"].release()
+        self.assertEqual([], self.holders())
+        self.assertLess(self.leases["a"].authority_ends_at, sent_at + 4.0)
+
+    def test_holder_paused_past_its_lease_writes_nothing(self):
+        """A resumed holder has no authority before its first tick even runs."""
+        self.leases["a"].compete(0.0)
+        self.advance(2)
+        lease = self.leases["a"]
+        writes = StoreWorkers(
+            MemoryStoreClient(self.store, "a"),
+            post=lambda call: call(),
+            metrics=MetricSet(),
+            may_write=lease.is_held,
+        )
+        self.leases["b"].compete(0.0)
+        self.advance(10, "b")
+        self.assertEqual(["b"], self.holders())
+        outcomes = []
+        writes.update(
+            "members/r",
+            b"old",
+            expected_version=0,
+            callback=lambda obj, error: outcomes.append(error),
+        )
+        while not outcomes:
+            eventlet.sleep(0)
+        self.assertIsInstance(outcomes[0], LeaseNotHeldError)
+        self.assertNotIn("members/r", self.store.objects)
+        self.advance(0.2)
+        self.assertIs(LeaseState.FOLLOWER, lease.state)
+        self.assertEqual("b", lease.last_seen.holder)
+
+    def test_outage_of_an_hour_suspends_and_resumes(self):
+        """The holder acts without authority, then holds again in the same epoch."""
+        self.leases["a"].compete(0.0)
+        self.advance(2)
+        self.store.set_down(True)
+        self.leases["b"].compete(0.0)
+        self.advance(3600)
+        self.assertEqual([], self.holders())
+        self.assertTrue(self.leases["a"].is_acting())
+        self.store.set_down(False)
+        self.advance(6)
+        self.assertEqual(["a"], self.holders())
+        self.assertEqual(1, self.leases["a"].epoch)
+
+    def test_restarted_holder_claims_at_once(self):
+        """A new process of the holder needs no wait: the old one has ended."""
+        self.leases["a"].compete(0.0)
+        self.advance(2)
+        self.add("a", incarnation=2).compete(0.0)
+        self.advance(0.3)
+        self.assertEqual(["a"], self.holders())
+        self.assertEqual(2, self.leases["a"].epoch)
+
+    def test_released_lease_is_claimed_at_once(self):
+        """A planned stop costs no lease timeout."""
+        self.leases["a"].compete(0.0)
+        self.advance(2)
+        self.leases["a"].release()
+        self.leases["b"].compete(0.0)
+        self.advance(0.3)
+        self.assertEqual(["b"], self.holders())
+        self.assertEqual(2, self.leases["b"].epoch)
+
+    def test_stale_read_does_not_win(self):
+        """A claimant that read an old object fails on the condition."""
+        self.leases["a"].compete(0.0)
+        self.advance(2)
+        self.ports["b"].stale_value = StoreObject(KEY, b"", 0)
+        self.leases["b"].compete(0.0)
+        self.advance(1)
+        self.assertEqual(["a"], self.holders())
+
+    def test_message_of_a_later_epoch_ends_the_role(self):
+        """A peer that follows a later relay proves the takeover."""
+        self.leases["a"].compete(0.0)
+        self.advance(2)
+        self.leases["a"].note_other_holder("b", 1)
+        self.assertTrue(self.leases["a"].is_acting())
+        self.leases["a"].note_other_holder("b", 2)
+        self.assertFalse(self.leases["a"].is_acting())
+
+    def test_random_faults_never_give_two_holders(self):
+        """Pauses, outages, lost, late and stale answers, for 30 seeds of 2 minutes."""
+        for seed in range(30):
+            self.run_random(Random(seed))
+
+    def run_random(self, random):
+        """Check for one seed that epochs rise and authority never overlaps."""
+        self.store = MemoryStore(self.clock)
+        for name in ("a", "b", "c"):
+            self.add(name)
+        self.store.loses_answer = lambda *call: random.random() < 0.2
+        paused_until = dict.fromkeys(self.leases, 0.0)
+        epochs, holders_seen = [], set()
+        for _ in range(1200):
+            self.clock.advance(0.1)
+            now = self.clock.now()
+            for name, lease in self.leases.items():
+                if now < paused_until[name]:
+                    continue
+                if random.random() < 0.005:
+                    paused_until[name] = now + random.uniform(0, 12)
+                    continue
+                self.disturb(name, random)
+                if not lease.is_acting():
+                    lease.compete(random.uniform(0, 2))
+                lease.on_tick()
+            self.store.is_down = random.random() < 0.02 or (
+                self.store.is_down and random.random() < 0.95
+            )
+            holders = self.holders()
+            self.assertLessEqual(len(holders), 1)
+            holders_seen.update(holders)
+            record = parse_lease_record(
+                self.store.objects.get(KEY, StoreObject(KEY, b"", 0)).value
+            )
+            epochs.append(record.epoch if record else 0)
+        self.assertEqual(sorted(epochs), epochs)
+        self.assertNotEqual(set(), holders_seen)
+
+    def disturb(self, name, random):
+        """Hold requests back, release them, or plan a stale read."""
+        port = self.ports[name]
+        if port.is_held_back:
+            if random.random() < 0.1:
+                port.release()
+        elif random.random() < 0.02:
+            port.is_held_back = True
+        elif random.random() < 0.01:
+            port.stale_value = StoreObject(KEY, b"", 0)
--- /dev/null
+++ b/tests/test_member_table.py
@@ -0,0 +1,141 @@
+"""Member table: views, ages, bounds, coding."""
+
+from testtools import TestCase
+
+from verbenawick._clock import ManualClock
+from verbenawick._component import NodeIdentity
+from verbenawick._member_table import (
+    MAX_DEPARTED_PER_REGION,
+    MemberTable,
+    decode_region_table,
+    encode_region_table,
+)
+from verbenawick._members import MemberState
+from verbenawick._membership_messages import DepartedRow, LoadRow, MemberRow
+from verbenawick.errors import MemberTableError
+
+HORIZON_S = 7200.0
+
+
+def row(node_id, *, incarnation=1, service="svc", age_s=0, is_draining=False):
+    """Return a row of a member of data centre ``dc``."""
+    return MemberRow(
+        node_id, incarnation, service, "dc", "10.0.0.1:70", 12, is_draining, age_s
+    )
+
+
+def departed(node_id, *, incarnation=1, age_s=0, process_ended=False):
+    """Return a row of a departed member."""
+    return DepartedRow(node_id, incarnation, "svc", False, process_ended, age_s)
+
+
+class MemberTableTest(TestCase):
+    """Readers see the members that the relays agreed on, with local instants."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.table = self.new_table()
+
+    def new_table(self, **options):
+        """Return an empty table of node ``n1``."""
+        identity = NodeIdentity("n1", 1, "svc", "dc", "r", "10.0.0.1:70")
+        return MemberTable(identity, clock=self.clock, horizon_s=HORIZON_S, **options)
+
+    def apply(self, joined=(), departed=(), *, region="r", serial=1):
+        """Apply changes to the table."""
+        self.table.apply(region, 1, serial, joined=joined, departed=departed)
+
+    def test_views_are_sorted_and_by_service_and_data_centre(self):
+        """Guards against orders that differ between nodes."""
+        self.apply([row("n2"), row("n1", is_draining=True), row("n3", service="x")])
+        self.assertEqual(
+            ["n1", "n2"], [m.node_id for m in self.table.members_of("svc")]
+        )
+        self.assertEqual(3, len(self.table.members_in("dc")))
+        self.assertIs(MemberState.DRAINING, self.table.member("n1").state)
+        self.assertEqual("r", self.table.member("n1").region)
+
+    def test_recently_joined_ends_at_the_horizon(self):
+        """The flag changes with time alone, without any message."""
+        self.apply([row("n1", age_s=7000)])
+        self.assertTrue(self.table.member("n1").recently_joined)
+        self.clock.advance(201)
+        self.assertFalse(self.table.member("n1").recently_joined)
+
+    def test_restarted_member_leaves_its_old_process_behind(self):
+        """The old incarnation is listed as departed until the horizon."""
+        self.apply([row("n2")])
+        self.apply([row("n2", incarnation=2)], [departed("n2", process_ended=True)])
+        self.assertEqual(2, self.table.member("n2").incarnation)
+        (old,) = self.table.departed_of("svc")
+        self.assertTrue(old.process_ended)
+        self.clock.advance(HORIZON_S + 1)
+        self.assertEqual((), self.table.departed_of("svc"))
+
+    def test_late_departure_of_an_old_process_keeps_the_new_one(self):
+        """Changes out of order; guards against removing a live member."""
+        self.apply([row("n2", incarnation=2)])
+        self.apply(departed=[departed("n2", incarnation=1)])
+        self.assertIsNotNone(self.table.member("n2"))
+
+    def test_returned_process_is_no_longer_departed(self):
+        """The same process comes back after a false alarm."""
+        self.apply([row("n2")])
+        self.apply(departed=[departed("n2")])
+        self.apply([row("n2")])
+        self.assertEqual((), self.table.departed_of("svc"))
+
+    def test_authority_needs_the_own_row(self):
+        """A node that is not a member may claim nothing."""
+        self.table.extend_authority(self.clock.now() + 60)
+        self.assertEqual(0.0, self.table.authority_deadline())
+        self.apply([row("n1", incarnation=2)])
+        self.assertEqual(0.0, self.table.authority_deadline())
+        self.apply([row("n1")])
+        self.assertEqual(self.clock.now() + 60, self.table.authority_deadline())
+        self.table.withdraw_authority()
+        self.assertEqual(0.0, self.table.authority_deadline())
+
+    def test_loads_are_kept_for_known_members_only(self):
+        """Guards against a load table that grows with unknown ids."""
+        self.apply([row("n2")])
+        self.table.set_loads([LoadRow("n2", 150, False), LoadRow("other", 1, True)])
+        self.assertEqual(1.0, self.table.load_of("n2").busy_share)
+        self.assertIsNone(self.table.load_of("other"))
+        self.apply(departed=[departed("n2")])
+        self.assertIsNone(self.table.load_of("n2"))
+
+    def test_bounds_hold(self):
+        """Joins beyond the bound are refused, the oldest departures forgotten."""
+        self.table = self.new_table(max_members=5)
+        self.apply([row(f"m{i}") for i in range(9)])
+        self.assertEqual(5, self.table.size())
+        count = MAX_DEPARTED_PER_REGION
+        self.apply(
+            departed=[departed(f"d{i}", age_s=count + 2 - i) for i in range(count + 2)]
+        )
+        ids = {d.node_id for d in self.table.departed_of("svc")}
+        self.assertEqual(count, len(ids))
+        self.assertNotIn("d0", ids)
+        self.assertIn(f"d{count + 1}", ids)
+
+    def test_snapshot_survives_coding_with_its_ages(self):
+        """Ages become instants of the reader's clock, time in between included."""
+        self.apply([row("n1", age_s=100)], [departed("n2", age_s=50)])
+        self.clock.advance(10)
+        data = encode_region_table(self.table.snapshot("r"))
+        copy = self.new_table()
+        copy.replace(decode_region_table(data), held_s=30.0)
+        self.assertEqual(self.clock.now() - 140, copy.joined_at("n1"))
+        (gone,) = copy.departed_of("svc")
+        self.assertEqual(self.clock.now() - 90, gone.departed_at)
+        self.assertEqual((1, 1), copy.region("r").version)
+
+    def test_invalid_tables_are_typed_errors(self):
+        """Bytes of a faulty peer end neither the task nor the table."""
+        import zstandard
+
+        compress = zstandard.ZstdCompressor().compress
+        for data in (b"", b"junk", compress(b"\xff"), compress(b"\x81\x01")):
+            self.assertRaises(MemberTableError, decode_region_table, data)
