--- a/src/verbenawick/_config_messages.py
+++ b/src/verbenawick/_config_messages.py
@@ -105,12 +105,20 @@
     wants_snapshot: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Asker:
+    """A process that asks for its floor; `attempt` tells its own queries apart."""
+
+    start: Row[ProcessStart]
+    attempt: int
+
+
 @register_message(35)
 @dataclass(frozen=True, slots=True)
 class FloorQuery(Message):
     """Asks for the highest version held, on behalf of restarted nodes."""
 
-    askers: tuple[Row[ProcessStart], ...]
+    askers: tuple[Row[Asker], ...]
 
 
 @register_message(36)
@@ -127,7 +135,7 @@
         Members of the data centre that the answering node knows, itself included.
     """
 
-    asker: Row[ProcessStart]
+    asker: Row[Asker]
     answerer: Row[ProcessStart]
     is_confirmed: bool
     version: int
@@ -153,3 +161,49 @@
     sequence: int
     version: int
     digest: bytes
+
+
+@register_message(40)
+@dataclass(frozen=True, slots=True)
+class NodeReport(Message):
+    """Status of one node, to its data centre relay.
+
+    Attributes
+    ----------
+    staged_version : int
+        Highest version that the node holds.
+    refused_version : int
+        Highest version above it that the node refused; 0 for none.
+    state : str
+        State of the node's lifecycle.
+    """
+
+    node_id: str
+    incarnation: int
+    version: int
+    staged_version: int
+    refused_version: int
+    refusal_code: str
+    state: str
+    withheld_routes: int
+
+
+@register_message(41)
+@dataclass(frozen=True, slots=True)
+class DataCentreReport(Message):
+    """Reports of a data centre that changed, to the region relay.
+
+    A node of the data centre that is in neither list was heard from, unchanged.
+
+    Attributes
+    ----------
+    is_full : bool
+        `reports` has all nodes heard from.
+    unheard_ids : tuple of str
+        Nodes not heard from for `UNKNOWN_AFTER_S`.
+    """
+
+    data_centre: str
+    is_full: bool
+    reports: tuple[Row[NodeReport], ...]
+    unheard_ids: tuple[str, ...]
--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -95,7 +95,26 @@
 
 @register_error("accept.conflict")
 class ConflictError(VerbenawickError):
-    """Another operator's change was accepted first."""
+    """Another operator's change was accepted first.
+
+    `winner_version` and `winner_author` name it, `differences` has a line for each
+    value that it changed.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        winner_version: int = 0,
+        winner_author: str = "",
+        differences: tuple[str, ...] = (),
+        step: str = "",
+        peer: str = "",
+    ):
+        super().__init__(message, step=step, peer=peer)
+        self.winner_version = winner_version
+        self.winner_author = winner_author
+        self.differences = differences
 
 
 @register_error("accept.not-begun")
@@ -105,7 +124,16 @@
 
 @register_error("accept.unknown")
 class ChangeOutcomeUnknownError(VerbenawickError):
-    """The answer to the conditional update was lost and cannot be read back now."""
+    """The answer to the conditional update was lost and cannot be read back now.
+
+    `change_id` is what `verbenawick ctl resolve` takes.
+    """
+
+    def __init__(
+        self, message: str, *, change_id: str = "", step: str = "", peer: str = ""
+    ):
+        super().__init__(message, step=step, peer=peer)
+        self.change_id = change_id
 
 
 # Store
@@ -163,6 +191,97 @@
     """A request was sent to a peer and its answer did not arrive."""
 
 
+# Claims of idempotency keys
+
+
+class ClaimError(VerbenawickError):
+    """Base class of the reasons for which a key is not claimed.
+
+    Attributes
+    ----------
+    proves_not_run : bool
+        Whether a first attempt that meets this error is known not to have run. A later
+        attempt is never told "not run", since an earlier one may have.
+    """
+
+    proves_not_run = True
+
+
+@register_error("claim.not-owner")
+class NotOwnerError(ClaimError):
+    """The node does not own the key under its own member table; refresh and resend."""
+
+
+@register_error("claim.taken")
+class ClaimTakenError(ClaimError):
+    """Another node asked for the key while this one was about to claim it; resend."""
+
+    proves_not_run = False
+
+
+@register_error("claim.authority-ended")
+class AuthorityEndedError(ClaimError):
+    """The node's membership was not confirmed recently enough to claim keys."""
+
+
+@register_error("claim.deadline-passed")
+class ClaimDeadlineError(ClaimError):
+    """The deadline of the call passed before its key could be claimed."""
+
+
+@register_error("claim.stopping")
+class ClaimStoppingError(ClaimError):
+    """The node is about to stop and claims no more keys; refresh and resend."""
+
+
+@register_error("claim.table-full")
+class ClaimTableFullError(ClaimError):
+    """The record table is full and its oldest record is within the horizon."""
+
+
+@register_error("claim.key-invalid")
+class ClaimKeyError(ClaimError):
+    """The idempotency key is empty or too long."""
+
+
+@register_error("claim.key-reused")
+class ClaimKeyReusedError(ClaimError):
+    """The key belongs to a request with another method, target or body."""
+
+    proves_not_run = False
+
+
+@register_error("claim.in-progress")
+class ClaimInProgressError(ClaimError):
+    """An earlier request with this key is running or about to run."""
+
+    proves_not_run = False
+
+
+@register_error("claim.outcome-unknown")
+class ClaimOutcomeUnknownError(ClaimError):
+    """An earlier request with this key may have run; its response is not known."""
+
+    proves_not_run = False
+
+
+@register_error("claim.answer-not-kept")
+class ClaimAnswerNotKeptError(ClaimError):
+    """An earlier request with this key ran in full; its response was not kept."""
+
+    proves_not_run = False
+
+
+@register_error("claim.earlier-owner-unreachable")
+class EarlierOwnerUnreachableError(ClaimError):
+    """A possible earlier owner of the key did not seal it; resend later."""
+
+
+@register_error("claim.earlier-owner-departed")
+class EarlierOwnerDepartedError(ClaimError):
+    """An earlier owner of the key departed and may still run it; resend later."""
+
+
 # Leases and membership
 
 
@@ -343,3 +462,16 @@
 @register_error("dist.invariant")
 class InvariantError(VerbenawickError):
     """A change would break an invariant; it was stopped."""
+
+
+# Leases and membership
+
+
+@register_error("lease.not-held")
+class LeaseNotHeldError(StoreUnavailableError):
+    """A write needs a lease that this node does not hold now; nothing was sent."""
+
+
+@register_error("status.invalid")
+class StatusError(VerbenawickError):
+    """A region's status object cannot be decoded."""
