--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -464,12 +464,7 @@
     """A change would break an invariant; it was stopped."""
 
 
-# Leases and membership
-
-
-@register_error("lease.not-held")
-class LeaseNotHeldError(StoreUnavailableError):
-    """A write needs a lease that this node does not hold now; nothing was sent."""
+# Status
 
 
 @register_error("status.invalid")
