--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -465,6 +465,7 @@
 
 
 # Leases and membership
+# Status
 
 
 @register_error("status.invalid")
