Add the demonstration

Cause: a newcomer and an operator need one command that shows the promises. Ruled out: a demonstration in one process; it would not show restarts. Before: none.

--- /dev/null
+++ b/demo/_scenario.py
@@ -0,0 +1,243 @@
+"""Scenario of the demonstration for one deployment, with its checks."""
+
+import json
+import signal
+import subprocess
+import sys
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from urllib3 import PoolManager, Timeout
+from urllib3.exceptions import HTTPError
+
+from demo._callers import Callers
+from standins.processes import (
+    Deployment,
+    DeploymentPlan,
+    Place,
+    run_deployment,
+    store_address,
+)
+
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+START_TIMEOUT_S = 20.0
+# Target of today's size; the design size allows 14 s.
+IN_FORCE_TIMEOUT_S = 14
+DRAIN_LIMIT_S = 5.0
+POLL_S = 0.1
+CALLER_THREADS = 4
+
+
+class CheckFailedError(Exception):
+    """A promise of the system did not hold in the demonstration."""
+
+
+@dataclass
+class Report:
+    """Figures of one deployment."""
+
+    processes: int = 0
+    regions: int = 0
+    calls: int = 0
+    wrong_answers: int = 0
+    run_twice: int = 0
+    false_not_run: int = 0
+    cut_in_flight: int = 0
+    unknown: int = 0
+    cross_region_bytes: int = 0
+    in_force_everywhere: bool = False
+    failures: list[str] = field(default_factory=list)
+
+
+class Scenario:
+    """Runs one deployment through changes, drains and failures."""
+
+    def __init__(self, plan: DeploymentPlan, *, seed: int, say: Callable[[str], None]):
+        self.report = Report(regions=len(plan.regions))
+        self._plan = plan
+        self._seed = seed
+        self._say = lambda text: say(f"[{plan.name}] {text}")
+        self._http = PoolManager(timeout=Timeout(3.0), retries=False)
+
+    def run(self) -> Report:
+        """Run all steps; failed checks are in the report."""
+        with run_deployment(self._plan) as deployment:
+            try:
+                self._run_steps(deployment)
+            except CheckFailedError as error:
+                self.report.failures.append(str(error))
+                self._say(f"failed: {error}")
+        return self.report
+
+    def _run_steps(self, deployment: Deployment) -> None:
+        deployment.start_all()
+        self._apply_example(deployment)
+        self.report.processes = deployment.process_count()
+        callers = Callers(
+            deployment.places,
+            reading_service=self._plan.services[0],
+            writing_services=self._plan.services[1:],
+            thread_count=CALLER_THREADS,
+            seed=self._seed,
+        )
+        callers.start()
+        try:
+            self._change_under_load(deployment, callers)
+        finally:
+            callers.stop()
+        self._count(deployment, callers)
+
+    def _change_under_load(self, deployment: Deployment, callers: Callers) -> None:
+        time.sleep(1.0)
+        self._ctl("preset", "switch", "peak", "--wait", str(IN_FORCE_TIMEOUT_S))
+        self._drain_upstream(deployment, deployment.places[0])
+        self._restart_gracefully(deployment, deployment.places[1])
+        self._kill_and_return(deployment, callers, deployment.places[-1])
+        self._ctl("preset", "switch", "ordinary", "--wait", str(IN_FORCE_TIMEOUT_S))
+        self._say("status:\n" + self._ctl("status"))
+        status = json.loads(self._ctl("status", "--json"))
+        self.report.in_force_everywhere = bool(status["in_force_everywhere"])
+        self._check(self.report.in_force_everywhere, "not in force everywhere")
+
+    def _apply_example(self, deployment: Deployment) -> None:
+        self._wait_for_store()
+        document = EXAMPLES / f"{self._plan.name}.json5"
+        self._ctl("apply", str(document))
+        self._wait_until(
+            lambda: all(self._is_serving(place) for place in deployment.places),
+            START_TIMEOUT_S,
+            "not all nodes serve after the start",
+        )
+        self._ctl("status")
+        self._say(f"{len(deployment.places)} nodes serve version 1")
+
+    def _drain_upstream(self, deployment: Deployment, place: Place) -> None:
+        self._say(f"draining the upstream of {place.node_id}")
+        self._set_draining(place, True)
+        time.sleep(DRAIN_LIMIT_S)
+        before = self._started_runs(place)
+        shed_before = self._counters(place)["shed"]
+        time.sleep(1.0)
+        self._check(
+            self._started_runs(place) == before
+            and self._counters(place)["shed"] == shed_before,
+            f"the draining upstream of {place.node_id} still gets requests",
+        )
+        self._set_draining(place, False)
+
+    def _restart_gracefully(self, deployment: Deployment, place: Place) -> None:
+        self._say(f"restarting {place.node_id} as planned")
+        name = f"node:{place.node_id}"
+        deployment.signal(name, signal.SIGTERM)
+        code = deployment.wait(name)
+        self._check(code == 0, f"{place.node_id} exited with {code}")
+        deployment.start_node(place)
+        self._wait_until(
+            lambda: self._is_serving(place),
+            START_TIMEOUT_S,
+            f"{place.node_id} does not serve after its restart",
+        )
+
+    def _kill_and_return(self, deployment, callers: Callers, place: Place) -> None:
+        version = self._version_of(place)
+        self._say(f"killing {place.node_id} at version {version}")
+        callers.expects_cuts = True
+        deployment.signal(f"node:{place.node_id}", signal.SIGKILL)
+        deployment.wait(f"node:{place.node_id}")
+        time.sleep(1.0)
+        deployment.start_node(place)
+        self._wait_until(
+            lambda: self._is_serving(place),
+            START_TIMEOUT_S,
+            f"{place.node_id} does not serve after it was killed",
+        )
+        callers.expects_cuts = False
+        back = self._version_of(place)
+        self._check(back >= version, f"{place.node_id} went back to version {back}")
+
+    def _count(self, deployment: Deployment, callers: Callers) -> None:
+        log, report = callers.log, self.report
+        runs_by_id: Counter[str] = Counter()
+        for place in deployment.places:
+            runs = self._get_json(f"http://{place.upstream_address}/standin/runs")
+            runs_by_id.update(name for name, state in runs if state == "started")
+            metrics = self._get_json(f"http://{place.admin_address}/metrics")
+            report.cross_region_bytes += metrics.get("calls.cross_region_bytes", 0)
+        report.calls = log.calls
+        report.wrong_answers = log.wrong_answers
+        report.cut_in_flight = log.cut_in_flight
+        report.unknown = len(log.unknown_ids)
+        report.run_twice = sum(runs_by_id[name] > 1 for name in log.keyed_ids)
+        report.false_not_run = sum(name in runs_by_id for name in log.not_run_ids)
+        for name in ("wrong_answers", "run_twice", "false_not_run", "cut_in_flight"):
+            if getattr(report, name):
+                report.failures.append(f"{name} is {getattr(report, name)}")
+        self._check(report.cross_region_bytes > 0, "no call crossed a region")
+        if log.not_run_ids:
+            report.failures.append(f"{len(log.not_run_ids)} calls ended as not run")
+        self._say(f"answers that were not complete: {dict(log.counts_by_code)}")
+        if report.failures:
+            self._say("last failures:\n  " + "\n  ".join(log.recent_failures))
+
+    def _ctl(self, *arguments: str) -> str:
+        """Run an operator's command; return what it printed."""
+        command = [sys.executable, "-m", "verbenawick", "ctl"]
+        command += ["--store", store_address(self._plan), "--author", "demo"]
+        done = subprocess.run(command + list(arguments), capture_output=True, text=True)
+        self._check(
+            done.returncode == 0 or arguments[0] == "status",
+            f"ctl {' '.join(arguments)} exited with {done.returncode}: "
+            f"{done.stdout}{done.stderr}",
+        )
+        return done.stdout
+
+    def _wait_for_store(self) -> None:
+        url = f"http://{store_address(self._plan)}/standin/counters"
+        self._wait_until(
+            lambda: self._answers(url), START_TIMEOUT_S, "the store does not answer"
+        )
+
+    def _answers(self, url: str) -> bool:
+        try:
+            return self._http.request("GET", url).status == 200
+        except HTTPError:
+            return False
+
+    def _is_serving(self, place: Place) -> bool:
+        try:
+            return self._status(place)["state"] == "serving"
+        except HTTPError:
+            return False
+
+    def _version_of(self, place: Place) -> int:
+        return self._status(place)["version_in_force"]
+
+    def _status(self, place: Place) -> dict:
+        return self._get_json(f"http://{place.admin_address}/status")
+
+    def _counters(self, place: Place) -> dict:
+        return self._get_json(f"http://{place.upstream_address}/standin/counters")
+
+    def _started_runs(self, place: Place) -> int:
+        return self._counters(place)["started"]
+
+    def _set_draining(self, place: Place, is_draining: bool) -> None:
+        url = f"http://{place.upstream_address}/standin/faults"
+        self._http.request("POST", url, body=json.dumps({"draining": is_draining}))
+
+    def _get_json(self, url: str):
+        return json.loads(self._http.request("GET", url).data)
+
+    def _wait_until(self, condition, timeout_s: float, failure: str) -> None:
+        deadline = time.monotonic() + timeout_s
+        while not condition():
+            self._check(time.monotonic() < deadline, failure)
+            time.sleep(POLL_S)
+
+    @staticmethod
+    def _check(holds: bool, failure: str) -> None:
+        if not holds:
+            raise CheckFailedError(failure)
