--- /dev/null
+++ b/src/verbenawick/__main__.py
@@ -0,0 +1,21 @@
+"""Entry point of the command line."""
+
+import sys
+
+
+def main() -> None:
+    """Run the command in `sys.argv` and exit with its code."""
+    if sys.argv[1:2] == ["node"]:
+        # eventlet has to patch the standard library before the other imports.
+        import verbenawick._daemon  # noqa: F401
+    from verbenawick._cli import run
+    from verbenawick._logging import configure_logging
+    from verbenawick._settings import LogSettings
+
+    # A node configures its own log from its settings.
+    configure_logging(LogSettings(level="WARNING"), node_id="ctl")
+    sys.exit(run(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/verbenawick/_acceptance.py
+++ b/src/verbenawick/_acceptance.py
@@ -25,6 +25,7 @@
     ChangeOutcomeUnknownError,
     ConflictError,
     DocumentError,
+    NoSuchChangeError,
     StoreAnswerLostError,
     StoreConditionError,
     StoreUnavailableError,
@@ -180,18 +181,19 @@
 
         Raises
         ------
-        ChangeNotBegunError
-            The store has no such change.
+        NoSuchChangeError
+            The change did not begin, or is older than the versions that are kept.
         ChangeOutcomeUnknownError
             The store does not answer.
         """
         try:
             change = self._config.read_change(change_id)
             if change is None:
-                raise ChangeNotBegunError(
+                raise NoSuchChangeError(
                     f"there is no change {change_id}: it did not begin, or is older "
                     "than the versions that are kept; see `ctl history`",
                     step="resolve.read-change",
+                    peer=self._client.address,
                 )
             return self._resolve_change(change)
         except (StoreUnavailableError, StoreAnswerLostError) as error:
--- /dev/null
+++ b/src/verbenawick/_cli.py
@@ -0,0 +1,212 @@
+"""Arguments of the command line and the way from a command to its exit code."""
+
+import os
+import sys
+from argparse import ArgumentParser, ArgumentTypeError, RawDescriptionHelpFormatter
+from collections.abc import Sequence
+from pathlib import Path
+
+from pydantic import TypeAdapter, ValidationError
+
+from verbenawick._cli_output import Result, error_result
+from verbenawick._commands import commands_by_name
+from verbenawick._document import PRESET_IDS
+from verbenawick._exit_codes import DESCRIPTIONS_BY_EXIT_CODE, ExitCode
+from verbenawick._settings import Address
+from verbenawick._store import DEFAULT_TIMEOUT_S
+from verbenawick.errors import VerbenawickError
+
+STORE_VARIABLE = "VERBENAWICK_STORE"
+# Commands that work without the store.
+LOCAL_COMMANDS = ("check", "node", "ctl validate")
+INTERRUPTED_TEXT = "interrupted; `ctl history` shows whether a change was accepted"
+
+EXIT_CODES_HELP = "exit codes:\n" + "\n".join(
+    f"  {code:d}  {text}" for code, text in DESCRIPTIONS_BY_EXIT_CODE.items()
+)
+CTL_HELP = f"""typical use:
+  verbenawick ctl validate mesh.json5
+  verbenawick ctl --store 10.0.0.5:80 diff mesh.json5
+  verbenawick ctl --store 10.0.0.5:80 apply mesh.json5 --wait 14
+  verbenawick ctl --store 10.0.0.5:80 preset switch peak --wait 14
+  verbenawick ctl --store 10.0.0.5:80 status
+
+{EXIT_CODES_HELP}
+"""
+
+_address_adapter = TypeAdapter(Address)
+
+
+def run(argv: Sequence[str]) -> int:
+    """Run a command; print its result and return the exit code.
+
+    Results go to standard output, errors for people to standard error. With
+    ``--json`` both are one JSON object on standard output.
+    """
+    parser = build_parser()
+    arguments = parser.parse_args(argv)
+    if arguments.command not in LOCAL_COMMANDS and not arguments.store:
+        parser.error(f"name the store with --store IP:PORT or {STORE_VARIABLE}")
+    is_json = getattr(arguments, "json", False)
+    try:
+        result = commands_by_name[arguments.command](arguments)
+    except KeyboardInterrupt:
+        result = Result(ExitCode.UNKNOWN, INTERRUPTED_TEXT)
+    except VerbenawickError as error:
+        result = error_result(error)
+        if not is_json:
+            print(result.text, file=sys.stderr)
+            return result.exit_code
+    text = result.render(is_json=is_json)
+    if text:
+        print(text)
+    return result.exit_code
+
+
+def build_parser() -> ArgumentParser:
+    """Return the parser of all commands."""
+    parser = ArgumentParser(
+        prog="verbenawick",
+        description="Configuration distribution and call routing for a service mesh.",
+        epilog=EXIT_CODES_HELP,
+        formatter_class=RawDescriptionHelpFormatter,
+    )
+    commands = parser.add_subparsers(required=True, metavar="COMMAND")
+    node = _add(commands, "node", help="run the node beside an upstream")
+    node.add_argument("--settings", type=Path, required=True, metavar="FILE")
+    check = _add(commands, "check", help="check a node's settings file")
+    check.add_argument("file", type=Path, metavar="FILE")
+    _add_json(check)
+    _add_ctl(commands)
+    return parser
+
+
+def _add_ctl(commands) -> None:
+    ctl = commands.add_parser(
+        "ctl",
+        help="change the configuration and read its status",
+        description="Change the configuration and read its status.",
+        epilog=CTL_HELP,
+        formatter_class=RawDescriptionHelpFormatter,
+    )
+    ctl.add_argument(
+        "--store",
+        type=_address,
+        metavar="IP:PORT",
+        default=os.environ.get(STORE_VARIABLE),
+        help=f"the platform's object API (default: {STORE_VARIABLE})",
+    )
+    ctl.add_argument(
+        "--timeout",
+        type=_seconds,
+        default=DEFAULT_TIMEOUT_S,
+        metavar="SECONDS",
+        help="longest wait for one answer of the store (default: %(default)s)",
+    )
+    ctl.add_argument(
+        "--author", default="", help="who makes the change (default: login name)"
+    )
+    commands = ctl.add_subparsers(required=True, metavar="COMMAND")
+    _add_reading_commands(commands)
+    _add_changing_commands(commands)
+
+
+def _add_reading_commands(commands) -> None:
+    for name, text in (
+        ("validate", "check a document, without the store"),
+        ("diff", "show what applying a document would change"),
+    ):
+        _add(commands, name, group="ctl", help=text, is_json=True).add_argument(
+            "file", type=Path, metavar="FILE"
+        )
+    _add(commands, "show", group="ctl", help="print the document", is_json=True)
+    history = _add(commands, "history", group="ctl", help="list changes", is_json=True)
+    history.add_argument("--limit", type=_version, default=20, metavar="N")
+    resolve = _add(
+        commands,
+        "resolve",
+        group="ctl",
+        help="find out whether a change of unknown outcome was accepted",
+        is_json=True,
+    )
+    resolve.add_argument("change_id", metavar="CHANGE_ID")
+    _add(
+        commands,
+        "status",
+        group="ctl",
+        help="show whether the accepted version is in force everywhere",
+        is_json=True,
+    )
+
+
+def _add_changing_commands(commands) -> None:
+    apply = _add_change(commands, "apply", "ctl", "make a document the new version")
+    apply.add_argument("file", type=Path, metavar="FILE")
+    apply.add_argument(
+        "--base",
+        type=_version,
+        metavar="VERSION",
+        help="refuse unless this version is in force, from which FILE was edited",
+    )
+    rollback = _add_change(
+        commands, "rollback", "ctl", "make an older document the new version"
+    )
+    rollback.add_argument("version", type=_version, metavar="VERSION")
+    preset = commands.add_parser("preset", help="show or switch the preset in force")
+    commands = preset.add_subparsers(required=True, metavar="COMMAND")
+    _add(commands, "show", group="ctl preset", help="show the preset", is_json=True)
+    switch = _add_change(commands, "switch", "ctl preset", "put a preset in force")
+    switch.add_argument("preset", choices=PRESET_IDS)
+
+
+def _add_change(commands, name: str, group: str, text: str) -> ArgumentParser:
+    parser = _add(commands, name, group=group, help=text, is_json=True)
+    parser.add_argument(
+        "--wait",
+        type=_seconds,
+        metavar="SECONDS",
+        help="wait until the version is in force everywhere",
+    )
+    parser.add_argument("--summary", default="", help="why, for the history")
+    return parser
+
+
+def _add(
+    commands, name: str, *, group: str = "", help: str, is_json: bool = False
+) -> ArgumentParser:
+    parser = commands.add_parser(
+        name,
+        help=help,
+        description=help[0].upper() + help[1:] + ".",
+        epilog=EXIT_CODES_HELP,
+        formatter_class=RawDescriptionHelpFormatter,
+    )
+    parser.set_defaults(command=f"{group} {name}".strip())
+    if is_json:
+        _add_json(parser)
+    return parser
+
+
+def _add_json(parser: ArgumentParser) -> None:
+    parser.add_argument("--json", action="store_true", help="print one JSON object")
+
+
+def _address(text: str) -> str:
+    try:
+        return _address_adapter.validate_python(text)
+    except ValidationError as error:
+        raise ArgumentTypeError(error.errors()[0]["msg"]) from None
+
+
+def _seconds(text: str) -> float:
+    value = float(text)
+    if not 0 <= value < float("inf"):
+        raise ArgumentTypeError("write a number of seconds from 0 on")
+    return value
+
+
+def _version(text: str) -> int:
+    value = int(text)
+    if value < 0:
+        raise ArgumentTypeError("write a number from 0 on")
+    return value
--- /dev/null
+++ b/src/verbenawick/_cli_output.py
@@ -0,0 +1,167 @@
+"""Results of commands as tables for people and as JSON for programs."""
+
+import json
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from tabulate import tabulate
+
+from verbenawick._change_plan import Acceptance
+from verbenawick._exit_codes import ExitCode, exit_code_of
+from verbenawick._fleet_status import FleetStatus, RegionState
+from verbenawick._head import Change
+from verbenawick.errors import VerbenawickError
+
+MAX_SHOWN_NODES = 20
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """Outcome of a command.
+
+    Attributes
+    ----------
+    data : dict
+        JSON for programs.
+    text : str
+        The same for people.
+    """
+
+    exit_code: ExitCode
+    text: str
+    data: dict[str, Any] = field(default_factory=dict)
+
+    def render(self, *, is_json: bool) -> str:
+        """Return what the command prints."""
+        if not is_json:
+            return self.text
+        outcome = self.exit_code.name.lower().replace("_", "-")
+        return json.dumps({"outcome": outcome, **self.data}, default=str)
+
+
+def error_result(error: VerbenawickError) -> Result:
+    """Return the result of a command that failed."""
+    details = {
+        name: getattr(error, name)
+        for name in ("path", "change_id", "winner_version", "winner_author")
+        if hasattr(error, name)
+    }
+    data = {
+        "code": error.code,
+        "message": error.message,
+        "step": error.step,
+        "peer": error.peer,
+        **details,
+    }
+    return Result(exit_code_of(error), str(error), {"error": data})
+
+
+def acceptance_data(acceptance: Acceptance) -> dict[str, Any]:
+    """Return an acceptance for programs."""
+    return {
+        "version": acceptance.version,
+        "change_id": acceptance.change_id,
+        "preset": acceptance.preset,
+        "is_new": acceptance.is_new,
+        "differences": [str(item) for item in acceptance.differences],
+    }
+
+
+def acceptance_text(acceptance: Acceptance) -> str:
+    """Return an acceptance for people."""
+    if not acceptance.is_new:
+        return f"version {acceptance.version} holds this already; nothing was changed"
+    lines = [
+        f"accepted as version {acceptance.version} "
+        f"(change {acceptance.change_id}, preset {acceptance.preset})"
+    ]
+    return "\n".join([*lines, *(f"  {item}" for item in acceptance.differences)])
+
+
+def history_text(changes: list[Change]) -> str:
+    """Return a table of changes."""
+    rows = [
+        (item.version, item.change_id, item.author, item.preset, item.summary)
+        for item in changes
+    ]
+    return tabulate(rows, ["version", "change", "author", "preset", "summary"])
+
+
+def history_data(changes: list[Change]) -> dict[str, Any]:
+    """Return changes for programs."""
+    names = ("version", "change_id", "author", "preset", "summary")
+    return {"changes": [{n: getattr(item, n) for n in names} for item in changes]}
+
+
+def status_data(status: FleetStatus) -> dict[str, Any]:
+    """Return a status for programs."""
+    head = status.head.head
+    return {
+        "version": status.version,
+        "state": status.state,
+        "preset": head.preset if head else "",
+        "author": head.author if head else "",
+        "regions": [asdict(region) for region in status.regions],
+    }
+
+
+def status_text(status: FleetStatus) -> str:
+    """Return a status as tables."""
+    head = status.head.head
+    if head is None:
+        return "no configuration is accepted yet; use `ctl apply FILE`"
+    lines = [_headline(status)]
+    if status.version <= head.version:
+        lines.append(
+            f"accepted: version {head.version}, preset {head.preset}, by "
+            f"{head.author}: {head.summary}"
+        )
+    lines += ["", _regions_table(status)]
+    nodes = [node for region in status.regions for node in region.behind]
+    if nodes:
+        lines += ["", _nodes_table(nodes)]
+    return "\n".join(lines)
+
+
+def _headline(status: FleetStatus) -> str:
+    in_force, total = status.count("in_force_count"), status.count("node_count")
+    if status.state is RegionState.IN_FORCE:
+        return f"version {status.version} is in force on all {total} nodes"
+    return (
+        f"version {status.version} is not known to be in force everywhere: in force on "
+        f"{in_force} of {total} nodes, {status.count('behind_count')} behind, "
+        f"{status.count('unknown_count')} unknown"
+    )
+
+
+def _regions_table(status: FleetStatus) -> str:
+    if not status.regions:
+        return "no region has reported"
+    rows = [
+        (
+            region.region,
+            region.state,
+            region.node_count,
+            region.in_force_count,
+            region.behind_count,
+            region.unknown_count,
+            region.withheld_routes,
+            f"{region.age_s:.0f} s",
+            region.detail,
+        )
+        for region in status.regions
+    ]
+    names = ["region", "state", "nodes", "in force", "behind", "unknown"]
+    return tabulate(rows, [*names, "withheld routes", "age", ""])
+
+
+def _nodes_table(nodes: list) -> str:
+    rows = [
+        (node.node_id, node.data_centre, node.version, node.staged_version)
+        + (node.cause, f"{node.since_s:.0f} s", node.detail)
+        for node in nodes[:MAX_SHOWN_NODES]
+    ]
+    names = ["node behind", "data centre", "version", "staged", "cause", "since", ""]
+    table = tabulate(rows, names)
+    more = len(nodes) - len(rows)
+    return f"{table}\nand {more} more" if more > 0 else table
--- /dev/null
+++ b/src/verbenawick/_commands.py
@@ -0,0 +1,196 @@
+"""Commands of the command line, registered by name."""
+
+import getpass
+import json
+from argparse import Namespace
+from collections.abc import Callable
+from dataclasses import replace
+
+from verbenawick._acceptance import Acceptor
+from verbenawick._change_plan import Acceptance
+from verbenawick._cli_output import (
+    Result,
+    acceptance_data,
+    acceptance_text,
+    history_data,
+    history_text,
+    status_data,
+    status_text,
+)
+from verbenawick._compile import compile_document
+from verbenawick._delta import digest_of, find_differences
+from verbenawick._document import load_document
+from verbenawick._exit_codes import ExitCode
+from verbenawick._fleet_status import (
+    RegionState,
+    read_fleet_status,
+    wait_until_in_force,
+)
+from verbenawick._settings import load_settings
+from verbenawick._store import StoreClient
+from verbenawick.errors import DocumentError
+
+Command = Callable[[Namespace], Result]
+
+commands_by_name: dict[str, Command] = {}
+
+
+def register_command(name: str) -> Callable[[Command], Command]:
+    """Return a decorator that registers a command, for example ``"ctl apply"``."""
+
+    def decorate(command: Command) -> Command:
+        commands_by_name[name] = command
+        return command
+
+    return decorate
+
+
+@register_command("check")
+def check(arguments: Namespace) -> Result:
+    """Validate a node's settings."""
+    settings = load_settings(arguments.file)
+    text = f"{arguments.file} is valid: node {settings.node_id}"
+    return Result(ExitCode.DONE, text, {"node_id": settings.node_id})
+
+
+@register_command("node")
+def node(arguments: Namespace) -> Result:
+    """Run a node until it is told to stop."""
+    # Importing the daemon patches the standard library; no other command may do so.
+    from verbenawick._daemon import run_node
+
+    exit_code = run_node(arguments.settings)
+    return Result(ExitCode(exit_code), "")
+
+
+@register_command("ctl validate")
+def validate(arguments: Namespace) -> Result:
+    """Check a document without the store."""
+    document = load_document(arguments.file)
+    digest = digest_of(document.content())
+    table = compile_document(document, 0, digest)
+    text = (
+        f"{arguments.file} is valid: {len(document.services_by_id)} services, "
+        f"{len(table.routes)} routes, preset {table.preset}"
+    )
+    return Result(ExitCode.DONE, text, {"digest": digest.hex()})
+
+
+@register_command("ctl diff")
+def diff(arguments: Namespace) -> Result:
+    """Show what applying a document would change."""
+    content = load_document(arguments.file).content()
+    base = _acceptor(arguments).read_base()
+    lines = [str(item) for item in find_differences(base.content, content)]
+    data = {"version": base.state.version, "differences": lines}
+    text = "\n".join(lines) or f"no difference from version {base.state.version}"
+    return Result(ExitCode.DONE, text, data)
+
+
+@register_command("ctl show")
+def show(arguments: Namespace) -> Result:
+    """Print the accepted document."""
+    base = _acceptor(arguments).read_base()
+    if base.state.head is None:
+        raise DocumentError("no configuration is accepted yet", step="show.read")
+    data = {"version": base.state.version, "document": base.content}
+    text = f"// version {base.state.version}\n" + json.dumps(base.content, indent=2)
+    return Result(ExitCode.DONE, text, data)
+
+
+@register_command("ctl apply")
+def apply(arguments: Namespace) -> Result:
+    """Make a document the new version."""
+    acceptance = _acceptor(arguments).apply(
+        load_document(arguments.file),
+        summary=arguments.summary,
+        expected_version=arguments.base,
+    )
+    return _report_acceptance(acceptance, arguments)
+
+
+@register_command("ctl preset show")
+def preset_show(arguments: Namespace) -> Result:
+    """Show the preset in force."""
+    base = _acceptor(arguments).read_base()
+    preset_id = base.content.get("preset_in_force", "")
+    text = f"preset {preset_id or '(none)'} is accepted (version {base.state.version})"
+    data = {"preset": preset_id, "version": base.state.version}
+    return Result(ExitCode.DONE, text, data)
+
+
+@register_command("ctl preset switch")
+def preset_switch(arguments: Namespace) -> Result:
+    """Put another preset in force."""
+    acceptor = _acceptor(arguments)
+    acceptance = acceptor.switch_preset(arguments.preset, summary=arguments.summary)
+    return _report_acceptance(acceptance, arguments)
+
+
+@register_command("ctl rollback")
+def rollback(arguments: Namespace) -> Result:
+    """Make the document of an older version the new one."""
+    acceptor = _acceptor(arguments)
+    acceptance = acceptor.rollback(arguments.version, summary=arguments.summary)
+    return _report_acceptance(acceptance, arguments)
+
+
+@register_command("ctl history")
+def history(arguments: Namespace) -> Result:
+    """List accepted changes."""
+    changes = _acceptor(arguments).history(limit=arguments.limit)
+    return Result(ExitCode.DONE, history_text(changes), history_data(changes))
+
+
+@register_command("ctl resolve")
+def resolve(arguments: Namespace) -> Result:
+    """Find out whether a change was accepted."""
+    acceptance = _acceptor(arguments).resolve(arguments.change_id)
+    if acceptance is not None:
+        data = acceptance_data(acceptance)
+        return Result(ExitCode.DONE, acceptance_text(acceptance), data)
+    text = f"change {arguments.change_id} was not accepted and cannot be any more"
+    return Result(ExitCode.REFUSED, text, {"change_id": arguments.change_id})
+
+
+@register_command("ctl status")
+def status(arguments: Namespace) -> Result:
+    """Show whether the accepted version is in force everywhere."""
+    fleet = read_fleet_status(_client(arguments))
+    is_in_force = fleet.state is RegionState.IN_FORCE
+    exit_code = ExitCode.DONE if is_in_force else ExitCode.NOT_EVERYWHERE
+    return Result(exit_code, status_text(fleet), status_data(fleet))
+
+
+def _client(arguments: Namespace) -> StoreClient:
+    return StoreClient(arguments.store, timeout_s=arguments.timeout)
+
+
+def _acceptor(arguments: Namespace) -> Acceptor:
+    return Acceptor(_client(arguments), author=arguments.author or _login_name())
+
+
+def _login_name() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
+
+
+def _report_acceptance(acceptance: Acceptance, arguments: Namespace) -> Result:
+    result = Result(
+        ExitCode.DONE, acceptance_text(acceptance), acceptance_data(acceptance)
+    )
+    # Without --wait nothing is known about the nodes.
+    if arguments.wait is None:
+        return result
+    fleet = wait_until_in_force(_client(arguments), acceptance.version, arguments.wait)
+    if fleet is None:
+        text = f"{result.text}\nthe store is down: whether it is in force is unknown"
+        return replace(result, exit_code=ExitCode.NOT_EVERYWHERE, text=text)
+    is_in_force = fleet.state is RegionState.IN_FORCE
+    return Result(
+        ExitCode.DONE if is_in_force else ExitCode.NOT_EVERYWHERE,
+        f"{result.text}\n{status_text(fleet)}",
+        {**result.data, "status": status_data(fleet)},
+    )
--- a/src/verbenawick/_delta.py
+++ b/src/verbenawick/_delta.py
@@ -25,6 +25,7 @@
 # Bounds the memory that a corrupt or hostile value can take when it is decompressed.
 MAX_DECODED_BYTES = 8 * 1024 * 1024
 MAX_WINDOW_BYTES = 8 * 1024 * 1024
+MAX_SHOWN_LENGTH = 100
 
 COLLECTIONS = ("services_by_id", "policies_by_id", "routes_by_id", "presets_by_id")
 
@@ -67,10 +68,17 @@
     def __str__(self) -> str:
         """Return one line."""
         if self.old is None:
-            return f"{self.path}: added {self.new!r}"
+            return f"{self.path}: added {_shorten(self.new)}"
         if self.new is None:
-            return f"{self.path}: removed {self.old!r}"
-        return f"{self.path}: {self.old!r} -> {self.new!r}"
+            return f"{self.path}: removed {_shorten(self.old)}"
+        return f"{self.path}: {_shorten(self.old)} -> {_shorten(self.new)}"
+
+
+def _shorten(value: Any) -> str:
+    text = repr(value)
+    if len(text) <= MAX_SHOWN_LENGTH:
+        return text
+    return text[:MAX_SHOWN_LENGTH] + "..."
 
 
 _delta_adapter = TypeAdapter(Row[Delta])
--- a/src/verbenawick/_store.py
+++ b/src/verbenawick/_store.py
@@ -249,15 +249,24 @@
 
     def _unavailable(self, reason: str, step: str) -> StoreUnavailableError:
         return StoreUnavailableError(
-            f"the store is unavailable: {reason}", step=step, peer=self.address
+            f"the store is unavailable: {_without_object(reason)}",
+            step=step,
+            peer=self.address,
         )
 
     def _answer_lost(self, reason: str, step: str) -> StoreAnswerLostError:
         return StoreAnswerLostError(
-            f"the store's answer was lost: {reason}", step=step, peer=self.address
+            f"the store's answer was lost: {_without_object(reason)}",
+            step=step,
+            peer=self.address,
         )
 
 
+def _without_object(reason: str) -> str:
+    """Drop the connection that urllib3 names before the reason."""
+    return reason.partition("): ")[2] or reason
+
+
 def _version_in(response: BaseHTTPResponse) -> int:
     return int(response.headers.get(VERSION_HEADER, "0"))
 
--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -122,6 +122,11 @@
     """The change was refused before anything was accepted."""
 
 
+@register_error("accept.no-such-change")
+class NoSuchChangeError(VerbenawickError):
+    """The store has no change with this id."""
+
+
 @register_error("accept.unknown")
 class ChangeOutcomeUnknownError(VerbenawickError):
     """The answer to the conditional update was lost and cannot be read back now.
@@ -467,11 +472,6 @@
 # Leases and membership
 
 
-@register_error("lease.not-held")
-class LeaseNotHeldError(StoreUnavailableError):
-    """A write needs a lease that this node does not hold now; nothing was sent."""
-
-
 @register_error("status.invalid")
 class StatusError(VerbenawickError):
     """A region's status object cannot be decoded."""
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -27,6 +27,7 @@
     ChangeOutcomeUnknownError,
     ConflictError,
     DocumentError,
+    NoSuchChangeError,
     StoreAnswerLostError,
     StoreConditionError,
 )
@@ -270,7 +271,7 @@
         self.assertEqual(3, acceptor.switch_preset("peak").version)
 
     def test_unknown_change_id_is_reported(self):
-        self.assertRaises(ChangeNotBegunError, self.acceptor().resolve, "nothing")
+        self.assertRaises(NoSuchChangeError, self.acceptor().resolve, "nothing")
 
     def test_paused_command_gives_up_before_its_objects_count_as_orphans(self):
         def pause(step):
