--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -122,6 +122,11 @@
     """The change was refused before anything was accepted."""
 
 
+@register_error("accept.no-such-change")
+class NoSuchChangeError(VerbenawickError):
+    """The store has no change with this id."""
+
+
 @register_error("accept.unknown")
 class ChangeOutcomeUnknownError(VerbenawickError):
     """The answer to the conditional update was lost and cannot be read back now.
