Test claims with a seeded simulation of failures

Cause: fixed scenarios cannot cover the orders in which pauses, partitions, joins, handovers and late messages meet. Ruled out: hypothesis stateful rules; they call methods one after the other, while the faults lie in calls that are interrupted while they seal. Claim requests take their call id from the process-wide counter, since the call links match answers by it. Claim errors have an HTTP status.

--- a/src/verbenawick/_claim_handover.py
+++ b/src/verbenawick/_claim_handover.py
@@ -1,9 +1,9 @@
 """Handover of all claim records at a planned stop."""
 
 from collections import defaultdict
-from collections.abc import Callable
 from dataclasses import dataclass
 
+from verbenawick._call_messages import next_call_id
 from verbenawick._claim_messages import (
     ClaimHandover,
     ClaimHandoverAnswer,
@@ -57,14 +57,12 @@
         members: MemberView,
         requests: RequestPort,
         clock: Clock,
-        next_call_id: Callable[[], int],
     ):
         self._identity = identity
         self._table = table
         self._members = members
         self._requests = requests
         self._clock = clock
-        self._next_call_id = next_call_id
         # Nodes that refused since they stop too; they claim no keys any more.
         self._excluded = {identity.node_id}
         self._grouping: tuple = ()
@@ -132,7 +130,7 @@
     def _send(self, owner: Member, rows: tuple[RecordRow, ...], deadline) -> str:
         """Return why `owner` did not accept `rows`, or an empty string."""
         message = ClaimHandover(
-            self._next_call_id(),
+            next_call_id(),
             self._identity.service_id,
             OwnerRef(self._identity.node_id, self._identity.incarnation),
             rows,
--- a/src/verbenawick/_claims.py
+++ b/src/verbenawick/_claims.py
@@ -6,9 +6,8 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from itertools import count
 
-from verbenawick._call_messages import CallAnswer
+from verbenawick._call_messages import CallAnswer, next_call_id
 from verbenawick._claim_handover import HandoverSender
 from verbenawick._claim_messages import (
     ClaimHandover,
@@ -126,7 +125,6 @@
         self._table = ClaimTable(clock, self._limits)
         self._pending_by_key: dict[str, PendingClaim] = {}
         self._deadlines_by_key: dict[str, float] = {}
-        self._next_call_id = count(1).__next__
         self._is_stopping = False
         self._is_handing_over = False
 
@@ -227,7 +225,6 @@
             members=self._members,
             requests=self._requests,
             clock=self._clock,
-            next_call_id=self._next_call_id,
         )
         return sender.run(deadline)
 
@@ -388,7 +385,7 @@
 
     def _seal_at(self, owner: Member, key, deadline) -> SealAnswer | ClaimError:
         request = SealRequest(
-            self._next_call_id(),
+            next_call_id(),
             self._identity.service_id,
             key,
             self._self_ref,
--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -202,9 +202,12 @@
     proves_not_run : bool
         Whether a first attempt that meets this error is known not to have run. A later
         attempt is never told "not run", since an earlier one may have.
+    http_status : int
+        Status of the answer to the caller.
     """
 
     proves_not_run = True
+    http_status = 503
 
 
 @register_error("claim.not-owner")
@@ -228,6 +231,8 @@
 class ClaimDeadlineError(ClaimError):
     """The deadline of the call passed before its key could be claimed."""
 
+    http_status = 504
+
 
 @register_error("claim.stopping")
 class ClaimStoppingError(ClaimError):
@@ -243,12 +248,15 @@
 class ClaimKeyError(ClaimError):
     """The idempotency key is empty or too long."""
 
+    http_status = 400
+
 
 @register_error("claim.key-reused")
 class ClaimKeyReusedError(ClaimError):
     """The key belongs to a request with another method, target or body."""
 
     proves_not_run = False
+    http_status = 422
 
 
 @register_error("claim.in-progress")
@@ -256,6 +264,7 @@
     """An earlier request with this key is running or about to run."""
 
     proves_not_run = False
+    http_status = 409
 
 
 @register_error("claim.outcome-unknown")
@@ -263,6 +272,7 @@
     """An earlier request with this key may have run; its response is not known."""
 
     proves_not_run = False
+    http_status = 409
 
 
 @register_error("claim.answer-not-kept")
@@ -270,6 +280,7 @@
     """An earlier request with this key ran in full; its response was not kept."""
 
     proves_not_run = False
+    http_status = 409
 
 
 @register_error("claim.earlier-owner-unreachable")
--- /dev/null
+++ b/tests/claim_world.py
@@ -0,0 +1,578 @@
+"""Seeded simulation of claim keepers with failures of processes, links and callers.
+
+Each call and each planned stop runs in a greenlet that gives way wherever the real
+one may: while it waits for another node, for a slot, for the upstream. One random step
+after another delivers or loses a message, resumes a greenlet, changes the membership,
+pauses, crashes or cuts off a process, or lets time pass.
+
+Callers keep the rules of docs/at-most-once.md: the attempt number grows after every
+outcome other than "not run", and a key is sent for the last time at `RETRY_WINDOW_S`
+after its first attempt. A call is read at most `MAX_CALL_DELAY_S` after it was sent.
+"""
+
+from dataclasses import dataclass, field
+from random import Random
+
+from greenlet import getcurrent, greenlet
+
+from tests.claim_fakes import SERVICE, answer
+from verbenawick._claim_records import ClaimLimits
+from verbenawick._claims import ClaimKeeper
+from verbenawick._clock import ManualClock
+from verbenawick._component import NodeIdentity
+from verbenawick._members import DepartedMember, Member, MemberState
+from verbenawick.errors import AnswerLostError, LinkClosedError
+
+LIMITS = ClaimLimits(
+    horizon_s=400.0, authority_s=120.0, longest_call_s=10.0, seal_timeout_s=3.0
+)
+CALL_S = 8.0
+MAX_CALL_DELAY_S = LIMITS.authority_s
+RETRY_WINDOW_S = LIMITS.horizon_s - MAX_CALL_DELAY_S
+DEAD_AFTER_S = 4.0
+MAX_NODES = 5
+
+
+class DoubleRunError(AssertionError):
+    """A key ran twice, or was called not run although it ran."""
+
+
+@dataclass
+class Change:
+    """Entry of the membership log, which every node sees in the same order."""
+
+    kind: str  # join, drain, depart, ended
+    node_id: str
+    incarnation: int
+    at: float
+    handed_over: bool = False
+    process_ended: bool = False
+
+
+@dataclass
+class Process:
+    """A node process with its own, possibly late, view of the membership log."""
+
+    world: "World"
+    node_id: str
+    incarnation: int
+    region: str
+    learned: list[float] = field(default_factory=list)
+    is_alive: bool = True
+    is_paused: bool = False
+    is_cut_off: bool = False
+    is_stopping: bool = False
+    unreachable_since: float | None = None
+    keeper: ClaimKeeper | None = None
+
+    def sync(self, upto: int) -> None:
+        """Learn the log up to a position."""
+        missing = upto - len(self.learned)
+        self.learned.extend([self.world.clock.now()] * missing)
+        self.confirmed_at = (
+            self.world.clock.now()
+            if upto == len(self.world.log)
+            else self.world.log[upto].at
+        )
+
+    def _replay(self):
+        now, members, departed = self.world.clock.now(), {}, {}
+        for change, learned_at in zip(self.world.log, self.learned, strict=False):
+            ref = (change.node_id, change.incarnation)
+            if change.kind == "join":
+                members[change.node_id] = Member(
+                    *ref,
+                    SERVICE,
+                    "dc",
+                    self.world.region_of(change.node_id),
+                    "127.0.0.1:1",
+                    1,
+                    recently_joined=now - change.at < LIMITS.horizon_s,
+                )
+            elif change.kind == "drain":
+                old = members[change.node_id]
+                members[change.node_id] = Member(
+                    *ref, SERVICE, "dc", old.region, "", 1, MemberState.DRAINING
+                )
+            else:
+                member = members.get(change.node_id)
+                if member is not None and member.incarnation == change.incarnation:
+                    del members[change.node_id]
+                departed[ref] = DepartedMember(
+                    *ref,
+                    SERVICE,
+                    self.world.region_of(change.node_id),
+                    change.handed_over,
+                    change.process_ended,
+                    learned_at,
+                )
+        recent = [
+            d for d in departed.values() if now - d.departed_at <= LIMITS.horizon_s
+        ]
+        return members, recent
+
+    def members_of(self, service_id):
+        """Return the members in this view."""
+        return tuple(sorted(self._replay()[0].values(), key=lambda m: m.node_id))
+
+    def departed_of(self, service_id):
+        """Return the departed members in this view."""
+        return tuple(self._replay()[1])
+
+    def member(self, node_id):
+        """Return one member of this view."""
+        return self._replay()[0].get(node_id)
+
+    def authority_deadline(self):
+        """Return the end of the authority."""
+        return self.confirmed_at + LIMITS.authority_s
+
+    def request(self, member, message, *, deadline):
+        """Send `message` and give way until it is answered or lost."""
+        receiver = self.world.processes_by_id.get(member.node_id)
+        if receiver is None or not self.world.is_connected(self, receiver):
+            raise LinkClosedError("no link", peer=member.node_id)
+        self.world.task.wait = Wait(receiver, message, deadline)
+        return self.world.give_way()
+
+
+@dataclass
+class Wait:
+    """Request that a task waits for."""
+
+    receiver: Process
+    message: object
+    deadline: float
+    reply: object = None
+
+
+@dataclass
+class Task:
+    """Greenlet of one process."""
+
+    process: Process
+    greenlet: greenlet
+    wait: Wait | None = None
+
+
+@dataclass
+class Call:
+    """One attempt of a caller, sent by an entry to the owner it knows."""
+
+    key: str
+    attempt: int
+    target: Process
+    sent_at: float
+    is_started: bool = False
+
+
+@dataclass
+class Caller:
+    """Owner of one key."""
+
+    key: str
+    attempt: int = 1
+    first_sent_at: float | None = None
+    call: Call | None = None
+
+
+class World:
+    """All processes, messages in flight and callers; one random step at a time."""
+
+    def __init__(self, seed: int, keeper=ClaimKeeper):
+        self.random = Random(seed)
+        self.clock = ManualClock()
+        self.keeper_type = keeper
+        self.log: list[Change] = []
+        self.processes_by_id: dict[str, Process] = {}
+        self.tasks: list[Task] = []
+        self.task: Task | None = None
+        self.late: list[tuple[Process, object]] = []
+        self.callers: list[Caller] = []
+        self.runs_by_key: dict[str, int] = {}
+        self.counts: dict[str, int] = {}
+        self._hub = getcurrent()
+        self._incarnations = 0
+        for number in range(3):
+            self._start(f"n{number}", self.clock.now() - 2 * LIMITS.horizon_s)
+        self._sync_all()
+        # Some seeds have many faults, others few, so that short and long chains occur.
+        rate = self.random.choice((0.1, 0.3, 0.6))
+        self._steps = (
+            (40, self._resume_task),
+            (30, self._deliver_request),
+            (25, self._send_call),
+            (25, self._start_call),
+            (6, self._pass_short_time),
+            (8, self._sync_one),
+            (4, self._abandon_call),
+            (2, self._deliver_late),
+            (2, self._lose_request),
+            (0.8 * rate, self._pass_long_time),
+            (2.0 * rate, self._join),
+            (0.7 * rate, self._crash),
+            (0.7 * rate, self._stop),
+            (2.0 * rate, self._pause_or_resume),
+            (2.0 * rate, self._cut_off_or_reconnect),
+            (4.0 * rate, self._declare_departed),
+            (4.0 * rate, self._rejoin),
+        )
+        self._weights = [weight for weight, _ in self._steps]
+
+    def run(self, steps: int) -> "World":
+        """Take random steps; raises `DoubleRunError` at a violation."""
+        for _ in range(steps):
+            self.random.choices(self._steps, self._weights)[0][1]()
+        return self
+
+    def region_of(self, node_id: str) -> str:
+        """Return the region of a node."""
+        return "ab"[int(node_id[1:]) % 2]
+
+    def is_connected(self, one: Process, other: Process) -> bool:
+        """Return whether messages pass between two processes."""
+        return one.is_alive and other.is_alive and one.is_cut_off == other.is_cut_off
+
+    def give_way(self):
+        """Leave the current task until a step resumes it."""
+        return self._hub.switch()
+
+    def _count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def _pick(self, items):
+        items = list(items)
+        return self.random.choice(items) if items else None
+
+    def _chance(self, share: float) -> bool:
+        return self.random.random() < share
+
+    # Tasks and messages
+
+    def _spawn(self, process: Process, function, *args) -> None:
+        task = Task(process, greenlet(function, self._hub))
+        self.tasks.append(task)
+        self._switch(task, *args)
+
+    def _switch(self, task: Task, *args, error: Exception | None = None) -> None:
+        self.task, task.wait = task, None
+        if error is not None:
+            task.greenlet.throw(error)
+        else:
+            task.greenlet.switch(*args)
+        self.task = None
+        if task.greenlet.dead and task in self.tasks:
+            self.tasks.remove(task)
+
+    def _running(self, process: Process) -> bool:
+        return process.is_alive and not process.is_paused
+
+    def _resume_task(self) -> None:
+        task = self._pick(t for t in self.tasks if self._running(t.process))
+        if task is None:
+            return
+        wait = task.wait
+        if wait is None:
+            self._switch(task)
+        elif wait.reply is not None and self.is_connected(task.process, wait.receiver):
+            self._switch(task, wait.reply)
+        elif self.clock.now() >= wait.deadline or wait.reply is not None:
+            if wait.reply is None:
+                self.late.append((wait.receiver, wait.message))
+            self._switch(task, error=AnswerLostError("timeout"))
+
+    def _deliver_request(self) -> None:
+        task = self._pick(t for t in self.tasks if t.wait and t.wait.reply is None)
+        if task is None:
+            return
+        wait = task.wait
+        if self._running(wait.receiver) and self.is_connected(
+            task.process, wait.receiver
+        ):
+            wait.reply = wait.receiver.keeper.answer_to(wait.message)
+            if self._chance(0.1):
+                self.late.append((wait.receiver, wait.message))
+
+    def _lose_request(self) -> None:
+        task = self._pick(t for t in self.tasks if t.wait and self._running(t.process))
+        if task is not None:
+            self._switch(task, error=AnswerLostError("link closed"))
+
+    def _deliver_late(self) -> None:
+        """Deliver a delayed message or the copy of one; its answer is discarded."""
+        if self.late:
+            index = self.random.randrange(len(self.late))
+            receiver, message = self.late[index]
+            if self._running(receiver):
+                receiver.keeper.answer_to(message)
+                del self.late[index]
+            elif not receiver.is_alive:
+                del self.late[index]
+
+    # Callers, entries and gateways
+
+    def _send_call(self) -> None:
+        caller = self._pick(c for c in self.callers if c.call is None)
+        if caller is None or (len(self.callers) < 6 and self._chance(0.2)):
+            if len(self.callers) >= 6:
+                return
+            name = f"k{len(self.runs_by_key)}"
+            caller = Caller(self.random.choice(("", "a/", "b/")) + name)
+            self.runs_by_key[caller.key] = 0
+            self.callers.append(caller)
+        now = self.clock.now()
+        if caller.first_sent_at is None:
+            caller.first_sent_at = now
+        elif now > caller.first_sent_at + RETRY_WINDOW_S:
+            self.callers.remove(caller)
+            return
+        entry = self._pick(p for p in self.processes_by_id.values() if p.is_alive)
+        if entry is None:
+            return
+        owner = entry.keeper.owner_of(SERVICE, caller.key)
+        target = self.processes_by_id.get(owner.node_id) if owner else None
+        if target is None or not self.is_connected(entry, target):
+            self._answer(caller, "not-run" if caller.attempt == 1 else "unknown")
+            return
+        caller.call = Call(caller.key, caller.attempt, target, now)
+
+    def _start_call(self) -> None:
+        caller = self._pick(c for c in self.callers if c.call and not c.call.is_started)
+        if caller is not None and self._running(caller.call.target):
+            self._begin(caller, caller.call)
+
+    def _begin(self, caller: Caller, call: Call) -> None:
+        call.is_started = True
+        self._spawn(call.target, self._serve, caller, call)
+
+    def _serve(self, caller: Caller, call: Call) -> None:
+        """Do what the owner's gateway does with a call."""
+        if self.clock.now() - call.sent_at > MAX_CALL_DELAY_S:
+            return
+        keeper, key = call.target.keeper, call.key
+        decision = keeper.begin(
+            key,
+            fingerprint=b"request",
+            attempt=call.attempt,
+            deadline=self.clock.now() + CALL_S,
+        )
+        self._count(f"{decision.verdict} {decision.code}".strip())
+        outcome = {"recorded": "complete", "refused": "not-run"}.get(
+            decision.verdict, "unknown"
+        )
+        if decision.verdict == "run":
+            outcome = self._execute(keeper, call)
+        if caller.call is call and not self._chance(0.3):
+            caller.call = None
+            self._answer(caller, outcome)
+
+    def _execute(self, keeper: ClaimKeeper, call: Call) -> str:
+        self.give_way()  # queue of the gateway
+        if not keeper.confirm(call.key) or self._chance(0.1):
+            self._count("released")
+            keeper.release(call.key)
+            return "not-run" if call.attempt == 1 else "unknown"
+        self.runs_by_key[call.key] += 1
+        if self.runs_by_key[call.key] > 1:
+            raise DoubleRunError(f"{call.key} ran twice")
+        self.give_way()  # the upstream runs it
+        if self._chance(0.3):
+            keeper.mark_unknown(call.key)
+            return "unknown"
+        keeper.finish(call.key, answer())
+        return "complete"
+
+    def _answer(self, caller: Caller, outcome: str) -> None:
+        runs = self.runs_by_key[caller.key]
+        if outcome == "not-run" and runs:
+            raise DoubleRunError(f"{caller.key} ran and was called not run")
+        if outcome == "complete":
+            if runs != 1:
+                raise DoubleRunError(f"{caller.key} complete after {runs} runs")
+            if self._chance(0.5):
+                self.callers.remove(caller)
+                return
+        if outcome != "not-run":
+            caller.attempt += 1
+            if self._chance(0.1):
+                self.callers.remove(caller)
+
+    def _abandon_call(self) -> None:
+        caller = self._pick(c for c in self.callers if c.call)
+        if caller is None:
+            return
+        call = caller.call
+        if self.clock.now() - call.sent_at > CALL_S or self._chance(0.2):
+            caller.call = None
+            caller.attempt += 1
+            if not call.is_started:
+                self._spawn(call.target, self._serve_late, caller, call)
+
+    def _serve_late(self, caller: Caller, call: Call) -> None:
+        """Serve a call that its caller gave up while it was in flight."""
+        self.give_way()
+        self._serve(caller, call)
+
+    # Time and membership
+
+    def _pass_short_time(self) -> None:
+        self.clock.advance(self.random.choice((0.1, 0.5, 2.0)))
+
+    def _pass_long_time(self) -> None:
+        self.clock.advance(
+            self.random.choice((5.0, 12.0, 40.0, LIMITS.authority_s + 11))
+        )
+        self._sync_all()
+
+    def _sync_all(self) -> None:
+        for process in self.processes_by_id.values():
+            if self._has_relay(process):
+                process.sync(len(self.log))
+
+    def _sync_one(self) -> None:
+        process = self._pick(
+            p for p in self.processes_by_id.values() if self._has_relay(p)
+        )
+        if process is not None:
+            behind = len(self.log) - len(process.learned)
+            upto = len(self.log) - (self.random.randint(0, behind) if behind else 0)
+            process.sync(upto)
+
+    def _has_relay(self, process: Process) -> bool:
+        return self._running(process) and not process.is_cut_off
+
+    def _listed(self) -> dict[str, int]:
+        """Return the incarnation of each current member by the log."""
+        listed = {}
+        for change in self.log:
+            if change.kind == "join":
+                listed[change.node_id] = change.incarnation
+            elif change.kind in ("depart", "ended") and (
+                listed.get(change.node_id) == change.incarnation
+            ):
+                del listed[change.node_id]
+        return listed
+
+    def _start(self, node_id: str, at: float) -> None:
+        self._incarnations += 1
+        process = Process(self, node_id, self._incarnations, self.region_of(node_id))
+        process.keeper = self.keeper_type(
+            NodeIdentity(
+                node_id, process.incarnation, SERVICE, "dc", process.region, ""
+            ),
+            members=process,
+            requests=process,
+            clock=self.clock,
+            limits=LIMITS,
+        )
+        self.processes_by_id[node_id] = process
+        self.log.append(Change("join", node_id, process.incarnation, at))
+        process.sync(len(self.log))
+
+    def _join(self) -> None:
+        """Start a process; a node that ran before proves its old process ended."""
+        node_id = self._pick(
+            name
+            for name in (f"n{number}" for number in range(MAX_NODES))
+            if name not in self.processes_by_id
+        )
+        if node_id is None:
+            return
+        now = self.clock.now()
+        past = {c.incarnation: c for c in self.log if c.node_id == node_id}
+        for incarnation, last in past.items():
+            if not last.process_ended:
+                self.log.append(
+                    Change("ended", node_id, incarnation, now, process_ended=True)
+                )
+        self._start(node_id, now)
+
+    def _end(self, process: Process) -> None:
+        process.is_alive = False
+        del self.processes_by_id[process.node_id]
+        self.tasks = [t for t in self.tasks if t.process is not process]
+
+    def _crash(self) -> None:
+        process = self._pick(self.processes_by_id.values())
+        if process is not None:
+            self._end(process)
+
+    def _stop(self) -> None:
+        process = self._pick(
+            p
+            for p in self.processes_by_id.values()
+            if self._has_relay(p) and not p.is_stopping
+        )
+        if process is not None:
+            process.is_stopping = True
+            self._spawn(process, self._stop_gracefully, process)
+
+    def _stop_gracefully(self, process: Process) -> None:
+        keeper = process.keeper
+        keeper.stop_claiming()
+        if self._listed().get(process.node_id) == process.incarnation:
+            self.log.append(
+                Change("drain", process.node_id, process.incarnation, self.clock.now())
+            )
+        for _ in range(4):
+            if keeper.running_claims:
+                self.give_way()
+        is_complete = keeper.hand_over(self.clock.now() + 10)
+        self._count("handed over" if is_complete else "handover failed")
+        listed = self._listed().get(process.node_id) == process.incarnation
+        if self._has_relay(process) and listed:
+            self.log.append(
+                Change(
+                    "depart",
+                    process.node_id,
+                    process.incarnation,
+                    self.clock.now(),
+                    handed_over=is_complete,
+                    process_ended=True,
+                )
+            )
+        self._end(process)
+
+    def _pause_or_resume(self) -> None:
+        processes = self.processes_by_id.values()
+        paused = self._pick(p for p in processes if p.is_paused)
+        process = paused if paused and self._chance(0.6) else self._pick(processes)
+        if process is not None:
+            process.is_paused = not process.is_paused
+
+    def _cut_off_or_reconnect(self) -> None:
+        processes = self.processes_by_id.values()
+        cut_off = self._pick(p for p in processes if p.is_cut_off)
+        process = cut_off if cut_off and self._chance(0.6) else self._pick(processes)
+        if process is not None:
+            process.is_cut_off = not process.is_cut_off
+
+    def _declare_departed(self) -> None:
+        """Let the relay declare a member dead that it has not heard for a while."""
+        now = self.clock.now()
+        for node_id, incarnation in self._listed().items():
+            process = self.processes_by_id.get(node_id)
+            is_heard = process is not None and process.incarnation == incarnation
+            if is_heard and self._has_relay(process):
+                process.unreachable_since = None
+                continue
+            if is_heard:
+                if process.unreachable_since is None:
+                    process.unreachable_since = now
+                if now - process.unreachable_since < DEAD_AFTER_S:
+                    continue
+            self.log.append(Change("depart", node_id, incarnation, now))
+
+    def _rejoin(self) -> None:
+        listed = self._listed()
+        for process in self.processes_by_id.values():
+            if (
+                self._has_relay(process)
+                and not process.is_stopping
+                and listed.get(process.node_id) != process.incarnation
+            ):
+                self.log.append(
+                    Change(
+                        "join", process.node_id, process.incarnation, self.clock.now()
+                    )
+                )
