--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -475,6 +475,10 @@
     """A change would break an invariant; it was stopped."""
 
 
+# Leases and membership
+# Status
+
+
 @register_error("status.invalid")
 class StatusError(VerbenawickError):
     """A region's status object cannot be decoded."""
