--- /dev/null
+++ b/bench/mesh.py
@@ -0,0 +1,213 @@
+"""A mesh of control tasks in a few worker processes, and the store stand-in."""
+
+import json
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import urllib3
+
+from verbenawick._settings import NodeSettings
+
+ROOT = Path(__file__).resolve().parent.parent
+PEER_PORT = 7000
+STORE_PORT = 7001
+STOP_TIMEOUT_S = 15.0
+POLL_S = 0.25
+
+
+class WorkerProcess:
+    """One `bench.mesh_worker` process.
+
+    Parameters
+    ----------
+    nodes : list of dict
+        Settings of its nodes.
+    mode : str
+        ``"tree"`` or ``"baseline"``.
+    """
+
+    def __init__(self, nodes: list[dict], *, mode: str, seed: int):
+        self.node_ids = [node["node_id"] for node in nodes]
+        self._process = subprocess.Popen(
+            [sys.executable, "-W", "ignore", "-m", "bench.mesh_worker"],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            cwd=ROOT,
+        )
+        self.send({"nodes": nodes, "mode": mode, "seed": seed})
+
+    def send(self, command: dict) -> None:
+        """Send a command; `receive` returns its answer."""
+        self._process.stdin.write(json.dumps(command).encode() + b"\n")
+        self._process.stdin.flush()
+
+    def receive(self) -> dict:
+        """Return the answer to the oldest command."""
+        line = self._process.stdout.readline()
+        if not line:
+            raise RuntimeError("a worker process ended")
+        return json.loads(line)
+
+    def ask(self, **command) -> dict:
+        """Send a command and return its answer."""
+        self.send(command)
+        return self.receive()
+
+    def close(self) -> None:
+        """End the process."""
+        self._process.stdin.close()
+        try:
+            self._process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self._process.kill()
+            self._process.wait()
+        self._process.stdout.close()
+
+
+@dataclass
+class MeshPlan:
+    """Layout of nodes over data centres and regions.
+
+    Attributes
+    ----------
+    network : int
+        First number after 127 of the loopback addresses.
+    """
+
+    data_centres: int
+    nodes_per_centre: int
+    centres_per_region: int = 3
+    services: int = 82
+    network: int = 60
+    seeds_per_node: int = 3
+    timing: dict = field(default_factory=dict)
+
+    @property
+    def store_address(self) -> str:
+        """Address of the store stand-in."""
+        return f"127.{self.network}.255.1:{STORE_PORT}"
+
+    def address(self, centre: int, index: int) -> str:
+        """Return the listener of a node."""
+        return f"127.{self.network}.{centre}.{index + 1}:{PEER_PORT}"
+
+    def settings(self, centre: int, index: int) -> dict:
+        """Return the settings of one node."""
+        ip = self.address(centre, index).partition(":")[0]
+        size = self.nodes_per_centre
+        seeds = {(index + k * (size // 4 or 1) + 1) % size for k in range(4)} - {index}
+        number = centre * size + index
+        settings = {
+            "node_id": f"dc{centre:02}-n{index:03}",
+            "data_centre": f"dc{centre:02}",
+            "region": f"r{centre // self.centres_per_region}",
+            "call_address": f"{ip}:7100",
+            "peer_address": f"{ip}:{PEER_PORT}",
+            "admin_address": f"{ip}:7200",
+            "store": {"address": self.store_address},
+            "upstream": {
+                "address": f"{ip}:7300",
+                "service": f"svc{number % self.services:02}",
+                "slots": 12,
+            },
+            "neighbours": [self.address(centre, s) for s in sorted(seeds)],
+            "timing": self.timing,
+        }
+        NodeSettings.model_validate(settings)
+        return settings
+
+    def centre(self, centre: int) -> list[dict]:
+        """Return the settings of all nodes of a data centre."""
+        return [self.settings(centre, i) for i in range(self.nodes_per_centre)]
+
+
+class Mesh:
+    """Worker processes of one plan."""
+
+    def __init__(self, plan: MeshPlan):
+        self.plan = plan
+        self.workers: list[WorkerProcess] = []
+        self._http = urllib3.PoolManager()
+
+    def add_worker(self, nodes: list[dict], *, mode: str, seed: int) -> WorkerProcess:
+        """Start a process; its nodes start by command."""
+        worker = WorkerProcess(nodes, mode=mode, seed=seed)
+        self.workers.append(worker)
+        return worker
+
+    def ask_all(self, workers: list[WorkerProcess] | None = None, **command):
+        """Send a command to all workers, then return their answers."""
+        chosen = self.workers if workers is None else workers
+        for worker in chosen:
+            worker.send(command)
+        return [worker.receive() for worker in chosen]
+
+    def describe(self, *, members: bool = False) -> list[dict]:
+        """Return all running nodes."""
+        answers = self.ask_all(do="describe", members=members)
+        return [node for answer in answers for node in answer["nodes"]]
+
+    def store_counters(self) -> dict:
+        """Return the stand-in's counters."""
+        url = f"http://{self.plan.store_address}/standin/counters"
+        return self._http.request("GET", url).json()
+
+    def set_store_faults(self, **faults) -> None:
+        """Put faults of the stand-in in force."""
+        url = f"http://{self.plan.store_address}/standin/faults"
+        self._http.request("POST", url, body=json.dumps(faults))
+
+    def is_agreed(self) -> bool:
+        """Return whether each running node knows exactly the running nodes."""
+        nodes = self.describe(members=True)
+        running = sorted(f"{n['node']}/{n['incarnation']}" for n in nodes)
+        return all(node["members"] == running for node in nodes)
+
+    def wait_until(self, condition: Callable[[], bool], timeout_s: float) -> float:
+        """Poll until `condition()` holds; return the seconds it took."""
+        started_at = time.monotonic()
+        while not condition():
+            if time.monotonic() - started_at > timeout_s:
+                raise TimeoutError(f"not reached within {timeout_s} s")
+            time.sleep(POLL_S)
+        return time.monotonic() - started_at
+
+
+@contextmanager
+def running_mesh(plan: MeshPlan) -> Iterator[Mesh]:
+    """Start the store stand-in; end all processes at the end."""
+    store = subprocess.Popen(
+        [
+            sys.executable,
+            "-W",
+            "ignore",
+            "-m",
+            "standins.store",
+            "--address",
+            plan.store_address,
+        ],
+        cwd=ROOT,
+        stderr=subprocess.DEVNULL,
+    )
+    mesh = Mesh(plan)
+    try:
+        mesh.wait_until(lambda: _answers(mesh), 10.0)
+        yield mesh
+    finally:
+        for worker in mesh.workers:
+            worker.close()
+        store.terminate()
+        store.wait()
+
+
+def _answers(mesh: Mesh) -> bool:
+    try:
+        mesh.store_counters()
+    except urllib3.exceptions.HTTPError:
+        return False
+    return True
--- /dev/null
+++ b/bench/mesh_worker.py
@@ -0,0 +1,303 @@
+"""Process that hosts control tasks with membership over real sockets.
+
+Run by benchmarks and tests as ``python -m bench.mesh_worker``. Reads one JSON object
+per line from its input (first the plan, then commands) and answers each with one line.
+"""
+
+import eventlet
+
+eventlet.monkey_patch()
+
+import json
+import sys
+from random import Random
+from time import monotonic
+
+import psutil
+from eventlet.green import os as green_os
+from loguru import logger
+
+from verbenawick._clock import MonotonicClock
+from verbenawick._component import NodeIdentity
+from verbenawick._control import ControlTask
+from verbenawick._links import CONTROL_CHANNEL, LinkServer
+from verbenawick._membership import Membership
+from verbenawick._metrics import MetricSet
+from verbenawick._settings import NodeSettings
+from verbenawick._store import StoreClient
+from verbenawick._store_workers import STORE_CALLS
+from verbenawick.errors import StoreUnavailableError, VerbenawickError
+
+LOAD_INTERVAL_S = 1.0
+# Share of nodes whose load jumps each second, so that loads have to be sent.
+LOAD_JUMP_SHARE = 0.2
+BASELINE_INTERVAL_S = 5.0
+BASELINE_PREFIX = "baseline/"
+BASELINE_VALUE_BYTES = 90
+
+
+class CuttableStore:
+    """Store client that a command cuts off from the store."""
+
+    def __init__(self, client: StoreClient):
+        self.client = client
+        self.is_cut = False
+
+    def _check(self) -> None:
+        if self.is_cut:
+            raise StoreUnavailableError("cut off by the benchmark", step="bench")
+
+    def get(self, key):
+        """Read one object."""
+        self._check()
+        return self.client.get(key)
+
+    def update(self, key, value, *, expected_version):
+        """Write one object."""
+        self._check()
+        return self.client.update(key, value, expected_version=expected_version)
+
+    def watch(self, prefixes, *, after, wait_s):
+        """Wait for changes."""
+        self._check()
+        # A short wait lets a cut take effect soon.
+        return self.client.watch(prefixes, after=after, wait_s=min(wait_s, 5.0))
+
+
+class TreeNode:
+    """One node of the project: control task, membership and listener."""
+
+    def __init__(self, settings: NodeSettings, *, seed: int):
+        self.settings = settings
+        self.random = Random(f"{seed}/{settings.node_id}")
+        self.is_running = False
+        self.started_at = 0.0
+
+    def start(self) -> None:
+        """Listen and run."""
+        settings = self.settings
+        self.identity = NodeIdentity(
+            settings.node_id,
+            self.random.getrandbits(48),
+            settings.upstream.service,
+            settings.data_centre,
+            settings.region,
+            settings.peer_address,
+        )
+        clock = MonotonicClock()
+        self.metrics = MetricSet()
+        own_ip = settings.peer_address.rpartition(":")[0]
+        self.store = CuttableStore(
+            StoreClient(settings.store.address, source_ip=own_ip)
+        )
+        self.task = ControlTask(
+            settings,
+            self.identity,
+            store=self.store,
+            clock=clock,
+            random=self.random,
+            metrics=self.metrics,
+        )
+        self.membership = Membership(
+            self.identity,
+            slots=settings.upstream.slots,
+            timing=settings.timing,
+            clock=clock,
+            peers=self.task.peers,
+            store=self.task.store,
+            roles=self.task.roles,
+            record=self.task.record,
+        )
+        self.task.add(self.membership)
+        self.task.set_members(self.membership.table)
+        self.server = LinkServer(self.identity, {CONTROL_CHANNEL: self.task.peers})
+        self.server.listen()
+        self.is_running = True
+        self.started_at = monotonic()
+        self._threads = [
+            eventlet.spawn(self.server.run),
+            eventlet.spawn(self.task.run),
+            eventlet.spawn(self._change_load),
+        ]
+
+    def stop(self) -> None:
+        """End without any message, as a killed process does."""
+        self.is_running = False
+        for thread in self._threads:
+            thread.kill()
+        self.server.stop()
+        self.task.peers.close_all()
+
+    def _change_load(self) -> None:
+        busy_share = self.random.random()
+        while True:
+            if self.random.random() < LOAD_JUMP_SHARE:
+                busy_share = self.random.random()
+            share = busy_share
+            self.task.call(lambda: self.membership.set_load(share, is_healthy=True))
+            eventlet.sleep(LOAD_INTERVAL_S)
+
+    def describe(self) -> dict:
+        """Return what benchmarks read."""
+        roles, table = self.task.roles, self.membership.table
+        traffic = self.store.client.traffic
+        return {
+            "node": self.settings.node_id,
+            "incarnation": self.identity.incarnation,
+            "members": sorted(
+                f"{joined.member.node_id}/{joined.member.incarnation}"
+                for region in table.regions()
+                for joined in region.members_by_id.values()
+            ),
+            "relay": roles.relay_id(),
+            "is_data_centre_relay": roles.is_data_centre_relay(),
+            "is_region_relay": roles.is_region_relay(),
+            "has_authority": roles.has_authority(),
+            "link_bytes": self.task.peers.bytes_on_links(),
+            "store_bytes": traffic.bytes_sent + traffic.bytes_received,
+            "store_calls": self.metrics.totals().get(STORE_CALLS, 0),
+            "links": self.task.peers.link_count(),
+        }
+
+
+class BaselineNode:
+    """The plain way: each node writes its own object and watches all of them."""
+
+    def __init__(self, settings: NodeSettings, *, seed: int):
+        self.settings = settings
+        self.random = Random(f"{seed}/{settings.node_id}")
+        self.is_running = False
+        self.members: dict[str, int] = {}
+        self.failures = 0
+
+    def start(self) -> None:
+        """Start the writer and the watch."""
+        own_ip = self.settings.peer_address.rpartition(":")[0]
+        self.client = StoreClient(self.settings.store.address, source_ip=own_ip)
+        self.is_running = True
+        self._threads = [eventlet.spawn(self._write), eventlet.spawn(self._watch)]
+
+    def stop(self) -> None:
+        """End the node."""
+        self.is_running = False
+        for thread in self._threads:
+            thread.kill()
+
+    def _write(self) -> None:
+        key = BASELINE_PREFIX + self.settings.node_id
+        eventlet.sleep(self.random.uniform(0, BASELINE_INTERVAL_S))
+        version = 0
+        while True:
+            value = self.random.randbytes(BASELINE_VALUE_BYTES)
+            try:
+                version = self.client.update(key, value, expected_version=version)
+            except VerbenawickError:
+                self.failures += 1
+                try:
+                    version = self.client.get(key).version
+                except VerbenawickError:
+                    self.failures += 1
+            eventlet.sleep(BASELINE_INTERVAL_S)
+
+    def _watch(self) -> None:
+        after = 0
+        while True:
+            try:
+                listing = self.client.watch((BASELINE_PREFIX,), after=after, wait_s=5.0)
+            except VerbenawickError:
+                self.failures += 1
+                eventlet.sleep(self.random.uniform(0.1, 1.0))
+                continue
+            after = listing.revision
+            for obj in listing.objects:
+                self.members[obj.key] = obj.version
+
+    def describe(self) -> dict:
+        """Return what benchmarks read."""
+        traffic = self.client.traffic
+        return {
+            "node": self.settings.node_id,
+            "members": sorted(self.members),
+            "failures": self.failures,
+            "link_bytes": 0,
+            "store_bytes": traffic.bytes_sent + traffic.bytes_received,
+        }
+
+
+NODE_CLASSES = {"tree": TreeNode, "baseline": BaselineNode}
+
+
+class Worker:
+    """Nodes of this process and the commands on them."""
+
+    def __init__(self, plan: dict):
+        node_class = NODE_CLASSES[plan["mode"]]
+        self.nodes = {
+            settings["node_id"]: node_class(
+                NodeSettings.model_validate(settings), seed=plan["seed"]
+            )
+            for settings in plan["nodes"]
+        }
+
+    def handle(self, command: dict) -> dict:
+        """Carry one command out and return its answer."""
+        ids = command.get("ids") or list(self.nodes)
+        match command["do"]:
+            case "start":
+                for node_id in ids:
+                    if not self.nodes[node_id].is_running:
+                        self.nodes[node_id].start()
+                return {}
+            case "stop":
+                for node_id in ids:
+                    if self.nodes[node_id].is_running:
+                        self.nodes[node_id].stop()
+                return {}
+            case "cut_store":
+                for node_id in ids:
+                    self.nodes[node_id].store.is_cut = command["is_cut"]
+                return {}
+            case "describe":
+                return self.describe(with_members=command.get("members", False))
+        raise ValueError(f"unknown command {command['do']!r}")
+
+    def describe(self, *, with_members: bool) -> dict:
+        """Return the nodes, and CPU and memory of the process."""
+        process = psutil.Process()
+        times = process.cpu_times()
+        nodes = [n.describe() for n in self.nodes.values() if n.is_running]
+        for node in nodes:
+            node["member_count"] = len(node["members"])
+            if not with_members:
+                del node["members"]
+        return {
+            "nodes": nodes,
+            "cpu_s": times.user + times.system,
+            "rss_mb": process.memory_info().rss / 1e6,
+            "at": monotonic(),
+        }
+
+
+def read_lines():
+    """Yield lines from the input without blocking other green threads."""
+    green_os.set_blocking(0, False)
+    buffer = b""
+    while data := green_os.read(0, 1 << 16):
+        buffer += data
+        *lines, buffer = buffer.split(b"\n")
+        yield from lines
+
+
+def main() -> None:
+    """Answer commands until the input ends."""
+    logger.remove()
+    lines = read_lines()
+    worker = Worker(json.loads(next(lines)))
+    print(json.dumps({}), flush=True)
+    for line in lines:
+        print(json.dumps(worker.handle(json.loads(line))), flush=True)
+    sys.exit(0)
+
+
+if __name__ == "__main__":
+    main()
