--- a/bench/mesh_worker.py
+++ b/bench/mesh_worker.py
@@ -4,6 +4,8 @@
 per line from its input (first the plan, then commands) and answers each with one line.
 """
 
+from functools import partial
+
 import eventlet
 
 eventlet.monkey_patch()
@@ -134,7 +136,7 @@
             if self.random.random() < LOAD_JUMP_SHARE:
                 busy_share = self.random.random()
             share = busy_share
-            self.task.call(lambda: self.membership.set_load(share, is_healthy=True))
+            self.task.call(partial(self.membership.set_load, share, is_healthy=True))
             eventlet.sleep(LOAD_INTERVAL_S)
 
     def describe(self) -> dict:
--- a/demo/_scenario.py
+++ b/demo/_scenario.py
@@ -29,6 +29,7 @@
 DRAIN_LIMIT_S = 5.0
 POLL_S = 0.1
 CALLER_THREADS = 4
+LOG_LINES_SHOWN = 5
 
 
 class CheckFailedError(Exception):
@@ -67,11 +68,21 @@
         with run_deployment(self._plan) as deployment:
             try:
                 self._run_steps(deployment)
-            except CheckFailedError as error:
+            except (CheckFailedError, HTTPError) as error:
                 self.report.failures.append(str(error))
                 self._say(f"failed: {error}")
+                self._show_logs(deployment)
         return self.report
 
+    def _show_logs(self, deployment: Deployment) -> None:
+        for place in deployment.places:
+            path = deployment.folder / f"node-{place.node_id}.log"
+            if path.exists():
+                lines = path.read_text().splitlines()[-LOG_LINES_SHOWN:]
+                self._say(
+                    f"end of the log of {place.node_id}:\n  " + "\n  ".join(lines)
+                )
+
     def _run_steps(self, deployment: Deployment) -> None:
         deployment.start_all()
         self._apply_example(deployment)
@@ -99,7 +110,7 @@
         self._ctl("preset", "switch", "ordinary", "--wait", str(IN_FORCE_TIMEOUT_S))
         self._say("status:\n" + self._ctl("status"))
         status = json.loads(self._ctl("status", "--json"))
-        self.report.in_force_everywhere = bool(status["in_force_everywhere"])
+        self.report.in_force_everywhere = status["state"] == "in-force"
         self._check(self.report.in_force_everywhere, "not in force everywhere")
 
     def _apply_example(self, deployment: Deployment) -> None:
--- a/src/verbenawick/_balancer.py
+++ b/src/verbenawick/_balancer.py
@@ -115,7 +115,11 @@
             Node ids that the call has already tried.
         """
         members = self._members.members_of(service_id)
-        tiers = self._usable_tiers(members, excluded)
+        # Without a usable member, those reported as draining are tried: the report can
+        # be wrong, and a gateway that really drains refuses without running the call.
+        tiers = self._usable_tiers(members, excluded) or self._remaining_tiers(
+            members, excluded
+        )
         if not tiers:
             return None
         tier, candidates = self._pick_tier(service_id, tiers)
@@ -179,6 +183,13 @@
             members_by_tier.setdefault(self.tier_of(member), []).append(member)
         return sorted(members_by_tier.items())
 
+    def _remaining_tiers(self, members, excluded) -> list[tuple[int, list[Member]]]:
+        members_by_tier: dict[int, list[Member]] = {}
+        for member in members:
+            if member.node_id not in excluded:
+                members_by_tier.setdefault(self.tier_of(member), []).append(member)
+        return sorted(members_by_tier.items())
+
     def _pick_tier(self, service_id, tiers) -> tuple[int, list[Member]]:
         for tier, candidates in tiers[:-1]:
             spill = self._spill_by_tier.get((service_id, tier), 0.0)
--- /dev/null
+++ b/src/verbenawick/_drain_detector.py
@@ -0,0 +1,88 @@
+"""Detection of an upstream that drains on its own.
+
+Health endpoints can be stale or wrong and a refusal can have other causes, so both have
+to agree before the gateway stops sending.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from verbenawick._events import Event, emit, register_event
+
+REFUSALS_TO_DRAIN = 3
+
+
+@register_event(122, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class UpstreamDrainDetected(Event):
+    """The upstream reports itself unhealthy and refuses calls; it gets no more."""
+
+    upstream: str
+    refusals: int
+
+
+@register_event(123)
+@dataclass(frozen=True, slots=True)
+class UpstreamDrainEnded(Event):
+    """Calls go to the upstream again."""
+
+    upstream: str
+    reason: str
+
+
+class DrainDetector:
+    """Drains and resumes the gateway of one upstream.
+
+    Parameters
+    ----------
+    upstream : str
+        Address of the upstream, for events.
+    drain, resume : callable
+        Stop and restart sending to the upstream.
+    is_last : callable
+        Whether no other member of the service takes calls; then a drained upstream is
+        tried again, so that false reports cannot empty a service.
+    """
+
+    def __init__(
+        self,
+        upstream: str,
+        *,
+        drain: Callable[[], None],
+        resume: Callable[[], None],
+        is_last: Callable[[], bool],
+    ):
+        self.is_drained = False
+        self._upstream = upstream
+        self._drain = drain
+        self._resume = resume
+        self._is_last = is_last
+        self._refusals = 0
+
+    def on_run(self) -> None:
+        """Note that the upstream ran a request."""
+        self._refusals = 0
+
+    def on_refusal(self) -> None:
+        """Note that the upstream refused a request without running it."""
+        self._refusals += 1
+
+    def on_health(self, is_healthy: bool) -> None:
+        """Decide after a probe of the health endpoint."""
+        if self.is_drained:
+            self._check_end(is_healthy)
+            return
+        if is_healthy or self._refusals < REFUSALS_TO_DRAIN:
+            return
+        self.is_drained = True
+        emit(UpstreamDrainDetected(self._upstream, self._refusals))
+        self._drain()
+
+    def _check_end(self, is_healthy: bool) -> None:
+        if not is_healthy and not self._is_last():
+            return
+        self.is_drained = False
+        self._refusals = 0
+        reason = "healthy" if is_healthy else "no other member takes calls"
+        emit(UpstreamDrainEnded(self._upstream, reason))
+        self._resume()
--- a/src/verbenawick/_gateway.py
+++ b/src/verbenawick/_gateway.py
@@ -195,6 +195,8 @@
         Decides on keyed requests.
     is_quarantined : callable
         Whether requests with a fingerprint are refused.
+    on_upstream_run, on_upstream_refusal : callable
+        Told whether the upstream ran a request or refused to run it.
     """
 
     def __init__(
@@ -212,7 +214,11 @@
         metrics: MetricSet,
         clock: Clock,
         is_quarantined: Callable[[bytes], bool] = lambda fingerprint: False,
+        on_upstream_run: Callable[[], None] = lambda: None,
+        on_upstream_refusal: Callable[[], None] = lambda: None,
     ):
+        self._on_upstream_run = on_upstream_run
+        self._on_upstream_refusal = on_upstream_refusal
         self._node_id = node_id
         self._service_id = service_id
         self._admission = admission
@@ -345,8 +351,12 @@
                 before_send=before_send,
             )
             service_s = self._clock.now() - started_at
+        except UpstreamShedError:
+            self._on_upstream_refusal()
+            raise
         finally:
             self._admission.leave(service_s=service_s)
+        self._on_upstream_run()
         return CallAnswer(
             request.call_id,
             Outcome.COMPLETE,
--- a/src/verbenawick/_node.py
+++ b/src/verbenawick/_node.py
@@ -23,11 +23,13 @@
 from verbenawick._control import ControlTask
 from verbenawick._dispatch import Dispatcher
 from verbenawick._distribution import ConfigDistribution
+from verbenawick._drain_detector import DrainDetector
 from verbenawick._events import Event, emit, register_event
 from verbenawick._gateway import Gateway
 from verbenawick._lease import describe_lease
 from verbenawick._lifecycle import Lifecycle
 from verbenawick._links import CALL_CHANNEL, CONTROL_CHANNEL, LinkServer
+from verbenawick._members import MemberState
 from verbenawick._membership import Membership
 from verbenawick._metrics import FLUSH_INTERVAL_S, MetricSet
 from verbenawick._proxy import EntryApplication, EntryServer
@@ -210,6 +212,14 @@
             metrics=self.metrics,
             clock=self.clock,
             is_quarantined=self.quarantine.is_refused,
+            on_upstream_run=lambda: self.drain_detector.on_run(),
+            on_upstream_refusal=lambda: self.drain_detector.on_refusal(),
+        )
+        self.drain_detector = DrainDetector(
+            settings.upstream.address,
+            drain=self.gateway.drain,
+            resume=self.gateway.resume,
+            is_last=self._is_last_member,
         )
         self.call_links.register_handler(CallRequest, self.gateway.on_request)
         for message_type in (SealRequest, ClaimHandover):
@@ -225,6 +235,7 @@
             settings.upstream.address, on_result=self._on_upstream_health
         )
         self._is_upstream_healthy = True
+        self._is_stopping = False
 
     def _build_entry(self) -> None:
         settings = self.settings
@@ -361,6 +372,7 @@
     def stop(self) -> None:
         """Finish all calls, hand the claims over, leave, and close the sockets."""
         timing = self.settings.timing
+        self._is_stopping = True
         emit(NodeStopping(self.settings.node_id, self.entry_application.in_flight))
         self.control.call(self.membership.start_drain)
         self.gateway.drain()
@@ -385,6 +397,16 @@
 
     def _on_upstream_health(self, is_healthy: bool) -> None:
         self._is_upstream_healthy = is_healthy
+        if not self._is_stopping:
+            self.drain_detector.on_health(is_healthy)
+
+    def _is_last_member(self) -> bool:
+        service_id = self.settings.upstream.service
+        return not any(
+            member.state is MemberState.ACTIVE
+            and member.node_id != self.settings.node_id
+            for member in self.members.members_of(service_id)
+        )
 
     def _report_load(self) -> None:
         busy_share = self.gateway.busy_share
--- a/src/verbenawick/_proxy.py
+++ b/src/verbenawick/_proxy.py
@@ -472,7 +472,8 @@
     error_type = errors_by_code.get(answer.code)
     default_status = 503 if answer.outcome is Outcome.NOT_RUN else 502
     status = getattr(error_type, "http_status", default_status)
-    text = f"{answer.code}: {answer.body.decode() or error_type.__doc__}\n"
+    reason = answer.body.decode() or error_type.__doc__.splitlines()[0]
+    text = f"{answer.code}: {reason}\n"
     body = text.encode()
     headers = [
         ("Content-Type", "text/plain; charset=utf-8"),
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -100,6 +100,13 @@
         every = [f"n{number}" for number in range(6)]
         self.assertIsNone(self.choose(excluded=every))
 
+    def test_draining_endpoints_are_tried_when_no_other_is_left(self):
+        """Wrong drain reports about all members do not empty the service."""
+        self.view.members = [
+            member(f"n{number}", state=MemberState.DRAINING) for number in range(2)
+        ]
+        self.assertIsNotNone(self.choose())
+
     def test_failing_endpoints_are_ejected_for_growing_times(self):
         """Repeated failures eject, one success resets, the ejection ends."""
         self.fail("n0", times=4)
