Balance the randomised test of distribution

Cause: the first weights left over 800 messages undelivered, so no node served and the invariants were asserted on nothing.

Change: messages are delivered faster than they arise and faults are rarer.

--- a/tests/test_distribution_random.py
+++ b/tests/test_distribution_random.py
@@ -33,23 +33,24 @@
             self.mesh.start(node_id)
         self.accept()
         self.elect_missing()
+        self.mesh.run(5.0)
         self.operations = {
-            self.deliver: 50,
-            self.tick: 25,
+            self.deliver: 60,
+            self.tick: 20,
             self.accept: 4,
             self.watch: 4,
             self.duplicate: 3,
             self.lose: 1,
             self.watch_stale: 2,
-            self.pause: 1,
-            self.resume: 2,
-            self.kill: 1,
-            self.kill_relay: 1,
+            self.pause: 0.4,
+            self.resume: 1,
+            self.kill: 0.5,
+            self.kill_relay: 0.4,
             self.restart: 3,
             self.elect_missing: 2,
-            self.break_next: 1,
-            self.set_faults: 2,
-            self.cut: 1,
+            self.break_next: 0.3,
+            self.set_faults: 1,
+            self.cut: 0.5,
         }
 
     def run(self, steps: int) -> None:
@@ -64,13 +65,13 @@
     # Operations; each returns what to print
 
     def deliver(self):
-        for _ in range(self.random.randint(1, 6)):
+        for _ in range(self.random.choice((1, 3, 10, 40))):
             if item := self._take():
                 item.deliver()
                 self.check()
 
     def tick(self):
-        for _ in range(self.random.choice((1, 1, 3, 10))):
+        for _ in range(self.random.choice((1, 1, 1, 3))):
             self.mesh.refresh_roles()
             self.mesh.tick(deliver=False)
             self._drop_silent_members()
@@ -166,7 +167,7 @@
 
     def set_faults(self):
         store = self.mesh.store
-        store.is_down = self.random.random() < 0.3
+        store.is_down = self.random.random() < 0.2
         store.loses_answers = self.random.random() < 0.2
         store.is_stale = self.random.random() < 0.2
         return f" {store.is_down} {store.loses_answers} {store.is_stale}"
@@ -207,6 +208,8 @@
                 mesh.start(node_id)
             elif mesh.nodes_by_id[node_id].is_paused:
                 self._resume(node_id)
+        for node in mesh.nodes_by_id.values():
+            node.codec.broken_versions.clear()
         self.silent_since.clear()
         self.elect_missing()
         self.accept()
