--- a/src/verbenawick/_acceptance.py
+++ b/src/verbenawick/_acceptance.py
@@ -5,8 +5,7 @@
 """
 
 import secrets
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import islice
 from time import sleep as sleep_seconds
@@ -14,15 +13,16 @@
 from verbenawick._change_plan import Acceptance, Base, Plan, build_plan
 from verbenawick._clock import Clock, MonotonicClock
 from verbenawick._config_store import ConfigStore, HeadState
-from verbenawick._delta import Content, Difference, find_differences
+from verbenawick._delta import Content, Difference
 from verbenawick._document import ConfigurationDocument
 from verbenawick._events import Event, emit, register_event
-from verbenawick._head import HEAD_KEY, Change, encode_record
+from verbenawick._head import Change, encode_record
+from verbenawick._head_update import RETRY_PAUSE_S, HeadUpdate
+from verbenawick._outcomes import not_begun_on_store_errors, outcome_unknown
 from verbenawick._pruning import CHANGE_LIMIT_S, PRUNING_INTERVAL, prune
 from verbenawick._store import StoreClient
 from verbenawick.errors import (
     ChangeNotBegunError,
-    ChangeOutcomeUnknownError,
     ConflictError,
     DocumentError,
     NoSuchChangeError,
@@ -33,13 +33,9 @@
 )
 
 RESOLVE_TIMEOUT_S = 10.0
-RETRY_PAUSE_S = 0.2
 CREATE_ATTEMPTS = 3
 CONFIRM_ATTEMPTS = 5
 CHANGE_ID_BYTES = 8
-MAX_DIFFERENCES = 20
-
-StoreError = StoreUnavailableError | StoreAnswerLostError
 
 
 @register_event(201)
@@ -53,25 +49,6 @@
     preset: str
 
 
-@register_event(202, level="WARNING")
-@dataclass(frozen=True, slots=True)
-class ChangeConflicted(Event):
-    """Another change was accepted first."""
-
-    change_id: str
-    winner_version: int
-    winner_author: str
-
-
-@register_event(203, level="WARNING")
-@dataclass(frozen=True, slots=True)
-class HeadAnswerLost(Event):
-    """The answer to an update of the head was lost; the update is tried again."""
-
-    change_id: str
-    reason: str
-
-
 @register_event(204, level="WARNING")
 @dataclass(frozen=True, slots=True)
 class PruningFailed(Event):
@@ -169,10 +146,6 @@
         state = self._config.read_head()
         return list(islice(self._config.accepted_changes(state), limit))
 
-    def current(self) -> Base:
-        """Return the accepted version and its document."""
-        return self.read_base()
-
     def resolve(self, change_id: str) -> Acceptance | None:
         """Return the acceptance of a change whose outcome was unknown, or None.
 
@@ -197,14 +170,16 @@
                 )
             return self._resolve_change(change)
         except (StoreUnavailableError, StoreAnswerLostError) as error:
-            raise self._outcome_unknown(change_id, error) from error
+            raise outcome_unknown(
+                change_id, error.message, address=self._client.address
+            ) from error
 
     def _resolve_change(self, change: Change) -> Acceptance | None:
         at_least = 0
         for _ in range(CONFIRM_ATTEMPTS):
             state = self._config.read_head(at_least=at_least)
-            if self._is_accepted(state, change):
-                return self._acceptance_of(change, is_new=True)
+            if self._config.is_accepted(state, change):
+                return _accepted(change)
             if state.head is None:
                 # An absent head cannot be confirmed, so nothing stops the update.
                 break
@@ -213,21 +188,11 @@
                 return None
             except StoreConditionError as error:
                 at_least = error.current_version
-        raise self._outcome_unknown(change.change_id, "the head cannot be confirmed")
-
-    def _is_accepted(self, state: HeadState, change: Change) -> bool:
-        if state.change_id == change.change_id:
-            return True
-        if state.version <= change.version:
-            return False
-        accepted = self._config.accepted_change(state, change.version)
-        if accepted is None:
-            raise StoreUnavailableError(
-                f"the changes down to version {change.version} cannot be read",
-                step="resolve.read-changes",
-                peer=self._client.address,
-            )
-        return accepted.change_id == change.change_id
+        raise outcome_unknown(
+            change.change_id,
+            "the head cannot be confirmed",
+            address=self._client.address,
+        )
 
     # Steps of a change
 
@@ -247,9 +212,9 @@
                 return self._write(self.plan(base, content, summary))
             try:
                 # A stale head would make a lost change look like one in force.
-                with self._not_begun("apply.confirm"):
+                with not_begun_on_store_errors("apply.confirm"):
                     self._config.confirm_head(base.state)
-                return self._unchanged(base)
+                return _unchanged(base)
             except StoreConditionError as error:
                 at_least = error.current_version
         raise ChangeNotBegunError(
@@ -276,19 +241,17 @@
         self._on_step("update-head")
         self.prune(plan)
         self._on_step("prune")
-        return self._acceptance_of(
-            plan.change, is_new=True, differences=plan.differences
-        )
+        return _accepted(plan.change, plan.differences)
 
     def read_base(self, *, at_least: int = 0) -> Base:
-        """Read the head and its document.
+        """Return the accepted version and its document.
 
         Raises
         ------
         ChangeNotBegunError
             The store does not answer.
         """
-        with self._not_begun("apply.read-base"):
+        with not_begun_on_store_errors("apply.read-base"):
             state = self._config.read_head(at_least=at_least)
             if state.head is None:
                 return Base(state, {})
@@ -329,38 +292,19 @@
         self._create(plan, key, plan.snapshot, "apply.write-snapshot")
 
     def update_head(self, plan: Plan) -> None:
-        """Accept the change; returns when it is known to be accepted.
-
-        A lost answer is resolved by sending the same conditional update again: either
-        it takes effect now, or its condition fails and the head tells which change
-        was accepted.
-        """
-        state = plan.base.state
-        lost: StoreAnswerLostError | None = None
-        deadline = self._clock.now() + self._resolve_timeout_s
-        while True:
-            self._check_deadlines(plan, deadline, lost)
-            try:
-                self._client.update(
-                    HEAD_KEY,
-                    encode_record(plan.head),
-                    expected_version=state.store_version,
-                )
-                return
-            except StoreConditionError as error:
-                state = self._settle(plan, error.current_version, deadline, lost)
-                if state is None:
-                    return
-                # The updates sent before carry an outdated condition.
-                lost = None
-            except StoreAnswerLostError as error:
-                lost = error
-                emit(HeadAnswerLost(plan.head.change_id, error.message))
-                self._sleep(RETRY_PAUSE_S)
-            except StoreUnavailableError as error:
-                if lost is None:
-                    raise self._did_not_begin(error, "apply.update-head") from error
-                self._sleep(RETRY_PAUSE_S)
+        """Accept the change; see `HeadUpdate.run` for the errors."""
+        update = HeadUpdate(
+            plan,
+            self._config,
+            clock=self._clock,
+            sleep=self._sleep,
+            deadline=self._clock.now() + self._resolve_timeout_s,
+        )
+        try:
+            update.run()
+        except ConflictError:
+            self._remove_objects(plan)
+            raise
 
     def prune(self, plan: Plan) -> None:
         """Remove old and orphaned objects after each `pruning_interval` versions."""
@@ -372,51 +316,10 @@
             # The change is accepted; what is left goes with a later one.
             emit(PruningFailed(str(error)))
 
-    def _settle(
-        self,
-        plan: Plan,
-        store_version: int,
-        deadline: float,
-        lost: StoreAnswerLostError | None,
-    ) -> HeadState | None:
-        """Return the head to try again on, None when the change is accepted.
-
-        Raises ConflictError when another change was accepted.
-        """
-        while True:
-            self._check_deadlines(plan, deadline, lost)
-            try:
-                state = self._config.read_head(at_least=store_version)
-                if lost is not None and self._is_accepted(state, plan.change):
-                    return None
-                break
-            except (StoreUnavailableError, StoreAnswerLostError) as error:
-                if lost is None:
-                    raise self._did_not_begin(error, "apply.update-head") from error
-                self._sleep(RETRY_PAUSE_S)
-        if state.change_id == plan.base.state.change_id:
-            # Only the store version moved: a relay or `resolve` confirmed the head.
-            return state
-        raise self._conflict(plan, state)
-
-    def _check_deadlines(
-        self, plan: Plan, deadline: float, lost: StoreAnswerLostError | None
-    ) -> None:
-        now = self._clock.now()
-        if now < min(deadline, plan.deadline):
-            return
-        if lost is not None:
-            raise self._outcome_unknown(plan.head.change_id, lost) from lost
-        raise ChangeNotBegunError(
-            "the change took too long; the version before holds",
-            step="apply.update-head",
-            peer=self._client.address,
-        )
-
     def _create(self, plan: Plan, key: str, value: bytes, step: str) -> None:
-        with self._not_begun(step):
+        with not_begun_on_store_errors(step):
             for attempt in range(1, CREATE_ATTEMPTS + 1):
-                self._check_deadlines(plan, plan.deadline, None)
+                self._check_age(plan, step)
                 try:
                     self._client.update(key, value, expected_version=0)
                     return
@@ -428,6 +331,14 @@
                         raise
                     self._sleep(RETRY_PAUSE_S)
 
+    def _check_age(self, plan: Plan, step: str) -> None:
+        if self._clock.now() >= plan.deadline:
+            raise ChangeNotBegunError(
+                "the change took too long; the version before holds",
+                step=step,
+                peer=self._client.address,
+            )
+
     # Inputs of a change
 
     def _check_expected(self, base: Base, expected_version: int | None) -> None:
@@ -454,7 +365,7 @@
 
     def _read_old_content(self, base: Base, version: int) -> Content:
         self._require_head(base.state)
-        with self._not_begun("rollback.read"):
+        with not_begun_on_store_errors("rollback.read"):
             change = self._config.accepted_change(base.state, version)
             content = change and self._config.read_content(
                 change.change_id, change.digest
@@ -467,59 +378,6 @@
             )
         return content
 
-    # Outcomes
-
-    @contextmanager
-    def _not_begun(self, step: str) -> Iterator[None]:
-        try:
-            yield
-        except (StoreUnavailableError, StoreAnswerLostError) as error:
-            raise self._did_not_begin(error, step) from error
-
-    def _did_not_begin(self, error: StoreError, step: str) -> ChangeNotBegunError:
-        return ChangeNotBegunError(
-            f"the change did not begin, the version before holds: {error.message}",
-            step=step,
-            peer=self._client.address,
-        )
-
-    def _outcome_unknown(
-        self, change_id: str, reason: VerbenawickError | str
-    ) -> ChangeOutcomeUnknownError:
-        text = getattr(reason, "message", reason)
-        return ChangeOutcomeUnknownError(
-            f"whether change {change_id} was accepted is unknown: {text}; run "
-            f"`verbenawick ctl --store {self._client.address} resolve {change_id}`",
-            change_id=change_id,
-            step="apply.update-head",
-            peer=self._client.address,
-        )
-
-    def _conflict(self, plan: Plan, state: HeadState) -> ConflictError:
-        emit(ChangeConflicted(plan.head.change_id, state.version, state.head.author))
-        differences = self._winning_differences(plan, state)
-        self._remove_objects(plan)
-        lines = [str(difference) for difference in differences[:MAX_DIFFERENCES]]
-        shown = "".join(f"\n  {line}" for line in lines)
-        return ConflictError(
-            f"version {state.version} by {state.head.author} was accepted first "
-            f"({state.head.summary}); this change was not. It changed:{shown}",
-            winner_version=state.version,
-            winner_author=state.head.author,
-            differences=tuple(lines),
-            step="apply.update-head",
-            peer=self._client.address,
-        )
-
-    def _winning_differences(self, plan: Plan, state: HeadState) -> list[Difference]:
-        try:
-            content = self._config.read_content(state.change_id, state.head.digest)
-        except VerbenawickError:
-            content = None
-        if content is None:
-            return [Difference("(the winning document cannot be read)", "", "")]
-        return list(find_differences(plan.base.content, content))
-
     def _remove_objects(self, plan: Plan) -> None:
         try:
             self._config.remove(plan.head.snapshot_key)
@@ -527,17 +385,13 @@
         except VerbenawickError as error:
             emit(PruningFailed(str(error)))
 
-    def _unchanged(self, base: Base) -> Acceptance:
-        head = base.state.head
-        return Acceptance(head.version, head.change_id, head.preset, is_new=False)
 
-    def _acceptance_of(
-        self,
-        change: Change,
-        *,
-        is_new: bool,
-        differences: tuple[Difference, ...] = (),
-    ) -> Acceptance:
-        return Acceptance(
-            change.version, change.change_id, change.preset, is_new, differences
-        )
+def _unchanged(base: Base) -> Acceptance:
+    head = base.state.head
+    return Acceptance(head.version, head.change_id, head.preset, is_new=False)
+
+
+def _accepted(change: Change, differences: tuple[Difference, ...] = ()) -> Acceptance:
+    return Acceptance(
+        change.version, change.change_id, change.preset, True, differences
+    )
--- a/src/verbenawick/_config_store.py
+++ b/src/verbenawick/_config_store.py
@@ -135,6 +135,27 @@
                 return change if change.version == version else None
         return None
 
+    def is_accepted(self, state: HeadState, change: Change) -> bool:
+        """Return whether a change is among the accepted ones up to `state`.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The changes in between cannot be read.
+        """
+        if state.change_id == change.change_id:
+            return True
+        if state.version <= change.version:
+            return False
+        accepted = self.accepted_change(state, change.version)
+        if accepted is None:
+            raise StoreUnavailableError(
+                f"the changes down to version {change.version} cannot be read",
+                step="config.read-changes",
+                peer=self.client.address,
+            )
+        return accepted.change_id == change.change_id
+
     def remove(self, key: str) -> None:
         """Remove an object if it exists."""
         obj = self.client.get(key)
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -107,12 +107,16 @@
             author=author,
             clock=self.clock,
             sleep=options.pop("sleep", self.clock.advance),
-            new_change_id=lambda: f"id-{next(self.ids)}",
+            new_change_id=options.pop("new_change_id", self.new_change_id),
             on_step=on_step or (lambda step: None),
             resolve_timeout_s=1.0,
             **options,
         )
 
+    def new_change_id(self):
+        """Return a change id that is not random."""
+        return f"id-{next(self.ids)}"
+
     def set_faults(self, **faults):
         """Put faults in force."""
         for name, value in faults.items():
@@ -121,7 +125,7 @@
     def change_timeout(self, author, seconds):
         """Accept a change of one policy by another operator."""
         place = "policies_by_id.reads.timeout_s"
-        content = change_at(self.acceptor().current().content, place, seconds)
+        content = change_at(self.acceptor().read_base().content, place, seconds)
         return self.acceptor(author).apply(parse_document(content))
 
     def keys(self, prefix):
@@ -273,14 +277,28 @@
     def test_unknown_change_id_is_reported(self):
         self.assertRaises(NoSuchChangeError, self.acceptor().resolve, "nothing")
 
+    def test_unreadable_chain_leaves_the_outcome_unknown(self):
+        first = self.acceptor().history()[-1]
+        self.acceptor().switch_preset("peak")
+        with mock.patch.object(ConfigStore, "accepted_change", return_value=None):
+            self.assertRaises(
+                ChangeOutcomeUnknownError, self.acceptor().resolve, first.change_id
+            )
+
     def test_paused_command_gives_up_before_its_objects_count_as_orphans(self):
-        def pause(step):
-            if step == "write-snapshot":
-                self.clock.advance(_pruning.CHANGE_LIMIT_S)
+        # Number of objects that the command may leave when it is paused after a step.
+        for step, left in (("plan", 0), ("write-change", 1), ("write-snapshot", 2)):
 
-        acceptor = self.acceptor(on_step=pause)
-        self.assertRaises(ChangeNotBegunError, acceptor.switch_preset, "peak")
-        self.assertEqual(2, self.check_store())
+            def pause(done, step=step):
+                if done == step:
+                    self.clock.advance(_pruning.CHANGE_LIMIT_S)
+
+            with self.subTest(step=step):
+                count = len(self.keys("config/"))
+                acceptor = self.acceptor(on_step=pause)
+                self.assertRaises(ChangeNotBegunError, acceptor.switch_preset, "peak")
+                self.assertEqual(count + left, len(self.keys("config/")))
+                self.assertEqual(2, self.check_store())
 
     def test_race_has_exactly_one_winner_and_all_others_know_it(self):
         barrier = threading.Barrier(6)
@@ -337,7 +355,7 @@
     def test_rollback_is_a_new_version_with_the_old_document(self):
         acceptance = self.acceptor().rollback(1)
         self.assertEqual((3, "ordinary"), (acceptance.version, acceptance.preset))
-        self.assertEqual(self.content, self.acceptor().current().content)
+        self.assertEqual(self.content, self.acceptor().read_base().content)
         self.assertEqual(3, self.check_store())
 
     def test_rollback_to_an_unknown_version_is_refused(self):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -164,7 +164,7 @@
 
         with (
             mock.patch.object(StoreClient, "update", lose_store),
-            mock.patch("verbenawick._acceptance.RETRY_PAUSE_S", 0.01),
+            mock.patch("verbenawick._head_update.RETRY_PAUSE_S", 0.01),
             mock.patch.object(ManualClock, "now", side_effect=range(10_000)),
             mock.patch("verbenawick._acceptance.MonotonicClock", ManualClock),
         ):
