--- a/src/verbenawick/_gateway.py
+++ b/src/verbenawick/_gateway.py
@@ -36,6 +36,7 @@
     LinkClosedError,
     NotReadyError,
     PeerLostError,
+    QuarantinedError,
     QueueFullError,
     UpstreamLostError,
     UpstreamShedError,
@@ -95,6 +96,15 @@
     code: str = ""
 
 
+@register_event(504, level="ERROR")
+@dataclass(frozen=True, slots=True)
+class GatewayFailed(LogEvent):
+    """A call ended with an error that the call path does not know."""
+
+    node: str
+    error: str
+
+
 ERRORS_BY_VERDICT: dict[ClaimVerdict, type[CallError]] = {
     ClaimVerdict.IN_PROGRESS: CallInProgressError,
     ClaimVerdict.UNKNOWN: ClaimUnknownError,
@@ -183,6 +193,10 @@
         Returns the `RoutingTable` in force, None before the first.
     claims : ClaimPort
         Decides on keyed requests.
+    is_quarantined : callable
+        Whether requests with a fingerprint are refused.
+    on_upstream_run, on_upstream_refusal : callable
+        Told whether the upstream ran a request or refused to run it.
     """
 
     def __init__(
@@ -199,7 +213,12 @@
         tracer: Tracer,
         metrics: MetricSet,
         clock: Clock,
+        is_quarantined: Callable[[bytes], bool] = lambda fingerprint: False,
+        on_upstream_run: Callable[[], None] = lambda: None,
+        on_upstream_refusal: Callable[[], None] = lambda: None,
     ):
+        self._on_upstream_run = on_upstream_run
+        self._on_upstream_refusal = on_upstream_refusal
         self._node_id = node_id
         self._service_id = service_id
         self._admission = admission
@@ -211,6 +230,7 @@
         self._tracer = tracer
         self._metrics = metrics
         self._clock = clock
+        self._is_quarantined = is_quarantined
         self._in_flight = 0
         self._is_draining = False
         self._idle = Event()
@@ -267,6 +287,9 @@
                 return self._handle(request, deadline, span_context)
         except CallError as error:
             return self._answer_for(error, request)
+        except Exception as error:
+            emit(GatewayFailed(self._node_id, repr(error)))
+            return unknown_answer(error, request)
         finally:
             self._in_flight -= 1
             if self._is_draining and not self._in_flight and not self._idle.ready():
@@ -298,6 +321,10 @@
             )
         if self._is_draining and not request.idempotency_key:
             raise DrainingError("gateway drains", step="gateway", peer=self._node_id)
+        if self._is_quarantined(request.fingerprint):
+            raise QuarantinedError(
+                "equal requests crashed upstreams", step="gateway", peer=self._node_id
+            )
         if deadline <= self._clock.now():
             raise DeadlineUnreachableError(
                 "deadline passed on the way", step="gateway", peer=self._node_id
@@ -324,8 +351,12 @@
                 before_send=before_send,
             )
             service_s = self._clock.now() - started_at
+        except UpstreamShedError:
+            self._on_upstream_refusal()
+            raise
         finally:
             self._admission.leave(service_s=service_s)
+        self._on_upstream_run()
         return CallAnswer(
             request.call_id,
             Outcome.COMPLETE,
@@ -365,9 +396,10 @@
         except BaseException as error:
             # GreenletExit, for one: whether bytes were sent is not known here.
             self._claims.mark_unknown(key)
-            if isinstance(error, Exception):
-                return unknown_answer(error, request)
-            raise
+            if not isinstance(error, Exception):
+                raise
+            emit(GatewayFailed(self._node_id, repr(error)))
+            return unknown_answer(error, request)
         if answer.outcome is Outcome.COMPLETE:
             self._claims.finish(key, answer)
         elif answer.outcome is Outcome.NOT_RUN:
@@ -425,7 +457,7 @@
             if member.node_id != self._node_id and member.state is MemberState.ACTIVE
         ]
         # Starting at the key's hash spreads what a full upstream passes on.
-        start = xxh64_intdigest(request.idempotency_key) % max(len(others), 1)
+        start = xxh64_intdigest(request.idempotency_key.encode()) % max(len(others), 1)
         for member in (others[start:] + others[:start])[: policy.max_attempts - 1]:
             if not self._claims.confirm(request.idempotency_key):
                 return answer
--- a/src/verbenawick/_proxy.py
+++ b/src/verbenawick/_proxy.py
@@ -17,6 +17,7 @@
 from verbenawick._events import Event as LogEvent
 from verbenawick._events import emit, register_event
 from verbenawick._metrics import MetricKind, MetricSet, register_metric
+from verbenawick._polling import closed_by_peer
 from verbenawick._routing import Router
 from verbenawick._table import Criticality, RoutingTable, ServicePolicy
 from verbenawick._tracing import TraceContext, Tracer
@@ -383,12 +384,7 @@
             self._is_running = False
 
     def _check(self) -> None:
-        poll = select.poll()
-        for fileno in self._threads_by_fileno:
-            poll.register(fileno, select.POLLRDHUP | select.POLLHUP)
-        for fileno, events in poll.poll(0):
-            if not events & (select.POLLRDHUP | select.POLLHUP | select.POLLERR):
-                continue
+        for fileno in closed_by_peer(self._threads_by_fileno):
             thread = self._threads_by_fileno.pop(fileno, None)
             if thread is not None:
                 eventlet.kill(thread)
@@ -476,7 +472,8 @@
     error_type = errors_by_code.get(answer.code)
     default_status = 503 if answer.outcome is Outcome.NOT_RUN else 502
     status = getattr(error_type, "http_status", default_status)
-    text = f"{answer.code}: {answer.body.decode() or error_type.__doc__}\n"
+    reason = answer.body.decode() or error_type.__doc__.splitlines()[0]
+    text = f"{answer.code}: {reason}\n"
     body = text.encode()
     headers = [
         ("Content-Type", "text/plain; charset=utf-8"),
