Add the fault table of calls with generated contract tests

Cause: the outcome that each fault requires was written down nowhere, so no test could be checked against it. Ruled out: one hand-written test per fault; the table as typed rows gives the tests and docs/faults.md from one source. Change: tests/fault_table.py (rows), tests/fault_mesh.py (real entries, gateways and claim keepers with scripted upstreams), generated tests, and tools/fault_table.py, run and checked with the other catalogues.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/python -m tools.catalogues --check
+	$(BIN)/python -m tools.fault_table --check
 
 test: setup
 	$(BIN)/python -m pytest
@@ -28,3 +29,4 @@
 
 docs: setup
 	$(BIN)/python -m tools.catalogues
+	$(BIN)/python -m tools.fault_table
--- /dev/null
+++ b/tests/fault_mesh.py
@@ -0,0 +1,305 @@
+"""Real entries, gateways and claim keepers on loopback, with scripted upstreams."""
+
+import struct
+from dataclasses import replace
+
+import eventlet
+from eventlet.green import socket
+
+from tests.call_support import SERVICE, CallNode, StaticMembers
+from tests.fault_table import Fault, Interface, Step
+from verbenawick._call_messages import CallAnswer, CallRequest
+from verbenawick._claim_messages import ClaimHandover, SealRequest
+from verbenawick._claims import ClaimKeeper
+from verbenawick._clock import MonotonicClock
+from verbenawick._component import NodeIdentity
+from verbenawick._members import DepartedMember, MemberState
+from verbenawick._messages import encode_message
+from verbenawick._table import Route, RoutingTable, ServicePolicy
+
+OK = "ok"
+SLOW_S = 0.1
+_clock = MonotonicClock()
+
+LINGER_RESET = struct.pack("ii", 1, 0)
+
+
+class ScriptedUpstream:
+    """Upstream that handles its next request as the shared script says.
+
+    Attributes
+    ----------
+    runs : list
+        Shared by all upstreams: one entry per request that ran.
+    """
+
+    def __init__(self, script: list, runs: list):
+        self._script = script
+        self._runs = runs
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = "{}:{}".format(*self.listener.getsockname())
+        self._thread = eventlet.spawn(self._accept)
+
+    def close(self) -> None:
+        """Refuse connections from now on."""
+        self._thread.kill()
+        self.listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            sock, _ = self.listener.accept()
+            eventlet.spawn_n(self._serve, sock)
+
+    def _serve(self, sock) -> None:
+        try:
+            while self._read_request(sock):
+                action = self._script.pop(0) if self._script else OK
+                if not self._act(sock, action):
+                    return
+        except OSError:
+            return
+        finally:
+            sock.close()
+
+    @staticmethod
+    def _read_request(sock) -> bool:
+        data = b""
+        while b"\r\n\r\n" not in data:
+            chunk = sock.recv(65536)
+            if not chunk:
+                return False
+            data += chunk
+        head, _, body = data.partition(b"\r\n\r\n")
+        length = 0
+        for line in head.split(b"\r\n"):
+            if line.lower().startswith(b"content-length:"):
+                length = int(line.split(b":")[1])
+        while len(body) < length:
+            body += sock.recv(65536)
+        return True
+
+    def _act(self, sock, action) -> bool:
+        """Handle one request; return whether the connection goes on."""
+        if action == (Fault.REFUSE, Step.REQUEST):
+            sock.sendall(
+                b"HTTP/1.1 503 Busy\r\nUpstream-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+            )
+            return True
+        if action == (Fault.FREEZE, Step.RUN):
+            eventlet.sleep(10)
+            return False
+        if action == (Fault.CRASH_BEFORE, Step.RUN):
+            self.close()
+            return False
+        if action == (Fault.RESET, Step.REQUEST):
+            return self._reset(sock)
+        self._runs.append(self.address)
+        if action == (Fault.RESET, Step.ANSWER):
+            return self._reset(sock)
+        if action == (Fault.CRASH_AFTER, Step.ANSWER):
+            self.close()
+            return False
+        if action == (Fault.DELAY, Step.RUN):
+            eventlet.sleep(SLOW_S)
+        response = b"HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n" + b"x" * 200
+        if action == (Fault.HALF_ANSWER, Step.ANSWER):
+            sock.sendall(response[:120])
+            return False
+        sock.sendall(response)
+        return True
+
+    @staticmethod
+    def _reset(sock) -> bool:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        return False
+
+
+class FaultMembers(StaticMembers):
+    """Member view whose departures and authority a test sets."""
+
+    def __init__(self):
+        super().__init__()
+        self.departed: list[DepartedMember] = []
+        self.authority = float("inf")
+
+    def departed_of(self, service_id):
+        """Return the departed members."""
+        return tuple(self.departed)
+
+    def authority_deadline(self):
+        """Return the end of the authority."""
+        return self.authority
+
+
+class _LateRequests:
+    """Request port of a keeper that is built before its node."""
+
+    def request(self, member, message, *, deadline):
+        """Pass the request on."""
+        return self.links.request(member, message, deadline=deadline)
+
+
+class FaultMesh:
+    """An entry node and two further nodes of one service.
+
+    The entry's own member drains, so that each call goes to another node.
+    """
+
+    def __init__(self):
+        self.members = FaultMembers()
+        self.script: list = []
+        self.runs: list[str] = []
+        self.upstreams: dict[str, ScriptedUpstream] = {}
+        self.nodes: dict[str, CallNode] = {}
+        self.keepers: dict[str, ClaimKeeper] = {}
+        self._table = RoutingTable(
+            version=1,
+            digest=b"",
+            preset="ordinary",
+            routes=(Route("r", "/", SERVICE),),
+            policies_by_service_id={SERVICE: ServicePolicy("p", key_required=False)},
+        )
+        for name in ("entry", "one", "two"):
+            self._add(name)
+        self.members.members[0] = replace(
+            self.members.members[0], state=MemberState.DRAINING
+        )
+        self.entry = self.nodes["entry"]
+
+    def _add(self, name: str) -> None:
+        upstream = self.upstreams[name] = ScriptedUpstream(self.script, self.runs)
+        requests = _LateRequests()
+        keeper = self.keepers[name] = ClaimKeeper(
+            NodeIdentity(name, 1, SERVICE, "dc1", "north", ""),
+            members=self.members,
+            requests=requests,
+            clock=_clock,
+        )
+        node = self.nodes[name] = CallNode(
+            name,
+            self.members,
+            self._table,
+            keeper,
+            upstream_address=upstream.address,
+        )
+        requests.links = node.links
+        for message_type in (SealRequest, ClaimHandover):
+            node.links.register_handler(
+                message_type, lambda peer, message, at: keeper.answer_to(message)
+            )
+
+    def owner(self, key: str) -> str:
+        """Return the node that owns `key`."""
+        return self.entry.dispatcher._claims.owner_of(SERVICE, key).node_id
+
+    def kill(self, name: str) -> None:
+        """Close all sockets of a node; the member table learns of it."""
+        node = self.nodes[name]
+        for link, _ in list(node.links._running):
+            link.close()
+        node.close()
+        (gone,) = (m for m in self.members.members if m.node_id == name)
+        self.members.members.remove(gone)
+        self.members.departed.append(
+            DepartedMember(name, 1, SERVICE, "north", False, True, _clock.now())
+        )
+
+    def close(self) -> None:
+        """Close all sockets."""
+        for node in self.nodes.values():
+            node.close()
+        for upstream in self.upstreams.values():
+            upstream.close()
+
+    # Faults
+
+    def inject(self, row, key: str) -> None:
+        """Prepare the fault of a row."""
+        fault = (row.fault, row.step)
+        if row.interface is Interface.UPSTREAM:
+            self._inject_upstream(fault, key)
+        elif row.interface is Interface.NODE:
+            self._inject_node(fault, row.kind, key)
+        elif fault == (Fault.RESET, Step.RUN):
+            self.script.append((Fault.DELAY, Step.RUN))
+
+    def _inject_upstream(self, fault, key) -> None:
+        if fault == (Fault.REFUSE, Step.CONNECT):
+            self.upstreams[self.owner(key)].close()
+        else:
+            self.script.append(fault)
+
+    def _inject_node(self, fault, kind, key) -> None:
+        owner = self.owner(key)
+        node, keeper = self.nodes[owner], self.keepers[owner]
+        if fault == (Fault.REFUSE, Step.CONNECT):
+            node.link_server.stop()
+        elif fault == (Fault.DELAY, Step.REQUEST):
+            self.entry.links._delay_for = lambda ip: 0.02
+        elif fault == (Fault.FREEZE, Step.REQUEST):
+            for other in ("one", "two"):
+                self.nodes[other].links.register_handler(
+                    CallRequest, lambda *arguments: eventlet.sleep(10)
+                )
+        elif fault == (Fault.HALF_ANSWER, Step.ANSWER):
+            self._cut_first_answer()
+        elif fault in ((Fault.RESET, Step.RUN), (Fault.NODE_KILL, Step.RUN)):
+            self.script.append((Fault.DELAY, Step.RUN))
+            eventlet.spawn_n(self._cut_during_run, fault[0])
+        elif fault == (Fault.NODE_KILL, Step.WRITE):
+            keeper.confirm = lambda key: self._die(owner)
+        elif fault == (Fault.LEASE_LAPSE, Step.CLAIM):
+            self.members.authority = 0.0
+        elif fault == (Fault.LEASE_LAPSE, Step.WRITE):
+            enter = node.admission.enter
+
+            def lapse(**arguments):
+                enter(**arguments)
+                self.members.authority = 0.0
+
+            node.admission.enter = lapse
+        else:
+            raise NotImplementedError(f"no injection for {fault} of {kind}")
+
+    def _die(self, name: str) -> bool:
+        self.kill(name)
+        eventlet.sleep(10)
+        return False
+
+    def _cut_during_run(self, fault: Fault) -> None:
+        while not self.runs:
+            eventlet.sleep(0.002)
+        addresses = {u.address: name for name, u in self.upstreams.items()}
+        name = addresses[self.runs[0]]
+        if fault is Fault.NODE_KILL:
+            self.kill(name)
+            return
+        for link, _ in list(self.nodes[name].links._running):
+            link.close("cut by the test")
+
+    def _cut_first_answer(self) -> None:
+        """Make the first answer of a node end in the middle of its frame."""
+        is_cut = []
+
+        def watch(links):
+            on_open = links.on_open
+
+            def opened(link):
+                on_open(link)
+                post = link.post
+
+                def cut(message):
+                    if not isinstance(message, CallAnswer) or is_cut:
+                        return post(message)
+                    is_cut.append(True)
+                    data = encode_message(message)
+                    header = b"\x82\x7e" + struct.pack(">H", len(data))
+                    link._sock.sendall(header + data[: len(data) // 2])
+                    link.close("cut by the test")
+
+                link.post = cut
+
+            links.on_open = opened
+
+        for name in ("one", "two"):
+            watch(self.nodes[name].links)
