--- a/src/verbenawick/_proxy.py
+++ b/src/verbenawick/_proxy.py
@@ -1,12 +1,11 @@
 """Entry role: the WSGI application that callers talk to."""
 
-import select
 from collections.abc import Callable
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 
 import eventlet
-from eventlet import wsgi
+from eventlet import patcher, wsgi
 from eventlet.event import Event
 from eventlet.greenthread import getcurrent
 from greenlet import GreenletExit
@@ -18,6 +17,7 @@
 from verbenawick._events import Event as LogEvent
 from verbenawick._events import emit, register_event
 from verbenawick._metrics import MetricKind, MetricSet, register_metric
+from verbenawick._polling import closed_by_peer
 from verbenawick._routing import Router
 from verbenawick._table import Criticality, RoutingTable, ServicePolicy
 from verbenawick._tracing import TraceContext, Tracer
@@ -34,6 +34,9 @@
     errors_by_code,
 )
 
+# eventlet removes `poll` from the patched module; polling with no wait never blocks.
+select = patcher.original("select")
+
 # Headers that the entry reads and the gateway writes anew.
 CALL_HEADERS = frozenset(
     {
@@ -341,7 +344,8 @@
         self._thread.kill()
         self._listener.close()
         is_idle = self._application.wait_idle(timeout_s=timeout_s)
-        with eventlet.Timeout(timeout_s, False):
+        # The server ends by the kill itself when no connection is open.
+        with eventlet.Timeout(timeout_s, False), suppress(GreenletExit):
             self._thread.wait()
         return is_idle
 
@@ -380,12 +384,7 @@
             self._is_running = False
 
     def _check(self) -> None:
-        poll = select.poll()
-        for fileno in self._threads_by_fileno:
-            poll.register(fileno, select.POLLRDHUP | select.POLLHUP)
-        for fileno, events in poll.poll(0):
-            if not events & (select.POLLRDHUP | select.POLLHUP | select.POLLERR):
-                continue
+        for fileno in closed_by_peer(self._threads_by_fileno):
             thread = self._threads_by_fileno.pop(fileno, None)
             if thread is not None:
                 eventlet.kill(thread)
