--- a/bench/mesh_worker.py
+++ b/bench/mesh_worker.py
@@ -4,13 +4,14 @@
 per line from its input (first the plan, then commands) and answers each with one line.
 """
 
+from functools import partial
+
 import eventlet
 
 eventlet.monkey_patch()
 
 import json
 import sys
-from functools import partial
 from random import Random
 from time import monotonic
 
