--- /dev/null
+++ b/tests/test_distribution.py
@@ -0,0 +1,263 @@
+"""Distribution of accepted versions over nodes, data centres and regions."""
+
+from random import Random
+
+from testtools import TestCase
+from testtools.matchers import Equals, Is
+
+from tests.memory_mesh import HEAD, MemoryMesh, document
+from verbenawick._config_messages import Commit, DeltaStep, Stage, VersionDigest
+from verbenawick._config_state import VersionRef
+from verbenawick._distribution import MAX_CACHED_STEPS, StepCache
+
+NODE_IDS = ("a1x", "a1y", "a1z", "a2x", "a2y", "b1x", "b1y", "b1z")
+
+
+class DistributionTest(TestCase):
+    """Guards the way of a version from the store to each node."""
+
+    def setUp(self):
+        super().setUp()
+        self.mesh = MemoryMesh()
+        for node_id in NODE_IDS:
+            self.mesh.start(node_id)
+        self.mesh.store.accept(document({"r": "base"}))
+        self.mesh.elect("a1x", region=True)
+        self.mesh.elect("a2x")
+        self.mesh.elect("b1x", region=True)
+        self.mesh.run(6.0)
+        self.mesh.store.calls.clear()
+        self.mesh.sent.clear()
+
+    def accept(self, *route_ids, **options):
+        routes = {route_id: "base" for route_id in ("r", *route_ids)}
+        version = self.mesh.store.accept(document(routes), **options)
+        self.mesh.watch_all()
+        return version
+
+    def served(self):
+        return set(self.mesh.served_versions().values())
+
+    def deliver(self, condition):
+        """Deliver what satisfies `condition` until nothing of it is in flight."""
+        while item := next((i for i in self.mesh.queue if condition(i)), None):
+            self.mesh.queue.remove(item)
+            item.deliver()
+
+    def test_inline_delta_needs_no_store_read(self):
+        """A change costs no store call beyond the watch, whatever the node count."""
+        self.accept("s")
+        self.mesh.deliver_all()
+        self.assertThat(self.served(), Equals({2}))
+        self.assertThat(self.mesh.store.calls, Equals([]))
+
+    def test_data_centre_relay_gets_one_copy(self):
+        """Each node gets the delta once: the tree sends no second copy."""
+        self.accept("s")
+        self.mesh.deliver_all()
+        stages = [m for m in self.mesh.sent if isinstance(m, Stage) and m.steps]
+        self.assertThat(len(stages), Equals(len(NODE_IDS) - 2))
+
+    def test_large_change_is_read_as_chain(self):
+        """Deltas that are not inline are read from the changes, back to the base."""
+        self.mesh.store.accept(document({"r": "base", "s": "base"}), inline=False)
+        self.accept("s", "t", inline=False)
+        self.mesh.deliver_all()
+        self.assertThat(self.served(), Equals({3}))
+        keys = [key for _, key in self.mesh.store.calls]
+        self.assertThat(keys.count("config/snapshot/3"), Equals(0))
+
+    def test_long_outage_is_repaired_by_snapshot(self):
+        """A region that missed many changes reads one snapshot, not each change."""
+        self.mesh.cut_regions = {"b"}
+        for number in range(20):
+            self.accept(f"s{number}")
+        self.mesh.run(1.0)
+        self.mesh.cut_regions = set()
+        self.mesh.watch_all()
+        self.mesh.store.calls.clear()
+        self.mesh.run(3.0)
+        self.assertThat(self.served(), Equals({21}))
+        keys = [key for _, key in self.mesh.store.calls if "config/" in key]
+        self.assertThat(keys, Equals(["config/snapshot/21"]))
+
+    def test_nothing_is_in_force_before_a_majority_holds_it(self):
+        """The relay alone does not commit (floor of section 3.4)."""
+        self.accept("s")
+        self.deliver(lambda item: item.message is None)
+        relay = self.mesh.nodes_by_id["a1x"]
+        self.assertThat(relay.state.held_ref.version, Equals(2))
+        self.assertThat(relay.served, Equals(1))
+        self.deliver(lambda item: item.receiver in ("a1x", "a1y"))
+        self.assertThat(relay.served, Equals(2))
+
+    def test_messages_in_any_order_converge(self):
+        """Out-of-order, delayed and duplicated messages lose and revert nothing."""
+        random = Random(5)
+        for number in range(6):
+            self.accept(f"s{number}")
+            self.mesh.tick(deliver=False)
+        self.mesh.queue += self.mesh.queue
+        while self.mesh.queue:
+            before = self.mesh.served_versions()
+            index = random.randrange(len(self.mesh.queue))
+            self.mesh.queue.pop(index).deliver()
+            for node_id, version in self.mesh.served_versions().items():
+                self.assertTrue(version >= before[node_id])
+        self.mesh.run(3.0)
+        self.assertThat(self.served(), Equals({7}))
+
+    def test_replayed_messages_do_not_revert(self):
+        """Old Stage and Commit messages change nothing later."""
+        self.accept("s")
+        old = []
+        self.deliver(lambda item: old.append(item) or True)
+        self.accept("s", "t")
+        self.mesh.deliver_all()
+        for item in old:
+            item.deliver()
+            self.assertThat(self.served(), Equals({3}))
+
+    def test_commit_before_stage_is_kept(self):
+        """A commit that overtakes the staged version takes effect with it."""
+        self.accept("s")
+        self.deliver(lambda item: item.receiver != "a1z")
+        waiting = [item for item in self.mesh.queue if item.receiver == "a1z"]
+        self.mesh.queue.clear()
+        for item in reversed(waiting):
+            item.deliver()
+        self.mesh.deliver_all()
+        self.assertThat(self.mesh.nodes_by_id["a1z"].served, Equals(2))
+
+    def test_missed_version_is_repaired_by_a_neighbour(self):
+        """Without a relay, the exchange between neighbours brings the version."""
+        self.accept("s")
+        self.deliver(lambda item: item.receiver != "a1z")
+        self.mesh.queue.clear()
+        self.mesh.kill("a1x")
+        self.mesh.run(3.0)
+        self.assertThat(self.mesh.nodes_by_id["a1z"].served, Equals(2))
+
+    def test_delta_on_another_base_is_repaired(self):
+        """A node that missed the base asks for what leads to the version."""
+        self.accept("s")
+        self.deliver(lambda item: item.receiver != "a1z")
+        self.mesh.queue.clear()
+        self.accept("s", "t")
+        self.mesh.deliver_all()
+        self.assertThat(self.mesh.nodes_by_id["a1z"].served, Equals(3))
+
+    def test_corrupt_delta_is_replaced_by_a_snapshot(self):
+        """A version with a wrong digest is not held; the snapshot repairs it."""
+        node = self.mesh.nodes_by_id["a1z"]
+        base = node.state.held_ref
+        self.accept("s")
+        self.deliver(lambda item: item.receiver != "a1z")
+        self.mesh.queue.clear()
+        relay = self.mesh.nodes_by_id["a1x"].state.held_ref
+        step = DeltaStep(2, relay.digest, b'[{"routes": {"r": "base"}}, {}]')
+        stage = Stage(1, 9, 2, relay.digest, base.version, base.digest, (step,))
+        node.codec.apply_delta = lambda content, delta: document({"x": "base"})
+        node.distribution.on_message("a1x", stage)
+        self.assertThat(node.served, Equals(1))
+        self.mesh.run(3.0)
+        self.assertThat(node.served, Equals(2))
+
+    def test_relay_killed_between_stage_and_commit(self):
+        """The next relay completes what its predecessor staged."""
+        self.accept("s")
+        self.deliver(lambda item: item.message is None)
+        self.deliver(lambda item: isinstance(item.message, Stage))
+        self.mesh.kill("a1x")
+        self.mesh.queue.clear()
+        self.mesh.run(2.0)
+        self.assertThat(self.mesh.nodes_by_id["a1y"].served, Equals(1))
+        self.mesh.elect("a1y", region=True)
+        self.mesh.run(3.0)
+        self.assertThat(self.served(), Equals({2}))
+
+    def test_relay_paused_past_its_lease_is_fenced(self):
+        """Messages with a lower epoch than the current relay's are ignored."""
+        self.mesh.pause("a1x")
+        self.mesh.run(5.0)
+        self.mesh.elect("a1y", region=True)
+        self.mesh.run(1.0)
+        node = self.mesh.nodes_by_id["a1z"]
+        forged = VersionRef(2, b"never accepted")
+        stage = Stage(1, 9, 2, forged.digest, 0, b"", (), b'{"routes": {}}')
+        node.distribution.on_message("a1x", stage)
+        node.distribution.on_message("a1x", Commit(1, 2, forged.digest))
+        self.assertThat(node.distribution.known_ref.version, Equals(1))
+        self.accept("s")
+        self.mesh.resume("a1x")
+        self.mesh.run(3.0)
+        self.assertThat(self.served(), Equals({2}))
+
+    def test_commit_of_another_data_centre_does_not_count(self):
+        """A majority elsewhere says nothing of this data centre's holders."""
+        self.accept("s")
+        self.deliver(lambda item: item.receiver[:2] == "b1" or item.message is None)
+        ref = self.mesh.nodes_by_id["b1x"].state.in_force_ref
+        self.assertThat(ref.version, Equals(2))
+        node = self.mesh.nodes_by_id["a2y"]
+        node.distribution.on_message("b1x", Commit(1, 2, ref.digest))
+        digest = VersionDigest(2, ref.digest, 2, ref.digest)
+        node.distribution.on_message("b1x", digest)
+        self.assertThat(node.distribution._committed.version, Equals(1))
+
+    def test_stale_read_of_the_head_is_ignored(self):
+        """A watch that answers with an older head does not bring it back."""
+        self.accept("s")
+        self.mesh.run(1.0)
+        for node_id in ("a1x", "b1x"):
+            older = self.mesh.store.history[HEAD][0]
+            self.mesh.deliver_object(self.mesh.nodes_by_id[node_id], older)
+        self.mesh.run(2.0)
+        self.assertThat(self.served(), Equals({2}))
+
+    def test_node_that_cannot_compile_keeps_its_version(self):
+        """One refusing node neither blocks the others nor serves a part."""
+        node = self.mesh.nodes_by_id["a1y"]
+        node.codec.broken_versions.add(2)
+        self.accept("s")
+        self.mesh.run(3.0)
+        self.assertThat(node.served, Equals(1))
+        self.assertThat(self.mesh.nodes_by_id["a1z"].served, Equals(2))
+        self.accept("s", "t")
+        self.mesh.run(3.0)
+        self.assertThat(self.served(), Equals({3}))
+
+    def test_route_without_endpoint_is_withheld_until_one_is_known(self):
+        """A route appears with the first endpoint of its service (invariant 2)."""
+        self.mesh.store.accept(document({"r": "base", "n": "new"}))
+        self.mesh.watch_all()
+        self.mesh.run(1.0)
+        node = self.mesh.nodes_by_id["a1y"].distribution
+        self.assertThat([r.route_id for r in node.table.routes], Equals(["r"]))
+        self.assertThat(node.withheld_route_ids, Equals(("n",)))
+        self.mesh.start("a2z", service_id="new")
+        self.mesh.run(1.0)
+        self.assertThat([r.route_id for r in node.table.routes], Equals(["n", "r"]))
+        self.assertThat(node.withheld_route_ids, Equals(()))
+
+    def test_swap_is_one_assignment(self):
+        """A call that read its table keeps all of it (invariant 3)."""
+        node = self.mesh.nodes_by_id["a1y"].distribution
+        table = node.table
+        self.accept("s")
+        self.mesh.deliver_all()
+        self.assertThat(len(table.routes), Equals(1))
+        self.assertThat(node.table is table, Is(False))
+
+
+class StepCacheTest(TestCase):
+    """Guards the bound of the cache and the chains it returns."""
+
+    def test_chain_ends_at_the_bound(self):
+        """A base that was dropped yields no chain, so that a snapshot is sent."""
+        cache = StepCache()
+        refs = [VersionRef(v, b"%d" % v) for v in range(1, MAX_CACHED_STEPS + 3)]
+        for base, target in zip(refs, refs[1:], strict=False):
+            cache.add(base, (DeltaStep(target.version, target.digest, b"x"),))
+        self.assertThat(cache.chain(refs[0], refs[-1]), Equals(()))
+        self.assertThat(len(cache.chain(refs[1], refs[-1])), Equals(MAX_CACHED_STEPS))
--- /dev/null
+++ b/tests/test_floor.py
@@ -0,0 +1,161 @@
+"""Floor of a restarted node."""
+
+from testtools import TestCase
+from testtools.matchers import Equals, Is
+
+from tests.memory_mesh import HEAD, MemoryMesh, document
+from verbenawick._config_messages import FloorAnswer, HeadConfirmed
+from verbenawick._floor import PAUSE_S, answers_needed
+from verbenawick._lifecycle import LifecycleState
+
+
+class FloorTest(TestCase):
+    """Guards invariant 1 across restarts, with nothing on disk."""
+
+    def setUp(self):
+        super().setUp()
+        self.mesh = MemoryMesh()
+        for node_id in ("a1v", "a1w", "a1x", "a1y", "a1z"):
+            self.mesh.start(node_id)
+        self.mesh.store.accept(document({"r": "base"}))
+        self.mesh.elect("a1v", region=True)
+        self.mesh.run(5.0)
+        self.mesh.store.calls.clear()
+
+    def test_quorums_of_holders_and_answers_meet(self):
+        """Any majority and any set of enough other members share a node."""
+        for members in range(2, 70):
+            others = members - 1
+            holders_among_others = members // 2
+            self.assertTrue(holders_among_others + answers_needed(members) > others)
+
+    def test_restart_during_an_outage_joins_from_neighbours(self):
+        """A node restarts while the store is down, without any store call."""
+        self.mesh.store.is_down = True
+        self.mesh.kill("a1x")
+        node = self.mesh.start("a1x")
+        self.mesh.run(1.0)
+        self.assertThat(node.served, Equals(1))
+        calls = [call for call in self.mesh.store.calls if call[1] == HEAD]
+        self.assertThat(calls, Equals([]))
+
+    def test_too_few_neighbours_and_no_store_is_not_served(self):
+        """Two of the four others are not enough while the store is down."""
+        self.mesh.store.is_down = True
+        for node_id in ("a1x", "a1y", "a1z"):
+            self.mesh.kill(node_id)
+        node = self.mesh.start("a1x")
+        self.mesh.run(10.0)
+        self.assertThat(node.served, Equals(0))
+        self.assertThat(node.lifecycle.state, Is(LifecycleState.STARTING))
+        self.mesh.store.is_down = False
+        self.mesh.run(12.0)
+        self.assertThat(node.served, Equals(1))
+
+    def test_answers_of_restarted_nodes_do_not_count(self):
+        """Nodes that restarted together do not confirm each other's low floor."""
+        self.mesh.store.is_down = True
+        for node_id in list(self.mesh.nodes_by_id):
+            self.mesh.kill(node_id)
+        for node_id in ("a1w", "a1x", "a1y", "a1z"):
+            self.mesh.start(node_id)
+        self.mesh.run(10.0)
+        states = {node.lifecycle.state for node in self.mesh.nodes_by_id.values()}
+        self.assertThat(states, Equals({LifecycleState.STARTING}))
+
+    def test_stale_read_of_the_head_is_not_a_floor(self):
+        """A cold start takes the head only with a conditional update."""
+        self.mesh.store.accept(document({"r": "base", "s": "base"}))
+        self.mesh.watch_all()
+        self.mesh.run(1.0)
+        self.mesh.store.is_stale = True
+        for node_id in list(self.mesh.nodes_by_id):
+            self.mesh.kill(node_id)
+        node = self.mesh.start("a1x")
+        self.mesh.elect("a1x", region=True)
+        self.mesh.queue.clear()
+        self.mesh.deliver_object(node, self.mesh.store.history[HEAD][0])
+        self.mesh.run(5.0)
+        self.assertThat(node.state.held_ref.version, Equals(1))
+        self.assertThat(node.state.floor, Is(None))
+        self.mesh.store.is_stale = False
+        self.mesh.run(5.0)
+        self.assertThat(node.state.floor, Equals(2))
+
+    def test_lost_answer_of_the_confirmation_is_not_success(self):
+        """Only a known success confirms the head."""
+        self.mesh.store.loses_answers = True
+        for node_id in list(self.mesh.nodes_by_id):
+            self.mesh.kill(node_id)
+        node = self.mesh.start("a1x")
+        self.mesh.elect("a1x", region=True)
+        self.mesh.run(5.0)
+        self.assertThat(node.state.floor, Is(None))
+
+    def test_confirmation_before_the_query_does_not_count(self):
+        """A replayed confirmation of an earlier head is ignored."""
+        self.mesh.store.is_down = True
+        for node_id in ("a1w", "a1y", "a1z"):
+            self.mesh.kill(node_id)
+        self.mesh.kill("a1x")
+        node = self.mesh.start("a1x")
+        self.mesh.run(2.0)
+        former = HeadConfirmed(node.identity.incarnation - 1, 99, 1, b"")
+        node.distribution.on_message("a1v", former)
+        self.assertThat(node.state.floor, Is(None))
+
+    def test_late_answers_to_a_former_process_do_not_count(self):
+        """Answers that are under way across a restart are ignored."""
+        self.mesh.kill("a1x")
+        self.mesh.start("a1x")
+        self.mesh.tick(deliver=False)
+        while any(item.receiver != "a1x" for item in self.mesh.queue):
+            item = next(i for i in self.mesh.queue if i.receiver != "a1x")
+            self.mesh.queue.remove(item)
+            item.deliver()
+        late = [i for i in self.mesh.queue if isinstance(i.message, FloorAnswer)]
+        self.assertTrue(late)
+        self.mesh.kill("a1x")
+        self.mesh.queue.clear()
+        node = self.mesh.start("a1x")
+        for item in late:
+            node.distribution.on_message(item.sender, item.message)
+        self.assertThat(node.state.floor, Is(None))
+
+    def test_answers_of_paused_nodes_do_not_count(self):
+        """A node that was dropped while paused may have missed a commit."""
+        for node_id in ("a1x", "a1y", "a1z"):
+            self.mesh.pause(node_id)
+        self.mesh.run(PAUSE_S + 3.0)
+        for node_id in ("a1v", "a1w"):
+            self.mesh.kill(node_id)
+        for node_id in ("a1x", "a1y", "a1z"):
+            self.mesh.resume(node_id)
+        self.mesh.store.is_down = True
+        node = self.mesh.start("a1v")
+        self.mesh.run(5.0)
+        self.assertThat(node.state.floor, Is(None))
+
+    def test_answer_is_dropped_when_its_node_restarts(self):
+        """An answer counts only while its node has not restarted since."""
+        self.mesh.kill("a1x")
+        node = self.mesh.start("a1x")
+        self.mesh.tick(deliver=False)
+        answered = []
+        while len(answered) < 2:
+            item = self.mesh.queue.pop(0)
+            item.deliver()
+            if isinstance(item.message, FloorAnswer) and item.receiver == "a1x":
+                answered.append(item)
+        self.assertThat(node.state.floor, Is(None))
+        self.mesh.kill(answered[0].sender)
+        self.mesh.start(answered[0].sender)
+        third = next(
+            item
+            for item in self.mesh.queue
+            if isinstance(item.message, FloorAnswer)
+            and item.receiver == "a1x"
+            and item.sender not in {a.sender for a in answered}
+        )
+        third.deliver()
+        self.assertThat(node.state.floor, Is(None))
--- /dev/null
+++ b/tests/test_status.py
@@ -0,0 +1,138 @@
+"""Status of nodes and regions."""
+
+from testtools import TestCase
+from testtools.matchers import Equals, Is
+
+from tests.memory_mesh import MemoryMesh, document
+from verbenawick._status import (
+    MAX_LISTED_NODES,
+    BehindCause,
+    decode_region_status,
+    encode_region_status,
+)
+from verbenawick.errors import StatusError
+
+
+class StatusTest(TestCase):
+    """Guards what operators rely on: no node counts as in force without evidence."""
+
+    def setUp(self):
+        super().setUp()
+        self.mesh = MemoryMesh()
+        for node_id in ("a1x", "a1y", "a1z", "a2x", "a2y"):
+            self.mesh.start(node_id)
+        self.mesh.store.accept(document({"r": "base"}))
+        self.mesh.elect("a1x", region=True)
+        self.mesh.elect("a2x")
+        self.mesh.run(6.0)
+        self.mesh.store.calls.clear()
+
+    def accept(self):
+        self.mesh.store.accept(document({"r": "base", "s": "base"}))
+        self.mesh.watch_all()
+
+    def written(self):
+        return decode_region_status(self.mesh.store.read("status/a").value)
+
+    def test_all_nodes_are_counted(self):
+        """Nodes of both data centres reach the region's object."""
+        status = self.written()
+        self.assertThat(status.counts_by_version, Equals({1: 5}))
+        self.assertThat(status.behind, Equals(()))
+        self.assertThat(status.node_count, Equals(5))
+
+    def test_silent_node_is_unknown(self):
+        """A paused node is not counted with the version it last reported."""
+        self.mesh.pause("a2y")
+        self.mesh.run(10.0)
+        status = self.written()
+        self.assertThat(status.counts_by_version, Equals({1: 4}))
+        self.assertThat(status.unknown_count, Equals(1))
+        self.assertThat(status.behind[0].cause, Is(BehindCause.UNREACHABLE))
+        self.assertThat(status.behind[0].node_id, Equals("a2y"))
+
+    def test_silent_data_centre_is_unknown(self):
+        """With its relay gone, nothing is known of a data centre's nodes."""
+        self.mesh.kill("a2x")
+        self.mesh.run(10.0)
+        status = self.written()
+        self.assertThat(status.counts_by_version, Equals({1: 3}))
+        self.assertThat(status.unknown_count, Equals(2))
+
+    def test_refusal_is_reported_with_its_code(self):
+        """A node that cannot compile a version shows as refused, with an age."""
+        self.mesh.nodes_by_id["a1z"].codec.broken_versions.add(2)
+        self.accept()
+        self.mesh.run(10.0)
+        (node,) = self.written().behind
+        self.assertThat(node.cause, Is(BehindCause.REFUSED))
+        self.assertThat(node.detail, Equals("config.invalid"))
+        self.assertTrue(4.0 < node.since_s <= 10.0)
+
+    def test_restarted_node_is_catching_up(self):
+        """A node without a floor is behind, and version 0 is in force on it."""
+        self.mesh.store.is_down = True
+        for node_id in ("a2x", "a2y"):
+            self.mesh.kill(node_id)
+            self.mesh.start(node_id)
+        self.mesh.elect("a2x")
+        self.mesh.run(2.0)
+        status = self.mesh.nodes_by_id["a1x"].status.region_status()
+        causes = {node.node_id: node.cause for node in status.behind}
+        expected = dict.fromkeys(("a2x", "a2y"), BehindCause.CATCHING_UP)
+        self.assertThat(causes, Equals(expected))
+        self.assertThat(status.counts_by_version, Equals({1: 3, 0: 2}))
+
+    def test_convergence_waits_for_each_node(self):
+        """A version has not converged while one node is unknown or behind."""
+        self.mesh.pause("a2y")
+        self.accept()
+        self.mesh.run(3.0)
+        relay = self.mesh.nodes_by_id["a1x"].status
+        versions = [c.version for c in relay.region_status().convergences]
+        self.assertThat(versions, Equals([1]))
+        self.mesh.resume("a2y")
+        self.mesh.run(2.0)
+        last = relay.region_status().convergences[-1]
+        self.assertThat((last.version, last.nodes), Equals((2, 5)))
+        self.assertTrue(3.0 <= last.duration_s <= 5.0)
+
+    def test_writes_are_bounded(self):
+        """Frequent changes are written at most each 2 s, nothing each 5 s."""
+        self.mesh.run(20.0)
+        idle = self.mesh.store.calls.count(("update", "status/a"))
+        self.assertTrue(3 <= idle <= 5, idle)
+        self.mesh.store.calls.clear()
+        for _ in range(40):
+            self.accept()
+            self.mesh.run(0.5)
+        busy = self.mesh.store.calls.count(("update", "status/a"))
+        self.assertTrue(8 <= busy <= 11, busy)
+
+    def test_write_goes_on_after_lost_answers_and_conflicts(self):
+        """An unknown outcome is read back; the next write has the right version."""
+        self.mesh.store.loses_answers = True
+        self.mesh.run(11.0)
+        self.mesh.store.loses_answers = False
+        self.mesh.store.write("status/a", b"other relay")
+        self.mesh.run(11.0)
+        self.assertThat(self.written().counts_by_version, Equals({1: 5}))
+
+    def test_list_of_nodes_behind_is_bounded(self):
+        """A lost region does not make the object grow with its nodes."""
+        for number in range(MAX_LISTED_NODES + 10):
+            node_id = f"a1{number}"
+            self.mesh.start(node_id)
+            self.mesh.pause(node_id)
+        self.mesh.run(10.0)
+        status = self.written()
+        self.assertThat(len(status.behind), Equals(MAX_LISTED_NODES))
+        self.assertThat(status.behind_count, Equals(MAX_LISTED_NODES + 10))
+
+    def test_encoding(self):
+        """A status reads back as written; anything else is an error with a code."""
+        status = self.written()
+        value = encode_region_status(status)
+        self.assertThat(decode_region_status(value), Equals(status))
+        for invalid in (b"", b"\xa0", b"\xff"):
+            self.assertRaises(StatusError, decode_region_status, invalid)
