Add bench distribution

Cause: the design's convergence and byte targets need a measurement against the baseline 'each node watches the store' in the same run.

Change: control parts of nodes over real sockets with the one-way delays of section 1.1, changes through the acceptance code, then the same with a watch per node.

--- /dev/null
+++ b/bench/distribution.py
@@ -0,0 +1,278 @@
+"""Benchmark of distribution: time and bytes from acceptance to in force everywhere.
+
+The nodes are the control part of a node (control task, membership, distribution,
+status) over real sockets, without the call path: one process per node up to
+`MAX_SINGLE_NODES`, beyond that several nodes per process. In the baseline of the same
+run, each node watches the store.
+"""
+
+import time
+from argparse import ArgumentParser, Namespace
+from dataclasses import dataclass
+from random import Random
+
+from hdrh.histogram import HdrHistogram
+
+from bench.mesh import Mesh, MeshPlan, running_mesh
+from bench.registry import register_benchmark
+from verbenawick._acceptance import Acceptor
+from verbenawick._document import parse_document
+from verbenawick._store import StoreClient
+
+MAX_SINGLE_NODES = 48
+SHARED_PROCESSES = 8
+CENTRES_PER_REGION = 2
+CENTRE_DELAY_MS = 1.0
+REGION_DELAY_MS = 8.0
+CHANGE_INTERVAL_S = 1.0
+IDLE_WINDOW_S = 10.0
+START_TIMEOUT_S = 90.0
+CONVERGENCE_TIMEOUT_S = 30.0
+MAX_SERVICES = 82
+WORKER = "bench.distribution_worker"
+
+
+@dataclass
+class DelayedPlan(MeshPlan):
+    """Plan with the one-way delays of section 1.1 of docs/design.md."""
+
+    def delay_ms(self, centre: int, other: int) -> float:
+        """Return the delay between two data centres."""
+        if centre == other:
+            return 0.0
+        is_near = centre // self.centres_per_region == other // self.centres_per_region
+        return CENTRE_DELAY_MS if is_near else REGION_DELAY_MS
+
+    def prefix(self, centre: int) -> str:
+        """Return how the addresses of a data centre start."""
+        return f"127.{self.network}.{centre}."
+
+    def settings(self, centre: int, index: int) -> dict:
+        """Return the settings of one node."""
+        delays = {
+            self.prefix(other): self.delay_ms(centre, other)
+            for other in range(self.data_centres)
+            if other != centre
+        }
+        return {**super().settings(centre, index), "link_delays_ms": delays}
+
+    def store_options(self) -> tuple[str, ...]:
+        """Return the delays of the store, which stands in the first data centre."""
+        return tuple(
+            option
+            for centre in range(1, self.data_centres)
+            for option in (
+                "--delay",
+                f"{self.prefix(centre)}={self.delay_ms(0, centre)}",
+            )
+        )
+
+
+class CountingClient:
+    """Store client of the operator that counts its calls."""
+
+    def __init__(self, client: StoreClient):
+        self._client = client
+        self.calls = 0
+
+    def __getattr__(self, name: str):
+        value = getattr(self._client, name)
+        if callable(value):
+            self.calls += 1
+        return value
+
+
+class Operator:
+    """Makes changes through the acceptance code.
+
+    Attributes
+    ----------
+    accepted_at_by_version : dict of int to float
+        Instant just before the conditional update of the head was sent.
+    """
+
+    def __init__(self, plan: MeshPlan, *, random: Random):
+        ip = f"127.{plan.network}.0.250"
+        self.client = CountingClient(StoreClient(plan.store_address, source_ip=ip))
+        self.accepted_at_by_version: dict[int, float] = {}
+        self._services = [f"svc{i:02}" for i in range(plan.services)]
+        self._random = random
+        self._timeouts = [5.0] * plan.services
+        self._sent_at = 0.0
+        self._acceptor = Acceptor(self.client, author="bench", on_step=self._note)
+
+    def change(self) -> int:
+        """Change the policy of one service and return the new version."""
+        index = self._random.randrange(len(self._services))
+        self._timeouts[index] = round(self._random.uniform(1.0, 25.0), 3)
+        acceptance = self._acceptor.apply(parse_document(self._content()))
+        self.accepted_at_by_version[acceptance.version] = self._sent_at
+        return acceptance.version
+
+    def _note(self, step: str) -> None:
+        if step == "write-snapshot":
+            self._sent_at = time.monotonic()
+
+    def _content(self) -> dict:
+        services = list(zip(self._services, self._timeouts, strict=True))
+        return {
+            "services_by_id": {name: {"policy": name} for name, _ in services},
+            "policies_by_id": {name: {"timeout_s": value} for name, value in services},
+            "routes_by_id": {
+                name: {"match": {"path_prefix": f"/{name}"}, "service": name}
+                for name in self._services
+            },
+            "presets_by_id": {"ordinary": {}, "peak": {}, "maintenance": {}},
+            "preset_in_force": "ordinary",
+        }
+
+
+@dataclass
+class Sample:
+    """Counters of all nodes and of the store at one instant."""
+
+    at: float
+    control_bytes: int
+    cross_region_bytes: int
+    store_calls: int
+
+
+class Phase:
+    """Nodes of one kind, started on the plan, with the operator's changes."""
+
+    def __init__(self, mesh: Mesh, operator: Operator, *, mode: str, seed: int):
+        self._mesh = mesh
+        self._operator = operator
+        plan = mesh.plan
+        nodes = [node for c in range(plan.data_centres) for node in plan.centre(c)]
+        is_shared = len(nodes) > MAX_SINGLE_NODES
+        self._process_count = SHARED_PROCESSES if is_shared else len(nodes)
+        for number in range(self._process_count):
+            share = nodes[number :: self._process_count]
+            mesh.add_worker(share, mode=mode, seed=seed, module=WORKER)
+        self._node_count = len(nodes)
+
+    def run(self, changes: int) -> dict:
+        """Measure an idle window, then `changes` changes."""
+        mesh = self._mesh
+        mesh.ask_all(do="start")
+        # The first answer of each worker belongs to its plan.
+        for worker in mesh.workers:
+            worker.receive()
+        version = self._operator.change()
+        start_s = mesh.wait_until(lambda: self._is_in_force(version), START_TIMEOUT_S)
+        time.sleep(IDLE_WINDOW_S / 2)
+        idle = [self._sample()]
+        time.sleep(IDLE_WINDOW_S)
+        idle.append(self._sample())
+        busy = [self._sample()]
+        versions = [self._change_once() for _ in range(changes)]
+        mesh.wait_until(lambda: self._is_in_force(versions[-1]), CONVERGENCE_TIMEOUT_S)
+        busy.append(self._sample())
+        return {
+            "processes": self._process_count,
+            "start_s": round(start_s, 2),
+            **self._convergence(versions),
+            **self._costs(idle, busy, changes),
+        }
+
+    def close(self) -> None:
+        """End the processes."""
+        for worker in self._mesh.workers:
+            worker.close()
+        self._mesh.workers.clear()
+
+    def _change_once(self) -> int:
+        next_at = time.monotonic() + CHANGE_INTERVAL_S
+        version = self._operator.change()
+        time.sleep(max(0.0, next_at - time.monotonic()))
+        return version
+
+    def _is_in_force(self, version: int) -> bool:
+        return all(node["version"] >= version for node in self._mesh.describe())
+
+    def _convergence(self, versions: list[int]) -> dict:
+        nodes = self._mesh.describe()
+        histogram = HdrHistogram(1, 60_000_000, 3)
+        for version in versions:
+            # A node may pass over a version when the next one arrives early.
+            in_force_at = max(
+                min(at for v, at in node["in_force_at"].items() if int(v) >= version)
+                for node in nodes
+            )
+            accepted_at = self._operator.accepted_at_by_version[version]
+            histogram.record_value(int((in_force_at - accepted_at) * 1e6))
+        return {
+            f"convergence_p{p}_s": histogram.get_value_at_percentile(p) / 1e6
+            for p in (50, 99)
+        }
+
+    def _sample(self) -> Sample:
+        nodes = self._mesh.describe()
+        counters = self._mesh.store_counters()
+        kinds = ("get", "put", "delete", "list", "watch")
+        return Sample(
+            at=time.monotonic(),
+            control_bytes=sum(n["link_bytes"] + n["store_bytes"] for n in nodes),
+            # No link between nodes crosses regions; only store traffic does.
+            cross_region_bytes=sum(
+                node["store_bytes"] for node in nodes if node["region"] != "r0"
+            ),
+            store_calls=sum(counters[kind] for kind in kinds)
+            - self._operator.client.calls,
+        )
+
+    def _costs(self, idle: list[Sample], busy: list[Sample], changes: int) -> dict:
+        idle_s = idle[1].at - idle[0].at
+        busy_s = busy[1].at - busy[0].at
+
+        def per_change(name: str) -> float:
+            """Return what changes added to the rate of the idle window."""
+            before, after = (getattr(sample, name) for sample in idle)
+            first, last = (getattr(sample, name) for sample in busy)
+            rate = (after - before) / idle_s
+            return round((last - first - rate * busy_s) / changes, 1)
+
+        total = busy[1].control_bytes - busy[0].control_bytes
+        crossed = idle[1].cross_region_bytes - idle[0].cross_region_bytes
+        calls = idle[1].store_calls - idle[0].store_calls
+        return {
+            "control_bytes_per_node_s": round(total / busy_s / self._node_count, 1),
+            "cross_region_bytes_per_change": per_change("cross_region_bytes"),
+            "store_calls_per_change": per_change("store_calls"),
+            "idle_cross_region_bytes_s": round(crossed / idle_s, 1),
+            "idle_store_calls_s": round(calls / idle_s, 2),
+        }
+
+
+def _configure(parser: ArgumentParser) -> None:
+    parser.add_argument("--nodes", type=int, default=12)
+    parser.add_argument("--regions", type=int, default=3)
+    parser.add_argument("--changes", type=int, default=20)
+
+
+@register_benchmark("distribution", configure=_configure)
+def run(options: Namespace) -> dict:
+    """Measure convergence and control bytes against a watch per node."""
+    centres = options.regions * CENTRES_PER_REGION
+    per_centre, rest = divmod(options.nodes, centres)
+    if rest or not per_centre:
+        raise SystemExit(f"--nodes has to be a multiple of {centres} (2 per region)")
+    plan = DelayedPlan(
+        data_centres=centres,
+        nodes_per_centre=per_centre,
+        centres_per_region=CENTRES_PER_REGION,
+        services=min(MAX_SERVICES, options.nodes),
+        network=70,
+    )
+    figures = {"nodes": options.nodes, "regions": options.regions}
+    with running_mesh(plan, plan.store_options()) as mesh:
+        operator = Operator(plan, random=Random(options.seed))
+        for prefix, mode in (("", "distribution"), ("baseline_", "watching")):
+            phase = Phase(mesh, operator, mode=mode, seed=options.seed)
+            try:
+                result = phase.run(options.changes)
+            finally:
+                phase.close()
+            figures |= {f"{prefix}{name}": value for name, value in result.items()}
+    return figures
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -28,13 +28,22 @@
     nodes : list of dict
         Settings of its nodes.
     mode : str
-        ``"tree"`` or ``"baseline"``.
+        Kind of its nodes, ``"tree"`` or ``"baseline"`` in `bench.mesh_worker`.
+    module : str
+        Module that the process runs.
     """
 
-    def __init__(self, nodes: list[dict], *, mode: str, seed: int):
+    def __init__(
+        self,
+        nodes: list[dict],
+        *,
+        mode: str,
+        seed: int,
+        module: str = "bench.mesh_worker",
+    ):
         self.node_ids = [node["node_id"] for node in nodes]
         self._process = subprocess.Popen(
-            [sys.executable, "-W", "ignore", "-m", "bench.mesh_worker"],
+            [sys.executable, "-W", "ignore", "-m", module],
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
             cwd=ROOT,
@@ -134,9 +143,9 @@
         self.workers: list[WorkerProcess] = []
         self._http = urllib3.PoolManager()
 
-    def add_worker(self, nodes: list[dict], *, mode: str, seed: int) -> WorkerProcess:
-        """Start a process; its nodes start by command."""
-        worker = WorkerProcess(nodes, mode=mode, seed=seed)
+    def add_worker(self, nodes: list[dict], **options) -> WorkerProcess:
+        """Start a process; its nodes start by command. See `WorkerProcess`."""
+        worker = WorkerProcess(nodes, **options)
         self.workers.append(worker)
         return worker
 
@@ -179,7 +188,7 @@
 
 
 @contextmanager
-def running_mesh(plan: MeshPlan) -> Iterator[Mesh]:
+def running_mesh(plan: MeshPlan, store_options: tuple[str, ...] = ()) -> Iterator[Mesh]:
     """Start the store stand-in; end all processes at the end."""
     store = subprocess.Popen(
         [
@@ -190,6 +199,7 @@
             "standins.store",
             "--address",
             plan.store_address,
+            *store_options,
         ],
         cwd=ROOT,
         stderr=subprocess.DEVNULL,
