--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
 MODULES = (
     "bench.calls",
     "bench.claims",
+    "bench.distribution",
     "bench.membership",
 )
 
