--- a/src/verbenawick/_claims.py
+++ b/src/verbenawick/_claims.py
@@ -125,7 +125,6 @@
         self._table = ClaimTable(clock, self._limits)
         self._pending_by_key: dict[str, PendingClaim] = {}
         self._deadlines_by_key: dict[str, float] = {}
-        self._next_call_id = next_call_id
         self._is_stopping = False
         self._is_handing_over = False
 
@@ -226,7 +225,6 @@
             members=self._members,
             requests=self._requests,
             clock=self._clock,
-            next_call_id=self._next_call_id,
         )
         return sender.run(deadline)
 
@@ -387,7 +385,7 @@
 
     def _seal_at(self, owner: Member, key, deadline) -> SealAnswer | ClaimError:
         request = SealRequest(
-            self._next_call_id(),
+            next_call_id(),
             self._identity.service_id,
             key,
             self._self_ref,
--- a/src/verbenawick/_proxy.py
+++ b/src/verbenawick/_proxy.py
@@ -1,11 +1,11 @@
 """Entry role: the WSGI application that callers talk to."""
 
 from collections.abc import Callable
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 
 import eventlet
-from eventlet import wsgi
+from eventlet import patcher, wsgi
 from eventlet.event import Event
 from eventlet.greenthread import getcurrent
 from greenlet import GreenletExit
@@ -39,6 +39,9 @@
     errors_by_code,
 )
 
+# eventlet removes `poll` from the patched module; polling with no wait never blocks.
+select = patcher.original("select")
+
 # Headers that the entry reads and the gateway writes anew.
 CALL_HEADERS = frozenset(
     {
@@ -348,12 +351,9 @@
         self._thread.kill()
         self._listener.close()
         is_idle = self._application.wait_idle(timeout_s=timeout_s)
-        try:
-            with eventlet.Timeout(timeout_s, False):
-                self._thread.wait()
-        except GreenletExit:
-            # The expected end of a thread that was killed.
-            pass
+        # The server ends by the kill itself when no connection is open.
+        with eventlet.Timeout(timeout_s, False), suppress(GreenletExit):
+            self._thread.wait()
         return is_idle
 
 
@@ -479,7 +479,8 @@
     error_type = errors_by_code.get(answer.code)
     default_status = 503 if answer.outcome is Outcome.NOT_RUN else 502
     status = getattr(error_type, "http_status", default_status)
-    text = f"{answer.code}: {answer.body.decode() or error_type.__doc__}\n"
+    reason = answer.body.decode() or error_type.__doc__.splitlines()[0]
+    text = f"{answer.code}: {reason}\n"
     body = text.encode()
     headers = [
         ("Content-Type", "text/plain; charset=utf-8"),
--- a/src/verbenawick/_upstream.py
+++ b/src/verbenawick/_upstream.py
@@ -10,7 +10,7 @@
 from http.client import HTTPException, IncompleteRead
 from http.client import HTTPResponse as StandardResponse
 
-from eventlet import Timeout
+from eventlet import Timeout, patcher
 from eventlet.green import socket
 from urllib3.connection import HTTPConnection
 
@@ -28,6 +28,9 @@
     UpstreamUnreachableError,
 )
 
+# eventlet removes `poll` from the patched module; polling with no wait never blocks.
+select = patcher.original("select")
+
 NOT_RUN_HEADER = "upstream-not-run"
 
 # Below the 5 s after which common HTTP servers close an idle connection, so that a
