Take a keyed request without Attempt as a possible resend

Cause: without the header a keyed request counted as the first sending, so an entry that refused a resend said not-run although the first sending could have run at another node. Ruled out: asking the owner of the key for each refusal; a draining or unreachable owner cannot answer. Before: not-run for a resend without the header.

--- a/src/verbenawick/_proxy.py
+++ b/src/verbenawick/_proxy.py
@@ -59,6 +59,8 @@
 
 LONGEST_TIMEOUT_S = 30.0
 LARGEST_NUMBER = 1_000_000
+# A keyed request that does not say which attempt it is may be a resend.
+UNDECLARED_ATTEMPT = 2
 MAX_KEY_LENGTH = 256
 
 # Interval at which calls in flight are checked for callers that went away.
@@ -268,7 +270,7 @@
             body=body,
             deadline=now + timeout_s,
             criticality=criticality,
-            attempt=_number(environ, "HTTP_ATTEMPT", 1, least=1),
+            attempt=_attempt(environ),
             depth=_number(environ, "HTTP_CALL_DEPTH", 0, least=0),
             idempotency_key=key,
             is_repeatable=is_repeatable and not key,
@@ -416,6 +418,13 @@
     return min(timeout_ms / 1000, LONGEST_TIMEOUT_S)
 
 
+def _attempt(environ) -> int:
+    has_key = bool(environ.get("HTTP_IDEMPOTENCY_KEY"))
+    return _number(
+        environ, "HTTP_ATTEMPT", UNDECLARED_ATTEMPT if has_key else 1, least=1
+    )
+
+
 def _number(environ, name: str, default: int, *, least: int) -> int:
     text = environ.get(name)
     if text is None:
@@ -468,7 +477,7 @@
 
 def _answer_for(error: CallError, environ) -> CallAnswer:
     outcome = Outcome(error.outcome)
-    if environ.get("HTTP_IDEMPOTENCY_KEY") and environ.get("HTTP_ATTEMPT", "1") != "1":
+    if environ.get("HTTP_IDEMPOTENCY_KEY") and environ.get("HTTP_ATTEMPT") != "1":
         # An earlier attempt with this key may have run.
         outcome = Outcome.UNKNOWN
     message = error.message.encode()
--- a/tests/test_fault_table.py
+++ b/tests/test_fault_table.py
@@ -60,6 +60,7 @@
         headers = {"Request-Timeout": str(timeout_ms)}
         if row.kind is Kind.KEYED:
             headers["Idempotency-Key"] = KEY
+            headers["Attempt"] = "1"
         if row.interface is Interface.CALLER:
             return self.call_with_caller_fault(row, method, headers)
         return (
