Test the stand-in's own interface and the command line as a process

Change: contract tests of these; watches read the history from the newest entry back; a process test of the exit codes, also of `node` with invalid settings. The client keeps 8 idle connections, since a node has up to five requests at once.

--- a/src/verbenawick/_store.py
+++ b/src/verbenawick/_store.py
@@ -19,7 +19,8 @@
 
 MAX_VALUE_BYTES = 1_000_000
 DEFAULT_TIMEOUT_S = 2.0
-MAX_IDLE_CONNECTIONS = 4
+# A node has at most four calls and a watch at the same time.
+MAX_IDLE_CONNECTIONS = 8
 VERSION_HEADER = "Object-Version"
 AGE_HEADER = "Object-Age-Ms"
 CONDITION_HEADER = "If-Object-Version"
--- a/standins/store.py
+++ b/standins/store.py
@@ -19,6 +19,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from itertools import takewhile
 from urllib.parse import parse_qs
 
 import eventlet
@@ -148,11 +149,9 @@
 
     def changes(self, prefixes: list[str], after: int) -> dict:
         """Return the last state of the objects changed after a revision."""
-        keys = {
-            key
-            for revision, key in self._history
-            if revision > after and key.startswith(tuple(prefixes))
-        }
+        # From the newest on, since each write wakes every waiting watch.
+        recent = takewhile(lambda item: item[0] > after, reversed(self._history))
+        keys = {key for _, key in recent if key.startswith(tuple(prefixes))}
         objects = [self.describe(key, self.get(key)) for key in sorted(keys)]
         return {"revision": self.revision, "objects": objects}
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -5,6 +5,9 @@
 
 import io
 import json
+import os
+import subprocess
+import sys
 from contextlib import ExitStack, redirect_stderr, redirect_stdout
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -286,6 +289,20 @@
         self.assertEqual(ExitCode.REFUSED, exit_code)
         self.assertThat(err, Contains("node_id"))
 
+    def test_process_ends_with_the_exit_code(self):
+        for arguments, expected in (
+            (["ctl", "validate", ANDINA], ExitCode.DONE),
+            (["node", "--settings", ANDINA], ExitCode.REFUSED),
+        ):
+            result = subprocess.run(
+                [sys.executable, "-W", "ignore", "-m", "verbenawick", *arguments],
+                env={"PYTHONPATH": os.pathsep.join(sys.path)},
+                capture_output=True,
+                text=True,
+                timeout=30,
+            )
+            self.assertEqual(expected, result.returncode, result.stderr)
+
     def test_help_lists_every_exit_code(self):
         _, out, _ = self.run_command("ctl", "--help")
         for text in DESCRIPTIONS_BY_EXIT_CODE.values():
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -11,7 +11,7 @@
 from testtools import TestCase
 
 from standins.store import ObjectStore, StoreApplication, running_store
-from verbenawick._clock import ManualClock
+from verbenawick._clock import ManualClock, MonotonicClock
 from verbenawick._store import MAX_VALUE_BYTES, StoreClient
 from verbenawick.errors import (
     StoreAnswerLostError,
@@ -148,6 +148,50 @@
         self.assertEqual("b'x'\n", result.stdout, result.stderr)
 
 
+class TestStandin(StoreCase):
+    """The stand-in itself; guards against figures that come from a wrong one."""
+
+    def request(self, method, path, **options):
+        """Return the answer to a request without the client."""
+        return urllib3.request(method, f"http://{self.address}{path}", **options)
+
+    def test_invalid_requests_are_refused(self):
+        condition = {"If-Object-Version": "0"}
+        self.assertEqual(400, self.request("PUT", "/objects/a", body=b"x").status)
+        self.assertEqual(400, self.request("GET", "/watch?prefix=a").status)
+        large = bytes(MAX_VALUE_BYTES + 1)
+        answer = self.request("PUT", "/objects/a", body=large, headers=condition)
+        self.assertEqual(413, answer.status)
+        self.assertEqual(0, self.application.store.revision)
+
+    def test_list_has_the_objects_below_a_prefix(self):
+        for key in ("a/2", "a/1", "b/1"):
+            self.client.update(key, key.encode(), expected_version=0)
+        listing = self.client.list("a/")
+        self.assertEqual(3, listing.revision)
+        self.assertEqual(["a/1", "a/2"], [obj.key for obj in listing.objects])
+        self.assertEqual([2, 1], [obj.version for obj in listing.objects])
+
+    def test_calls_are_counted_by_kind_and_bytes_by_client(self):
+        self.client.update("a", b"12345", expected_version=0)
+        self.client.get("a")
+        counters = json.loads(self.request("GET", "/standin/counters").data)
+        self.assertEqual((1, 1, 0), tuple(counters[k] for k in ("get", "put", "list")))
+        self.assertEqual({"127.0.0.1": [5, 5]}, counters["bytes_by_client"])
+
+    def test_delay_applies_each_way_to_the_clients_with_the_prefix(self):
+        application = StoreApplication(
+            ObjectStore(MonotonicClock()), delays_ms_by_prefix={"127.0.1.": 30}
+        )
+        clock = MonotonicClock()
+        with running_store(application) as address:
+            client = StoreClient(address, source_ip="127.0.1.1")
+            started_at = clock.now()
+            client.get("a")
+            self.assertGreaterEqual(clock.now() - started_at, 0.06)
+        self.assertIn("127.0.1.1", application.bytes_by_client)
+
+
 class TestFaults(StoreCase):
     """Faults; guards against taking an unknown outcome for a known one."""
 
