--- a/src/verbenawick/_member_table.py
+++ b/src/verbenawick/_member_table.py
@@ -34,6 +34,9 @@
 # Ages travel in whole seconds through several hops; smaller differences are no change.
 AGE_TOLERANCE_S = 5.0
 COMPRESSION_LEVEL = 3
+HEALTHY_BIT = 0x80
+MAX_PERCENT_MASK = 0x7F
+UNKNOWN_LOAD = 0x7F
 
 
 @dataclass(frozen=True, slots=True)
@@ -275,9 +278,14 @@
         self._changed()
 
     def replace(self, snapshot: RegionSnapshot, *, held_s: float = 0.0) -> None:
-        """Replace a region's table by a snapshot."""
+        """Replace a region's table by a snapshot.
+
+        Members that the snapshot does not name have departed, and former departures
+        stay: a relay that took over may not know them, and a forgotten member could
+        have run keys that another node would then claim.
+        """
         table = self.region(snapshot.region)
-        old = table.members_by_id
+        old, old_departed = table.members_by_id, table.departed
         table.members_by_id, table.departed = {}, {}
         self.apply(
             snapshot.region,
@@ -287,9 +295,28 @@
             departed=snapshot.departed,
             held_s=held_s,
         )
+        self._keep_departures(table, old, old_departed)
         for node_id in old.keys() - table.members_by_id.keys():
             self._loads.pop(node_id, None)
 
+    def _keep_departures(self, table: RegionTable, old, old_departed) -> None:
+        present = {
+            (joined.member.node_id, joined.member.incarnation)
+            for joined in table.members_by_id.values()
+        }
+        for key, departed in old_departed.items():
+            if key not in present:
+                table.departed.setdefault(key, departed)
+        for joined in old.values():
+            gone = joined.member
+            key = (gone.node_id, gone.incarnation)
+            if key not in present and key not in table.departed:
+                table.departed[key] = DepartedMember(
+                    *key, gone.service_id, gone.region, False, False, self._clock.now()
+                )
+        self._drop_old_departed(table)
+        self._changed()
+
     def snapshot(self, region: str) -> RegionSnapshot:
         """Return a region's table with ages as of now."""
         table, now = self.region(region), self._clock.now()
@@ -311,6 +338,23 @@
                     min(max(row.busy_percent, 0), 100) / 100, row.is_healthy
                 )
 
+    def load_vector(self, region: str) -> bytes:
+        """Return the loads of a region's members as in `LoadVector`."""
+        return bytes(
+            _load_byte(self._loads.get(node_id))
+            for node_id in sorted(self.region(region).members_by_id)
+        )
+
+    def set_load_vector(self, region: str, loads: bytes) -> None:
+        """Keep the loads in a vector of the table's present version."""
+        for node_id, value in zip(
+            sorted(self.region(region).members_by_id), loads, strict=False
+        ):
+            if value != UNKNOWN_LOAD:
+                busy_percent = min(value & MAX_PERCENT_MASK, 100)
+                is_healthy = value >= HEALTHY_BIT
+                self._loads[node_id] = ReportedLoad(busy_percent / 100, is_healthy)
+
     def _join(self, table: RegionTable, row: MemberRow, joined_at: float) -> None:
         known = table.members_by_id.get(row.node_id)
         if known is None and self.size() >= self._max_members:
@@ -390,6 +434,12 @@
     by_data_centre: dict[str, tuple[Member, ...]] = field(default_factory=dict)
 
 
+def _load_byte(load: ReportedLoad | None) -> int:
+    if load is None:
+        return UNKNOWN_LOAD
+    return round(load.busy_share * 100) + (HEALTHY_BIT if load.healthy else 0)
+
+
 def departed_row(departed: DepartedMember, now: float) -> DepartedRow:
     """Return the row of a departed member for the wire."""
     return DepartedRow(
--- a/src/verbenawick/_proxy.py
+++ b/src/verbenawick/_proxy.py
@@ -11,7 +11,12 @@
 from greenlet import GreenletExit
 from xxhash import xxh3_128_digest
 
-from verbenawick._call_messages import CallAnswer, Headers, Outcome
+from verbenawick._call_messages import (
+    LARGEST_BODY_BYTES,
+    CallAnswer,
+    Headers,
+    Outcome,
+)
 from verbenawick._clock import Clock
 from verbenawick._dispatch import Call, Dispatcher
 from verbenawick._events import Event as LogEvent
@@ -248,7 +253,7 @@
                 f"{method} needs an Idempotency-Key", step="entry.headers"
             )
         timeout_s = _timeout_s(environ, policy)
-        body = _read_body(environ, policy.max_body_bytes)
+        body = _read_body(environ, min(policy.max_body_bytes, LARGEST_BODY_BYTES))
         fingerprint = _fingerprint(method, target, body)
         if self._is_quarantined(fingerprint):
             raise QuarantinedError(
@@ -324,6 +329,8 @@
             max_size=self._max_connections,
             keepalive=IDLE_LIMIT_S,
             socket_timeout=SOCKET_TIMEOUT_S,
+            # Names stay as the upstream wrote them, which also saves time per header.
+            capitalize_response_headers=False,
         )
 
     def stop(self, *, grace_s: float, timeout_s: float) -> bool:
