--- a/bench/call_node.py
+++ b/bench/call_node.py
@@ -86,7 +86,11 @@
 
     def choose(self, service_id, *, excluded):
         """Return the next member."""
-        members = self._members.members_of(service_id)
+        members = [
+            member
+            for member in self._members.members_of(service_id)
+            if member.state is MemberState.ACTIVE
+        ]
         return members[next(self._turn) % len(members)]
 
 
