--- a/tests/test_floor.py
+++ b/tests/test_floor.py
@@ -4,8 +4,8 @@
 from testtools.matchers import Equals, Is
 
 from tests.memory_mesh import HEAD, MemoryMesh, document
-from verbenawick._config_messages import FloorAnswer, HeadConfirmed
-from verbenawick._floor import PAUSE_S, answers_needed
+from verbenawick._config_messages import FloorAnswer, HeadConfirmed, HeadQuery
+from verbenawick._floor import HEAD_QUERY_INTERVAL_S, PAUSE_S, answers_needed
 from verbenawick._lifecycle import LifecycleState
 
 
@@ -141,21 +141,45 @@
         self.mesh.kill("a1x")
         node = self.mesh.start("a1x")
         self.mesh.tick(deliver=False)
-        answered = []
-        while len(answered) < 2:
-            item = self.mesh.queue.pop(0)
-            item.deliver()
-            if isinstance(item.message, FloorAnswer) and item.receiver == "a1x":
-                answered.append(item)
+        while len(self.answers(node)) < 2:
+            self.mesh.queue.pop(0).deliver()
         self.assertThat(node.state.floor, Is(None))
-        self.mesh.kill(answered[0].sender)
-        self.mesh.start(answered[0].sender)
+        restarted, kept = sorted(self.answers(node))
+        self.mesh.kill(restarted)
+        self.mesh.start(restarted)
         third = next(
             item
             for item in self.mesh.queue
             if isinstance(item.message, FloorAnswer)
             and item.receiver == "a1x"
-            and item.sender not in {a.sender for a in answered}
+            and item.message.answerer.node_id not in (restarted, kept)
         )
         third.deliver()
+        self.assertThat(len(self.answers(node)), Equals(2))
         self.assertThat(node.state.floor, Is(None))
+
+    def answers(self, node):
+        return set(node.distribution._floor._answers_by_node_id)
+
+    def test_late_confirmation_does_not_answer_later_queries(self):
+        """A confirmation answers only the queries that arrived before it began.
+
+        The second node may have served a version accepted after the confirmation.
+        """
+        for node_id in ("a2x", "a2y", "a2z"):
+            self.mesh.start(node_id)
+        self.mesh.elect("a2x")
+        relay = self.mesh.nodes_by_id["a2x"]
+        confirmer = relay.distribution._confirmer
+        self.mesh.pause("a1v")
+        confirmer.on_query("a2y", HeadQuery(1, 1))
+        confirmer.on_tick()
+        first = confirmer._sequence
+        confirmer.on_query("a2z", HeadQuery(1, 1))
+        self.mesh.clock.advance(HEAD_QUERY_INTERVAL_S)
+        confirmer.on_tick()
+        self.mesh.queue.clear()
+        incarnation = relay.identity.incarnation
+        confirmer.on_answer(HeadConfirmed(incarnation, first, 1, b""))
+        receivers = [item.receiver for item in self.mesh.queue]
+        self.assertThat(receivers, Equals(["a2y"]))
