--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,12 @@
 from bench.registry import benchmarks_by_name
 
 RESULTS = Path(__file__).parent / "results"
-MODULES = ("bench.calls", "bench.distribution")
+MODULES = (
+    "bench.calls",
+    "bench.claims",
+    "bench.distribution",
+    "bench.membership",
+)
 
 
 def main(arguments: list[str] | None = None) -> int:
