Record decisions of distribution with their causes

Cause: ctl explain reads a bounded record of decisions, and distribution only logged.

Change: versions put in force, refused or stopped, and withheld routes are noted with the cause: majority, commit of a relay, or in force on a neighbour.

--- a/bench/distribution_worker.py
+++ b/bench/distribution_worker.py
@@ -35,9 +35,9 @@
         super().__init__(codec)
         self.in_force_at: dict[int, float] = {}
 
-    def commit(self, ref: VersionRef) -> bool:
+    def commit(self, ref: VersionRef, *, cause: str = "") -> bool:
         """Put a version in force and note when."""
-        is_in_force = super().commit(ref)
+        is_in_force = super().commit(ref, cause=cause)
         if is_in_force:
             # Processes of one machine share this clock.
             self.in_force_at.setdefault(ref.version, monotonic())
--- a/src/verbenawick/_config_state.py
+++ b/src/verbenawick/_config_state.py
@@ -63,6 +63,19 @@
     route_ids: tuple[str, ...]
 
 
+class Note(Protocol):
+    """Takes an event with its cause; see `DecisionRecord.note`."""
+
+    def __call__(self, event: Event, *, cause: str, version: int) -> None:
+        """Log the event, and record it where there is a record."""
+        ...
+
+
+def emit_only(event: Event, *, cause: str, version: int) -> None:
+    """Log an event without recording it."""
+    emit(event)
+
+
 @dataclass(frozen=True, slots=True)
 class VersionRef:
     """A version number with the digest of its document; version 0 is none."""
@@ -136,9 +149,15 @@
     `in_force` is replaced by one assignment, so a call that reads it once serves all
     of one version. The floor is the highest version that an earlier process of this
     node may have served; nothing is put in force before it is known.
+
+    Attributes
+    ----------
+    note : Note
+        Takes the events with their causes.
     """
 
     def __init__(self, codec: DocumentCodec):
+        self.note: Note = emit_only
         self.in_force: HeldVersion | None = None
         self.floor: int | None = None
         self._codec = codec
@@ -222,16 +241,22 @@
     def refuse(self, target: VersionRef, error: VerbenawickError) -> None:
         """Record that a version cannot be served."""
         if self.refusal_of(target) is None:
-            emit(VersionRefused(target.version, error.code, error.message))
+            event = VersionRefused(target.version, error.code, error.message)
+            self.note(event, cause=error.step, version=target.version)
         self._refusals_by_version[target.version] = Refusal(
             target, error.code, error.message
         )
         while len(self._refusals_by_version) > MAX_REFUSALS:
             self._refusals_by_version.popitem(last=False)
 
-    def commit(self, ref: VersionRef) -> bool:
+    def commit(self, ref: VersionRef, *, cause: str = "") -> bool:
         """Put a staged version in force; return whether it is in force now.
 
+        Parameters
+        ----------
+        cause : str
+            How this node learned that the version is committed.
+
         Raises
         ------
         OlderVersionError
@@ -242,7 +267,7 @@
         held = self._staged_by_version.get(ref.version)
         if held is None or held.ref != ref:
             return False
-        self._put_in_force(held)
+        self._put_in_force(held, cause)
         return True
 
     def raise_floor(self, version: int) -> None:
@@ -289,36 +314,41 @@
 
     def _check(self, table: RoutingTable, target: VersionRef) -> None:
         if VersionRef(table.version, table.digest) != target:
-            _stop(3, target.version, f"the table is of version {table.version}")
+            self._stop(3, target.version, f"the table is of version {table.version}")
         for route in table.routes:
             if route.service_id not in table.policies_by_service_id:
                 reason = f"route {route.route_id} refers to {route.service_id}"
-                _stop(2, target.version, f"{reason}, which the table does not have")
+                self._stop(
+                    2, target.version, f"{reason}, which the table does not have"
+                )
         if table.preset not in PRESET_IDS:
-            _stop(10, target.version, f"preset {table.preset!r} does not exist")
+            self._stop(10, target.version, f"preset {table.preset!r} does not exist")
 
-    def _put_in_force(self, held: HeldVersion) -> None:
+    def _put_in_force(self, held: HeldVersion, cause: str) -> None:
         previous = self.in_force_ref
         if self.floor is None:
-            _stop(1, held.ref.version, "the floor is not known")
+            self._stop(1, held.ref.version, "the floor is not known")
         lowest = max(self.floor, previous.version)
         if held.ref.version < lowest:
             reason = f"version {lowest} may have been served before"
-            emit(InvariantViolated(1, held.ref.version, reason))
+            event = InvariantViolated(1, held.ref.version, reason)
+            self.note(event, cause=cause, version=held.ref.version)
             raise OlderVersionError(reason, step="commit.version")
         if held.ref.version == previous.version:
-            _stop(3, held.ref.version, "two documents have the same version")
+            self._stop(3, held.ref.version, "two documents have the same version")
         self.in_force = held
         for version in [v for v in self._staged_by_version if v <= held.ref.version]:
             del self._staged_by_version[version]
-        emit(VersionInForce(held.ref.version, previous.version, held.table.preset))
-
-
-def _stop(invariant: int, version: int, reason: str) -> None:
-    emit(InvariantViolated(invariant, version, reason))
-    raise InvariantError(
-        f"invariant {invariant}: {reason}", step="config-state.invariant"
-    )
+        version = held.ref.version
+        event = VersionInForce(version, previous.version, held.table.preset)
+        self.note(event, cause=cause, version=version)
+
+    def _stop(self, invariant: int, version: int, reason: str) -> None:
+        event = InvariantViolated(invariant, version, reason)
+        self.note(event, cause=reason, version=version)
+        raise InvariantError(
+            f"invariant {invariant}: {reason}", step="config-state.invariant"
+        )
 
 
 def withhold_routes(
--- a/src/verbenawick/_distribution.py
+++ b/src/verbenawick/_distribution.py
@@ -32,11 +32,14 @@
 from verbenawick._config_state import (
     NO_VERSION,
     ConfigState,
+    Note,
     RoutesWithheld,
     VersionRef,
+    emit_only,
     withhold_routes,
 )
 from verbenawick._events import Event, emit, register_event
+from verbenawick._explain import DecisionRecord
 from verbenawick._floor import HEAD_KEY, FloorKeeper, HeadConfirmer
 from verbenawick._lifecycle import Lifecycle, LifecycleState
 from verbenawick._members import MemberView
@@ -143,6 +146,8 @@
         Decodes the store's configuration objects.
     random : Random
         Chooses the neighbour for the next exchange.
+    record : DecisionRecord, optional
+        Takes what was put in force, refused or withheld, with the cause.
     """
 
     def __init__(
@@ -158,8 +163,11 @@
         feed_codec: FeedCodec,
         lifecycle: Lifecycle,
         random: Random,
+        record: DecisionRecord | None = None,
     ):
+        self._note: Note = record.note if record else emit_only
         self.state = state
+        state.note = self._note
         self.lifecycle = lifecycle
         self.withheld_route_ids: tuple[str, ...] = ()
         self._identity = identity
@@ -176,6 +184,7 @@
         self._digests_by_version: OrderedDict[int, bytes] = OrderedDict()
         self._known = NO_VERSION
         self._committed = NO_VERSION
+        self._commit_cause = ""
         self._highest_epoch = 0
         self._last_round: tuple[str, int] | None = None
         self._served: RoutingTable | None = None
@@ -441,7 +450,7 @@
             member_ids = self._member_ids()
             ref = self._tally.highest_of_majority(member_ids, own_ref=own_ref)
             if ref.version > self._committed.version:
-                self._learn_committed(ref)
+                self._learn_committed(ref, "held by a majority of the data centre")
                 for peer_id in self._subscribers_in_data_centre():
                     self._send_commit(peer_id)
         self._put_in_force()
@@ -457,13 +466,13 @@
             return
         ref = VersionRef(message.version, message.digest)
         if self._learn(ref, peer_id):
-            self._learn_committed(ref)
+            self._learn_committed(ref, f"commit of relay {peer_id}")
             self._put_in_force()
             self._fetch_if_behind(peer_id)
 
-    def _learn_committed(self, ref: VersionRef) -> None:
+    def _learn_committed(self, ref: VersionRef, cause: str) -> None:
         if ref.version > self._committed.version:
-            self._committed = ref
+            self._committed, self._commit_cause = ref, cause
 
     def _put_in_force(self) -> None:
         state, ref = self.state, self._committed
@@ -472,7 +481,7 @@
         if state.in_force_ref.version >= ref.version:
             return
         try:
-            is_in_force = state.commit(ref)
+            is_in_force = state.commit(ref, cause=self._commit_cause)
         except (InvariantError, OlderVersionError):
             # Already reported; the version in force stays.
             return
@@ -508,7 +517,7 @@
         if not (self._learn(in_force, peer_id) and self._learn(held, peer_id)):
             return
         if self._is_in_data_centre(peer_id):
-            self._learn_committed(in_force)
+            self._learn_committed(in_force, f"in force on {peer_id}")
             self._put_in_force()
         self._fetch_if_behind(peer_id, held)
         own = self.state
@@ -596,7 +605,11 @@
             return
         self._served, self.withheld_route_ids = table, withheld
         if withheld:
-            emit(RoutesWithheld(table.version, withheld))
+            self._note(
+                RoutesWithheld(table.version, withheld),
+                cause="no endpoint of the service is known",
+                version=table.version,
+            )
 
     # Views
 
--- a/src/verbenawick/_node.py
+++ b/src/verbenawick/_node.py
@@ -154,6 +154,7 @@
             feed_codec=codec,
             lifecycle=self.lifecycle,
             random=self.random,
+            record=self.control.record,
         )
         self.control.add(self.membership)
         self.quarantine = Quarantine(
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -9,6 +9,7 @@
 from verbenawick._config_messages import Commit, DeltaStep, Stage, VersionDigest
 from verbenawick._config_state import VersionRef
 from verbenawick._distribution import MAX_CACHED_STEPS, StepCache
+from verbenawick._explain import DecisionRecord
 
 NODE_IDS = ("a1x", "a1y", "a1z", "a2x", "a2y", "b1x", "b1y", "b1z")
 
@@ -240,6 +241,22 @@
         self.assertThat([r.route_id for r in node.table.routes], Equals(["n", "r"]))
         self.assertThat(node.withheld_route_ids, Equals(()))
 
+    def test_decisions_name_their_cause(self):
+        """Operators see why a node serves a version, or refused it."""
+        record = DecisionRecord(self.mesh.clock)
+        node = self.mesh.nodes_by_id["a1y"]
+        node.state.note = record.note
+        self.accept("s")
+        self.mesh.deliver_all()
+        (decision,) = record.decisions(version=2)
+        self.assertThat(decision.event_number, Equals(350))
+        self.assertThat(decision.cause, Equals("commit of relay a1x"))
+        node.codec.broken_versions.add(3)
+        self.accept("s", "t")
+        self.mesh.deliver_all()
+        (decision,) = record.decisions(version=3)
+        self.assertThat(decision.event_number, Equals(351))
+
     def test_swap_is_one_assignment(self):
         """A call that read its table keeps all of it (invariant 3)."""
         node = self.mesh.nodes_by_id["a1y"].distribution
