Choose a free loopback network for each mesh of control tasks

test_control_sockets failed when several worktrees ran it at once: eventlet listens with SO_REUSEPORT, so that four store stand-ins shared one address and the nodes of different runs met. A fixed network per test was ruled out, since the same test runs in several worktrees.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -39,7 +39,6 @@
         plan = MeshPlan(
             data_centres=max(1, round(centres * share)),
             nodes_per_centre=nodes_per_centre,
-            network=60,
         )
         tree.append(measure_tree(plan, options.seconds, options.seed))
         baseline.append(measure_baseline(plan, options.seconds, options.seed))
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -1,6 +1,8 @@
 """A mesh of control tasks in a few worker processes, and the store stand-in."""
 
 import json
+import os
+import socket
 import subprocess
 import sys
 import time
@@ -16,10 +18,28 @@
 ROOT = Path(__file__).resolve().parent.parent
 PEER_PORT = 7000
 STORE_PORT = 7001
+NETWORKS = range(70, 240)
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.25
 
 
+def free_network() -> int:
+    """Return a loopback network 127.N on which no store stand-in listens.
+
+    Listeners of eventlet share a port without an error, so two runs on one network
+    would mix without notice.
+    """
+    first = os.getpid() % len(NETWORKS)
+    for network in (*NETWORKS[first:], *NETWORKS[:first]):
+        with socket.socket() as sock:
+            try:
+                sock.bind((f"127.{network}.255.1", STORE_PORT))
+            except OSError:
+                continue
+            return network
+    raise RuntimeError("no loopback network is free")
+
+
 class WorkerProcess:
     """One `bench.mesh_worker` process.
 
@@ -83,7 +103,7 @@
     nodes_per_centre: int
     centres_per_region: int = 3
     services: int = 82
-    network: int = 60
+    network: int = field(default_factory=free_network)
     seeds_per_node: int = 3
     timing: dict = field(default_factory=dict)
 
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -81,7 +81,6 @@
         data_centres=CENTRES,
         nodes_per_centre=NODES_PER_CENTRE,
         centres_per_region=CENTRES_PER_REGION,
-        network=61,
     )
     tree = run_mesh(plan, "tree", options.seed)
     baseline = run_mesh(plan, "baseline", options.seed)
--- a/tests/test_control_sockets.py
+++ b/tests/test_control_sockets.py
@@ -10,9 +10,7 @@
 
     def test_members_agree_after_start_death_outage_and_return(self):
         """Guards against what only real links and the real store client show."""
-        plan = MeshPlan(
-            data_centres=2, nodes_per_centre=3, centres_per_region=1, network=66
-        )
+        plan = MeshPlan(data_centres=2, nodes_per_centre=3, centres_per_region=1)
         with running_mesh(plan) as mesh:
             for centre in range(plan.data_centres):
                 mesh.add_worker(plan.centre(centre), mode="tree", seed=1)
