--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,13 @@
 from bench.registry import benchmarks_by_name
 
 RESULTS = Path(__file__).parent / "results"
-MODULES = ("bench.membership", "bench.recovery")
+MODULES = (
+    "bench.calls",
+    "bench.claims",
+    "bench.distribution",
+    "bench.membership",
+    "bench.recovery",
+)
 
 
 def main(arguments: list[str] | None = None) -> int:
--- /dev/null
+++ b/bench/plots.py
@@ -0,0 +1,122 @@
+"""Draw the plots of docs/CAPACITY.md from the newest results.
+
+Run as ``python -m bench.plots``; writes to docs/plots/.
+"""
+
+import json
+import sys
+from pathlib import Path
+
+import matplotlib
+
+matplotlib.use("svg")
+# Equal results give equal files.
+matplotlib.rcParams["svg.hashsalt"] = "verbenawick"
+
+from matplotlib import pyplot
+
+ROOT = Path(__file__).resolve().parent.parent
+RESULTS = ROOT / "bench" / "results"
+PLOTS = ROOT / "docs" / "plots"
+PROBES = {
+    "plain": "plain node",
+    "centre_relay": "data centre relay",
+    "region_relay": "region relay",
+}
+# Limits per node from docs/design.md, section 1.2.
+LIMITS = {"cpu_share": 0.023, "rss_mb": 128.0, "bytes_per_node_s": 9_000.0}
+LABELS = {
+    "cpu_share": "share of a core",
+    "rss_mb": "resident memory (MB)",
+    "bytes_per_node_s": "control bytes per second",
+}
+
+
+def newest(name: str) -> dict:
+    """Return the newest result of a benchmark."""
+    paths = sorted(RESULTS.glob(f"{name}-*.json"))
+    if not paths:
+        raise SystemExit(f"no result of {name}; run python -m bench {name}")
+    print(f"{name}: {paths[-1].name}")
+    return json.loads(paths[-1].read_text(encoding="utf-8"))
+
+
+def draw_membership(result: dict) -> None:
+    """Draw cost per node against members, one plot per measure."""
+    for measure, label in LABELS.items():
+        figure, axes = pyplot.subplots(figsize=(6, 4))
+        members = [point["members"] for point in result["tree"]]
+        for probe, name in PROBES.items():
+            values = [point[probe][measure] for point in result["tree"]]
+            axes.plot(members, values, marker="o", label=name)
+        points = [p for p in result["baseline"] if p["members_seen"] == p["members"]]
+        axes.plot(
+            [point["members"] for point in points],
+            [point["plain"][measure] for point in points],
+            marker="x",
+            linestyle="--",
+            label="baseline (complete tables only)",
+        )
+        axes.axhline(LIMITS[measure], color="grey", linestyle=":", label="limit")
+        if measure == "bytes_per_node_s":
+            axes.set_yscale("log")
+        axes.set_xlabel("members")
+        axes.set_ylabel(label)
+        axes.legend(fontsize="small")
+        save(figure, f"membership-{measure}")
+
+
+def draw_store_calls(result: dict) -> None:
+    """Draw the calls per second at the store against members."""
+    figure, axes = pyplot.subplots(figsize=(6, 4))
+    for kind, name in (("tree", "verbenawick"), ("baseline", "baseline")):
+        points = result[kind]
+        axes.plot(
+            [point["members"] for point in points],
+            [point["store_calls_s"] for point in points],
+            marker="o",
+            label=name,
+        )
+    axes.set_xlabel("members")
+    axes.set_ylabel("store calls per second")
+    axes.legend(fontsize="small")
+    save(figure, "membership-store-calls")
+
+
+def draw_recovery(result: dict) -> None:
+    """Draw the time to serve of each step."""
+    figure, axes = pyplot.subplots(figsize=(6, 4))
+    steps = list(result["mesh"])
+    width = 0.4
+    for offset, kind in ((0.0, "mesh"), (width, "baseline")):
+        axes.bar(
+            [i + offset for i in range(len(steps))],
+            [result[kind][step]["time_to_serve_s"] for step in steps],
+            width=width,
+            label="verbenawick" if kind == "mesh" else "baseline",
+        )
+    axes.set_xticks([i + width / 2 for i in range(len(steps))], steps)
+    axes.set_ylabel("seconds until all tables are right")
+    axes.legend(fontsize="small")
+    save(figure, "recovery-time")
+
+
+def save(figure, name: str) -> None:
+    """Write one plot without a date in it."""
+    PLOTS.mkdir(parents=True, exist_ok=True)
+    figure.tight_layout()
+    figure.savefig(PLOTS / f"{name}.svg", metadata={"Date": None})
+    pyplot.close(figure)
+
+
+def main() -> int:
+    """Draw all plots."""
+    result = newest("membership")
+    draw_membership(result)
+    draw_store_calls(result)
+    draw_recovery(newest("recovery"))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -9,6 +9,7 @@
 from verbenawick._metrics import MetricSet
 from verbenawick._upstream import CONNECTIONS_OPENED, UpstreamConnections
 from verbenawick.errors import (
+    BadCallError,
     BadResponseError,
     CallTimeoutError,
     UpstreamLostError,
@@ -89,6 +90,13 @@
         self.listen_with(b"HTTP/1.1 200 OK\r\n\r\nhello")
         self.assertRaises(BadResponseError, self.exchange)
 
+    def test_a_chunked_body_needs_no_length(self):
+        """A wrong length beside chunks is dropped, not forwarded."""
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+        self.listen_with(head + b"Content-Length: 99\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+        response = self.exchange()
+        self.assertEqual((b"hello", ()), (response.body, response.headers))
+
     def test_a_body_over_the_limit_is_refused(self):
         """Guards against unbounded memory, with and without a length."""
         self.assertRaises(BadResponseError, self.exchange, "/a?bytes=100001")
@@ -135,6 +143,13 @@
         self.connect(f"127.0.0.1:{free_port()}")
         self.assertRaises(UpstreamUnreachableError, self.exchange)
 
+    def test_a_line_break_in_a_header_is_refused(self):
+        """Guards against a second request smuggled into a header value."""
+        self.assertRaises(
+            BadCallError, self.exchange, "/a HTTP/1.1\r\nX: 1\r\n\r\nGET /b"
+        )
+        self.assertEqual(0, self.standin.counters()["started"])
+
     def test_nothing_is_sent_when_the_check_before_sending_fails(self):
         """Guards against an owner that sends after its authority has ended."""
 
