Listen on addresses that no other process shares

Cause: eventlet listens with SO_REUSEPORT, so two processes of one node could run side by side, while the claims take a new process at a node's address as proof that the earlier one has ended; test runs at the same time shared ports and split their connections. Ruled out: a lock file; VMs keep nothing and a stale lock would stop a start. Change: _sockets.listen binds exclusively and raises ListenError; nodes, stand-ins and tests use it; tests pick a free loopback network. Before: two listeners on one address, without an error. Conclusion: the proof that the claims rest on holds for equal addresses.

--- a/src/verbenawick/_links.py
+++ b/src/verbenawick/_links.py
@@ -31,6 +31,7 @@
     decode_message,
     encode_message,
 )
+from verbenawick._sockets import listen
 from verbenawick.errors import LinkClosedError, LinkOverflowError, ProtocolError
 
 CONTROL_CHANNEL = "/control"
@@ -411,8 +412,7 @@
 
     def listen(self) -> None:
         """Bind the listening socket."""
-        host, _, port = self._identity.peer_address.rpartition(":")
-        self._listener = eventlet.listen((host, int(port)), backlog=1024)
+        self._listener = listen(self._identity.peer_address)
 
     def run(self) -> None:
         """Accept links until `stop` is called."""
--- a/src/verbenawick/_node.py
+++ b/src/verbenawick/_node.py
@@ -36,6 +36,7 @@
 from verbenawick._quarantine import Quarantine
 from verbenawick._retry import RetryRules
 from verbenawick._settings import NodeSettings, TimingSettings
+from verbenawick._sockets import listen
 from verbenawick._status import StatusAggregator
 from verbenawick._store import StoreClient
 from verbenawick._tracing import Tracer
@@ -344,8 +345,7 @@
         settings = self.settings
         self.links.listen()
         self.entry.listen(settings.call_address)
-        admin_host, _, admin_port = settings.admin_address.rpartition(":")
-        admin_socket = eventlet.listen((admin_host, int(admin_port)))
+        admin_socket = listen(settings.admin_address)
         eventlet.spawn_n(self.links.run)
         eventlet.spawn_n(
             wsgi.server,
--- a/src/verbenawick/_proxy.py
+++ b/src/verbenawick/_proxy.py
@@ -24,6 +24,7 @@
 from verbenawick._metrics import MetricKind, MetricSet, register_metric
 from verbenawick._polling import closed_by_peer
 from verbenawick._routing import Router
+from verbenawick._sockets import listen
 from verbenawick._table import Criticality, RoutingTable, ServicePolicy
 from verbenawick._tracing import TraceContext, Tracer
 from verbenawick._upstream import HOP_HEADERS
@@ -315,8 +316,7 @@
 
     def listen(self, address: str) -> None:
         """Bind the listening socket to ``"ip:port"``."""
-        host, _, port = address.rpartition(":")
-        self._listener = eventlet.listen((host, int(port)), backlog=1024)
+        self._listener = listen(address)
 
     def start(self) -> None:
         """Serve in a green thread of its own; needs `listen` before."""
--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -298,6 +298,11 @@
     """An earlier owner of the key departed and may still run it; resend later."""
 
 
+@register_error("node.listen")
+class ListenError(VerbenawickError):
+    """A listening address is in use or not available on this VM."""
+
+
 # Leases and membership
 
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -25,6 +26,8 @@
 DATA_CENTRE_DELAY_MS = 1.0
 REGION_DELAY_MS = 8.0
 STOP_TIMEOUT_S = 20.0
+# Above the networks of the two example plans, below those of bench.mesh.
+NETWORKS = range(30, 60)
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +75,28 @@
 )
 
 
+def free_network(count: int = 1) -> int:
+    """Return the first of `count` loopback networks on which nothing listens.
+
+    Lets test runs at the same time keep apart.
+    """
+    start = os.getpid() % len(NETWORKS)
+    for first in (*NETWORKS[start:], *NETWORKS[:start]):
+        if all(_is_free(f"127.{first + n}.1.1", PEER_PORT) for n in range(count)):
+            return first
+    raise RuntimeError("no loopback network is free")
+
+
+def _is_free(ip: str, port: int) -> bool:
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((ip, port))
+        except OSError:
+            return False
+    return True
+
+
 @dataclass(frozen=True, slots=True)
 class Place:
     """One VM: an upstream and the node beside it."""
--- a/standins/store.py
+++ b/standins/store.py
@@ -28,11 +28,13 @@
 from eventlet.green import socket
 
 from verbenawick._clock import Clock, MonotonicClock
+from verbenawick._sockets import listen
 
 MAX_VALUE_BYTES = 1_000_000
 HISTORY_LENGTH = 4096
 # The baseline of the benchmarks has a waiting watch for each of 1,300 nodes.
 MAX_CONNECTIONS = 8192
+BACKLOG = 2048
 STOP_POLL_S = 0.02
 STATUS_LINES = {
     200: "200 OK",
@@ -322,12 +324,6 @@
     )
 
 
-def listen(address: str):
-    """Return a listening socket."""
-    host, _, port = address.rpartition(":")
-    return eventlet.listen((host, int(port)), backlog=2048)
-
-
 @contextmanager
 def running_store(
     application: StoreApplication, *, address: str = "127.0.0.1:0"
@@ -336,7 +332,7 @@
 
     The caller may use plain blocking sockets, patched by eventlet or not.
     """
-    listener = listen(address)
+    listener = listen(address, backlog=BACKLOG)
     host, port = listener.getsockname()
     stopping = threading.Event()
 
@@ -377,7 +373,7 @@
     application = StoreApplication(
         ObjectStore(MonotonicClock()), delays_ms_by_prefix=dict(arguments.delay)
     )
-    serve(application, listen(arguments.address))
+    serve(application, listen(arguments.address, backlog=BACKLOG))
 
 
 if __name__ == "__main__":
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -32,10 +32,11 @@
 from time import monotonic
 from urllib.parse import parse_qsl
 
-import eventlet
 from eventlet import wsgi
 from eventlet.hubs import trampoline
 
+from verbenawick._sockets import listen
+
 COLD_START_FACTOR = 5.0
 EXIT_CODE_CRASH = 70
 MAX_RUNS_KEPT = 200_000
@@ -309,7 +310,6 @@
     parser.add_argument("--service-time-ms", type=float, default=0.0)
     parser.add_argument("--cold-start-s", type=float, default=0.0)
     options = parser.parse_args(arguments)
-    host, _, port = options.address.rpartition(":")
     upstream = StandinUpstream(
         options.service,
         slots=options.slots,
@@ -317,7 +317,7 @@
         service_time_s=options.service_time_ms / 1000,
         cold_start_s=options.cold_start_s,
     )
-    listener = eventlet.listen((host, int(port)), backlog=1024)
+    listener = listen(options.address)
     print(f"upstream {options.service} listens on {options.address}", flush=True)
     upstream.serve(listener)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,7 +9,7 @@
 from urllib3 import PoolManager, Timeout
 from urllib3.exceptions import HTTPError
 
-from standins.processes import ANDINA, run_deployment, store_address
+from standins.processes import ANDINA, free_network, run_deployment, store_address
 from verbenawick._acceptance import Acceptor
 from verbenawick._document import parse_document
 from verbenawick._store import StoreClient
@@ -20,7 +20,7 @@
     services=("archivo",),
     data_centres_per_region=1,
     upstreams_per_service=2,
-    first_network=30,
+    first_network=free_network(),
     with_delays=False,
 )
 DOCUMENT = {
