Refuse a second stand-in store on one address

Cause: `eventlet.listen` shares ports by default. Runs of tests/test_control_sockets.py in two worktrees at the same time use the same fixed addresses; their stores and nodes then split the connections silently and the test fails with "not reached within 40 s" (seen three times in a row while other processes listened on 127.66.0.0/16). Change: the stand-in binds its port exclusively, so that the second run fails at once with "address already in use". Ruled out: a fault of the client or of the outage; the same test passed in a full run minutes before, when nothing else listened there. The nodes' own listeners are not changed here.

--- a/standins/store.py
+++ b/standins/store.py
@@ -323,9 +323,16 @@
 
 
 def listen(address: str):
-    """Return a listening socket."""
+    """Return a listening socket.
+
+    Raises
+    ------
+    OSError
+        Another process listens on the address.
+    """
     host, _, port = address.rpartition(":")
-    return eventlet.listen((host, int(port)), backlog=2048)
+    # eventlet shares ports by default; two stores would then split the clients.
+    return eventlet.listen((host, int(port)), backlog=2048, reuse_port=False)
 
 
 @contextmanager
