--- a/bench/membership.py
+++ b/bench/membership.py
@@ -53,15 +53,26 @@
         **summary(tree, "plain", ""),
         **summary(tree, "centre_relay", "centre_relay_"),
         **summary(tree, "region_relay", "region_relay_"),
-        **summary(baseline, "plain", "baseline_"),
+        **summary(complete(baseline), "plain", "baseline_"),
+        "baseline_members": max((p["members"] for p in complete(baseline)), default=0),
         "store_calls_s": tree[-1]["store_calls_s"],
         "baseline_store_calls_s": baseline[-1]["store_calls_s"],
     }
 
 
+def complete(points: list[dict]) -> list[dict]:
+    """Return the points at which each node knew all members.
+
+    Beyond the capacity of the store stand-in, figures of the baseline mean nothing.
+    """
+    return [p for p in points if p["members_seen"] == p["members"]]
+
+
 def summary(points: list[dict], probe: str, prefix: str) -> dict:
     """Return the figures at the largest size and their slopes per member."""
     figures = {}
+    if len(points) < 2:
+        return figures
     members = [point["members"] for point in points]
     for name in ("cpu_share", "rss_mb", "bytes_per_node_s"):
         values = [point[probe][name] for point in points]
