Take only a new process at the same address as proof of an end

Cause: a node that came back with another address counted as proof that its earlier process had ended, although that process may run on a VM that is only cut off; first attempts of its keys were then allowed after 30 s instead of the authority time. Ruled out: an address in each departed row; it would cross regions with every table and is needed at the region relay only. Change: the relays compare addresses; a relay that did not see the departure itself has no address and proves nothing. Conclusion: with exclusive listeners the proof holds; a node that moves waits for the authority time.

--- a/src/verbenawick/_centre_registry.py
+++ b/src/verbenawick/_centre_registry.py
@@ -115,7 +115,9 @@
             self._update(known, row)
             return True
         if known is not None:
-            self._remove(known, True, False, "the node registered anew")
+            # Only a new process at the same address proves that the old one has ended.
+            process_ended = known.row.peer_address == row.peer_address
+            self._remove(known, process_ended, False, "the node registered anew")
         if len(self._registered) >= MAX_REGISTERED:
             return False
         load = LoadRow(row.node_id, 0, True)
--- a/src/verbenawick/_region_members.py
+++ b/src/verbenawick/_region_members.py
@@ -1,5 +1,6 @@
 """Members of a region as its relay keeps them, and their object in the store."""
 
+from collections import OrderedDict
 from dataclasses import replace
 
 from verbenawick._clock import Clock
@@ -7,6 +8,7 @@
 from verbenawick._explain import DecisionRecord
 from verbenawick._member_table import (
     AGE_TOLERANCE_S,
+    MAX_DEPARTED_PER_REGION,
     MemberTable,
     decode_region_table,
     departed_row,
@@ -70,6 +72,8 @@
         self._epochs: dict[str, int] = {}
         self._joined: dict[str, tuple[MemberRow, float]] = {}
         self._departed: dict[tuple[str, int], tuple[DepartedRow, float]] = {}
+        # Address of each process that departed while this relay watched.
+        self._departed_addresses: OrderedDict[tuple[str, int], str] = OrderedDict()
         self._serial = 0
         self._is_first_delta_due = True
         self._has_read_object = False
@@ -235,24 +239,20 @@
         # The process in the object is an earlier one of the same node.
         joined = self._joined.get(row.node_id)
         known = self._table.region(self._region).members_by_id.get(row.node_id)
-        current = joined[0].incarnation if joined else known.member.incarnation
-        if current != row.incarnation:
-            departed = DepartedRow(
-                row.node_id, row.incarnation, row.service_id, False, True, 0
-            )
-            self._departed[(row.node_id, row.incarnation)] = (
-                departed,
-                self._clock.now(),
-            )
+        current = joined[0] if joined else known.member
+        if current.incarnation != row.incarnation:
+            departed = _replaced(row, current.peer_address)
+            key = (row.node_id, row.incarnation)
+            self._departed[key] = (departed, self._clock.now())
 
     def _add_joined(self, row: MemberRow, joined_at: float) -> None:
         table = self._table.region(self._region)
         known = table.members_by_id.get(row.node_id)
         pending = self._joined.get(row.node_id)
         if pending is not None and pending[0].incarnation != row.incarnation:
-            self._replace(pending[0])
+            self._replace(pending[0], row)
         elif known is not None and known.member.incarnation != row.incarnation:
-            self._replace(known.to_row(self._clock.now()))
+            self._replace(known.to_row(self._clock.now()), row)
         elif known is not None:
             is_younger = joined_at - known.joined_at > AGE_TOLERANCE_S
             if not is_younger:
@@ -268,23 +268,35 @@
         self._prove_ends(row)
 
     def _prove_ends(self, row: MemberRow) -> None:
-        # A new process of a node proves that the ones before it have ended.
+        # A listener's address belongs to one process, so a new process there proves
+        # that the one before has ended. The same node on another VM proves nothing.
         departed = self._table.region(self._region).departed
         for (node_id, incarnation), old in departed.items():
             if node_id != row.node_id or incarnation == row.incarnation:
                 continue
-            if not old.process_ended:
+            address = self._departed_addresses.get((node_id, incarnation))
+            if not old.process_ended and address == row.peer_address:
                 proven = replace(old, process_ended=True)
                 now = self._clock.now()
                 self._add_departed(departed_row(proven, now), old.departed_at)
 
-    def _replace(self, old: MemberRow) -> None:
-        departed = DepartedRow(
-            old.node_id, old.incarnation, old.service_id, False, True, 0
-        )
+    def _replace(self, old: MemberRow, new: MemberRow) -> None:
+        departed = _replaced(old, new.peer_address)
         self._add_departed(departed, self._clock.now())
 
+    def _remember_address(self, row: DepartedRow) -> None:
+        pending = self._joined.get(row.node_id)
+        known = self._table.region(self._region).members_by_id.get(row.node_id)
+        for found in (pending and pending[0], known and known.member):
+            if found is not None and found.incarnation == row.incarnation:
+                key = (row.node_id, row.incarnation)
+                self._departed_addresses[key] = found.peer_address
+        while len(self._departed_addresses) > MAX_DEPARTED_PER_REGION:
+            # Without the address nothing is proven, and its keys wait longer.
+            self._departed_addresses.popitem(last=False)
+
     def _add_departed(self, row: DepartedRow, at: float) -> None:
+        self._remember_address(row)
         pending = self._joined.get(row.node_id)
         if pending is not None and pending[0].incarnation == row.incarnation:
             del self._joined[row.node_id]
@@ -338,6 +350,13 @@
 _DEPARTED_NAMES = DepartedRow.__slots__[:-1]
 
 
+def _replaced(old: MemberRow, new_address: str) -> DepartedRow:
+    process_ended = old.peer_address == new_address
+    return DepartedRow(
+        old.node_id, old.incarnation, old.service_id, False, process_ended, 0
+    )
+
+
 def _lost(row: MemberRow) -> DepartedRow:
     return DepartedRow(row.node_id, row.incarnation, row.service_id, False, False, 0)
 
--- a/tests/control_simulation.py
+++ b/tests/control_simulation.py
@@ -305,6 +305,16 @@
         """Start processes again, with new incarnations."""
         return [self._start(self.nodes[node_id].settings) for node_id in node_ids]
 
+    def restart_elsewhere(self, node_id, address):
+        """Start a process of the same node on another VM."""
+        host = address.rpartition(":")[0]
+        changes = {
+            "call_address": f"{host}:8000",
+            "peer_address": address,
+            "admin_address": f"{host}:9000",
+        }
+        return self._start(self.nodes[node_id].settings.model_copy(update=changes))
+
     def alive(self):
         """Return the nodes that run."""
         return [n for n in self.nodes.values() if n.is_alive and not n.is_paused]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -50,6 +50,23 @@
             self.assertEqual(new.identity.incarnation, member.incarnation)
             self.assertTrue(member.recently_joined)
 
+    def test_a_node_on_another_vm_proves_nothing(self):
+        """The old process may still run where the node was before.
+
+        Guards against a key that runs again because the same node id came back with
+        another address while the old VM was only cut off.
+        """
+        for away_s in (8, 0):
+            mesh = settled_mesh("r1", "r2")
+            old = plain_nodes(mesh, "r1")[0].identity
+            mesh.kill(old.node_id)
+            mesh.advance(away_s)
+            mesh.restart_elsewhere(old.node_id, "10.8.8.8:7000")
+            mesh.advance_until(mesh.agree, 10)
+            for node in mesh.alive():
+                (gone,) = node.table.departed_of(old.service_id)
+                self.assertFalse(gone.process_ended)
+
     def test_announced_stop_is_entered_at_once(self):
         """A planned stop needs no timeout and says what was handed over."""
         mesh = settled_mesh("r1", "r2")
