Avoid endpoints that refuse calls for a growing time

Cause: an endpoint that sheds everything kept its share of the attempts (100 of 600 with six endpoints, each a charged retry) until its drain reached the member table. Change: after a refusal it is chosen only when the other candidate refuses too, for 20 ms that double up to 1 s; any success resets it. The test counts fewer than 25 refusals of 600.

--- a/src/verbenawick/_balancer.py
+++ b/src/verbenawick/_balancer.py
@@ -23,6 +23,11 @@
 # Endpoints whose scores differ by less than this are compared by reported load.
 TIE_SHARE = 0.1
 
+# After a refusal an endpoint is avoided while others of its tier are not, for a time
+# that doubles with each further one. The first is about one service time.
+FIRST_PAUSE_S = 0.02
+LONGEST_PAUSE_S = 1.0
+
 SLOW_START_S = 10.0
 # Share of its usual calls that a cold endpoint gets at first.
 LEAST_WARMTH = 0.1
@@ -73,6 +78,8 @@
     latency_s: float = 0.0
     measured_at: float = 0.0
     failures_in_row: int = 0
+    refusals_in_row: int = 0
+    refused_until: float = 0.0
     ejections: int = 0
     ejected_until: float = 0.0
     draining_until: float = 0.0
@@ -135,6 +142,7 @@
         """Record a complete response."""
         endpoint = self._end(member)
         endpoint.failures_in_row = 0
+        endpoint.refusals_in_row = 0
         endpoint.ejections = 0
         self._measure(endpoint, member.service_id, latency_s)
         self._move_spill(member, -SPILL_FALL)
@@ -146,6 +154,9 @@
         if is_draining:
             endpoint.draining_until = self._clock.now() + DRAIN_MEMORY_S
             return
+        pause_s = min(FIRST_PAUSE_S * 2**endpoint.refusals_in_row, LONGEST_PAUSE_S)
+        endpoint.refusals_in_row += 1
+        endpoint.refused_until = self._clock.now() + pause_s
         self._move_spill(member, SPILL_RISE)
 
     def fail(self, member: Member) -> None:
@@ -201,9 +212,9 @@
         if len(candidates) == 1:
             return candidates[0]
         first, second = self._random.sample(candidates, 2)
-        first_is_warm = self._draw_warm(first)
-        if first_is_warm != self._draw_warm(second):
-            return first if first_is_warm else second
+        first_is_ready = self._draw_ready(first)
+        if first_is_ready != self._draw_ready(second):
+            return first if first_is_ready else second
         first_score = self._score(service_id, first)
         second_score = self._score(service_id, second)
         if abs(first_score - second_score) <= TIE_SHARE * max(
@@ -213,10 +224,14 @@
             second_score = self._reported_load(second)
         return first if first_score <= second_score else second
 
-    def _draw_warm(self, member: Member) -> bool:
+    def _draw_ready(self, member: Member) -> bool:
         # A draw instead of a worse score: a worse score would lose each comparison, and
         # the endpoint would get no calls at all until its slow start is over.
-        age_s = self._clock.now() - self._endpoint(member).first_seen_at
+        endpoint = self._endpoint(member)
+        now = self._clock.now()
+        if endpoint.refused_until > now:
+            return False
+        age_s = now - endpoint.first_seen_at
         if age_s >= SLOW_START_S:
             return True
         return self._random.random() < max(age_s / SLOW_START_S, LEAST_WARMTH)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -107,6 +107,22 @@
         ]
         self.assertIsNotNone(self.choose())
 
+    def test_an_endpoint_that_refuses_is_avoided_for_a_while(self):
+        """Guards against spending the retry budget on one full upstream."""
+        refused = 0
+        for _ in range(600):
+            chosen = self.choose()
+            self.balancer.begin(chosen)
+            if chosen.node_id == "n0":
+                refused += 1
+                self.balancer.refuse(chosen)
+            else:
+                self.balancer.succeed(chosen, latency_s=0.01)
+            self.clock.advance(0.01)
+        self.assertTrue(0 < refused < 25, refused)
+        self.clock.advance(2)
+        self.assertGreater(self.counts()["n0"], 60)
+
     def test_failing_endpoints_are_ejected_for_growing_times(self):
         """Repeated failures eject, one success resets, the ejection ends."""
         self.fail("n0", times=4)
