Leave time for another attempt when a node hangs

Cause: a paused node keeps its links open, so a read sent to it waited until its own deadline and no attempt followed; five of them per entry were lost before the ejection. Change: an attempt of a repeatable call that is not the last takes at most half of the time left, provided that this is ten times the usual latency of the service. The test (12 reads, one of two nodes hangs) ends with 12 complete responses. Also: a code of another version no longer ends as an internal error of the entry, and a request without Host gets one, since the upstream is addressed with HTTP/1.1.

--- a/src/verbenawick/_balancer.py
+++ b/src/verbenawick/_balancer.py
@@ -134,6 +134,10 @@
             self._metrics.count(SPILLED)
         return self._pick_endpoint(service_id, candidates)
 
+    def usual_latency_s(self, service_id: str) -> float:
+        """Return the average latency of a service as measured by this node."""
+        return self._latency_by_service_id.get(service_id, LATENCY_PRIOR_S)
+
     def begin(self, member: Member) -> None:
         """Count an attempt that is about to be sent to `member`."""
         self._endpoint(member).outstanding += 1
@@ -239,7 +243,7 @@
     def _score(self, service_id: str, member: Member) -> float:
         endpoint = self._endpoint(member)
         now = self._clock.now()
-        usual_s = self._latency_by_service_id.get(service_id, LATENCY_PRIOR_S)
+        usual_s = self.usual_latency_s(service_id)
         latency_s = usual_s
         if endpoint.measured_at:
             fading = exp((endpoint.measured_at - now) / LATENCY_FADE_S)
--- a/src/verbenawick/_dispatch.py
+++ b/src/verbenawick/_dispatch.py
@@ -39,6 +39,10 @@
 # A timeout counts against an endpoint only when the call had a usual amount of time.
 LEAST_TIME_OF_FAILURE_S = 0.1
 
+# An attempt is cut short for the sake of the next one only when it has had this many
+# times the usual latency of its service.
+PATIENCE = 10.0
+
 REFUSAL_CODES = frozenset({QueueFullError.code, UpstreamShedError.code})
 FAILURE_CODES = frozenset(
     {
@@ -151,7 +155,7 @@
         owner = self._claims.owner_of(call.service_id, call.idempotency_key)
         if owner is None:
             raise NoEndpointError("service has no member", step="entry.owner")
-        answer = self._attempt(call, owner, call.attempt)
+        answer = self._attempt(call, owner, call.attempt, call.deadline)
         if answer.code == PeerUnreachableError.code and call.attempt > 1:
             # Nothing was sent now, but an earlier attempt of this key may have run.
             return replace(answer, outcome=Outcome.UNKNOWN)
@@ -171,7 +175,8 @@
             member = self._balancer.choose(call.service_id, excluded=tried)
             if member is None:
                 break
-            answer = self._attempt(call, member, call.attempt + len(tried))
+            deadline = self._attempt_deadline(call, attempts_made=len(tried))
+            answer = self._attempt(call, member, call.attempt + len(tried), deadline)
             tried.append(member.node_id)
             if answer.outcome is Outcome.COMPLETE:
                 return answer
@@ -195,13 +200,29 @@
             return replace(answer, outcome=Outcome.UNKNOWN)
         return answer
 
-    def _attempt(self, call: Call, member: Member, attempt: int) -> CallAnswer:
-        request = self._request_for(call, attempt)
+    def _attempt_deadline(self, call: Call, *, attempts_made: int) -> float:
+        """Return until when an attempt may take; it may leave time for another one.
+
+        A paused node keeps its links open, so that without this limit a call to it
+        would wait until its own deadline.
+        """
+        now = self._clock.now()
+        half_s = (call.deadline - now) / 2
+        usual_s = self._balancer.usual_latency_s(call.service_id)
+        is_last = attempts_made + 1 >= call.policy.max_attempts
+        if is_last or not call.is_repeatable or half_s < PATIENCE * usual_s:
+            return call.deadline
+        return now + half_s
+
+    def _attempt(
+        self, call: Call, member: Member, attempt: int, deadline: float
+    ) -> CallAnswer:
+        request = self._request_for(call, attempt, deadline)
         self._metrics.count(ATTEMPTS)
         self._balancer.begin(member)
         started_at = self._clock.now()
         try:
-            answer = self._send(member, request, call.deadline)
+            answer = self._send(member, request, deadline)
         except BaseException:
             self._balancer.abandon(member)
             raise
@@ -245,7 +266,7 @@
         if answer.code == UpstreamLostError.code:
             self._on_crash(call.fingerprint, answer.upstream_node_id or member.node_id)
 
-    def _request_for(self, call: Call, attempt: int) -> CallRequest:
+    def _request_for(self, call: Call, attempt: int, deadline: float) -> CallRequest:
         return CallRequest(
             call_id=next_call_id(),
             service_id=call.service_id,
@@ -253,7 +274,7 @@
             target=call.target,
             headers=call.headers,
             body=call.body,
-            remaining_ms=(call.deadline - self._clock.now()) * 1000,
+            remaining_ms=(deadline - self._clock.now()) * 1000,
             criticality=call.criticality,
             attempt=attempt,
             depth=call.depth,
--- a/src/verbenawick/_proxy.py
+++ b/src/verbenawick/_proxy.py
@@ -266,7 +266,7 @@
             policy=policy,
             method=method,
             target=target,
-            headers=_forwarded_headers(environ),
+            headers=_forwarded_headers(environ, default_host=route.service_id),
             body=body,
             deadline=now + timeout_s,
             criticality=criticality,
@@ -461,18 +461,22 @@
     return xxh3_128_digest(f"{method} {target}\n".encode("latin-1") + body)
 
 
-def _forwarded_headers(environ) -> Headers:
+def _forwarded_headers(environ, *, default_host: str) -> Headers:
     dropped = DROPPED_HEADERS
     connection = environ.get("HTTP_CONNECTION")
     if connection and connection.lower() not in ("keep-alive", "close"):
         # The sender names further headers that concern its own connection only.
         named = {name.strip().lower() for name in connection.split(",")}
         dropped = dropped | named
-    return tuple(
+    headers = tuple(
         (name, value)
         for name, value in environ["headers_raw"]
         if name.lower() not in dropped
     )
+    if "HTTP_HOST" in environ:
+        return headers
+    # Callers of HTTP/1.0 may send none; the upstream speaks HTTP/1.1, which needs it.
+    return (*headers, ("Host", default_host))
 
 
 def _answer_for(error: CallError, environ) -> CallAnswer:
@@ -485,10 +489,11 @@
 
 
 def _error_response(answer: CallAnswer):
+    # None for the code of a node of another version that this one does not know.
     error_type = errors_by_code.get(answer.code)
     default_status = 503 if answer.outcome is Outcome.NOT_RUN else 502
     status = getattr(error_type, "http_status", default_status)
-    reason = answer.body.decode() or error_type.__doc__.splitlines()[0]
+    reason = answer.body.decode() or (error_type or CallError).__doc__.splitlines()[0]
     text = f"{answer.code}: {reason}\n"
     body = text.encode()
     headers = [
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -7,6 +7,7 @@
 from testtools import TestCase
 
 from tests.call_support import SERVICE, Caller, Mesh, wait_until
+from verbenawick._call_messages import CallAnswer, CallRequest, Outcome
 from verbenawick._proxy import CALLS_ABANDONED
 from verbenawick._table import Criticality, Route, ServicePolicy
 
@@ -217,6 +218,36 @@
         self.assertEqual("unknown", response.outcome)
         self.assertEqual(before + 2, len(self.mesh.runs()))
 
+    def test_a_paused_node_does_not_use_up_the_whole_deadline(self):
+        """A read is answered by another node while one keeps its links but hangs."""
+        self.start()
+        hanging = self.mesh.nodes[1].links
+        hanging.register_handler(CallRequest, lambda *request: eventlet.sleep(60))
+        headers = {"Request-Timeout": "600"}
+        responses = [self.caller.call("GET", "/a", headers=headers) for _ in range(12)]
+        self.assertEqual({"complete"}, {response.outcome for response in responses})
+        wait_until(lambda: not hanging.running_count)
+
+    def test_an_unknown_code_of_another_version_is_passed_on(self):
+        """Guards against an internal error while a release is rolled out."""
+        self.start()
+        for outcome, status in ((Outcome.NOT_RUN, 503), (Outcome.UNKNOWN, 502)):
+            answer = CallAnswer(1, outcome, "call.later", 0, (), b"", "")
+            self.node.dispatcher.dispatch = lambda call, answer=answer: answer
+            response = self.caller.call("GET", "/a")
+            self.assertEqual(
+                (status, "call.later", outcome.value),
+                (response.status, response.code, response.outcome),
+            )
+
+    def test_a_request_without_host_gets_one(self):
+        """Callers of HTTP/1.0 reach upstreams that speak HTTP/1.1."""
+        self.start(nodes=1)
+        host, _, port = self.node.call_address.rpartition(":")
+        sock = socket.create_connection((host, int(port)))
+        sock.sendall(b"GET /a HTTP/1.0\r\n\r\n")
+        self.assertIn(b" 200 ", sock.recv(65536))
+
     def test_the_outcome_covers_all_attempts(self):
         """A lost attempt followed by a refusal is unknown, not "not run"."""
         self.start()
