Start a region relay from the later table in the store

Ruled out: merging row by row with the later instant; rows that only the old table has need to count as joined now as well. Change: when the stored table is later than the own one, the relay replaces its own by it and enters what only it knows as joined now.

--- a/src/verbenawick/_region_members.py
+++ b/src/verbenawick/_region_members.py
@@ -8,6 +8,7 @@
 from verbenawick._member_table import (
     AGE_TOLERANCE_S,
     MemberTable,
+    RegionSnapshot,
     decode_region_table,
     departed_row,
     encode_region_table,
@@ -218,8 +219,11 @@
             return
         if (found.epoch, found.serial) == self._written:
             return
-        now = self._clock.now() - obj.age_s
         table = self._table.region(self._region)
+        if (found.epoch, found.serial) > table.version:
+            self._take_newer(found, held_s=obj.age_s)
+            return
+        now = self._clock.now() - obj.age_s
         for row in found.departed:
             if (row.node_id, row.incarnation) not in table.departed:
                 self._add_departed(row, now - row.age_s)
@@ -231,6 +235,26 @@
             elif is_known or row.node_id in self._joined:
                 self._note_replaced(row)
 
+    def _take_newer(self, found: RegionSnapshot, *, held_s: float) -> None:
+        """Start from the stored table when it is later than the own one.
+
+        This node was paused or cut off while another relay changed the table. Members
+        that only this node counts were removed by that relay, and others may have
+        acted in their place; they count as joined now.
+        """
+        table, now = self._table.region(self._region), self._clock.now()
+        former = dict(table.members_by_id)
+        self._table.replace(found, held_s=held_s)
+        for node_id, joined in former.items():
+            if node_id not in table.members_by_id:
+                self._joined.setdefault(node_id, (joined.to_row(now), now))
+        for node_id, (row, _) in list(self._joined.items()):
+            known = table.members_by_id.get(node_id)
+            if known is None or known.member.incarnation != row.incarnation:
+                self._joined[node_id] = (row, now)
+            if known is not None:
+                self._note_replaced(known.to_row(now))
+
     def _note_replaced(self, row: MemberRow) -> None:
         # The process in the object is an earlier one of the same node.
         joined = self._joined.get(row.node_id)
