--- a/src/verbenawick/_proxy.py
+++ b/src/verbenawick/_proxy.py
@@ -11,7 +11,12 @@
 from greenlet import GreenletExit
 from xxhash import xxh3_128_digest
 
-from verbenawick._call_messages import CallAnswer, Headers, Outcome
+from verbenawick._call_messages import (
+    LARGEST_BODY_BYTES,
+    CallAnswer,
+    Headers,
+    Outcome,
+)
 from verbenawick._clock import Clock
 from verbenawick._dispatch import Call, Dispatcher
 from verbenawick._events import Event as LogEvent
@@ -54,6 +59,8 @@
 
 LONGEST_TIMEOUT_S = 30.0
 LARGEST_NUMBER = 1_000_000
+# A keyed request that does not say which attempt it is may be a resend.
+UNDECLARED_ATTEMPT = 2
 MAX_KEY_LENGTH = 256
 
 # Interval at which calls in flight are checked for callers that went away.
@@ -248,7 +255,7 @@
                 f"{method} needs an Idempotency-Key", step="entry.headers"
             )
         timeout_s = _timeout_s(environ, policy)
-        body = _read_body(environ, policy.max_body_bytes)
+        body = _read_body(environ, min(policy.max_body_bytes, LARGEST_BODY_BYTES))
         fingerprint = _fingerprint(method, target, body)
         if self._is_quarantined(fingerprint):
             raise QuarantinedError(
@@ -263,7 +270,7 @@
             body=body,
             deadline=now + timeout_s,
             criticality=criticality,
-            attempt=_number(environ, "HTTP_ATTEMPT", 1, least=1),
+            attempt=_attempt(environ),
             depth=_number(environ, "HTTP_CALL_DEPTH", 0, least=0),
             idempotency_key=key,
             is_repeatable=is_repeatable and not key,
@@ -324,6 +331,8 @@
             max_size=self._max_connections,
             keepalive=IDLE_LIMIT_S,
             socket_timeout=SOCKET_TIMEOUT_S,
+            # Names stay as the upstream wrote them, which also saves time per header.
+            capitalize_response_headers=False,
         )
 
     def stop(self, *, grace_s: float, timeout_s: float) -> bool:
@@ -409,6 +418,13 @@
     return min(timeout_ms / 1000, LONGEST_TIMEOUT_S)
 
 
+def _attempt(environ) -> int:
+    has_key = bool(environ.get("HTTP_IDEMPOTENCY_KEY"))
+    return _number(
+        environ, "HTTP_ATTEMPT", UNDECLARED_ATTEMPT if has_key else 1, least=1
+    )
+
+
 def _number(environ, name: str, default: int, *, least: int) -> int:
     text = environ.get(name)
     if text is None:
@@ -461,7 +477,7 @@
 
 def _answer_for(error: CallError, environ) -> CallAnswer:
     outcome = Outcome(error.outcome)
-    if environ.get("HTTP_IDEMPOTENCY_KEY") and environ.get("HTTP_ATTEMPT", "1") != "1":
+    if environ.get("HTTP_IDEMPOTENCY_KEY") and environ.get("HTTP_ATTEMPT") != "1":
         # An earlier attempt with this key may have run.
         outcome = Outcome.UNKNOWN
     message = error.message.encode()
