--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -10,10 +10,12 @@
 import urllib3
 from testtools import TestCase
 
-from standins.store import ObjectStore, StoreApplication, listen, running_store
+from standins.store import ObjectStore, StoreApplication, running_store
 from verbenawick._clock import ManualClock, MonotonicClock
+from verbenawick._sockets import listen
 from verbenawick._store import MAX_VALUE_BYTES, StoreClient
 from verbenawick.errors import (
+    ListenError,
     StoreAnswerLostError,
     StoreConditionError,
     StoreUnavailableError,
@@ -156,7 +158,7 @@
         return urllib3.request(method, f"http://{self.address}{path}", **options)
 
     def test_second_store_on_an_address_is_refused(self):
-        self.assertRaises(OSError, listen, self.address)
+        self.assertRaises(ListenError, listen, self.address)
 
     def test_invalid_requests_are_refused(self):
         condition = {"If-Object-Version": "0"}
