--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -34,6 +34,7 @@
 SAMPLE_S = 0.5
 TIMEOUT_S = 90.0
 PICKS_PER_NODE_S = 177.0
+STEPS = ("start", "kill_third", "return_third", "cut_region", "restart_all")
 EXAMPLE = Path(__file__).resolve().parent.parent / "examples" / "andina.json5"
 
 
@@ -72,22 +73,30 @@
 def configure(parser: ArgumentParser) -> None:
     """Add the arguments."""
     parser.add_argument("--no-nodes", action="store_true", help="skip the daemons")
+    parser.add_argument("--centres", type=int, default=CENTRES)
+    parser.add_argument("--nodes-per-centre", type=int, default=NODES_PER_CENTRE)
+    parser.add_argument("--steps", nargs="+", choices=STEPS, default=STEPS)
+    parser.add_argument(
+        "--sample-s", type=float, default=SAMPLE_S, help="pause between two polls"
+    )
 
 
 @register_benchmark("recovery", configure=configure)
 def run(options: Namespace) -> dict:
     """Recovery from large failures."""
     plan = MeshPlan(
-        data_centres=CENTRES,
-        nodes_per_centre=NODES_PER_CENTRE,
+        data_centres=options.centres,
+        nodes_per_centre=options.nodes_per_centre,
         centres_per_region=CENTRES_PER_REGION,
     )
-    tree = run_mesh(plan, "tree", options.seed)
-    baseline = run_mesh(plan, "baseline", options.seed)
+    tree = run_mesh(plan, "tree", options)
+    baseline = run_mesh(plan, "baseline", options)
     nodes = {} if options.no_nodes else run_nodes(options.seed)
     return {
         "what": __doc__.partition("\n\n")[2].replace("\n", " "),
         "cores": os.cpu_count(),
+        "members": options.centres * options.nodes_per_centre,
+        "data_centres": options.centres,
         "load_average": os.getloadavg(),
         "mesh": tree,
         "baseline": baseline,
@@ -112,8 +121,9 @@
 class MeshRecovery:
     """The steps on control tasks or on nodes of the plain way."""
 
-    def __init__(self, mesh: Mesh, mode: str, seed: int):
+    def __init__(self, mesh: Mesh, mode: str, seed: int, sample_s: float):
         self._mesh = mesh
+        self._sample_s = sample_s
         self._random = Random(seed)
         self._is_tree = mode == "tree"
         self._workers: list[WorkerProcess] = []
@@ -186,7 +196,7 @@
                     break
                 if now - started_at > TIMEOUT_S:
                     break
-                time.sleep(SAMPLE_S)
+                time.sleep(self._sample_s)
         return {
             "time_to_serve_s": round(now - started_at, 2),
             "is_served": not self._lagging,
@@ -215,7 +225,7 @@
         started_at = time.monotonic()
         self._wrong_share(workers)
         while self._lagging and time.monotonic() - started_at < TIMEOUT_S:
-            time.sleep(SAMPLE_S)
+            time.sleep(self._sample_s)
             self._wrong_share(workers)
         return round(time.monotonic() - started_at, 2)
 
@@ -229,20 +239,15 @@
         self._command("cut_store", set(ids), is_cut=is_cut)
 
 
-def run_mesh(plan: MeshPlan, mode: str, seed: int) -> dict[str, dict]:
-    """Return the figures of all steps on control tasks or on the plain way."""
+def run_mesh(plan: MeshPlan, mode: str, options: Namespace) -> dict[str, dict]:
+    """Return the figures of the steps on control tasks or on the plain way."""
+    figures = {}
     with running_mesh(plan) as mesh:
-        recovery = MeshRecovery(mesh, mode, seed)
-        steps = {"start": recovery.start()}
-        recovery.settle()
-        steps["kill_third"] = recovery.kill_third()
-        recovery.settle()
-        steps["return_third"] = recovery.return_third()
-        recovery.settle()
-        steps["cut_region"] = recovery.cut_region()
-        recovery.settle()
-        steps["restart_all"] = recovery.restart_all()
-    return steps
+        recovery = MeshRecovery(mesh, mode, options.seed, options.sample_s)
+        for step in options.steps:
+            figures[step] = getattr(recovery, step)()
+            recovery.settle()
+    return figures
 
 
 def total_calls(mesh: Mesh) -> int:
