Stop chains of deltas whose versions do not rise

A chain with the same version twice made a circle in the cache of deltas, and each request for it kept the node busy for good. The driver had repeated an answer of the store, which the store's client never does; a corrupt message of a peer would have had the same effect.

Change: the cache keeps a chain only up to the first version that does not rise.

--- a/src/verbenawick/_distribution.py
+++ b/src/verbenawick/_distribution.py
@@ -99,6 +99,9 @@
     def add(self, base: VersionRef, steps: tuple[DeltaStep, ...]) -> None:
         """Keep consecutive steps on `base`."""
         for step in steps:
+            if step.version <= base.version:
+                # Versions rise in every chain; otherwise `chain` could run in a circle.
+                return
             if base not in self._steps_by_base:
                 self._steps_by_base[base] = step
                 self._bytes += len(step.delta)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -278,3 +278,11 @@
             cache.add(base, (DeltaStep(target.version, target.digest, b"x"),))
         self.assertThat(cache.chain(refs[0], refs[-1]), Equals(()))
         self.assertThat(len(cache.chain(refs[1], refs[-1])), Equals(MAX_CACHED_STEPS))
+
+    def test_versions_that_do_not_rise_make_no_circle(self):
+        """A corrupt chain from a peer does not keep a node busy for ever."""
+        cache = StepCache()
+        base = VersionRef(1, b"1")
+        cache.add(base, (DeltaStep(2, b"2", b"x"), DeltaStep(2, b"2", b"x")))
+        cache.add(VersionRef(2, b"2"), (DeltaStep(1, b"1", b"x"),))
+        self.assertThat(cache.chain(base, VersionRef(3, b"3")), Equals(()))
