Add ctl explain, and count regions without a status as unknown

Cause: recent decisions could be read with an HTTP client only; and a region whose relay had never written its status was missing from the fleet's status, so that the rest could pass for everywhere. Ruled out: reading the member objects for the list of regions; they are large, the region leases are not. Change: ctl explain reads a node's record; ctl status adds regions that have a lease and no status as unknown, one more list call. Before: exit code 0 with such a region. Conclusion: in force everywhere now means every region that has had a relay.

--- a/src/verbenawick/_cli.py
+++ b/src/verbenawick/_cli.py
@@ -18,7 +18,7 @@
 
 STORE_VARIABLE = "VERBENAWICK_STORE"
 # Commands that work without the store.
-LOCAL_COMMANDS = ("check", "node", "ctl validate")
+LOCAL_COMMANDS = ("check", "node", "ctl validate", "ctl explain")
 INTERRUPTED_TEXT = "interrupted; `ctl history` shows whether a change was accepted"
 
 EXIT_CODES_HELP = "exit codes:\n" + "\n".join(
@@ -137,6 +137,33 @@
         help="show whether the accepted version is in force everywhere",
         is_json=True,
     )
+    _add_explain(commands)
+
+
+def _add_explain(commands) -> None:
+    explain = _add(
+        commands,
+        "explain",
+        group="ctl",
+        help="show the recent decisions of a node, in order, with their causes",
+        is_json=True,
+    )
+    explain.add_argument(
+        "--node",
+        type=_address,
+        required=True,
+        metavar="IP:PORT",
+        help="admin_address of the node that is asked",
+    )
+    explain.add_argument("--about", metavar="NODE_ID", help="decisions about a node")
+    explain.add_argument("--service", metavar="ID", help="decisions about a service")
+    explain.add_argument(
+        "--about-version",
+        type=_version,
+        metavar="VERSION",
+        help="decisions about a configuration version",
+    )
+    explain.add_argument("--limit", type=_version, default=50, metavar="N")
 
 
 def _add_changing_commands(commands) -> None:
--- a/src/verbenawick/_cli_output.py
+++ b/src/verbenawick/_cli_output.py
@@ -13,6 +13,7 @@
 from verbenawick.errors import VerbenawickError
 
 MAX_SHOWN_NODES = 20
+DECISION_COLUMNS = ("event_number", "event_name", "cause", "details")
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +94,23 @@
     return {"changes": [{n: getattr(item, n) for n in names} for item in changes]}
 
 
+def decisions_text(decisions: list[dict[str, Any]]) -> str:
+    """Return a table of a node's decisions, oldest first."""
+    if not decisions:
+        return "no recorded decision matches"
+    rows = [
+        (
+            f"{d['age_s']:.1f} s",
+            d["event_number"],
+            d["event_name"],
+            d["cause"],
+            d["details"],
+        )
+        for d in decisions
+    ]
+    return tabulate(rows, ["ago", "event", "decision", "cause", "details"])
+
+
 def status_data(status: FleetStatus) -> dict[str, Any]:
     """Return a status for programs."""
     head = status.head.head
--- a/src/verbenawick/_commands.py
+++ b/src/verbenawick/_commands.py
@@ -12,6 +12,7 @@
     Result,
     acceptance_data,
     acceptance_text,
+    decisions_text,
     history_data,
     history_text,
     status_data,
@@ -26,6 +27,7 @@
     read_fleet_status,
     wait_until_in_force,
 )
+from verbenawick._node_pages import read_page
 from verbenawick._settings import load_settings
 from verbenawick._store import StoreClient
 from verbenawick.errors import DocumentError
@@ -162,6 +164,26 @@
     return Result(exit_code, status_text(fleet), status_data(fleet))
 
 
+@register_command("ctl explain")
+def explain(arguments: Namespace) -> Result:
+    """Show the recent decisions of a node with their causes."""
+    query = {
+        name: str(value)
+        for name, value in (
+            ("node", arguments.about),
+            ("service", arguments.service),
+            ("version", arguments.about_version),
+            ("limit", arguments.limit),
+        )
+        if value is not None
+    }
+    decisions = read_page(
+        arguments.node, "/explain", query, timeout_s=arguments.timeout
+    )
+    data = {"node": arguments.node, "decisions": decisions}
+    return Result(ExitCode.DONE, decisions_text(decisions), data)
+
+
 def _client(arguments: Namespace) -> StoreClient:
     return StoreClient(arguments.store, timeout_s=arguments.timeout)
 
--- a/src/verbenawick/_fleet_status.py
+++ b/src/verbenawick/_fleet_status.py
@@ -24,6 +24,7 @@
 # A region relay writes at least every 5 s; the store's own clock gives the age.
 MAX_REGION_AGE_S = 15.0
 POLL_INTERVAL_S = 0.5
+REGION_LEASE_PREFIX = "leases/region/"
 HEAD_ATTEMPTS = 3
 
 
@@ -107,8 +108,22 @@
         if head.version >= known:
             break
     wanted = version or max(head.version, known)
-    regions = tuple(_summarize(obj, status, wanted) for obj, status in statuses)
-    return FleetStatus(head, wanted, regions)
+    regions = [_summarize(obj, status, wanted) for obj, status in statuses]
+    regions += _regions_without_status(client, {region.region for region in regions})
+    return FleetStatus(head, wanted, tuple(regions))
+
+
+def _regions_without_status(
+    client: StoreClient, known: set[str]
+) -> list[RegionSummary]:
+    """Return regions that have had a relay but never wrote their status."""
+    leases = client.list(REGION_LEASE_PREFIX).objects
+    regions = [lease.key.removeprefix(REGION_LEASE_PREFIX) for lease in leases]
+    return [
+        _unknown_region(region, 0, 0.0, "no status was written yet")
+        for region in regions
+        if region not in known
+    ]
 
 
 def wait_until_in_force(
--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -298,6 +298,11 @@
     """An earlier owner of the key departed and may still run it; resend later."""
 
 
+@register_error("node.page")
+class NodePageError(VerbenawickError):
+    """An operators' page of a node cannot be read."""
+
+
 @register_error("node.listen")
 class ListenError(VerbenawickError):
     """A listening address is in use or not available on this VM."""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -8,25 +8,31 @@
 import os
 import subprocess
 import sys
+import threading
 from contextlib import ExitStack, redirect_stderr, redirect_stdout
+from dataclasses import asdict
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from unittest import mock
+from wsgiref.simple_server import WSGIRequestHandler, make_server
 
 from testtools import TestCase
 from testtools.matchers import Contains
 
 from standins.store import ObjectStore, StoreApplication, running_store
 from tests.test_document import EXAMPLES
+from verbenawick._admin import AdminPages
 from verbenawick._cli import build_parser, run
 from verbenawick._clock import ManualClock
 from verbenawick._commands import commands_by_name
 from verbenawick._exit_codes import DESCRIPTIONS_BY_EXIT_CODE, ExitCode
+from verbenawick._explain import DecisionRecord
 from verbenawick._fleet_status import (
     RegionState,
     read_fleet_status,
     wait_until_in_force,
 )
+from verbenawick._lease import LeaseReleased
 from verbenawick._status import (
     BehindCause,
     NodeStatus,
@@ -55,6 +61,13 @@
     )
 
 
+class QuietHandler(WSGIRequestHandler):
+    """Handler that writes no access log."""
+
+    def log_message(self, *arguments):
+        """Write nothing."""
+
+
 class CliCase(TestCase):
     """Base of tests that run commands against the stand-in."""
 
@@ -228,6 +241,15 @@
                     expected = RegionState.BEHIND
                 self.assertEqual(expected, self.state_of(*statuses, age_s=age_s))
 
+    def test_a_region_that_never_wrote_its_status_is_unknown(self):
+        """A relay's lease shows a region of which nothing is known yet."""
+        self.write_status(region_status("a", {2: 2}))
+        self.assertEqual(ExitCode.DONE, self.ctl("status")[0])
+        self.client.update("leases/region/b", b"{}", expected_version=0)
+        exit_code, out, _ = self.ctl("status")
+        self.assertEqual(ExitCode.NOT_EVERYWHERE, exit_code)
+        self.assertThat(out, Contains("no status was written yet"))
+
     def test_no_region_and_an_undecodable_one_are_unknown(self):
         self.assertEqual(RegionState.UNKNOWN, self.state_of())
         self.client.update("status/a", b"junk", expected_version=0)
@@ -320,3 +342,36 @@
         for line in ("check x", "node --settings x", "ctl show", "ctl history"):
             arguments = parser.parse_args(line.split())
             self.assertIn(arguments.command, commands_by_name)
+
+
+class TestExplain(CliCase):
+    """Decisions of a node, read over HTTP."""
+
+    def serve_page(self, value):
+        """Serve `value` as `/explain`; return the address."""
+        pages = AdminPages()
+        pages.page("/explain")(lambda query: value if "bad" not in query else 1 / 0)
+        server = make_server("127.0.0.1", 0, pages, handler_class=QuietHandler)
+        thread = threading.Thread(target=server.serve_forever, daemon=True)
+        thread.start()
+        self.addCleanup(server.server_close)
+        self.addCleanup(server.shutdown)
+        return f"127.0.0.1:{server.server_port}"
+
+    def test_decisions_are_shown_in_order_with_cause_and_event_number(self):
+        clock = ManualClock()
+        record = DecisionRecord(clock)
+        for number in (1, 2):
+            record.note(LeaseReleased(f"leases/dc/{number}", number), cause="planned")
+        values = [{**asdict(d), "age_s": 1.0} for d in record.decisions()]
+        address = self.serve_page(values)
+        exit_code, out, _ = self.run_command("ctl", "explain", "--node", address)
+        self.assertEqual(ExitCode.DONE, exit_code)
+        self.assertLess(out.index("leases/dc/1"), out.index("leases/dc/2"))
+        self.assertThat(out, Contains("305"))
+        self.assertThat(out, Contains("planned"))
+
+    def test_a_node_that_does_not_answer_is_a_typed_error(self):
+        exit_code, _, err = self.run_command("ctl", "explain", "--node", "127.0.0.1:1")
+        self.assertEqual(ExitCode.INTERNAL, exit_code)
+        self.assertThat(err, Contains("node.page"))
