--- a/src/verbenawick/_distribution.py
+++ b/src/verbenawick/_distribution.py
@@ -259,6 +259,7 @@
         if self._head is None or head.ref.version > self._head.ref.version:
             self._head = head
             self._learn(head.ref)
+            self._confirmer.on_head_seen()
             self._follow_head()
 
     def on_link(self, peer_id: str, purpose: LinkPurpose, *, is_open: bool) -> None:
--- a/src/verbenawick/_floor.py
+++ b/src/verbenawick/_floor.py
@@ -293,6 +293,7 @@
         self._in_flight: dict[str, _ForwardedQuery] = {}
         self._sequence = 0
         self._next_try_at = clock.now()
+        self._is_head_absent = False
 
     def on_query(self, peer_id: str, query: HeadQuery) -> None:
         """Queue the query of a node below; at the bound it is dropped and repeated."""
@@ -303,6 +304,12 @@
         """Queue a query of this node; a later attempt replaces an earlier one."""
         self._waiting[self._identity.node_id] = HeadQuery(attempt, 0)
 
+    def on_head_seen(self) -> None:
+        """Try at once when the head was absent at the last attempt."""
+        if self._is_head_absent:
+            self._is_head_absent = False
+            self._next_try_at = self._clock.now()
+
     def on_tick(self) -> None:
         """Start a confirmation when one is wanted and none is under way."""
         if not self._waiting and not self._in_flight:
@@ -340,6 +347,7 @@
             if error is not None:
                 self._retry(error)
             elif obj.version == 0:
+                self._is_head_absent = True
                 self._next_try_at = self._clock.now() + ABSENT_HEAD_RETRY_S
             else:
                 self._store.update(
--- a/tests/test_floor.py
+++ b/tests/test_floor.py
@@ -183,3 +183,14 @@
         confirmer.on_answer(HeadConfirmed(incarnation, first, 1, b""))
         receivers = [item.receiver for item in self.mesh.queue]
         self.assertThat(receivers, Equals(["a2y"]))
+
+    def test_first_version_is_served_without_waiting(self):
+        """Nodes that started before the first change do not wait for a retry."""
+        mesh = MemoryMesh()
+        mesh.start("a1x")
+        mesh.elect("a1x", region=True)
+        mesh.run(2.0)
+        mesh.store.accept(document({"r": "base"}))
+        mesh.watch_all()
+        mesh.run(0.3)
+        self.assertThat(mesh.served_versions(), Equals({"a1x": 1}))
