Enter the draining state when a node stops

Cause: the lifecycle chart has a draining state that no stop entered, so /healthz and the status showed a stopping node as serving.

--- a/src/verbenawick/_node.py
+++ b/src/verbenawick/_node.py
@@ -376,6 +376,7 @@
         self._is_stopping = True
         emit(NodeStopping(self.settings.node_id, self.entry_application.in_flight))
         self.control.call(self.membership.start_drain)
+        self.control.call(self.lifecycle.drain)
         self.gateway.drain()
         all_ended = self.entry.stop(
             grace_s=timing.stop_grace_s, timeout_s=timing.longest_call_s
