--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -12,8 +12,10 @@
 
 from standins.store import ObjectStore, StoreApplication, running_store
 from verbenawick._clock import ManualClock, MonotonicClock
+from verbenawick._sockets import listen
 from verbenawick._store import MAX_VALUE_BYTES, StoreClient
 from verbenawick.errors import (
+    ListenError,
     StoreAnswerLostError,
     StoreConditionError,
     StoreUnavailableError,
@@ -155,6 +157,9 @@
         """Return the answer to a request without the client."""
         return urllib3.request(method, f"http://{self.address}{path}", **options)
 
+    def test_second_store_on_an_address_is_refused(self):
+        self.assertRaises(ListenError, listen, self.address)
+
     def test_invalid_requests_are_refused(self):
         condition = {"If-Object-Version": "0"}
         self.assertEqual(400, self.request("PUT", "/objects/a", body=b"x").status)
