--- a/tests/test_fault_table.py
+++ b/tests/test_fault_table.py
@@ -16,7 +16,7 @@
 BODY = b"fee=1"
 SHORT_TIMEOUT_MS = 400
 LONG_TIMEOUT_MS = 3000
-CALL_PATH_MODULES = ("_proxy", "_dispatch", "_gateway", "_claims", "_call_links")
+CALL_PATH_MODULES = ("_entry", "_dispatch", "_gateway", "_claims", "_call_links")
 
 
 class FaultTableTest(TestCase):
