--- a/bench/plots.py
+++ b/bench/plots.py
@@ -32,13 +32,14 @@
 }
 
 
-def newest(name: str) -> dict:
-    """Return the newest result of a benchmark."""
-    paths = sorted(RESULTS.glob(f"{name}-*.json"))
-    if not paths:
-        raise SystemExit(f"no result of {name}; run python -m bench {name}")
-    print(f"{name}: {paths[-1].name}")
-    return json.loads(paths[-1].read_text(encoding="utf-8"))
+def newest(name: str, *, part: str) -> dict:
+    """Return the newest result of a benchmark that has figures in `part`."""
+    for path in sorted(RESULTS.glob(f"{name}-*.json"), reverse=True):
+        result = json.loads(path.read_text(encoding="utf-8"))
+        if result.get(part):
+            print(f"{name}: {path.name}")
+            return result
+    raise SystemExit(f"no result of {name}; run python -m bench {name}")
 
 
 def draw_membership(result: dict) -> None:
@@ -111,10 +112,10 @@
 
 def main() -> int:
     """Draw all plots."""
-    result = newest("membership")
+    result = newest("membership", part="tree")
     draw_membership(result)
     draw_store_calls(result)
-    draw_recovery(newest("recovery"))
+    draw_recovery(newest("recovery", part="nodes"))
     return 0
 
 
