Wait for running claims before the handover; count from the proof of an end

Cause: found in the review of the claims: a claim that still ran when a node handed its records over became unknown; and after a late proof that a process had ended, the 30 s for its last call counted from its first silence. Ruled out: a longer fixed wait before the handover. Change: the stop waits until no claim runs, at most the longest call; a proof sets the instant of departure anew. Before: the membership test with a restart after 30 s fails. After: passes. Conclusion: a planned stop loses no running claim that ends in time.

--- a/src/verbenawick/_node.py
+++ b/src/verbenawick/_node.py
@@ -46,6 +46,7 @@
 
 INCARNATION_BITS = 48
 HANDOVER_TIMEOUT_S = 5.0
+CLAIM_POLL_S = 0.02
 # Lets the last messages leave before the sockets are closed.
 FAREWELL_S = 0.3
 MAX_ADMIN_CONNECTIONS = 16
@@ -384,6 +385,7 @@
         )
         all_ended &= self.gateway.wait_drained(timeout_s=timing.longest_call_s)
         self.claims.stop_claiming()
+        self._wait_for_claims(self.clock.now() + timing.longest_call_s)
         handed_over = self.claims.hand_over(self.clock.now() + HANDOVER_TIMEOUT_S)
         self.control.call(
             lambda: self.membership.announce_stop(handed_over=handed_over)
@@ -398,6 +400,11 @@
         self.tracer.shutdown()
         emit(NodeStopped(self.settings.node_id, all_ended, handed_over))
 
+    def _wait_for_claims(self, deadline: float) -> None:
+        # A claim that still runs at the handover would be handed over as unknown.
+        while self.claims.running_claims and self.clock.now() < deadline:
+            eventlet.sleep(CLAIM_POLL_S)
+
     def _on_upstream_health(self, is_healthy: bool) -> None:
         self._is_upstream_healthy = is_healthy
         if not self._is_stopping:
--- a/src/verbenawick/_region_members.py
+++ b/src/verbenawick/_region_members.py
@@ -316,9 +316,10 @@
                 continue
             address = self._departed_addresses.get((node_id, incarnation))
             if not old.process_ended and address == row.peer_address:
-                proven = replace(old, process_ended=True)
+                # Counted anew: its last request can have left just before the end.
                 now = self._clock.now()
-                self._add_departed(departed_row(proven, now), old.departed_at)
+                proven = replace(old, process_ended=True, departed_at=now)
+                self._add_departed(departed_row(proven, now), now)
 
     def _replace(self, old: MemberRow, new: MemberRow) -> None:
         departed = _replaced(old, new.peer_address)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -39,13 +39,15 @@
         mesh = settled_mesh("r1", "r2")
         old = plain_nodes(mesh, "r1")[0].identity
         mesh.kill(old.node_id)
-        mesh.advance(8)
+        mesh.advance(30)
         (new,) = mesh.restart(old.node_id)
         mesh.advance_until(mesh.agree, 10)
         for node in mesh.alive():
             (gone,) = node.table.departed_of(old.service_id)
             self.assertEqual(old.incarnation, gone.incarnation)
             self.assertTrue(gone.process_ended)
+            # From the proof on, not from the first silence 30 s before.
+            self.assertLess(mesh.clock.now() - gone.departed_at, 20)
             member = node.table.member(old.node_id)
             self.assertEqual(new.identity.incarnation, member.incarnation)
             self.assertTrue(member.recently_joined)
