Add a demonstration under failure

Cause: failures of relays and of the store were shown with simulated links or control tasks, not with whole node processes under calls. Ruled out: a part of the tests; it takes a minute. Before: none.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -10,6 +10,7 @@
 import time
 from dataclasses import asdict
 
+from demo._faults import FaultScenario
 from demo._scenario import Report, Scenario
 from standins.processes import ANDINA, GUILD
 
@@ -42,10 +43,18 @@
     """Run the demonstration; return the exit code."""
     parser = argparse.ArgumentParser(prog="python -m demo", description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--faults",
+        action="store_true",
+        help="pause and kill relays, stop the store and restart all nodes instead",
+    )
     arguments = parser.parse_args()
     started_at = time.monotonic()
+    scenario_type = FaultScenario if arguments.faults else Scenario
     scenarios = [
-        Scenario(plan, seed=arguments.seed, say=lambda text: print(text, flush=True))
+        scenario_type(
+            plan, seed=arguments.seed, say=lambda text: print(text, flush=True)
+        )
         for plan in (ANDINA, GUILD)
     ]
     threads = [threading.Thread(target=scenario.run) for scenario in scenarios]
