Describe each setting of a node; one limit for the length of a key

Cause: node settings had no reference page, and the entry took keys of 256 characters that the claim keeper then refused at 200. Ruled out: a page by hand. Conclusion: a key that the entry accepts is accepted by its owner.

--- a/src/verbenawick/_entry_request.py
+++ b/src/verbenawick/_entry_request.py
@@ -29,7 +29,7 @@
 LARGEST_NUMBER = 1_000_000
 # A keyed request that does not say which attempt it is may be a resend.
 UNDECLARED_ATTEMPT = 2
-MAX_KEY_LENGTH = 256
+MAX_KEY_LENGTH = 200
 
 CRITICALITY_BY_NAME = {level.name.lower(): level for level in Criticality}
 
--- a/tools/catalogues.py
+++ b/tools/catalogues.py
@@ -1,4 +1,4 @@
-"""Write the catalogues of events, errors, metrics and modules from the code.
+"""Write the catalogues of events, errors, metrics, modules and settings from the code.
 
 Run as ``python -m tools.catalogues``; with ``--check`` it only compares.
 """
@@ -6,15 +6,18 @@
 import argparse
 import ast
 import sys
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import fields
 from importlib import import_module
 from pathlib import Path
 from pkgutil import iter_modules
 
+from pydantic import BaseModel
+
 import verbenawick
 from verbenawick._events import events_by_number, level_of
 from verbenawick._metrics import metrics_by_name
+from verbenawick._settings import NodeSettings
 from verbenawick.errors import errors_by_code
 
 DOCS = Path(__file__).resolve().parent.parent / "docs"
@@ -86,6 +89,26 @@
     return table("Modules", ("module", "content"), rows)
 
 
+def setting_rows(model: type[BaseModel], prefix: str = "") -> Iterator[tuple[str, ...]]:
+    """Yield path, type, default and meaning of each setting."""
+    for name, field in model.model_fields.items():
+        annotation = field.annotation
+        if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+            yield from setting_rows(annotation, f"{prefix}{name}.")
+            continue
+        default = "required"
+        if not field.is_required():
+            default = f"`{field.get_default(call_default_factory=True)!r}`"
+        type_name = getattr(annotation, "__name__", str(annotation))
+        yield f"`{prefix}{name}`", type_name, default, field.description or ""
+
+
+def settings_page() -> str:
+    """Return the reference of a node's settings."""
+    header = ("setting", "type", "default", "meaning")
+    return table("Settings of a node", header, setting_rows(NodeSettings))
+
+
 def pages() -> dict[Path, str]:
     """Return the text of each generated page by its path."""
     import_package_modules()
@@ -94,6 +117,7 @@
         DOCS / "errors.md": error_page(),
         DOCS / "metrics.md": metric_page(),
         DOCS / "modules.md": module_page(),
+        DOCS / "node-settings.md": settings_page(),
     }
 
 
