Measure whole node daemons by role

Cause: the capacity page rested on control tasks with membership only. Ruled out: adding distribution to that benchmark; a daemon is what runs.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
 MODULES = (
     "bench.calls",
     "bench.claims",
+    "bench.daemons",
     "bench.distribution",
     "bench.membership",
     "bench.recovery",
--- a/demo/_faults.py
+++ b/demo/_faults.py
@@ -78,7 +78,7 @@
         self._say(f"all nodes serve again after {time.monotonic() - started_at:.1f} s")
 
     def _find(self, deployment: Deployment, role: str) -> Place:
-        holders = [place for place in deployment.places if self._status(place)[role]]
+        holders = [place for place in deployment.places if self.status_of(place)[role]]
         self._check(bool(holders), f"no node {role.replace('_', ' ')}")
         # The last one stands in another region than the store.
         return holders[-1]
--- a/demo/_scenario.py
+++ b/demo/_scenario.py
@@ -94,7 +94,7 @@
 
     def _run_steps(self, deployment: Deployment) -> None:
         deployment.start_all()
-        self._apply_example(deployment)
+        self.apply_example(deployment)
         self.report.processes = deployment.process_count()
         callers = Callers(
             deployment.places,
@@ -128,7 +128,8 @@
         self._say("status:\n" + self._ctl("status"))
         self.report.in_force_everywhere = True
 
-    def _apply_example(self, deployment: Deployment) -> None:
+    def apply_example(self, deployment: Deployment) -> None:
+        """Apply the example document and wait until all nodes serve it."""
         self._wait_for_store()
         document = EXAMPLES / f"{self._plan.name}.json5"
         self._ctl("apply", str(document))
@@ -236,14 +237,15 @@
 
     def _is_serving(self, place: Place) -> bool:
         try:
-            return self._status(place)["state"] == "serving"
+            return self.status_of(place)["state"] == "serving"
         except HTTPError:
             return False
 
     def _version_of(self, place: Place) -> int:
-        return self._status(place)["version_in_force"]
+        return self.status_of(place)["version_in_force"]
 
-    def _status(self, place: Place) -> dict:
+    def status_of(self, place: Place) -> dict:
+        """Return the status page of a node."""
         return self._get_json(f"http://{place.admin_address}/status")
 
     def _counters(self, place: Place) -> dict:
