Encode lease records as CBOR arrays

Cause: a renewal rewrites the lease object, and its JSON value of about 82 bytes carried the names of its fields each second. Ruled out: reading the former JSON values too, since no release has them. Change: the value is the CBOR array of the fields. New tests guard against other or truncated data being read as a record; the existing tests of leases are unchanged.

--- a/src/verbenawick/_lease.py
+++ b/src/verbenawick/_lease.py
@@ -6,13 +6,15 @@
 own clock. Together with the margin this keeps the two periods apart.
 """
 
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, astuple, dataclass
 from enum import StrEnum
 from functools import cache
 from importlib.resources import files
 from random import Random
 
+import cbor2
 from pydantic import TypeAdapter, ValidationError
+from pydantic_core import ArgsKwargs
 from sismic.interpreter import Interpreter
 from sismic.io import import_from_yaml
 from sismic.model import Statechart
@@ -66,11 +68,22 @@
 _record_adapter = TypeAdapter(LeaseRecord)
 
 
+def encode_lease_record(record: LeaseRecord) -> bytes:
+    """Return the value of a lease object: a CBOR array of the fields in order.
+
+    Each renewal sends it, for most leases across regions, so it carries no names.
+    """
+    return cbor2.dumps(astuple(record))
+
+
 def parse_lease_record(value: bytes) -> LeaseRecord | None:
     """Return the record in a lease object; None when it is absent or invalid."""
     try:
-        return _record_adapter.validate_json(value)
-    except ValidationError:
+        fields = cbor2.loads(value)
+        if not isinstance(fields, list):
+            return None
+        return _record_adapter.validate_python(ArgsKwargs(tuple(fields)))
+    except (cbor2.CBORDecodeError, ValidationError):
         return None
 
 
@@ -252,7 +265,7 @@
         self._send("released")
         self._record.note(LeaseReleased(self.key, epoch), cause="planned stop")
         if was_held and not self._is_waiting:
-            value = _record_adapter.dump_json(LeaseRecord("", 0, epoch, ""))
+            value = encode_lease_record(LeaseRecord("", 0, epoch, ""))
             self._store.update(
                 self.key,
                 value,
@@ -334,7 +347,7 @@
         self._is_waiting = True
         self._store.update(
             self.key,
-            _record_adapter.dump_json(self._own_record()),
+            encode_lease_record(self._own_record()),
             expected_version=self._version,
             callback=self._on_written,
         )
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import cbor2
 import eventlet
 from testtools import TestCase
 
@@ -9,7 +10,13 @@
 from verbenawick._clock import ManualClock
 from verbenawick._component import NodeIdentity, StoreObject
 from verbenawick._explain import DecisionRecord
-from verbenawick._lease import Lease, LeaseState, parse_lease_record
+from verbenawick._lease import (
+    Lease,
+    LeaseRecord,
+    LeaseState,
+    encode_lease_record,
+    parse_lease_record,
+)
 from verbenawick._metrics import MetricSet
 from verbenawick._settings import TimingSettings
 from verbenawick._store_workers import StoreWorkers
@@ -63,6 +70,27 @@
             finish()
 
 
+class LeaseRecordTest(TestCase):
+    """Value of a lease object; guards against a record read from other data."""
+
+    RECORD = LeaseRecord("dc00-n000", 2**48 - 1, 3, "127.0.0.1:7000")
+
+    def test_reads_back_as_written(self):
+        value = encode_lease_record(self.RECORD)
+        self.assertEqual(self.RECORD, parse_lease_record(value))
+
+    def test_any_other_value_is_no_record(self):
+        value = encode_lease_record(self.RECORD)
+        others = (
+            [b"", b"{}", b"\x80", b"\xa0", b"\xc0\x00", b"\xff", b"\x9f" * 5000]
+            + [value[:end] for end in range(len(value))]
+            + [cbor2.dumps(fields) for fields in (["a", 2, 3], ["a", 2, 3, "b", 5])]
+            + [cbor2.dumps(fields) for fields in ([1, 2, 3, 4], ["a", "x", 3, "b"])]
+        )
+        for other in others:
+            self.assertIsNone(parse_lease_record(other), other)
+
+
 class LeaseTest(TestCase):
     """At most one holder has authority, whatever is lost or paused."""
 
