Send a queued call only with enough time for its service

Four faults added up once an upstream was slower than usual and the queue's wait came near the callers' 250 ms:

- half of the average service time counted as enough;
- the check was made when the slot was granted, not when the woken green thread ran, which in a busy process is some 10 ms later;
- only complete calls were measured, so a slow upstream was judged by its fast calls;
- a gateway worked until the entry's own deadline, so that an answer or a refusal at that instant arrived after the entry had given up.
Some calls with 40 to 55 ms left by the gateway's clock were cancelled by the entry.

Ruled out: a wrong outcome in the entry. All unknown calls whose start was looked up had reached the upstream (runs equal complete plus unknown calls).

A call is sent only with the average service time and two mean deviations left, checked again after the wake-up; calls that ran out of time count as lower bounds of the service time; the gateway keeps the time of the way back; a wait ends while its refusal can still arrive. An idle upstream still gets calls with half of the average left, and its refusals lower the average, so that a slow time does not shut short calls out for ever.

Unknown remains only for calls that the upstream slowed down after they were sent: while the average still follows a sudden change, and when a process of the node itself is not run for longer than the deviation.

--- a/src/verbenawick/_admission.py
+++ b/src/verbenawick/_admission.py
@@ -3,6 +3,7 @@
 from bisect import insort
 from dataclasses import dataclass, field
 from itertools import count
+from typing import NoReturn
 
 from eventlet.event import Event
 
@@ -19,9 +20,14 @@
 # Weight of a new sample in the average service time: about the last 20 calls.
 SERVICE_TIME_WEIGHT = 0.05
 
-# Share of the average service time that has to remain for a call to be worth sending.
-# Calls differ, so a call with less than the average left can still complete.
-LEAST_SERVICE_SHARE = 0.5
+# Mean deviations above the average service time that have to remain for a call to be
+# sent. A call that runs out of time ends as unknown and has used its slot for nothing;
+# a refused one is known not to have run.
+DEVIATIONS_LEFT = 2.0
+
+# Share of the average service time that has to remain for a call to an idle upstream.
+# Such a call delays no other one, and it shows whether the upstream became faster.
+IDLE_SERVICE_SHARE = 0.5
 
 QUEUED = register_metric(
     "gateway.queued", MetricKind.COUNTER, "calls", "Calls that waited for a slot"
@@ -69,6 +75,7 @@
         self._waiters: list[_Waiter] = []
         self._next_order = count().__next__
         self._service_time_s = 0.0
+        self._deviation_s = 0.0
         self._is_draining = False
 
     @property
@@ -98,26 +105,31 @@
         """
         if self._is_draining:
             raise DrainingError("gateway is draining", step="admission.enter")
-        self._check_reachable(deadline, calls_ahead=0)
+        if self._in_use or self._waiters:
+            self._check_reachable(deadline)
+        else:
+            self._check_idle(deadline)
         if self._in_use < self._slots and not self._waiters:
             self._in_use += 1
             return
         self._wait(criticality, deadline, policy)
 
-    def leave(self, *, service_s: float | None = None) -> None:
+    def leave(
+        self, *, service_s: float | None = None, is_complete: bool = True
+    ) -> None:
         """Free a slot and admit the next call.
 
         Parameters
         ----------
         service_s : float
-            Time the upstream took; None when it did not run the call to its end.
+            Time the upstream took; None when it did not run the call.
+        is_complete : bool
+            Whether the call ran to its end. Otherwise `service_s` is a lower bound,
+            which counts only above the average: without these samples an upstream
+            that becomes slow would be measured by its fast calls alone.
         """
-        if service_s is not None:
-            if not self._service_time_s:
-                self._service_time_s = service_s
-            self._service_time_s += SERVICE_TIME_WEIGHT * (
-                service_s - self._service_time_s
-            )
+        if service_s is not None and (is_complete or service_s > self._service_time_s):
+            self._measure(service_s)
         self._in_use -= 1
         self._admit_next()
 
@@ -132,14 +144,25 @@
         """Accept calls again."""
         self._is_draining = False
 
+    def _measure(self, service_s: float) -> None:
+        if not self._service_time_s:
+            self._service_time_s = service_s
+        difference_s = service_s - self._service_time_s
+        self._service_time_s += SERVICE_TIME_WEIGHT * difference_s
+        self._deviation_s += SERVICE_TIME_WEIGHT * (
+            abs(difference_s) - self._deviation_s
+        )
+
     def _wait(self, criticality, deadline, policy) -> None:
         waiter = _Waiter(criticality, self._next_order(), deadline)
         ahead = sum(w.sort_key() < waiter.sort_key() for w in self._waiters)
-        self._check_reachable(deadline, calls_ahead=ahead + 1)
+        self._check_reachable(deadline, wait_s=self._expected_wait_s(ahead + 1))
         self._make_room(waiter, policy)
         insort(self._waiters, waiter, key=_Waiter.sort_key)
         self._metrics.count(QUEUED)
-        wait_s = min(policy.max_queue_s, deadline - self._clock.now())
+        # The wait ends while the refusal can still reach the caller in time.
+        latest_s = deadline - self._needed_s() - self._clock.now()
+        wait_s = min(policy.max_queue_s, latest_s)
         try:
             is_admitted = waiter.decided.wait(timeout=max(wait_s, 0.0))
         except CallError:
@@ -151,6 +174,19 @@
             self._forget(waiter)
             self._metrics.count(QUEUE_EXPIRED)
             raise QueueFullError("no slot became free in time", step="admission.wait")
+        self._check_woken(deadline)
+
+    def _check_woken(self, deadline: float) -> None:
+        """Give the slot up when too much time passed since it was granted.
+
+        In a busy process the woken green thread runs late, some 10 ms after the grant.
+        """
+        try:
+            self._check_reachable(deadline)
+        except DeadlineUnreachableError:
+            self._in_use -= 1
+            self._admit_next()
+            raise
 
     def _make_room(self, waiter: _Waiter, policy: ServicePolicy) -> None:
         if len(self._waiters) < policy.max_queue_length:
@@ -163,10 +199,26 @@
         self._waiters.pop()
         self._refuse(last, error)
 
-    def _check_reachable(self, deadline: float, *, calls_ahead: int) -> None:
-        rounds = calls_ahead / self._slots + LEAST_SERVICE_SHARE
-        if deadline - self._clock.now() > rounds * self._service_time_s:
+    def _needed_s(self) -> float:
+        return self._service_time_s + DEVIATIONS_LEFT * self._deviation_s
+
+    def _expected_wait_s(self, calls_ahead: int) -> float:
+        return calls_ahead / self._slots * self._service_time_s
+
+    def _check_reachable(self, deadline: float, *, wait_s: float = 0.0) -> None:
+        if deadline - self._clock.now() <= wait_s + self._needed_s():
+            self._raise_unreachable()
+
+    def _check_idle(self, deadline: float) -> None:
+        needed_s = IDLE_SERVICE_SHARE * self._service_time_s
+        if deadline - self._clock.now() > needed_s:
             return
+        # An average that refuses all calls would get no new samples and refuse them
+        # for ever, so each refusal lowers it.
+        self._service_time_s -= SERVICE_TIME_WEIGHT * self._service_time_s
+        self._raise_unreachable()
+
+    def _raise_unreachable(self) -> NoReturn:
         self._metrics.count(QUEUE_EXPIRED)
         raise DeadlineUnreachableError(
             "deadline is closer than the expected wait and service time",
@@ -177,7 +229,7 @@
         while self._waiters and self._in_use < self._slots:
             waiter = self._waiters.pop(0)
             try:
-                self._check_reachable(waiter.deadline, calls_ahead=0)
+                self._check_reachable(waiter.deadline)
             except DeadlineUnreachableError as error:
                 self._refuse(waiter, error)
                 continue
--- a/src/verbenawick/_gateway.py
+++ b/src/verbenawick/_gateway.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from eventlet.event import Event
+from greenlet import GreenletExit
 from xxhash import xxh64_intdigest
 
 from verbenawick._admission import Admission
@@ -30,6 +31,7 @@
     AnswerLostError,
     CallError,
     CallInProgressError,
+    CallTimeoutError,
     ClaimRefusedError,
     ClaimUnknownError,
     DeadlineUnreachableError,
@@ -276,8 +278,14 @@
     def on_request(
         self, peer: NodeIdentity, request: CallRequest, sent_at: float
     ) -> CallAnswer:
-        """Handle a call from another node; a handler of `CallLinks`."""
-        return self.handle(request, deadline=sent_at + request.remaining_ms / 1000)
+        """Handle a call from another node; a handler of `CallLinks`.
+
+        The answer takes as long as the request took. It has to arrive before the
+        entry's deadline: a refusal that is late ends as unknown.
+        """
+        way_s = self._clock.now() - sent_at
+        deadline = sent_at + request.remaining_ms / 1000 - way_s
+        return self.handle(request, deadline=deadline)
 
     def handle(self, request: CallRequest, *, deadline: float) -> CallAnswer:
         """Return the outcome of a call; errors of the call path become answers."""
@@ -339,6 +347,7 @@
         )
         started_at = self._clock.now()
         service_s = None
+        is_complete = False
         try:
             response = self._upstream.exchange(
                 method=request.method,
@@ -350,11 +359,15 @@
                 before_send=before_send,
             )
             service_s = self._clock.now() - started_at
+            is_complete = True
         except UpstreamShedError:
             self._on_upstream_refusal()
             raise
+        except (CallTimeoutError, GreenletExit):
+            service_s = self._clock.now() - started_at
+            raise
         finally:
-            self._admission.leave(service_s=service_s)
+            self._admission.leave(service_s=service_s, is_complete=is_complete)
         self._on_upstream_run()
         return CallAnswer(
             request.call_id,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -126,3 +126,58 @@
         self.assertEqual([("waiting", "call.draining")], self.events)
         self.assertRaises(DrainingError, self.enter)
         self.assertEqual(1, self.admission.in_use)
+
+    def test_a_call_with_too_little_time_for_a_busy_upstream_is_refused(self):
+        """Guards against sent calls that run out of time and end as unknown."""
+        self.admission = Admission(slots=2, clock=self.clock, metrics=MetricSet())
+        self.enter()
+        self.admission.leave(service_s=1.0)
+        self.enter()
+        self.assertRaises(DeadlineUnreachableError, self.enter, deadline_s=0.9)
+        self.assertEqual(1, self.admission.in_use)
+
+    def test_a_call_that_wakes_too_late_is_not_sent(self):
+        """Guards against a send after a delay between the grant and the wake-up."""
+        self.enter()
+        self.start("late", deadline_s=10.0)
+        self.start("in time", deadline_s=60.0)
+        self.admission.leave(service_s=1.0)
+        self.clock.advance(9.5)
+        wait_until(lambda: len(self.events) == 2)
+        self.assertEqual(
+            [("late", "call.deadline-unreachable"), "in time"], self.events
+        )
+        self.assertEqual(1, self.admission.in_use)
+
+    def test_calls_that_ran_out_of_time_raise_the_expected_service_time(self):
+        """Guards against measuring a slow upstream by its fast calls alone."""
+        self.enter()
+        self.admission.leave(service_s=1.0)
+        for _ in range(100):
+            self.enter()
+            self.admission.leave(service_s=3.0, is_complete=False)
+        self.assertRaises(DeadlineUnreachableError, self.enter, deadline_s=1.4)
+
+    def test_a_wait_ends_while_its_refusal_can_be_in_time(self):
+        """Guards against a refusal at the deadline, which the entry sees as unknown."""
+        slots = 1000
+        self.admission = Admission(slots=slots, clock=self.clock, metrics=MetricSet())
+        self.enter()
+        self.admission.leave(service_s=100.0)
+        for _ in range(slots):
+            self.enter(deadline_s=1000.0)
+        with eventlet.Timeout(3.0):
+            self.assertRaises(QueueFullError, self.enter, deadline_s=100.2)
+        self.assertEqual(0, self.admission.queue_length)
+
+    def test_an_idle_upstream_gets_calls_again_after_a_slow_time(self):
+        """Guards against an average that refuses all calls and never changes."""
+        self.enter()
+        self.admission.leave(service_s=1.0)
+        refusals = 0
+        while not self.admission.in_use and refusals < 100:
+            try:
+                self.enter(deadline_s=0.1)
+            except DeadlineUnreachableError:
+                refusals += 1
+        self.assertEqual(32, refusals)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -60,6 +60,25 @@
             ("call.timeout", Outcome.UNKNOWN), (answer.code, answer.outcome)
         )
 
+    def test_time_for_the_way_back_is_kept(self):
+        """Guards against answers after the entry's deadline, which end as unknown."""
+        self.start()
+        request = call_request(service_id=SERVICE, headers=(), remaining_ms=30_000)
+        sent_at = self.mesh.nodes[0].clock.now() - 20
+        answer = self.gateway.on_request(None, request, sent_at)
+        self.assertEqual("call.deadline-unreachable", answer.code)
+        self.assertEqual(0, self.started())
+
+    def test_a_call_that_ran_out_of_time_measures_the_upstream(self):
+        """Guards against sending calls to an upstream that is too slow for them."""
+        self.start()
+        target = "/a?delay_ms=400&deadline=ignored"
+        answer = self.handle(target=target, timeout_s=0.1)
+        self.assertEqual("call.timeout", answer.code)
+        answer = self.handle(target=target, timeout_s=0.04)
+        self.assertEqual("call.deadline-unreachable", answer.code)
+        self.assertEqual(1, self.started())
+
     def test_slots_are_exact_under_load(self):
         """Guards against more running calls than slots at the upstream."""
         policy = ServicePolicy("p", max_queue_length=50, max_queue_s=5.0)
