Give refusals of the stand-in upstream a cost

The stand-in refused at almost no cost and so protected itself: goodput at twice the capacity could not tell admission from a baseline that sends everything to the upstream. The baseline also used the gateway's admission with 100,000 slots, and so its prediction of deadlines.

`--refusal-cpu-ms` of the stand-in and of `bench calls` (default of the bench: 1 ms) is processor time that each refusal takes. The baseline's gateway admits every call. Results count refusals at the upstreams, codes of calls at twice the capacity, and goodput as a share of the peak.

--- a/bench/call_client.py
+++ b/bench/call_client.py
@@ -18,6 +18,11 @@
         """Return the outcome header, empty from an upstream."""
         return self.headers.get("verbenawick-outcome", "")
 
+    @property
+    def code(self) -> str:
+        """Return the code header, empty for a complete call."""
+        return self.headers.get("verbenawick-code", "")
+
 
 def encode_request(
     method: str,
--- a/bench/call_node.py
+++ b/bench/call_node.py
@@ -94,6 +94,16 @@
         return members[next(self._turn) % len(members)]
 
 
+class AdmitAlways(Admission):
+    """Baseline: no slots, no queue and no prediction whether a call can complete."""
+
+    def enter(self, **limits):
+        """Admit the call."""
+
+    def leave(self, **measured):
+        """Do nothing."""
+
+
 class RetryAlways(RetryRules):
     """Baseline: each failed attempt is repeated up to the number of attempts."""
 
@@ -129,11 +139,11 @@
     links = CallLinks(identity, clock=clock, metrics=metrics)
     claims = ClaimKeeper(identity, members=members, requests=links, clock=clock)
     tracer = Tracer(own.node_id, sample_share=TRACE_SHARE, random=random)
-    slots = 100_000 if options.baseline else own.slots
+    admission_type = AdmitAlways if options.baseline else Admission
     gateway = Gateway(
         node_id=own.node_id,
         service_id=SERVICE,
-        admission=Admission(slots=slots, clock=clock, metrics=metrics),
+        admission=admission_type(slots=own.slots, clock=clock, metrics=metrics),
         upstream=UpstreamConnections(
             options.upstream,
             max_connections=100_000 if options.baseline else 120,
--- a/bench/calls.py
+++ b/bench/calls.py
@@ -96,7 +96,9 @@
         process.wait(timeout=30)
 
 
-def start_upstream(stack: ExitStack, *, slots: int, service_ms: float) -> str:
+def start_upstream(
+    stack: ExitStack, *, slots: int, service_ms: float, refusal_cpu_ms: float = 0.0
+) -> str:
     """Start a stand-in upstream; return its address."""
     (address,) = new_addresses(1)
     stack.enter_context(
@@ -105,6 +107,7 @@
             *("--address", address, "--service", SERVICE),
             *("--slots", str(slots), "--connections", "4000"),
             *("--service-time-ms", str(service_ms)),
+            *("--refusal-cpu-ms", str(refusal_cpu_ms)),
         )
     )
     return address
@@ -327,6 +330,7 @@
     """What callers saw of an open load."""
 
     outcomes: Counter = field(default_factory=Counter)
+    codes: Counter = field(default_factory=Counter)
     in_time: int = 0
     not_run_ids: set[str] = field(default_factory=set)
     keyed_ids: set[str] = field(default_factory=set)
@@ -362,6 +366,8 @@
             return
         idle[address].append(sock)
         result.outcomes[response.outcome] += 1
+        if response.code:
+            result.codes[response.code] += 1
         if response.outcome == "not-run":
             result.not_run_ids.add(request_id)
         elapsed_ms = (time.perf_counter() - due_at) * 1000
@@ -389,7 +395,12 @@
     """Return goodput at twice the capacity, and how requests ran."""
     with ExitStack() as stack:
         upstreams = [
-            start_upstream(stack, slots=OVERLOAD_SLOTS, service_ms=OVERLOAD_SERVICE_MS)
+            start_upstream(
+                stack,
+                slots=OVERLOAD_SLOTS,
+                service_ms=OVERLOAD_SERVICE_MS,
+                refusal_cpu_ms=options.refusal_cpu_ms,
+            )
             for _ in OVERLOAD_PLACES
         ]
         plans = [
@@ -412,6 +423,10 @@
             everywhere, rate=2 * OVERLOAD_CAPACITY, name="double", **shared
         )
         after = total_metrics(nodes)
+        shed = sum(
+            json.loads(fetch(address, "/standin/counters"))["shed"]
+            for address in upstreams
+        )
         runs = Counter(
             request_id
             for address in upstreams
@@ -424,7 +439,9 @@
     calls = after["entry.calls"] - middle["entry.calls"]
     attempts = after["calls.attempts"] - middle["calls.attempts"]
     goodput = double.in_time / options.overload_duration
+    peak = max(load.in_time for load in (full, double)) / options.overload_duration
     return {
+        "goodput_share_of_peak_at_2x": round(goodput / peak, 3),
         "goodput_ratio_at_2x": round(goodput / OVERLOAD_CAPACITY, 3),
         "goodput_ratio_at_1x": round(
             full.in_time / options.overload_duration / OVERLOAD_CAPACITY, 3
@@ -436,7 +453,9 @@
         "ordinary_outcomes": dict(ordinary.outcomes),
         "full_outcomes": dict(full.outcomes),
         "double_outcomes": dict(double.outcomes),
+        "double_codes": dict(double.codes),
         "upstream_runs": runs.total(),
+        "upstream_refusals": shed,
     }
 
 
@@ -454,6 +473,12 @@
     parser.add_argument("--duration", type=float, default=20, help="s, latency")
     parser.add_argument("--step-duration", type=float, default=2, help="s per step")
     parser.add_argument("--overload-duration", type=float, default=4, help="s per load")
+    parser.add_argument(
+        "--refusal-cpu-ms",
+        type=float,
+        default=1.0,
+        help="processor time that an upstream uses for a refusal, overload",
+    )
     parser.add_argument(
         "--only", choices=("latency", "sweep", "overload"), help="run one part"
     )
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -29,7 +29,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, fields
-from time import monotonic
+from time import monotonic, thread_time
 from urllib.parse import parse_qsl
 
 from eventlet import wsgi
@@ -96,6 +96,9 @@
     cold_start_s : float
         Time after the start during which requests take up to `COLD_START_FACTOR` times
         as long.
+    refusal_cpu_s : float
+        Processor time that each refusal takes, as in servers that parse, authenticate
+        and log a request before they refuse it.
     crash : callable
         Called by a request with ``fault=crash``; ends the process by default.
     """
@@ -108,6 +111,7 @@
         connections: int = 120,
         service_time_s: float = 0.0,
         cold_start_s: float = 0.0,
+        refusal_cpu_s: float = 0.0,
         crash: Callable[[], None] = _exit_process,
     ):
         self.faults = Faults()
@@ -121,6 +125,7 @@
         self._connections = connections
         self._service_time_s = service_time_s
         self._cold_start_s = cold_start_s
+        self._refusal_cpu_s = refusal_cpu_s
         self._crash = crash
         self._started_at = monotonic()
         self._shed_debt = 0.0
@@ -150,6 +155,7 @@
         options = dict(parse_qsl(environ.get("QUERY_STRING", "")))
         if self._refuses():
             self.shed += 1
+            _use_processor(self._refusal_cpu_s)
             return _answer(start_response, 503, b"not run", [NOT_RUN])
         self._record_load()
         self.running += 1
@@ -260,6 +266,12 @@
         }
 
 
+def _use_processor(duration_s: float) -> None:
+    until = thread_time() + duration_s
+    while thread_time() < until:
+        pass
+
+
 def _status_line(status: int) -> str:
     return f"{status} {REASONS_BY_STATUS.get(status, 'Status')}"
 
@@ -309,6 +321,9 @@
     parser.add_argument("--connections", type=int, default=120)
     parser.add_argument("--service-time-ms", type=float, default=0.0)
     parser.add_argument("--cold-start-s", type=float, default=0.0)
+    parser.add_argument(
+        "--refusal-cpu-ms", type=float, default=0.0, help="processor time of a refusal"
+    )
     options = parser.parse_args(arguments)
     upstream = StandinUpstream(
         options.service,
@@ -316,6 +331,7 @@
         connections=options.connections,
         service_time_s=options.service_time_ms / 1000,
         cold_start_s=options.cold_start_s,
+        refusal_cpu_s=options.refusal_cpu_ms / 1000,
     )
     listener = listen(options.address)
     print(f"upstream {options.service} listens on {options.address}", flush=True)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -1,5 +1,7 @@
 """Connections to the own upstream, against the stand-in on a real socket."""
 
+from time import thread_time
+
 import eventlet
 from testtools import TestCase
 
@@ -159,3 +161,14 @@
         self.assertRaises(UpstreamShedError, self.exchange, before_send=refuse)
         self.exchange()
         self.assertEqual(1, self.standin.counters()["started"])
+
+    def test_a_refusal_of_the_stand_in_costs_processor_time(self):
+        """Guards against overload figures from an upstream that refuses for free."""
+        self.standin = StandinUpstream("archivo", slots=0, refusal_cpu_s=0.02)
+        listener = eventlet.listen(("127.0.0.1", 0))
+        thread = eventlet.spawn(self.standin.serve, listener)
+        self.addCleanup(thread.kill)
+        self.connect(f"127.0.0.1:{listener.getsockname()[1]}")
+        began_at = thread_time()
+        self.assertRaises(UpstreamShedError, self.exchange)
+        self.assertGreaterEqual(thread_time() - began_at, 0.02)
