Answer a refused retry of a keyed request as unknown

Cause: found in the review of the claims: the gateway passed an upstream's refusal of a retry on as not-run, although an earlier attempt could still be on its way, for example to a paused owner, and run later. Ruled out: a record that refuses late attempts; a caller that sends the same number again after not-run could not be told apart from them. Change: the owner's gateway answers attempts above 1 with unknown; the key stays free. Before: the new test gets not-run. After: it passes, with the tests of the call path. Conclusion: not-run is told for a key to a declared first attempt only.

--- a/src/verbenawick/_gateway.py
+++ b/src/verbenawick/_gateway.py
@@ -416,6 +416,9 @@
             self._claims.finish(key, answer)
         elif answer.outcome is Outcome.NOT_RUN:
             self._claims.release(key)
+            if request.attempt > 1:
+                # This attempt did not run; an earlier one may still be on its way here.
+                return replace(answer, outcome=Outcome.UNKNOWN)
         else:
             self._claims.mark_unknown(key)
         return answer
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -168,6 +168,16 @@
         answer = self.handle_keyed(attempt=2, timeout_s=0.0)
         self.assertEqual(Outcome.UNKNOWN, answer.outcome)
 
+    def test_a_retry_that_the_upstream_refuses_is_unknown(self):
+        """An earlier attempt may still be on its way to the owner and run later."""
+        self.start(nodes=1)
+        self.mesh.upstreams[0].faults.draining = True
+        answer = self.handle_keyed(attempt=2)
+        self.assertEqual(
+            ("call.upstream-shed", Outcome.UNKNOWN), (answer.code, answer.outcome)
+        )
+        self.assertEqual({}, self.claims.state_by_key)
+
     def test_drain_finishes_what_is_in_flight(self):
         """A planned stop interrupts no call and accepts no new one."""
         self.start()
