--- a/bench/calls.py
+++ b/bench/calls.py
@@ -354,6 +354,7 @@
         if is_keyed:
             result.keyed_ids.add(request_id)
             headers["Idempotency-Key"] = request_id
+            headers["Attempt"] = "1"
             body = b"x" * 200
         method = "POST" if is_keyed else "GET"
         request = encode_request(method, f"/{request_id}", body=body, headers=headers)
--- a/src/verbenawick/_links.py
+++ b/src/verbenawick/_links.py
@@ -8,6 +8,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import astuple, dataclass
 from typing import Protocol
 
@@ -188,7 +189,8 @@
         except ProtocolError as error:
             emit(LinkRefused(self.peer.node_id, str(error)))
             self._close_reason = str(error)
-        except OSError as error:
+        except (OSError, LinkClosedError, LinkOverflowError) as error:
+            # An answer to a peer that is already gone is the usual end of a link.
             self._close_reason = self._close_reason or str(error)
         finally:
             pinger.kill()
@@ -237,6 +239,10 @@
         self._handler.on_message(self, message)
 
     def _ping_periodically(self) -> None:
+        with suppress(LinkClosedError, LinkOverflowError):
+            self._ping_until_closed()
+
+    def _ping_until_closed(self) -> None:
         while self.is_open:
             eventlet.sleep(PING_INTERVAL_S)
             if self._clock.now() - self._last_heard_at > PING_TIMEOUT_S:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,6 +1,7 @@
 """Links between nodes over real sockets."""
 
 from dataclasses import dataclass
+from unittest import mock
 
 import cbor2
 import eventlet
@@ -8,7 +9,7 @@
 from testtools import TestCase
 
 from verbenawick._component import NodeIdentity
-from verbenawick._links import CONTROL_CHANNEL, LinkServer, dial_link
+from verbenawick._links import CONTROL_CHANNEL, Link, LinkServer, dial_link
 from verbenawick._messages import Message, register_message
 from verbenawick.errors import LinkClosedError
 
@@ -136,6 +137,30 @@
         self.dial(handler).post(Echo(7))
         wait_until(lambda: handler.messages)
 
+    def test_an_answer_to_a_peer_that_is_gone_ends_the_link_quietly(self):
+        """A failed send inside the reader closes the link; it raises nothing further.
+
+        Guards against a traceback in the log for each link that a peer closed first.
+        """
+        raised = []
+        run = Link.run
+
+        def recording_run(link):
+            try:
+                run(link)
+            except Exception as error:
+                raised.append(error)
+
+        with mock.patch.object(Link, "run", recording_run):
+            link = self.dial(RecordingHandler())
+            wait_until(lambda: self.server_handler.opened)
+        served = self.server_handler.opened[0]
+        served._sock.shutdown(socket.SHUT_WR)
+        link.post(Echo(1))
+        wait_until(lambda: self.server_handler.closed)
+        self.assertEqual([Echo(1)], self.server_handler.messages)
+        self.assertEqual([], raised)
+
     def test_dialling_a_closed_port_raises_a_typed_error(self):
         """A refused connection is a `LinkClosedError`, not a bare `OSError`."""
         self.assertRaises(
