Give a node that does not listen or answer its own exit codes

Cause: an address in use and a node that does not answer ended as internal error 1, and the daemon printed eventlet's deprecation. Conclusion: code 1 again means a fault of the program.

--- a/src/verbenawick/__main__.py
+++ b/src/verbenawick/__main__.py
@@ -1,10 +1,13 @@
 """Entry point of the command line."""
 
 import sys
+from warnings import filterwarnings
 
 
 def main() -> None:
     """Run the command in `sys.argv` and exit with its code."""
+    # eventlet announces its deprecation on import; the project's rules choose it.
+    filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
     if sys.argv[1:2] == ["node"]:
         # eventlet has to patch the standard library before the other imports.
         import verbenawick._daemon  # noqa: F401
--- a/src/verbenawick/_exit_codes.py
+++ b/src/verbenawick/_exit_codes.py
@@ -7,6 +7,8 @@
     ChangeOutcomeUnknownError,
     ConflictError,
     DocumentError,
+    ListenError,
+    NodePageError,
     NoSuchChangeError,
     SettingsError,
     StoreAnswerLostError,
@@ -26,6 +28,7 @@
     CONFLICT = 5
     UNKNOWN = 6
     STORE_DOWN = 7
+    NODE_DOWN = 8
 
 
 DESCRIPTIONS_BY_EXIT_CODE = {
@@ -37,11 +40,14 @@
     ExitCode.CONFLICT: "conflict: another change was accepted first, this one was not",
     ExitCode.UNKNOWN: "outcome unknown: run the `resolve` command that is shown",
     ExitCode.STORE_DOWN: "the store is down or slow: the change did not begin",
+    ExitCode.NODE_DOWN: "the node that was asked does not answer",
 }
 
 _EXIT_CODES_BY_ERROR: dict[type[VerbenawickError], ExitCode] = {
     DocumentError: ExitCode.REFUSED,
     SettingsError: ExitCode.REFUSED,
+    ListenError: ExitCode.REFUSED,
+    NodePageError: ExitCode.NODE_DOWN,
     NoSuchChangeError: ExitCode.REFUSED,
     ConflictError: ExitCode.CONFLICT,
     ChangeOutcomeUnknownError: ExitCode.UNKNOWN,
