Find a free loopback network in one place

Cause: bench.mesh and standins.processes each had the same search, apart from the listener that is probed; the comment of one was also out of date since listeners are exclusive. Ruled out: one common range of networks; runs of the two kinds keep apart. Change: bench.mesh calls standins.processes.free_network with its range and listener; behaviour is unchanged. Conclusion: one search serves tests, benchmarks and the launcher.

--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -1,8 +1,6 @@
 """A mesh of control tasks in a few worker processes, and the store stand-in."""
 
 import json
-import os
-import socket
 import subprocess
 import sys
 import time
@@ -13,6 +11,7 @@
 
 import urllib3
 
+from standins.processes import free_network
 from verbenawick._settings import NodeSettings
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -23,21 +22,8 @@
 POLL_S = 0.25
 
 
-def free_network() -> int:
-    """Return a loopback network 127.N on which no store stand-in listens.
-
-    Listeners of eventlet share a port without an error, so two runs on one network
-    would mix without notice.
-    """
-    first = os.getpid() % len(NETWORKS)
-    for network in (*NETWORKS[first:], *NETWORKS[:first]):
-        with socket.socket() as sock:
-            try:
-                sock.bind((f"127.{network}.255.1", STORE_PORT))
-            except OSError:
-                continue
-            return network
-    raise RuntimeError("no loopback network is free")
+def _free_mesh_network() -> int:
+    return free_network(networks=NETWORKS, host="255.1", port=STORE_PORT)
 
 
 class WorkerProcess:
@@ -112,7 +98,7 @@
     nodes_per_centre: int
     centres_per_region: int = 3
     services: int = 82
-    network: int = field(default_factory=free_network)
+    network: int = field(default_factory=_free_mesh_network)
     seeds_per_node: int = 3
     timing: dict = field(default_factory=dict)
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -75,14 +75,25 @@
 )
 
 
-def free_network(count: int = 1) -> int:
+def free_network(
+    count: int = 1,
+    *,
+    networks: range = NETWORKS,
+    host: str = "1.1",
+    port: int = PEER_PORT,
+) -> int:
     """Return the first of `count` loopback networks on which nothing listens.
 
-    Lets test runs at the same time keep apart.
+    Lets runs at the same time keep apart.
+
+    Parameters
+    ----------
+    host, port : str, int
+        Listener of each network that is probed; `host` is the last two numbers.
     """
-    start = os.getpid() % len(NETWORKS)
-    for first in (*NETWORKS[start:], *NETWORKS[:start]):
-        if all(_is_free(f"127.{first + n}.1.1", PEER_PORT) for n in range(count)):
+    start = os.getpid() % len(networks)
+    for first in (*networks[start:], *networks[:start]):
+        if all(_is_free(f"127.{first + n}.{host}", port) for n in range(count)):
             return first
     raise RuntimeError("no loopback network is free")
 
