--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,13 @@
+#!/bin/sh
+# Installs the libraries when their list has changed, and the package each time.
+set -eu
+cd "$(dirname "$0")/.."
+deps=target/deps
+if ! cmp -s deploy/requirements.txt target/requirements.installed; then
+    rm -rf "$deps"
+    python3 -m pip install --quiet --upgrade --target "$deps" -r deploy/requirements.txt
+    cp deploy/requirements.txt target/requirements.installed
+fi
+rm -rf "$deps/verbenawick"
+cp -R src/verbenawick "$deps/verbenawick"
+find "$deps/verbenawick" -name __pycache__ -type d -prune -exec rm -rf {} +
--- a/src/verbenawick/_call_links.py
+++ b/src/verbenawick/_call_links.py
@@ -1,6 +1,7 @@
 """Call links to other nodes: dialled on demand, requests matched with answers."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import eventlet
@@ -23,6 +24,7 @@
 )
 
 RequestHandler = Callable[[NodeIdentity, Message, float], Message]
+NoticeHandler = Callable[[NodeIdentity, Message], None]
 
 # After a failed dial, calls to that node fail at once for this long, so that a dead
 # node costs each call nothing instead of a dial.
@@ -30,6 +32,11 @@
 
 DIAL_TIMEOUT_S = 1.0
 
+# A peer that owes answers and sends nothing for this long is asked for a sign of life.
+PROBE_SILENCE_S = 0.25
+# A peer that owes answers and gives no sign of life is cut off or frozen.
+SILENCE_LIMIT_S = 0.7
+
 ANSWERS_DROPPED = register_metric(
     "calls.answers_dropped",
     MetricKind.COUNTER,
@@ -46,6 +53,25 @@
     link: Link | None = None
     dialling: Semaphore = field(default_factory=Semaphore)
     retry_at: float = 0.0
+    # When a link whose peer owes answers was first seen without a sign of life.
+    silent_since: float = 0.0
+    closed: Event = field(default_factory=Event)
+
+
+@dataclass(eq=False, slots=True)
+class _Waiting:
+    link: Link
+    message: Message
+    sent_at: float
+    answered: Event = field(default_factory=Event)
+
+
+def _is_cancellable(message: Message) -> bool:
+    # The owner of an idempotency key carries on to the deadline: a response that is
+    # recorded answers the retry, a cancelled execution leaves its outcome unknown.
+    if not isinstance(message, CallRequest):
+        return False
+    return not message.idempotency_key or bool(message.claimed_by)
 
 
 class CallLinks:
@@ -53,7 +79,14 @@
 
     Requests travel on the links that a node dialled, their answers come back on the
     same link. A request from another node runs in a green thread of its own, in the
-    handler registered for its type.
+    handler registered for its type. Notices have no answer and travel both ways.
+
+    Parameters
+    ----------
+    dial_timeout_s : float
+        Longest wait for a link to open.
+    on_link_open : callable
+        Told of each link, dialled or accepted.
     """
 
     def __init__(
@@ -63,18 +96,29 @@
         clock: Clock,
         metrics: MetricSet,
         delay_for: Callable[[str], float] = lambda ip: 0.0,
+        dial_timeout_s: float = DIAL_TIMEOUT_S,
+        on_link_open: Callable[[Link], None] = lambda link: None,
     ):
+        self._dial_timeout_s = dial_timeout_s
+        self._on_link_open = on_link_open
         self._identity = identity
         self._clock = clock
         self._metrics = metrics
         self._delay_for = delay_for
         self._handlers_by_type: dict[type[Message], RequestHandler] = {}
+        self._cancellable_by_type: dict[type[Message], Callable[[Message], bool]] = {}
+        self._notice_handlers_by_type: dict[type[Message], NoticeHandler] = {}
         self._peers_by_address: dict[str, _Peer] = {}
-        self._waiting_by_call_id: dict[int, tuple[Link, Event]] = {}
+        self._links: set[Link] = set()
+        self._waiting_by_call_id: dict[int, _Waiting] = {}
         self._running: dict[tuple[Link, int], tuple[GreenThread, Message]] = {}
 
     def register_handler(
-        self, message_type: type[Message], handler: RequestHandler
+        self,
+        message_type: type[Message],
+        handler: RequestHandler,
+        *,
+        is_cancellable: Callable[[Message], bool] = _is_cancellable,
     ) -> None:
         """Set the handler of a request type.
 
@@ -83,8 +127,109 @@
         handler : callable
             Gets the peer, the request and the estimated instant of the local clock at
             which the peer sent it; returns the answer, with the same `call_id`.
+        is_cancellable : callable
+            Whether a running request is ended when its sender gives it up.
         """
         self._handlers_by_type[message_type] = handler
+        self._cancellable_by_type[message_type] = is_cancellable
+
+    def register_notice(
+        self, message_type: type[Message], handler: NoticeHandler
+    ) -> None:
+        """Set the handler of a message type that has no answer; it must not block."""
+        self._notice_handlers_by_type[message_type] = handler
+
+    def connect(self, member: Member) -> None:
+        """Open a link to `member` unless there is one.
+
+        Raises
+        ------
+        LinkClosedError
+            The node cannot be reached now.
+        """
+        self._link_to(member, self._clock.now() + self._dial_timeout_s)
+
+    def is_connected(self, peer_address: str) -> bool:
+        """Return whether there is an open link to the node at an address."""
+        peer = self._peers_by_address.get(peer_address)
+        return peer is not None and peer.link is not None and peer.link.is_open
+
+    def wait_until_closed(self, peer_address: str) -> None:
+        """Return once the link to the node at an address has closed."""
+        peer = self._peers_by_address.get(peer_address)
+        if peer is not None and peer.link is not None and peer.link.is_open:
+            peer.closed.wait()
+
+    def is_silent(self, peer_address: str) -> bool:
+        """Return whether the node at an address owes answers and gives no sign."""
+        peer = self._peers_by_address.get(peer_address)
+        return peer is not None and bool(peer.silent_since)
+
+    def notify_all(self, message: Message) -> None:
+        """Send a notice on all links; peers without a link do not get it."""
+        for link in list(self._links):
+            self.notify(link, message)
+
+    def notify(self, link: Link, message: Message) -> None:
+        """Send a notice on one link; a closed one loses it."""
+        with suppress(LinkClosedError, LinkOverflowError):
+            link.post(message)
+
+    def check_silence(
+        self, *, may_abandon: Callable[[Message], bool]
+    ) -> list[NodeIdentity]:
+        """Probe peers that owe answers; return those that give no sign of life.
+
+        Their requests that `may_abandon` selects fail with `AnswerLostError`. The
+        others wait on: they cannot be sent again, and the peer may come back.
+        """
+        now = self._clock.now()
+        silent = []
+        for peer, owing_since in self._peers_owing():
+            link = peer.link
+            # An idle link was silent before it owed anything.
+            silence_s = now - max(link.last_heard_at, owing_since)
+            if silence_s < PROBE_SILENCE_S:
+                peer.silent_since = 0.0
+                continue
+            with suppress(LinkClosedError, LinkOverflowError):
+                link.ping()
+            if silence_s < SILENCE_LIMIT_S:
+                continue
+            if not peer.silent_since:
+                peer.silent_since = now
+                silent.append(link.peer)
+            self._abandon(link, may_abandon)
+        return silent
+
+    def _peers_owing(self) -> list[tuple[_Peer, float]]:
+        """Return the peers that owe answers, or are silent, and since when."""
+        sent_at_by_link: dict[Link, float] = {}
+        for waiting in self._waiting_by_call_id.values():
+            sent_at_by_link.setdefault(waiting.link, waiting.sent_at)
+        owing = []
+        for peer in self._peers_by_address.values():
+            if peer.link is None or not peer.link.is_open:
+                peer.silent_since = 0.0
+            elif peer.link in sent_at_by_link:
+                owing.append((peer, sent_at_by_link[peer.link]))
+            elif peer.silent_since:
+                owing.append((peer, peer.silent_since - SILENCE_LIMIT_S))
+        return owing
+
+    def _abandon(self, link: Link, may_abandon: Callable[[Message], bool]) -> None:
+        for waiting in list(self._waiting_by_call_id.values()):
+            if waiting.link is not link or waiting.answered.ready():
+                continue
+            if may_abandon(waiting.message):
+                self._cancel(link, waiting.message)
+                waiting.answered.send_exception(
+                    AnswerLostError(
+                        "peer gives no sign of life",
+                        step="calls.request",
+                        peer=link.peer.node_id,
+                    )
+                )
 
     @property
     def running_count(self) -> int:
@@ -95,8 +240,9 @@
         """Send `message` to `member` and return its answer; see `RequestPort`."""
         link = self._link_to(member, deadline)
         call_id = message.call_id
-        answered = Event()
-        self._waiting_by_call_id[call_id] = (link, answered)
+        waiting = self._waiting_by_call_id[call_id] = _Waiting(
+            link, message, self._clock.now()
+        )
         try:
             try:
                 link.post(message)
@@ -104,7 +250,8 @@
                 raise LinkClosedError(
                     error.message, step="calls.request", peer=member.node_id
                 ) from error
-            answer = answered.wait(timeout=max(deadline - self._clock.now(), 0.0))
+            timeout_s = max(deadline - self._clock.now(), 0.0)
+            answer = waiting.answered.wait(timeout=timeout_s)
         except VerbenawickError:
             raise
         except BaseException:
@@ -122,17 +269,21 @@
         return answer
 
     def close(self) -> None:
-        """Close all links that this node dialled."""
-        for peer in self._peers_by_address.values():
-            if peer.link is not None:
-                peer.link.close()
+        """Close all links, dialled or accepted."""
+        for link in list(self._links):
+            link.close()
 
     def on_open(self, link: Link) -> None:
-        """Do nothing; a link is used once a request needs it."""
+        """Note a link; it is used once a request needs it."""
+        self._links.add(link)
+        self._on_link_open(link)
 
     def on_message(self, link: Link, message: Message) -> None:
         """Pass an answer to its waiting request, or run the request of a peer."""
-        if link.is_dialled:
+        notice_handler = self._notice_handlers_by_type.get(type(message))
+        if notice_handler is not None:
+            notice_handler(link.peer, message)
+        elif link.is_dialled:
             self._deliver(link, message)
         elif isinstance(message, CallCancel):
             self._kill(link, message.call_id)
@@ -141,14 +292,18 @@
 
     def on_close(self, link: Link) -> None:
         """Fail what waits for answers on `link`; cancel what its peer waits for."""
+        self._links.discard(link)
         if not link.is_dialled:
             for running_link, call_id in list(self._running):
                 if running_link is link:
                     self._kill(link, call_id)
             return
-        for waiting_link, answered in list(self._waiting_by_call_id.values()):
-            if waiting_link is link and not answered.ready():
-                answered.send_exception(
+        for peer in self._peers_by_address.values():
+            if peer.link is link and not peer.closed.ready():
+                peer.closed.send(True)
+        for waiting in list(self._waiting_by_call_id.values()):
+            if waiting.link is link and not waiting.answered.ready():
+                waiting.answered.send_exception(
                     AnswerLostError(
                         "link closed before the answer arrived",
                         step="calls.request",
@@ -158,10 +313,10 @@
 
     def _deliver(self, link: Link, message: Message) -> None:
         waiting = self._waiting_by_call_id.get(message.call_id)
-        if waiting is None or waiting[0] is not link or waiting[1].ready():
+        if waiting is None or waiting.link is not link or waiting.answered.ready():
             self._metrics.count(ANSWERS_DROPPED)
             return
-        waiting[1].send(message)
+        waiting.answered.send(message)
 
     def _start(self, link: Link, message: Message) -> None:
         handler = self._handlers_by_type.get(type(message))
@@ -186,14 +341,14 @@
 
     def _kill(self, link: Link, call_id: int) -> None:
         thread, message = self._running.get((link, call_id), (None, None))
-        if thread is None or not _is_cancellable(message):
+        if thread is None or not self._cancellable_by_type[type(message)](message):
             return
         self._running.pop((link, call_id))
         thread.kill()
 
     @staticmethod
     def _cancel(link: Link, message: Message) -> None:
-        if not isinstance(message, CallRequest) or not link.is_open:
+        if not link.is_open:
             return
         try:
             link.post(CallCancel(message.call_id))
@@ -230,7 +385,7 @@
                 peer=member.node_id,
             )
         peer.link = None
-        timeout_s = min(DIAL_TIMEOUT_S, deadline - now)
+        timeout_s = min(self._dial_timeout_s, deadline - now)
         if timeout_s <= 0:
             raise LinkClosedError(
                 "deadline passed while the link was dialled",
@@ -258,14 +413,8 @@
                 step="calls.dial",
                 peer=member.node_id,
             )
+        self._links.add(link)
         peer.link = link
+        peer.closed = Event()
         self._metrics.count(LINKS_DIALLED)
         return link
-
-
-def _is_cancellable(message: Message) -> bool:
-    # The owner of an idempotency key carries on to the deadline: a response that is
-    # recorded answers the retry, a cancelled execution leaves its outcome unknown.
-    if not isinstance(message, CallRequest):
-        return False
-    return not message.idempotency_key or bool(message.claimed_by)
--- a/src/verbenawick/_clock.py
+++ b/src/verbenawick/_clock.py
@@ -1,6 +1,6 @@
 """Monotonic time, injected so that tests control it."""
 
-from time import monotonic
+from time import CLOCK_BOOTTIME, clock_gettime, monotonic
 from typing import Protocol
 
 
@@ -20,6 +20,17 @@
         return monotonic()
 
 
+class BootClock:
+    """Clock that also counts the time for which the VM was suspended.
+
+    A deadline passes while the VM is suspended as well, since callers go on waiting.
+    """
+
+    def now(self) -> float:
+        """Return the current instant in seconds."""
+        return clock_gettime(CLOCK_BOOTTIME)
+
+
 class ManualClock:
     """Clock that moves only when a test advances it.
 
--- a/src/verbenawick/_entry_server.py
+++ b/src/verbenawick/_entry_server.py
@@ -1,12 +1,12 @@
 """Listener of the entry role over eventlet's WSGI server."""
 
 from contextlib import suppress
+from typing import Protocol
 
 import eventlet
 from eventlet import wsgi
 from greenlet import GreenletExit
 
-from verbenawick._entry import EntryApplication
 from verbenawick._sockets import listen
 
 MAX_CONNECTIONS = 1024
@@ -16,13 +16,31 @@
 SOCKET_TIMEOUT_S = 30.0
 
 
+class CallServingApplication(Protocol):
+    """WSGI application that can finish its calls before it stops."""
+
+    def __call__(self, environ, start_response):
+        """Serve one call."""
+        ...
+
+    def stop_accepting(self) -> None:
+        """Answer with ``Connection: close`` from now on."""
+        ...
+
+    def wait_idle(self, *, timeout_s: float) -> bool:
+        """Return whether the last call ended within `timeout_s`, after the stop."""
+        ...
+
+
 class EntryServer:
     """Listener of the entry role.
 
     `start` serves until `stop`, which finishes the calls in flight first.
     """
 
-    def __init__(self, application: EntryApplication, *, max_connections: int = 0):
+    def __init__(
+        self, application: CallServingApplication, *, max_connections: int = 0
+    ):
         self._application = application
         self._max_connections = max_connections or MAX_CONNECTIONS
         self._listener = None
@@ -71,3 +89,8 @@
         with eventlet.Timeout(timeout_s, False), suppress(GreenletExit):
             self._thread.wait()
         return is_idle
+
+    def close(self) -> None:
+        """Stop at once; calls in flight lose their caller."""
+        self._thread.kill()
+        self._listener.close()
--- a/src/verbenawick/_links.py
+++ b/src/verbenawick/_links.py
@@ -166,6 +166,24 @@
         self._protocol.send_binary(encode_message(message))
         self._flush()
 
+    @property
+    def last_heard_at(self) -> float:
+        """Return the instant of the monotonic clock at which bytes last arrived."""
+        return self._last_heard_at
+
+    def ping(self) -> None:
+        """Ask the peer for a sign of life.
+
+        Raises
+        ------
+        LinkClosedError, LinkOverflowError
+            The link is closed, or the peer reads too slowly.
+        """
+        if self.is_open and self._protocol.state is State.OPEN:
+            self._ping_sent_at = self._clock.now()
+            self._protocol.send_ping(b"")
+            self._flush()
+
     def close(self, reason: str = "closed by this node") -> None:
         """Close the connection; the handler is told by the reader."""
         if not self.is_open:
@@ -252,10 +270,7 @@
                 # Heartbeats show that the peer is alive; pings would double the
                 # messages that a relay handles.
                 continue
-            if self.is_open and self._protocol.state is State.OPEN:
-                self._ping_sent_at = self._clock.now()
-                self._protocol.send_ping(b"")
-                self._flush()
+            self.ping()
 
     def _was_heard_lately(self) -> bool:
         return self._clock.now() - self._last_heard_at < PING_INTERVAL_S
--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -168,6 +168,11 @@
         self.current_version = current_version
 
 
+@register_error("store.history-gone")
+class StoreHistoryGoneError(VerbenawickError):
+    """The store no longer knows the changes after a revision; read everything again."""
+
+
 @register_error("store.value-too-large")
 class StoreValueTooLargeError(VerbenawickError):
     """A value is larger than the store accepts."""
--- /dev/null
+++ b/src/verbenawick/mesh/_endpoints.py
@@ -0,0 +1,198 @@
+"""What an entry knows about the gateways: state, load, failures, calls under way."""
+
+from dataclasses import dataclass, field
+
+from verbenawick.mesh._model import (
+    CallOutcome,
+    CallResult,
+    GatewayLoad,
+    UpstreamRecord,
+    UpstreamState,
+)
+from verbenawick.mesh._placement import Candidate, Distance
+
+# Assumed time at an upstream that is not known yet, seconds.
+SERVICE_PRIOR_S = 0.05
+# Half-life of a share of failures without new answers, seconds: a failing upstream is
+# tried again after some of them.
+FAILURE_HALF_LIFE_S = 2.0
+# Weight of a new outcome in the share of failures.
+FAILURE_WEIGHT = 0.15
+# An own call that runs this many times longer than usual shows that its gateway or
+# upstream has become slow.
+OVERDUE_FACTOR = 3.0
+# A gateway that could not be reached is avoided for this long, seconds.
+UNREACHABLE_PAUSE_S = 0.5
+MAX_ROUTES_KEPT = 2000
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """One gateway as this entry sees it."""
+
+    node_id: str
+    service: str = ""
+    upstream_id: str = ""
+    state: UpstreamState = UpstreamState.UNKNOWN
+    distance: Distance = Distance.REMOTE
+    peer_address: str = ""
+    load: GatewayLoad = field(default_factory=GatewayLoad)
+    outstanding_at_load: int = 0
+    starts_by_call: dict[int, float] = field(default_factory=dict)
+    service_s_by_route: dict[str, float] = field(default_factory=dict)
+    failing_share: float = 0.0
+    failing_at: float = 0.0
+    avoided_until: float = 0.0
+    is_silent: bool = False
+
+    def current_load(self) -> int:
+        """Return the calls at the gateway, own ones since its last answer included."""
+        known = self.load.running + self.load.waiting
+        since = len(self.starts_by_call) - self.outstanding_at_load
+        return max(known + since, len(self.starts_by_call), 0)
+
+    def failing_now(self, now: float) -> float:
+        """Return the share of failures, faded since the last answer."""
+        age_s = max(now - self.failing_at, 0.0)
+        return self.failing_share * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+
+
+class Endpoints:
+    """Gateways by node id, fed by the directory, by links and by answers."""
+
+    def __init__(self, *, node_id: str, data_centre: str, region: str):
+        self._node_id = node_id
+        self._data_centre = data_centre
+        self._region = region
+        self._by_node_id: dict[str, Endpoint] = {}
+        self._service_s_by_route: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        """Return the number of known gateways."""
+        return len(self._by_node_id)
+
+    def get(self, node_id: str) -> Endpoint | None:
+        """Return what is known about a gateway."""
+        return self._by_node_id.get(node_id)
+
+    def all(self) -> tuple[Endpoint, ...]:
+        """Return all gateways."""
+        return tuple(self._by_node_id.values())
+
+    def of_service(self, service: str) -> list[Endpoint]:
+        """Return the gateways whose upstream is of `service`."""
+        return [e for e in self._by_node_id.values() if e.service == service]
+
+    def put_record(self, record: UpstreamRecord) -> Endpoint:
+        """Add or change a gateway by its record in the store."""
+        endpoint = self._by_node_id.get(record.node_id)
+        if endpoint is None:
+            endpoint = Endpoint(record.node_id)
+            self._by_node_id[record.node_id] = endpoint
+        endpoint.distance = self._distance(record)
+        endpoint.peer_address = record.peer_address
+        self._set_upstream(endpoint, record.service, record.upstream_id)
+        endpoint.state = record.state
+        return endpoint
+
+    def put_state(
+        self, node_id: str, *, service: str, upstream_id: str, state: UpstreamState
+    ) -> None:
+        """Change a gateway by what it says itself; it knows better than the store."""
+        endpoint = self._by_node_id.get(node_id)
+        if endpoint is None:
+            return
+        self._set_upstream(endpoint, service, upstream_id)
+        endpoint.state = state
+
+    def remove(self, node_id: str) -> None:
+        """Forget a gateway."""
+        self._by_node_id.pop(node_id, None)
+
+    def begin(self, node_id: str, call: int, now: float) -> None:
+        """Note a call that is about to be sent."""
+        endpoint = self._by_node_id.get(node_id)
+        if endpoint is not None:
+            endpoint.starts_by_call[call] = now
+
+    def end(
+        self, node_id: str, call: int, route: str, result: CallResult | None, now: float
+    ) -> None:
+        """Learn from the answer to a call; None when it was given up."""
+        endpoint = self._by_node_id.get(node_id)
+        if endpoint is None:
+            return
+        endpoint.starts_by_call.pop(call, None)
+        if result is None:
+            return
+        if result.load.slots:
+            self._learn_load(endpoint, route, result.load)
+            endpoint.failing_share = max(
+                result.load.failing_share, endpoint.failing_now(now)
+            )
+            if result.outcome is CallOutcome.COMPLETE and result.status < 500:
+                endpoint.failing_share = result.load.failing_share
+            endpoint.failing_at = now
+        elif result.outcome is not CallOutcome.COMPLETE:
+            share = endpoint.failing_now(now)
+            endpoint.failing_share = share + FAILURE_WEIGHT * (1 - share)
+            endpoint.failing_at = now
+
+    def avoid(self, node_id: str, now: float) -> None:
+        """Avoid a gateway that could not be reached."""
+        endpoint = self._by_node_id.get(node_id)
+        if endpoint is not None:
+            endpoint.avoided_until = now + UNREACHABLE_PAUSE_S
+
+    def candidate(self, endpoint: Endpoint, route: str, now: float) -> Candidate:
+        """Return what a call of `route` has to expect at a gateway."""
+        service_s = endpoint.service_s_by_route.get(route)
+        if service_s is None:
+            service_s = self._service_s_by_route.get(route, SERVICE_PRIOR_S)
+        if endpoint.starts_by_call:
+            oldest_s = now - next(iter(endpoint.starts_by_call.values()))
+            if oldest_s > OVERDUE_FACTOR * service_s:
+                service_s = oldest_s
+        slots = endpoint.load.slots or 1
+        excess = endpoint.current_load() + 1 - slots
+        wait_s = max(excess, 0) * service_s / slots if endpoint.load.slots else 0.0
+        return Candidate(
+            endpoint.node_id,
+            endpoint.distance,
+            wait_s + service_s,
+            endpoint.failing_now(now),
+        )
+
+    def _learn_load(self, endpoint: Endpoint, route: str, load: GatewayLoad) -> None:
+        endpoint.load = load
+        endpoint.outstanding_at_load = len(endpoint.starts_by_call)
+        if not load.service_s:
+            return
+        if len(endpoint.service_s_by_route) >= MAX_ROUTES_KEPT:
+            endpoint.service_s_by_route.clear()
+        endpoint.service_s_by_route[route] = load.service_s
+        if len(self._service_s_by_route) >= MAX_ROUTES_KEPT:
+            self._service_s_by_route.clear()
+        usual_s = self._service_s_by_route.get(route, load.service_s)
+        usual_s += 0.1 * (load.service_s - usual_s)
+        self._service_s_by_route[route] = usual_s
+
+    def _set_upstream(self, endpoint: Endpoint, service: str, upstream_id: str) -> None:
+        if (endpoint.service, endpoint.upstream_id) == (service, upstream_id):
+            return
+        # Nothing learned about an upstream holds for its successor.
+        endpoint.service = service
+        endpoint.upstream_id = upstream_id
+        endpoint.load = GatewayLoad()
+        endpoint.outstanding_at_load = 0
+        endpoint.service_s_by_route.clear()
+        endpoint.failing_share = 0.0
+
+    def _distance(self, record: UpstreamRecord) -> Distance:
+        if record.node_id == self._node_id:
+            return Distance.OWN_NODE
+        if record.region != self._region:
+            return Distance.REMOTE
+        if record.data_centre != self._data_centre:
+            return Distance.REGION
+        return Distance.DATA_CENTRE
--- /dev/null
+++ b/src/verbenawick/mesh/_messages.py
@@ -0,0 +1,77 @@
+"""Messages between the nodes of a mesh: calls, answers and changes of state."""
+
+from dataclasses import dataclass
+
+from verbenawick._messages import Message, register_message
+from verbenawick.mesh._model import CallOutcome, Headers, UpstreamState
+
+
+@register_message(90)
+@dataclass(frozen=True, slots=True)
+class ForwardedCall(Message):
+    """A call for the upstream beside the receiving node.
+
+    Attributes
+    ----------
+    call_id : int
+        Number drawn by the sender; matches the answer.
+    request_id : str
+        The caller's id of the attempt.
+    sent_at, deadline, objective_at : float
+        Instants of the sender's clock.
+    """
+
+    call_id: int
+    request_id: str
+    service: str
+    route: str
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    is_idempotent: bool
+    priority: int
+    sent_at: float
+    deadline: float
+    objective_at: float
+
+
+@register_message(91)
+@dataclass(frozen=True, slots=True)
+class ForwardedAnswer(Message):
+    """How a forwarded call ended, and the load of the gateway that ran it."""
+
+    call_id: int
+    outcome: CallOutcome
+    code: str
+    status: int
+    headers: Headers
+    body: bytes
+    has_arrived: bool
+    retry_after_s: float
+    running: int
+    waiting: int
+    slots: int
+    wait_s: float
+    service_s: float
+    failing_share: float
+
+
+@register_message(92)
+@dataclass(frozen=True, slots=True)
+class GatewayNotice(Message):
+    """State of the sender's upstream; sent when a link opens and at each change."""
+
+    service: str
+    upstream_id: str
+    state: UpstreamState
+    slots: int
+
+
+@register_message(93)
+@dataclass(frozen=True, slots=True)
+class CrashNotice(Message):
+    """Requests that were running when the sender's upstream crashed."""
+
+    upstream_id: str
+    fingerprints: tuple[bytes, ...]
--- /dev/null
+++ b/src/verbenawick/mesh/_node.py
@@ -0,0 +1,503 @@
+"""A node whose platform keeps the state: builds its parts, starts and stops them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import SystemRandom
+
+import eventlet
+
+from verbenawick._call_links import CallLinks
+from verbenawick._clock import BootClock, MonotonicClock
+from verbenawick._component import NodeIdentity
+from verbenawick._events import Event, emit, register_event
+from verbenawick._links import CALL_CHANNEL, Link, LinkServer
+from verbenawick._members import Member
+from verbenawick._messages import Message
+from verbenawick._metrics import MetricSet
+from verbenawick.errors import CallError, LinkClosedError
+from verbenawick.mesh._crash_guard import CrashGuard
+from verbenawick.mesh._endpoints import Endpoints
+from verbenawick.mesh._entry import MeshEntry
+from verbenawick.mesh._followers import ConfigurationFollower, RecordFollower
+from verbenawick.mesh._gateway import MeshGateway, UpstreamProtocol
+from verbenawick.mesh._local_upstream import LocalUpstream
+from verbenawick.mesh._messages import CrashNotice, ForwardedCall, GatewayNotice
+from verbenawick.mesh._model import (
+    MeshConfiguration,
+    UpstreamRecord,
+    UpstreamState,
+)
+from verbenawick.mesh._publisher import RecordPublisher
+from verbenawick.mesh._retry_budget import RetryBudget
+from verbenawick.mesh._settings import MeshSettings
+from verbenawick.mesh._state_store import RecordChange, StateStore
+from verbenawick.mesh._upstream_channels import AnswerKind, UpstreamChannels
+
+INCARNATION_BITS = 48
+# A node on the same site answers in milliseconds; a VM that is off never does.
+DIAL_TIMEOUT_S = 0.5
+FIRST_REDIAL_S = 0.1
+LONGEST_REDIAL_S = 1.0
+SILENCE_CHECK_INTERVAL_S = 0.1
+# The upstream answers health checks in a millisecond unless its slots are in use.
+PROBE_TIMEOUT_S = 0.5
+PROBE_INTERVAL_S = 0.3
+# Longest wait for the last write to the store at a stop, seconds.
+LAST_WRITE_S = 0.5
+# Left of the grace for closing sockets before the process is killed, seconds.
+STOP_MARGIN_S = 0.5
+# Other nodes learn within this time that the node takes no more calls, seconds.
+HANDOFF_S = 0.1
+
+
+@register_event(700, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class LinesOmitted(Event):
+    """Log lines were left out, to bound their volume; counted by event number."""
+
+    omitted: str
+
+
+@register_event(701)
+@dataclass(frozen=True, slots=True)
+class MeshNodeStarted(Event):
+    """The node listens on all its addresses."""
+
+    incarnation: int
+    service: str
+    data_centre: str
+    region: str
+
+
+@register_event(702)
+@dataclass(frozen=True, slots=True)
+class MeshNodeStopping(Event):
+    """The node was told to stop; it finishes its calls first."""
+
+    calls_in_flight: int
+    gateway_calls: int
+
+
+@register_event(703)
+@dataclass(frozen=True, slots=True)
+class MeshNodeStopped(Event):
+    """The node has ended its calls."""
+
+    all_calls_ended: bool
+
+
+@register_event(704)
+@dataclass(frozen=True, slots=True)
+class SettingsReloaded(Event):
+    """The settings file was read again."""
+
+    cause: str
+    service: str
+    upstream_address: str
+
+
+@register_event(705)
+@dataclass(frozen=True, slots=True)
+class ConfigurationInForce(Event):
+    """The node serves a configuration from now on."""
+
+    version: int
+    earlier_version: int
+    revision: int
+    routes: int
+
+
+@register_event(706)
+@dataclass(frozen=True, slots=True)
+class PeerReached(Event):
+    """A link to another node is open."""
+
+    peer: str
+
+
+@register_event(707, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class PeerLost(Event):
+    """Another node cannot be reached or gives no sign of life."""
+
+    peer: str
+    reason: str
+
+
+@register_event(708, level="DEBUG")
+@dataclass(frozen=True, slots=True)
+class UpstreamProbeFailed(Event):
+    """The upstream beside the node did not answer a health probe well."""
+
+    reason: str
+
+
+@register_event(709, level="ERROR")
+@dataclass(frozen=True, slots=True)
+class SettingsRejected(Event):
+    """The changed settings are invalid; the node goes on with those at hand."""
+
+    reason: str
+
+
+class MeshNode:
+    """One node with its entry and its gateway.
+
+    Parameters
+    ----------
+    open_store : callable
+        Returns a `StateStore` with a connection of its own.
+    protocol : UpstreamProtocol
+        How upstreams are spoken to.
+    """
+
+    def __init__(
+        self,
+        settings: MeshSettings,
+        *,
+        open_store: Callable[[], StateStore],
+        protocol: UpstreamProtocol,
+    ):
+        self.settings = settings
+        self.caller_service = settings.upstream.service
+        self.clock = BootClock()
+        self.random = SystemRandom()
+        self.metrics = MetricSet()
+        self.is_stopping = False
+        self._protocol = protocol
+        self.identity = NodeIdentity(
+            node_id=settings.node_id,
+            incarnation=self.random.getrandbits(INCARNATION_BITS),
+            service_id=settings.upstream.service,
+            data_centre=settings.data_centre,
+            region=settings.region,
+            peer_address=settings.peer_address,
+        )
+        self.endpoints = Endpoints(
+            node_id=settings.node_id,
+            data_centre=settings.data_centre,
+            region=settings.region,
+        )
+        self.upstream = LocalUpstream(
+            address=settings.upstream.address,
+            service=settings.upstream.service,
+            on_change=self._on_upstream_change,
+        )
+        self.links = CallLinks(
+            self.identity,
+            clock=MonotonicClock(),
+            metrics=self.metrics,
+            dial_timeout_s=DIAL_TIMEOUT_S,
+            on_link_open=self._on_link_open,
+        )
+        guard = CrashGuard()
+        self._guard = guard
+        self.channels = UpstreamChannels(
+            settings.upstream.address,
+            max_channels=64,
+            clock=self.clock,
+            metrics=self.metrics,
+        )
+        self.gateway = MeshGateway(
+            node_id=settings.node_id,
+            upstream=self.upstream,
+            channels=self.channels,
+            protocol=protocol,
+            guard=guard,
+            clock=self.clock,
+            metrics=self.metrics,
+            on_crash=self._on_crash,
+        )
+        self.entry = MeshEntry(
+            node_id=settings.node_id,
+            endpoints=self.endpoints,
+            links=self.links,
+            gateway=self.gateway,
+            budget=RetryBudget(
+                ratio=settings.retry_budget.ratio,
+                slack=settings.retry_budget.slack,
+                window_s=settings.retry_budget.window_s,
+                node_count=lambda: len(self.endpoints),
+            ),
+            guard=guard,
+            clock=self.clock,
+            random=self.random,
+            metrics=self.metrics,
+        )
+        self.links.register_handler(
+            ForwardedCall,
+            self.gateway.on_call,
+            is_cancellable=self.gateway.is_cancellable,
+        )
+        self.links.register_notice(GatewayNotice, self._on_gateway_notice)
+        self.links.register_notice(CrashNotice, self._on_crash_notice)
+        self._link_server = LinkServer(self.identity, {CALL_CHANNEL: self.links})
+        self._publisher = RecordPublisher(
+            open_store(),
+            node_id=settings.node_id,
+            wanted=self._wanted_record,
+            random=self.random,
+        )
+        self._configuration_follower = ConfigurationFollower(
+            open_store(), random=self.random, apply=self._on_configuration
+        )
+        self._record_follower = RecordFollower(
+            open_store(), random=self.random, apply=self._on_records
+        )
+        self._connectors_by_node_id: dict[str, object] = {}
+        self._tasks = []
+        self._put_own_endpoint()
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether callers should send work here."""
+        return (
+            not self.is_stopping
+            and self.entry.configuration is not None
+            and self._record_follower.has_read
+        )
+
+    def start(self) -> None:
+        """Open the link listener and start all tasks."""
+        self._link_server.listen()
+        self._tasks = [
+            eventlet.spawn(task)
+            for task in (
+                self._link_server.run,
+                self._configuration_follower.run,
+                self._record_follower.run,
+                self._publisher.run,
+                self._watch_silence,
+                self._probe_until_known,
+            )
+        ]
+        settings = self.settings
+        emit(
+            MeshNodeStarted(
+                self.identity.incarnation,
+                settings.upstream.service,
+                settings.data_centre,
+                settings.region,
+            )
+        )
+
+    def start_stopping(self, *, calls_in_flight: int) -> None:
+        """Take no more calls of other nodes and count as not ready."""
+        self.is_stopping = True
+        emit(MeshNodeStopping(calls_in_flight, self.gateway.in_flight))
+        self._notify_state()
+        eventlet.spawn_after(HANDOFF_S, self.gateway.stop_accepting)
+
+    def finish(self, *, deadline: float, all_calls_ended: bool) -> None:
+        """Wait for the calls of other nodes, bring the record up to date, close."""
+        while self.gateway.in_flight and self.clock.now() < deadline:
+            eventlet.sleep(0.02)
+        left_s = max(min(deadline - self.clock.now(), LAST_WRITE_S), 0.0)
+        if self.upstream.state is UpstreamState.GONE:
+            self._publisher.flush(timeout_s=left_s)
+        self.close()
+        all_calls_ended = all_calls_ended and not self.gateway.in_flight
+        emit(MeshNodeStopped(all_calls_ended))
+
+    def close(self) -> None:
+        """End all tasks and close all links."""
+        self._link_server.stop()
+        for task in (*self._tasks, *self._connectors_by_node_id.values()):
+            task.kill()
+        self.links.close()
+
+    def reload(self, settings: MeshSettings, *, cause: str) -> None:
+        """Take over changed settings that need no restart."""
+        self.caller_service = settings.upstream.service
+        emit(
+            SettingsReloaded(
+                cause, settings.upstream.service, settings.upstream.address
+            )
+        )
+
+    def reject_settings(self, reason: str) -> None:
+        """Go on with the settings at hand, since the changed ones are invalid."""
+        emit(SettingsRejected(reason))
+
+    def _on_configuration(self, configuration: MeshConfiguration) -> None:
+        earlier = self.entry.configuration
+        if not self.entry.put_in_force(configuration):
+            return
+        emit(
+            ConfigurationInForce(
+                configuration.version,
+                earlier.version if earlier else 0,
+                configuration.revision,
+                len(configuration.routes),
+            )
+        )
+        service = configuration.services_by_name.get(self.upstream.service)
+        if service is not None:
+            self.channels.max_channels = service.max_connections
+
+    def _on_records(self, change: RecordChange) -> None:
+        records = change.records_by_node_id
+        if change.is_complete:
+            for endpoint in self.endpoints.all():
+                if endpoint.node_id not in records:
+                    self._on_record(endpoint.node_id, None)
+        for node_id, record in records.items():
+            self._on_record(node_id, record)
+
+    def _on_record(self, node_id: str, record: UpstreamRecord | None) -> None:
+        if node_id == self.settings.node_id:
+            self._publisher.on_stored(record)
+            return
+        if record is None:
+            self.endpoints.remove(node_id)
+            connector = self._connectors_by_node_id.pop(node_id, None)
+            if connector is not None:
+                connector.kill()
+            return
+        known = self.endpoints.get(node_id)
+        has_moved = known is not None and known.peer_address != record.peer_address
+        # A node with an open link says itself how its upstream is.
+        if (
+            known is None
+            or has_moved
+            or not self.links.is_connected(record.peer_address)
+        ):
+            self.endpoints.put_record(record)
+        if has_moved:
+            self._connectors_by_node_id.pop(node_id).kill()
+        if node_id not in self._connectors_by_node_id:
+            self._connectors_by_node_id[node_id] = eventlet.spawn(
+                self._stay_connected, record
+            )
+
+    def _stay_connected(self, record: UpstreamRecord) -> None:
+        """Keep a link to another node open, so that no call has to wait for one."""
+        member = Member(
+            record.node_id, 0, record.service, "", "", record.peer_address, 0
+        )
+        failures = 0
+        while True:
+            try:
+                self.links.connect(member)
+                emit(PeerReached(record.node_id))
+                failures = 0
+                self.links.wait_until_closed(record.peer_address)
+                emit(PeerLost(record.node_id, "link closed"))
+                eventlet.sleep(FIRST_REDIAL_S * self.random.random())
+            except LinkClosedError as error:
+                failures += 1
+                if failures == 1:
+                    emit(PeerLost(record.node_id, str(error)))
+                wait_s = min(FIRST_REDIAL_S * 2**failures, LONGEST_REDIAL_S)
+                eventlet.sleep(wait_s * (0.5 + 0.5 * self.random.random()))
+
+    def _watch_silence(self) -> None:
+        while True:
+            eventlet.sleep(SILENCE_CHECK_INTERVAL_S)
+            for peer in self.links.check_silence(may_abandon=_may_abandon):
+                emit(PeerLost(peer.node_id, "no sign of life"))
+
+    def _on_link_open(self, link: Link) -> None:
+        if not link.is_dialled:
+            self.links.notify(link, self._notice())
+
+    def _on_gateway_notice(self, peer: NodeIdentity, notice: GatewayNotice) -> None:
+        self.endpoints.put_state(
+            peer.node_id,
+            service=notice.service,
+            upstream_id=notice.upstream_id,
+            state=notice.state,
+        )
+
+    def _on_crash_notice(self, peer: NodeIdentity, notice: CrashNotice) -> None:
+        self._guard.on_crash(notice.upstream_id, notice.fingerprints, self.clock.now())
+
+    def _on_crash(self, fingerprints: tuple[bytes, ...]) -> None:
+        notice = CrashNotice(self.upstream.upstream_id, fingerprints)
+        self._guard.on_crash(notice.upstream_id, fingerprints, self.clock.now())
+        self.links.notify_all(notice)
+
+    def _on_upstream_change(self) -> None:
+        self.gateway.on_upstream_change()
+        self._put_own_endpoint()
+        self._publisher.wake()
+        self._notify_state()
+
+    def _notify_state(self) -> None:
+        self.links.notify_all(self._notice())
+
+    def _notice(self) -> GatewayNotice:
+        state = UpstreamState.DRAINING if self.is_stopping else self.upstream.state
+        return GatewayNotice(
+            self.upstream.service,
+            self.upstream.upstream_id,
+            state,
+            self.upstream.slots,
+        )
+
+    def _put_own_endpoint(self) -> None:
+        settings = self.settings
+        self.endpoints.put_record(
+            UpstreamRecord(
+                settings.node_id,
+                self.upstream.service,
+                settings.data_centre,
+                settings.region,
+                settings.peer_address,
+                self.upstream.upstream_id,
+                self.upstream.state,
+                self.upstream.slots,
+            )
+        )
+
+    def _wanted_record(self) -> UpstreamRecord | None:
+        upstream = self.upstream
+        if upstream.state is UpstreamState.GONE:
+            return None
+        if upstream.state is UpstreamState.UNKNOWN:
+            return None
+        settings = self.settings
+        return UpstreamRecord(
+            settings.node_id,
+            upstream.service,
+            settings.data_centre,
+            settings.region,
+            settings.peer_address,
+            upstream.upstream_id,
+            upstream.state,
+            upstream.slots,
+        )
+
+    def _probe_until_known(self) -> None:
+        """Ask the upstream who it is until it or a report says so."""
+        while True:
+            configuration = self.entry.configuration
+            if self.upstream.state is UpstreamState.UNKNOWN and configuration:
+                self._probe(configuration)
+            eventlet.sleep(PROBE_INTERVAL_S)
+
+    def _probe(self, configuration: MeshConfiguration) -> None:
+        service = configuration.services_by_name.get(self.upstream.service)
+        if service is None:
+            return
+        try:
+            _, answer = self.channels.exchange(
+                method="GET",
+                target=service.health_path,
+                headers=self._protocol.health_headers(self.upstream.address),
+                body=b"",
+                deadline=self.clock.now() + PROBE_TIMEOUT_S,
+                classify=lambda answer: AnswerKind.OWN,
+            )
+        except CallError as error:
+            emit(UpstreamProbeFailed(str(error)))
+            return
+        upstream_id, slots = self._protocol.read_health(answer)
+        if upstream_id:
+            self.upstream.on_probe(upstream_id, slots)
+        else:
+            emit(UpstreamProbeFailed(f"answered {answer.status}"))
+
+
+def _may_abandon(message: Message) -> bool:
+    return isinstance(message, ForwardedCall) and message.is_idempotent
--- /dev/null
+++ b/src/verbenawick/mesh/_placement.py
@@ -0,0 +1,106 @@
+"""Choice of the gateway for a call by what the call is likely to lose there.
+
+Answers the load of a service whose upstreams differ in speed, distance and queue. The
+cost of a candidate adds the chance of missing the objective, the chance of a failure,
+and the price of the distance, so that a slow near upstream is left for a faster one
+farther away only when the objective is at stake.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+from random import Random
+
+
+class Distance(IntEnum):
+    """How far a gateway is from the entry."""
+
+    OWN_NODE = 0
+    DATA_CENTRE = 1
+    REGION = 2
+    REMOTE = 3
+
+
+# Round trip to a gateway and back, seconds; from the latencies between sites.
+ROUND_TRIP_S = {
+    Distance.OWN_NODE: 0.0,
+    Distance.DATA_CENTRE: 0.001,
+    Distance.REGION: 0.002,
+    Distance.REMOTE: 0.018,
+}
+# Price of the bytes of one call as a share of its value. Traffic between regions is
+# paid by volume.
+DISTANCE_COST = {
+    Distance.OWN_NODE: 0.0,
+    Distance.DATA_CENTRE: 0.002,
+    Distance.REGION: 0.01,
+    Distance.REMOTE: 0.15,
+}
+# Share of the value that is lost when a response is later than its objective.
+LATE_COST = 0.7
+# Cost of a call that is expected to end after its deadline.
+LOST_COST = 1.5
+# Draws among candidates of equal cost, so that entries do not all choose the same.
+JITTER_COST = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A gateway that could run a call.
+
+    Attributes
+    ----------
+    expected_s : float
+        Expected wait and run at the upstream, without the way there.
+    failing_share : float
+        Expected share of failed requests, 0 to 1.
+    """
+
+    node_id: str
+    distance: Distance
+    expected_s: float
+    failing_share: float = 0.0
+
+    @property
+    def completion_s(self) -> float:
+        """Return the expected time until the response is back."""
+        return self.expected_s + ROUND_TRIP_S[self.distance]
+
+
+def cost_of(candidate: Candidate, *, objective_s: float, left_s: float) -> float:
+    """Return the expected loss of a call at `candidate` as a share of its value.
+
+    Parameters
+    ----------
+    objective_s, left_s : float
+        Time left until the objective and until the deadline of the call.
+    """
+    completion_s = candidate.completion_s
+    if completion_s >= left_s:
+        miss = LOST_COST
+    elif completion_s >= objective_s:
+        miss = LATE_COST + 0.3 * completion_s / left_s
+    else:
+        # Service times spread widely around their mean, so the chance of a miss
+        # rises well before the mean reaches the objective.
+        miss = LATE_COST * (completion_s / objective_s) ** 3
+    return miss + DISTANCE_COST[candidate.distance] + candidate.failing_share
+
+
+def choose(
+    candidates: Sequence[Candidate],
+    *,
+    objective_s: float,
+    left_s: float,
+    random: Random,
+) -> Candidate | None:
+    """Return the candidate of least cost, None without one."""
+    if not candidates:
+        return None
+    return min(
+        candidates,
+        key=lambda candidate: (
+            cost_of(candidate, objective_s=objective_s, left_s=left_s)
+            + JITTER_COST * random.random()
+        ),
+    )
--- /dev/null
+++ b/src/verbenawick/mesh/_upstream_channels.py
@@ -0,0 +1,340 @@
+"""HTTP channels to the upstream beside the node.
+
+A channel is used again only when a whole answer was read and nothing came after it.
+Bytes that belong to no request, such as a second answer, are recognised by the parser
+or by the id that an answer carries; they are never passed on.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from eventlet import Timeout
+from eventlet.green import socket
+from httptools import HttpParserError, HttpResponseParser
+
+from verbenawick._clock import Clock
+from verbenawick._metrics import MetricKind, MetricSet, register_metric
+from verbenawick._polling import is_readable
+from verbenawick.errors import (
+    BadCallError,
+    BadResponseError,
+    CallTimeoutError,
+    DeadlineUnreachableError,
+    UpstreamLostError,
+    UpstreamUnreachableError,
+)
+from verbenawick.mesh._model import Headers
+
+RECEIVE_BYTES = 65_536
+# Opening a channel takes about a millisecond; the upstream is on the same VM.
+CONNECT_TIMEOUT_S = 1.0
+# Idle channels are not used again after this, unless the upstream names a shorter time.
+# Common servers close idle channels after 5 s or more.
+IDLE_LIMIT_S = 4.0
+# Subtracted from the idle time that the upstream names, for the way of the request.
+IDLE_MARGIN_S = 0.5
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+CHANNELS_OPENED = register_metric(
+    "mesh.upstream_channels_opened",
+    MetricKind.COUNTER,
+    "channels",
+    "Channels opened to the own upstream",
+)
+ANSWERS_SKIPPED = register_metric(
+    "mesh.upstream_answers_skipped",
+    MetricKind.COUNTER,
+    "answers",
+    "Answers of the own upstream that belong to another request",
+)
+
+
+class AnswerKind(StrEnum):
+    """What an answer of the upstream is to the request that was sent."""
+
+    OWN = "own"  # the answer to this request
+    FOREIGN = "foreign"  # the answer to another request
+    NOT_RUN = "not-run"  # the upstream states that it did not run this request
+    OTHER_UPSTREAM = "other-upstream"  # another upstream has the address; not run
+
+
+@dataclass(slots=True)
+class RawAnswer:
+    """An answer as the upstream sent it."""
+
+    status: int = 0
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    body: bytearray = field(default_factory=bytearray)
+    is_complete: bool = False
+    has_length: bool = False
+    keeps_channel: bool = False
+
+    def header(self, name: str) -> str | None:
+        """Return the value of a header by its name in lower case."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+
+class _AnswerReader:
+    """Collects the answers in the bytes of one channel; callbacks of the parser."""
+
+    def __init__(self):
+        self.complete: deque[RawAnswer] = deque()
+        self.current: RawAnswer | None = None
+        self._parser = HttpResponseParser(self)
+
+    def feed(self, data: bytes) -> None:
+        self._parser.feed_data(data)
+
+    def end(self) -> None:
+        """Note the end of the channel, which ends an answer without a length."""
+        answer = self.current
+        if answer is not None and answer.status and not answer.has_length:
+            answer.is_complete = True
+            answer.keeps_channel = False
+            self.complete.append(answer)
+            self.current = None
+
+    def on_message_begin(self) -> None:
+        self.current = RawAnswer()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.current.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        answer = self.current
+        answer.status = self._parser.get_status_code()
+        answer.keeps_channel = self._parser.should_keep_alive()
+        names = {name.lower() for name, _ in answer.headers}
+        answer.has_length = (
+            "content-length" in names
+            or "transfer-encoding" in names
+            or answer.status in (204, 304)
+            or answer.status < 200
+        )
+
+    def on_body(self, data: bytes) -> None:
+        self.current.body += data
+        if len(self.current.body) > MAX_ANSWER_BYTES:
+            raise ValueError("answer is too large")
+
+    def on_message_complete(self) -> None:
+        answer, self.current = self.current, None
+        if answer.status >= 200:
+            answer.is_complete = True
+            self.complete.append(answer)
+
+
+class _Channel:
+    def __init__(self, sock):
+        self.sock = sock
+        self.reader = _AnswerReader()
+        self.idle_until = 0.0
+        self.is_fresh = True
+
+
+class UpstreamChannels:
+    """Channels to one upstream; at most `max_channels` are open.
+
+    Parameters
+    ----------
+    address : str
+        ``"ip:port"`` of the upstream.
+    """
+
+    def __init__(
+        self, address: str, *, max_channels: int, clock: Clock, metrics: MetricSet
+    ):
+        host, _, port = address.rpartition(":")
+        self._address = address
+        self._target = (host, int(port))
+        self.max_channels = max_channels
+        self._clock = clock
+        self._metrics = metrics
+        self._idle: deque[_Channel] = deque()
+        self._open_count = 0
+
+    @property
+    def open_count(self) -> int:
+        """Return the number of open channels."""
+        return self._open_count
+
+    def exchange(
+        self,
+        *,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        deadline: float,
+        classify: Callable[[RawAnswer], AnswerKind],
+        on_sent: Callable[[], None] = lambda: None,
+    ) -> tuple[AnswerKind, RawAnswer]:
+        """Send a request and return the answer to it, whole.
+
+        Parameters
+        ----------
+        classify : callable
+            Tells whether an answer belongs to this request.
+        on_sent : callable
+            Called immediately before the first byte is written.
+
+        Raises
+        ------
+        UpstreamUnreachableError, DeadlineUnreachableError, BadCallError
+            Nothing was sent.
+        CallTimeoutError, UpstreamLostError, BadResponseError
+            The request was sent; it may have run.
+        """
+        data = _encode_request(method, target, headers, body)
+        channel = self._acquire(deadline)
+        is_clean = False
+        try:
+            on_sent()
+            with Timeout(max(deadline - self._clock.now(), 0.0), _DeadlinePassed()):
+                channel.sock.sendall(data)
+                kind, answer = self._read_own(channel, classify)
+            is_clean = answer.keeps_channel and not _has_leftover(channel.reader)
+        except _DeadlinePassed:
+            raise CallTimeoutError(
+                "deadline passed while the upstream ran the request",
+                step="upstream.exchange",
+                peer=self._address,
+            ) from None
+        except OSError as error:
+            raise UpstreamLostError(
+                f"channel ended before the answer was whole: {error!r}",
+                step="upstream.exchange",
+                peer=self._address,
+            ) from error
+        except (HttpParserError, ValueError) as error:
+            raise BadResponseError(
+                str(error) or type(error).__name__,
+                step="upstream.exchange",
+                peer=self._address,
+            ) from error
+        finally:
+            # Cancellation (GreenletExit) passes here too: a channel with an unread
+            # answer must not be used again.
+            self._give_back(channel, answer if is_clean else None)
+        return kind, answer
+
+    def is_reachable(self) -> bool:
+        """Return whether the upstream accepts a channel now."""
+        try:
+            socket.create_connection(self._target, CONNECT_TIMEOUT_S).close()
+        except OSError:
+            return False
+        return True
+
+    def close_idle(self) -> None:
+        """Close the channels that no call uses."""
+        while self._idle:
+            self._discard(self._idle.popleft())
+
+    def _read_own(self, channel: _Channel, classify) -> tuple[AnswerKind, RawAnswer]:
+        reader = channel.reader
+        while True:
+            while reader.complete:
+                answer = reader.complete.popleft()
+                kind = classify(answer)
+                if kind is not AnswerKind.FOREIGN:
+                    return kind, answer
+                self._metrics.count(ANSWERS_SKIPPED)
+            data = channel.sock.recv(RECEIVE_BYTES)
+            if not data:
+                reader.end()
+                if not reader.complete:
+                    raise ConnectionResetError("closed by the upstream")
+                continue
+            try:
+                reader.feed(data)
+            except HttpParserError:
+                # Bytes after a whole answer may be anything; they belong to no request.
+                if not reader.complete:
+                    raise
+                reader.current = RawAnswer()
+
+    def _acquire(self, deadline: float) -> _Channel:
+        now = self._clock.now()
+        while self._idle:
+            channel = self._idle.pop()
+            # Readable while idle: closed, or bytes that belong to no request.
+            if now < channel.idle_until and not is_readable(channel.sock.fileno()):
+                return channel
+            self._discard(channel)
+        if deadline <= now:
+            raise DeadlineUnreachableError(
+                "deadline passed before the request was sent",
+                step="upstream.connect",
+                peer=self._address,
+            )
+        if self._open_count >= self.max_channels:
+            raise UpstreamUnreachableError(
+                f"all {self.max_channels} channels are in use",
+                step="upstream.connect",
+                peer=self._address,
+            )
+        return self._open()
+
+    def _open(self) -> _Channel:
+        self._open_count += 1
+        try:
+            sock = socket.create_connection(self._target, CONNECT_TIMEOUT_S)
+            sock.settimeout(None)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except BaseException as error:
+            self._open_count -= 1
+            if isinstance(error, OSError):
+                raise UpstreamUnreachableError(
+                    f"cannot connect: {error}",
+                    step="upstream.connect",
+                    peer=self._address,
+                ) from error
+            raise
+        self._metrics.count(CHANNELS_OPENED)
+        return _Channel(sock)
+
+    def _give_back(self, channel: _Channel, answer: RawAnswer | None) -> None:
+        if answer is None:
+            self._discard(channel)
+            return
+        channel.idle_until = self._clock.now() + _idle_time_s(answer)
+        self._idle.append(channel)
+
+    def _discard(self, channel: _Channel) -> None:
+        self._open_count -= 1
+        channel.sock.close()
+
+
+class _DeadlinePassed(Exception):
+    """Raised inside an exchange by its timer."""
+
+
+def _has_leftover(reader: _AnswerReader) -> bool:
+    return bool(reader.complete) or reader.current is not None
+
+
+def _idle_time_s(answer: RawAnswer) -> float:
+    """Return for how long a channel may be used again after `answer`."""
+    for part in (answer.header("keep-alive") or "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return min(int(value) - IDLE_MARGIN_S, IDLE_LIMIT_S)
+    return IDLE_LIMIT_S
+
+
+def _encode_request(method: str, target: str, headers: Headers, body: bytes) -> bytes:
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if body or method in ("POST", "PUT", "PATCH"):
+        lines.append(f"Content-Length: {len(body)}")
+    head = "\r\n".join(lines)
+    # A line break inside a value would end the request early and smuggle in another.
+    if head.count("\n") != len(lines) - 1 or head.count("\r") != len(lines) - 1:
+        raise BadCallError("a header contains a line break", step="upstream.send")
+    return f"{head}\r\n\r\n".encode("latin-1") + body
--- /dev/null
+++ b/src/verbenawick/platform/__main__.py
@@ -0,0 +1,44 @@
+"""Command ``python -m verbenawick.platform``: runs a node on the users' platform."""
+
+import os
+import sys
+from argparse import ArgumentParser
+from pathlib import Path
+from warnings import filterwarnings
+
+SETTINGS_VARIABLE = "VERBENAWICK_SETTINGS"
+
+
+def main() -> int:
+    """Run a node until it is told to stop; return the exit code."""
+    parser = ArgumentParser(
+        prog="python -m verbenawick.platform",
+        description="Run a node on the users' platform.",
+    )
+    parser.add_argument(
+        "--settings",
+        type=Path,
+        default=os.environ.get(SETTINGS_VARIABLE),
+        metavar="FILE",
+        help=f"settings file, JSON with comments (default: {SETTINGS_VARIABLE})",
+    )
+    arguments = parser.parse_args()
+    if arguments.settings is None:
+        parser.error(f"name the settings file with --settings or {SETTINGS_VARIABLE}")
+    # eventlet announces its deprecation on import; the project's rules choose it.
+    filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+    # Header names are passed on as the upstream wrote them, on purpose.
+    filterwarnings("ignore", message="capitalize_response_headers is disabled")
+    # Imported late: the import patches the standard library.
+    from verbenawick._platform_daemon import run_platform_node
+    from verbenawick.errors import SettingsError
+
+    try:
+        return run_platform_node(Path(arguments.settings))
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return 2
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/verbenawick/platform/_documents.py
@@ -0,0 +1,160 @@
+"""Decoding of the platform's configuration document and status reports."""
+
+import msgspec
+
+from verbenawick.mesh._model import (
+    MeshConfiguration,
+    MeshRoute,
+    RequestLimits,
+    RouteTarget,
+    ServiceSpec,
+    StatusReport,
+)
+
+_IDEMPOTENT_KIND = "safe"
+
+
+class _Named(msgspec.Struct):
+    name: str = ""
+
+
+class _Resource(msgspec.Struct):
+    """An entry of the one list; `resource_type` says how to read `spec`."""
+
+    resource_type: str
+    metadata: _Named
+    spec: msgspec.Raw
+
+
+class _Document(msgspec.Struct):
+    version: int
+    resources: list[_Resource]
+
+
+class _Part(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _RouteSpec(msgspec.Struct):
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    service: str | None = None
+    weighted_split: list[_Part] | None = None
+    target_latency_ms: float | None = None
+    max_attempts: int = 1
+    priority: int = 0
+
+
+class _ServiceSpec(msgspec.Struct):
+    health_path: str = "/health"
+    max_connections: int = 64
+
+
+class _LimitsSpec(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Report(msgspec.Struct):
+    service: str
+    address: str
+    slots: int
+    state: str
+    sequence: int
+    cold_left_ms: float = 0.0
+    born: int = 0
+
+
+_document_decoder = msgspec.json.Decoder(_Document)
+_route_decoder = msgspec.json.Decoder(_RouteSpec)
+_service_decoder = msgspec.json.Decoder(_ServiceSpec)
+_limits_decoder = msgspec.json.Decoder(_LimitsSpec)
+_report_decoder = msgspec.json.Decoder(_Report)
+
+_DRAINING_BY_STATE = {"ready": False, "draining": True}
+
+
+def decode_configuration(data: bytes, revision: int) -> MeshConfiguration:
+    """Return the configuration in a document.
+
+    Raises
+    ------
+    msgspec.MsgspecError, ValueError
+        The document is not one of a configuration.
+    """
+    document = _document_decoder.decode(data)
+    routes = []
+    services = {}
+    limits = RequestLimits()
+    for resource in document.resources:
+        if resource.resource_type == "routes":
+            routes.append(_route(resource.metadata.name, resource.spec))
+        elif resource.resource_type == "services":
+            spec = _service_decoder.decode(resource.spec)
+            name = resource.metadata.name
+            services[name] = ServiceSpec(name, spec.health_path, spec.max_connections)
+        elif resource.resource_type == "limits":
+            spec = _limits_decoder.decode(resource.spec)
+            limits = RequestLimits(
+                spec.max_header_bytes,
+                spec.max_body_bytes,
+                spec.header_timeout_ms / 1000,
+                spec.idle_timeout_ms / 1000,
+            )
+    return MeshConfiguration(
+        document.version, revision, tuple(routes), services, limits
+    )
+
+
+def _route(name: str, data: msgspec.Raw) -> MeshRoute:
+    spec = _route_decoder.decode(data)
+    if spec.weighted_split:
+        targets = tuple(RouteTarget(p.service, p.weight) for p in spec.weighted_split)
+    elif spec.service:
+        targets = (RouteTarget(spec.service, 1.0),)
+    else:
+        raise ValueError(f"route {name} names no service")
+    timeout_s = spec.timeout_ms / 1000
+    objective_s = (spec.target_latency_ms or spec.timeout_ms) / 1000
+    return MeshRoute(
+        name,
+        spec.host,
+        spec.path_prefix,
+        targets,
+        spec.kind == _IDEMPOTENT_KIND,
+        timeout_s,
+        objective_s,
+        spec.priority,
+        spec.max_attempts,
+    )
+
+
+def decode_report(upstream_id: str, data: bytes) -> StatusReport:
+    """Return the status report in the body of a call.
+
+    Raises
+    ------
+    msgspec.MsgspecError, ValueError
+        A field is missing, of another type, or names an unknown state.
+    """
+    report = _report_decoder.decode(data)
+    is_draining = _DRAINING_BY_STATE.get(report.state)
+    if is_draining is None:
+        raise ValueError(f"unknown state {report.state!r}")
+    if not report.service or report.slots < 1:
+        raise ValueError("service or slots are empty")
+    return StatusReport(
+        upstream_id,
+        report.service,
+        report.address,
+        report.slots,
+        is_draining,
+        max(report.cold_left_ms, 0.0) / 1000,
+        report.sequence,
+        report.born,
+    )
--- /dev/null
+++ b/src/verbenawick/platform/_events.py
@@ -0,0 +1,24 @@
+"""Events of the platform's border."""
+
+from dataclasses import dataclass
+
+from verbenawick._events import Event, register_event
+
+
+@register_event(750, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class ObjectInvalid(Event):
+    """An object in the store cannot be decoded; it is passed over."""
+
+    kind: str
+    name: str
+    reason: str
+
+
+@register_event(751, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class ReportInvalid(Event):
+    """A status report cannot be decoded; the upstream's state stays as it is."""
+
+    upstream: str
+    reason: str
--- /dev/null
+++ b/src/verbenawick/platform/_node_server.py
@@ -0,0 +1,100 @@
+"""A node together with its HTTP listeners on the platform."""
+
+import eventlet
+from eventlet import wsgi
+
+from verbenawick._entry_server import EntryServer
+from verbenawick._sockets import listen
+from verbenawick.mesh._node import STOP_MARGIN_S, MeshNode
+from verbenawick.mesh._settings import MeshSettings
+from verbenawick.platform._calls import PlatformUpstreamProtocol
+from verbenawick.platform._objects import PlatformStore
+from verbenawick.platform._servers import (
+    CallApplication,
+    readiness_application,
+    report_application,
+)
+
+# The platform asks for readiness once a second and sends no new callers after two
+# refusals; until then callers are served.
+LEAVING_S = 2.3
+MAX_PAGE_CONNECTIONS = 64
+
+
+class NodeServer:
+    """Listeners of a node: callers, status reports, readiness.
+
+    Parameters
+    ----------
+    leaving_s : float
+        Time after a request to stop during which new callers are still served.
+    """
+
+    def __init__(self, settings: MeshSettings, *, leaving_s: float = LEAVING_S):
+        self.settings = settings
+        self._leaving_s = leaving_s
+        self.node = MeshNode(
+            settings,
+            open_store=lambda: PlatformStore(settings.store_address),
+            protocol=PlatformUpstreamProtocol(),
+        )
+        self.application = CallApplication(
+            self.node.entry,
+            clock=self.node.clock,
+            caller_service=lambda: self.node.caller_service,
+        )
+        self._entry_server = EntryServer(self.application)
+        self._page_threads = []
+        self._page_listeners = []
+
+    def start(self) -> None:
+        """Open all listeners and start the node."""
+        node = self.node
+        self._entry_server.listen(self.settings.call_address)
+        self._serve_page(
+            self.settings.readiness_address,
+            readiness_application(lambda: node.is_ready),
+        )
+        self._serve_page(
+            self.settings.report_address,
+            report_application(node.upstream, clock=node.clock),
+        )
+        node.start()
+        self._entry_server.start()
+
+    def stop(self) -> None:
+        """Finish all calls and close everything within the grace of the settings."""
+        grace_s = self.settings.stop_grace_s - STOP_MARGIN_S
+        deadline = self.node.clock.now() + grace_s
+        self.node.start_stopping(calls_in_flight=self.application.in_flight)
+        ended = self._entry_server.stop(
+            grace_s=self._leaving_s, timeout_s=grace_s - self._leaving_s
+        )
+        self.node.finish(deadline=deadline, all_calls_ended=ended)
+        self._close_pages()
+
+    def kill(self) -> None:
+        """Close all sockets at once, as the end of the process would."""
+        self._entry_server.close()
+        self.node.close()
+        self._close_pages()
+
+    def _serve_page(self, address: str, application) -> None:
+        listener = listen(address)
+        self._page_listeners.append(listener)
+        self._page_threads.append(
+            eventlet.spawn(
+                wsgi.server,
+                listener,
+                application,
+                log_output=False,
+                debug=False,
+                max_size=MAX_PAGE_CONNECTIONS,
+            )
+        )
+
+    def _close_pages(self) -> None:
+        for thread in self._page_threads:
+            thread.kill()
+        for listener in self._page_listeners:
+            listener.close()
--- /dev/null
+++ b/src/verbenawick/platform/_objects.py
@@ -0,0 +1,344 @@
+"""The platform's store: objects by kind and name, read and written over HTTP."""
+
+from urllib.parse import quote, urlencode
+
+import msgspec
+from eventlet import Timeout
+from eventlet.green import socket
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.util import SKIP_HEADER
+
+from verbenawick._events import emit
+from verbenawick.errors import (
+    StoreAnswerLostError,
+    StoreConditionError,
+    StoreHistoryGoneError,
+    StoreUnavailableError,
+)
+from verbenawick.mesh._model import UpstreamRecord, UpstreamState
+from verbenawick.mesh._state_store import ConfigurationChange, RecordChange
+from verbenawick.platform._documents import decode_configuration
+from verbenawick.platform._events import ObjectInvalid
+
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+# The project's own kind: one object for each upstream and the node beside it.
+RECORD_KIND = "verbenawick-upstreams"
+
+# Longest wait for the store beyond what a watch waits, seconds. It answers in
+# milliseconds; ten times that is slow, and a lost answer has to be noticed.
+ANSWER_TIMEOUT_S = 0.6
+CONNECT_TIMEOUT_S = 0.6
+# The store answers a slow call after some 0.3 s when it is overloaded, a read more
+# slowly than a write.
+CALL_TIMEOUT_S = 1.5
+
+_OMITTED_HEADERS = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+    revision: int = 0
+
+
+class _Object(msgspec.Struct):
+    """An object; `spec` is decoded by kind, since other writers may have written it."""
+
+    metadata: _Metadata
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _Event(msgspec.Struct):
+    object: _Object
+    deleted: bool = False
+
+
+class _Listing(msgspec.Struct):
+    """A page of objects; `more` says that others follow after the last name."""
+
+    items: list[msgspec.Raw]
+    current_rev: int
+    more: bool = False
+
+
+class _Changes(msgspec.Struct):
+    events: list[msgspec.Raw]
+    current_rev: int
+
+
+class _RecordSpec(msgspec.Struct):
+    """The project's own record of an upstream."""
+
+    service: str
+    data_centre: str
+    region: str
+    peer_address: str
+    upstream_id: str
+    state: UpstreamState
+    slots: int
+
+
+class _StoreConnection(HTTPConnection):
+    """urllib3's connection over a socket of eventlet."""
+
+    def _new_conn(self):
+        sock = socket.create_connection((self.host, self.port), CONNECT_TIMEOUT_S)
+        sock.settimeout(None)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return sock
+
+
+class PlatformStore:
+    """Implements `StateStore`; used by one task, over one connection.
+
+    Parameters
+    ----------
+    address : str
+        ``"ip:port"`` of the platform's store.
+    """
+
+    def __init__(self, address: str):
+        self._address = address
+        self._connection: _StoreConnection | None = None
+
+    def read_configuration(self) -> ConfigurationChange:
+        """Return the latest configuration."""
+        listing = self._list(CONFIGURATION_KIND, stale=False)
+        for item in listing[0]:
+            if item.metadata.name == CONFIGURATION_NAME:
+                return ConfigurationChange(listing[1], self._configuration(item))
+        return ConfigurationChange(listing[1], None)
+
+    def watch_configuration(
+        self, revision: int, *, wait_s: float
+    ) -> ConfigurationChange:
+        """Return the change after `revision`; wait until there is one."""
+        events, current = self._watch(CONFIGURATION_KIND, revision, wait_s, stale=False)
+        configuration = None
+        for event in events:
+            is_main = event.object.metadata.name == CONFIGURATION_NAME
+            if is_main and not event.deleted:
+                configuration = self._configuration(event.object) or configuration
+        return ConfigurationChange(current, configuration)
+
+    def read_records(self) -> RecordChange:
+        """Return all records; they may be seconds old."""
+        items, current = self._list(RECORD_KIND, stale=True)
+        records = {item.metadata.name: self._record(item) for item in items}
+        records = {name: record for name, record in records.items() if record}
+        return RecordChange(current, records, is_complete=True)
+
+    def watch_records(self, revision: int, *, wait_s: float) -> RecordChange:
+        """Return the changes after `revision`; they may be seconds old."""
+        events, current = self._watch(RECORD_KIND, revision, wait_s, stale=True)
+        records = {}
+        for event in events:
+            record = None if event.deleted else self._record(event.object)
+            if record is not None or event.deleted:
+                records[event.object.metadata.name] = record
+        return RecordChange(current, records, is_complete=False)
+
+    def create_record(self, record: UpstreamRecord) -> int:
+        """Create a record and return its revision."""
+        body = {"metadata": {"name": record.node_id}, "spec": _spec_of(record)}
+        answer = self._write("POST", f"/objects/{RECORD_KIND}", body, "store.create")
+        return _revision_in(answer)
+
+    def replace_record(self, record: UpstreamRecord) -> int:
+        """Replace the record of `record.revision` and return the new revision."""
+        metadata = {"name": record.node_id, "revision": record.revision}
+        body = {"metadata": metadata, "spec": _spec_of(record)}
+        path = f"/objects/{RECORD_KIND}/{quote(record.node_id)}"
+        return _revision_in(self._write("PUT", path, body, "store.replace"))
+
+    def read_record(self, node_id: str) -> UpstreamRecord | None:
+        """Return the current record of a node."""
+        path = f"/objects/{RECORD_KIND}/{quote(node_id)}"
+        status, data = self._call("GET", path, None, "store.read")
+        if status == 404:
+            return None
+        if status != 200:
+            raise self._unavailable(f"answered {status}", "store.read")
+        item = self._decode(data, _Object, "store.read")
+        record = self._record(item)
+        if record is None:
+            # Unreadable, but its revision is needed to replace it.
+            return UpstreamRecord(
+                node_id,
+                "",
+                "",
+                "",
+                "",
+                "",
+                UpstreamState.UNKNOWN,
+                0,
+                item.metadata.revision,
+            )
+        return record
+
+    def delete_record(self, node_id: str, revision: int) -> None:
+        """Delete the record of a node if it has `revision`."""
+        path = f"/objects/{RECORD_KIND}/{quote(node_id)}?revision={revision}"
+        self._write("DELETE", path, None, "store.delete", absent_is_done=True)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def _configuration(self, item: _Object):
+        try:
+            return decode_configuration(bytes(item.spec), item.metadata.revision)
+        except (msgspec.MsgspecError, ValueError) as error:
+            emit(ObjectInvalid(CONFIGURATION_KIND, item.metadata.name, str(error)))
+            return None
+
+    def _record(self, item: _Object) -> UpstreamRecord | None:
+        try:
+            spec = msgspec.json.decode(item.spec, type=_RecordSpec)
+        except (msgspec.MsgspecError, ValueError) as error:
+            emit(ObjectInvalid(RECORD_KIND, item.metadata.name, str(error)))
+            return None
+        return UpstreamRecord(
+            item.metadata.name,
+            spec.service,
+            spec.data_centre,
+            spec.region,
+            spec.peer_address,
+            spec.upstream_id,
+            spec.state,
+            spec.slots,
+            item.metadata.revision,
+        )
+
+    def _list(self, kind: str, *, stale: bool) -> tuple[list[_Object], int]:
+        objects: list[_Object] = []
+        revision = 0
+        after = ""
+        while True:
+            query = {"after": after} if after else {}
+            if stale:
+                query["allow_stale"] = "1"
+            listing = self._read(kind, query, _Listing, "store.list")
+            # A later watch repeats what changed between the pages.
+            revision = revision or listing.current_rev
+            page = self._objects(kind, listing.items, _Object)
+            objects += page
+            if not listing.more or not page:
+                return objects, revision
+            after = page[-1].metadata.name
+
+    def _watch(
+        self, kind: str, revision: int, wait_s: float, *, stale: bool
+    ) -> tuple[list[_Event], int]:
+        query = {"watch": str(revision), "wait_ms": str(int(wait_s * 1000))}
+        if stale:
+            query["allow_stale"] = "1"
+        changes = self._read(
+            kind, query, _Changes, "store.watch", timeout_s=wait_s + ANSWER_TIMEOUT_S
+        )
+        return self._objects(kind, changes.events, _Event), changes.current_rev
+
+    def _objects(self, kind: str, items: list[msgspec.Raw], shape: type) -> list:
+        """Decode each item for itself, so that an invalid one hides no other."""
+        objects = []
+        for item in items:
+            try:
+                objects.append(msgspec.json.decode(item, type=shape))
+            except (msgspec.MsgspecError, ValueError) as error:
+                emit(ObjectInvalid(kind, "", str(error)))
+        return objects
+
+    def _read(self, kind, query, shape, step, *, timeout_s=CALL_TIMEOUT_S):
+        url = f"/objects/{quote(kind)}"
+        if query:
+            url += "?" + urlencode(query)
+        status, data = self._call("GET", url, None, step, timeout_s=timeout_s)
+        if status == 410:
+            raise StoreHistoryGoneError("history is gone", step=step)
+        if status != 200:
+            raise self._unavailable(f"answered {status}", step)
+        return self._decode(data, shape, step)
+
+    def _write(self, method, path, body, step, *, absent_is_done=False) -> bytes:
+        status, data = self._call(method, path, body, step)
+        if status in (200, 201) or (absent_is_done and status == 404):
+            return data
+        if status in (404, 409):
+            raise StoreConditionError(
+                f"answered {status}", step=step, peer=self._address
+            )
+        if status in (429, 503):
+            raise self._unavailable(f"answered {status}", step)
+        raise self._answer_lost(f"answered {status}", step)
+
+    def _call(
+        self, method, path, body, step, *, timeout_s=CALL_TIMEOUT_S
+    ) -> tuple[int, bytes]:
+        data = None if body is None else msgspec.json.encode(body)
+        headers = dict(_OMITTED_HEADERS)
+        if data is not None:
+            headers["Content-Type"] = "application/json"
+        try:
+            with Timeout(timeout_s + CONNECT_TIMEOUT_S, TimeoutError("no answer")):
+                connection = self._connected(step)
+                connection.request(
+                    method, path, body=data, headers=headers, preload_content=True
+                )
+                response = connection.getresponse()
+                content = response.data
+        except (OSError, HTTPError, ValueError) as error:
+            self.close()
+            if method == "GET":
+                raise self._unavailable(repr(error), step) from error
+            raise self._answer_lost(repr(error), step) from error
+        except BaseException:
+            self.close()
+            raise
+        if (response.headers.get("Connection") or "").lower() == "close":
+            self.close()
+        return response.status, content
+
+    def _connected(self, step: str) -> _StoreConnection:
+        if self._connection is None:
+            host, _, port = self._address.rpartition(":")
+            connection = _StoreConnection(host, int(port))
+            try:
+                connection.connect()
+            except OSError as error:
+                raise self._unavailable(f"cannot connect: {error}", step) from error
+            self._connection = connection
+        return self._connection
+
+    def _decode(self, data: bytes, shape: type, step: str):
+        try:
+            return msgspec.json.decode(data, type=shape)
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise self._unavailable(f"answer is invalid: {error}", step) from error
+
+    def _unavailable(self, reason: str, step: str) -> StoreUnavailableError:
+        return StoreUnavailableError(reason, step=step, peer=self._address)
+
+    def _answer_lost(self, reason: str, step: str) -> StoreAnswerLostError:
+        return StoreAnswerLostError(reason, step=step, peer=self._address)
+
+
+def _spec_of(record: UpstreamRecord) -> _RecordSpec:
+    return _RecordSpec(
+        record.service,
+        record.data_centre,
+        record.region,
+        record.peer_address,
+        record.upstream_id,
+        record.state,
+        record.slots,
+    )
+
+
+def _revision_in(data: bytes) -> int:
+    try:
+        return msgspec.json.decode(data, type=_Object).metadata.revision
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise StoreAnswerLostError(f"answer is invalid: {error}") from error
--- /dev/null
+++ b/src/verbenawick/platform/_servers.py
@@ -0,0 +1,154 @@
+"""HTTP interfaces of a node on the platform: calls, status reports, readiness."""
+
+from collections.abc import Callable
+
+import msgspec
+from eventlet.event import Event
+from greenlet import GreenletExit
+
+from verbenawick._caller_watcher import CallerWatcher
+from verbenawick._clock import Clock
+from verbenawick._entry_request import read_body
+from verbenawick._events import emit
+from verbenawick.errors import CallError
+from verbenawick.mesh._entry import MeshEntry
+from verbenawick.mesh._local_upstream import LocalUpstream
+from verbenawick.mesh._model import CallOutcome, CallResult, RequestLimits
+from verbenawick.platform._calls import (
+    READINESS_PATH,
+    REPORT_PREFIX,
+    HeaderError,
+    decode_call,
+    encode_result,
+)
+from verbenawick.platform._documents import decode_report
+from verbenawick.platform._events import ReportInvalid
+
+# Status reports are a few hundred bytes; the platform bounds them to 4 KiB.
+MAX_REPORT_BYTES = 16_384
+# Interval at which calls in flight are checked for callers that left, seconds; an
+# upstream has to be free half a second after its caller left.
+CALLER_CHECK_INTERVAL_S = 0.1
+
+
+class CallApplication:
+    """WSGI application that callers on this VM send their requests to.
+
+    Parameters
+    ----------
+    caller_service : callable
+        Returns the service of this VM.
+    """
+
+    def __init__(
+        self, entry: MeshEntry, *, clock: Clock, caller_service: Callable[[], str]
+    ):
+        self._entry = entry
+        self._clock = clock
+        self._caller_service = caller_service
+        self._watcher = CallerWatcher(interval_s=CALLER_CHECK_INTERVAL_S)
+        self._in_flight = 0
+        self._is_stopping = False
+        self._idle = Event()
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of calls in flight."""
+        return self._in_flight
+
+    def stop_accepting(self) -> None:
+        """Answer with ``Connection: close`` from now on."""
+        self._is_stopping = True
+        if not self._in_flight:
+            self._idle.send(True)
+
+    def wait_idle(self, *, timeout_s: float) -> bool:
+        """Return whether the last call ended within `timeout_s`, after the stop."""
+        if self._is_stopping and not self._in_flight:
+            return True
+        return bool(self._idle.wait(timeout=timeout_s))
+
+    def __call__(self, environ, start_response):
+        """Serve one call."""
+        self._in_flight += 1
+        try:
+            result = self._serve(environ)
+        except GreenletExit:
+            start_response("499 Caller Closed", [("Content-Length", "0")])
+            return [b""]
+        finally:
+            self._in_flight -= 1
+            if self._is_stopping and not self._in_flight and not self._idle.ready():
+                self._idle.send(True)
+        request_id = environ.get("HTTP_ATTEMPT_ID", "")
+        status, headers, body = encode_result(result, request_id)
+        if self._is_stopping:
+            headers.append(("Connection", "close"))
+        start_response(status, headers)
+        return [body]
+
+    def _serve(self, environ) -> CallResult:
+        now = self._clock.now()
+        configuration = self._entry.configuration
+        limits = configuration.limits if configuration else RequestLimits()
+        try:
+            body = read_body(environ, limits.max_body_bytes)
+            call = decode_call(
+                environ, body, caller_service=self._caller_service(), now=now
+            )
+        except CallError as error:
+            return CallResult(CallOutcome.NOT_RUN, error.code)
+        except HeaderError:
+            return CallResult(CallOutcome.NOT_RUN, "call.bad-request")
+        with self._watcher.watch(environ["eventlet.input"].get_socket()):
+            return self._entry.serve(call)
+
+
+def report_application(upstream: LocalUpstream, *, clock: Clock):
+    """Return the WSGI application that the upstream beside the node reports to."""
+
+    def application(environ, start_response):
+        path = environ["PATH_INFO"]
+        upstream_id = path.removeprefix(REPORT_PREFIX)
+        if not path.startswith(REPORT_PREFIX) or not upstream_id:
+            return _answer(start_response, "404 Not Found", {"error": "no such page"})
+        method = environ["REQUEST_METHOD"]
+        if method == "DELETE":
+            upstream.on_leave(upstream_id, clock.now())
+            return _answer(start_response, "200 OK", {})
+        if method != "PUT":
+            return _answer(
+                start_response, "405 Method Not Allowed", {"error": "use PUT or DELETE"}
+            )
+        try:
+            data = read_body(environ, MAX_REPORT_BYTES)
+            report = decode_report(upstream_id, data)
+        except (CallError, msgspec.MsgspecError, ValueError) as error:
+            emit(ReportInvalid(upstream_id, str(error)))
+            return _answer(start_response, "400 Bad Request", {"error": str(error)})
+        upstream.on_report(report, clock.now())
+        return _answer(start_response, "200 OK", {})
+
+    return application
+
+
+def readiness_application(is_ready: Callable[[], bool]):
+    """Return the WSGI application that tells the platform whether to send callers."""
+
+    def application(environ, start_response):
+        if environ["PATH_INFO"] != READINESS_PATH:
+            return _answer(start_response, "404 Not Found", {"error": "no such page"})
+        ready = is_ready()
+        status = "200 OK" if ready else "503 Service Unavailable"
+        return _answer(start_response, status, {"ready": ready})
+
+    return application
+
+
+def _answer(start_response, status: str, content: dict) -> list[bytes]:
+    body = msgspec.json.encode(content)
+    start_response(
+        status,
+        [("Content-Type", "application/json"), ("Content-Length", str(len(body)))],
+    )
+    return [body]
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,172 @@
+"""Stand-in for the platform's store: objects by kind and name, lists and watches."""
+
+import json
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, unquote
+
+import eventlet
+from eventlet import wsgi
+from eventlet.event import Event
+
+HISTORY_LENGTH = 1000
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """Faults that the stand-in shows until they are reset.
+
+    Attributes
+    ----------
+    status : int
+        Answered to every call; 0 for none.
+    is_silent : bool
+        No call is answered.
+    loses_answers : bool
+        Writes take effect and are not answered.
+    """
+
+    status: int = 0
+    is_silent: bool = False
+    loses_answers: bool = False
+
+
+@dataclass(slots=True)
+class StandinPlatformStore:
+    """Keeps objects in memory; `serve` answers on a listener."""
+
+    revision: int = 1
+    faults: StoreFaults = field(default_factory=StoreFaults)
+    calls: list[tuple[str, str]] = field(default_factory=list)
+    oldest_revision: int = 0
+    _objects: dict[tuple[str, str], dict] = field(default_factory=dict)
+    _history: list[tuple[int, str, dict, bool]] = field(default_factory=list)
+    _changed: Event = field(default_factory=Event)
+
+    def serve(self, listener) -> None:
+        """Serve until the green thread is killed."""
+        wsgi.server(listener, self, log_output=False, debug=False)
+
+    def put(self, kind: str, name: str, spec: object) -> int:
+        """Write an object without a condition, as an operator does."""
+        known = self._objects.get((kind, name))
+        created = known["metadata"]["created_rev"] if known else self.revision + 1
+        self.revision += 1
+        metadata = {
+            "name": name,
+            "revision": self.revision,
+            "created_rev": created,
+            "finalizers": [],
+            "deleting": False,
+        }
+        item = {"metadata": metadata, "spec": spec, "status": None}
+        self._objects[kind, name] = item
+        self._note(kind, item, is_deleted=False)
+        return self.revision
+
+    def get(self, kind: str, name: str) -> dict | None:
+        """Return an object."""
+        return self._objects.get((kind, name))
+
+    def remove(self, kind: str, name: str) -> None:
+        """Delete an object."""
+        item = self._objects.pop((kind, name))
+        self.revision += 1
+        self._note(kind, item, is_deleted=True)
+
+    def forget_history(self) -> None:
+        """Drop all changes; watches from before have to read again."""
+        self._history.clear()
+        self.revision += 1
+        self.oldest_revision = self.revision
+        self._wake()
+
+    def __call__(self, environ, start_response):
+        """Answer one call."""
+        method = environ["REQUEST_METHOD"]
+        parts = [unquote(p) for p in environ["PATH_INFO"].split("/") if p]
+        query = {k: v[0] for k, v in parse_qs(environ.get("QUERY_STRING", "")).items()}
+        self.calls.append((method, environ["PATH_INFO"]))
+        while self.faults.is_silent:
+            eventlet.sleep(0.05)
+        if self.faults.status:
+            return _answer(start_response, self.faults.status, {"error": "fault"})
+        if method == "GET":
+            status, content = self._read(parts[1:], query)
+        else:
+            data = environ["wsgi.input"].read()
+            body = json.loads(data) if data else {}
+            status, content = self._write(method, parts[1:], query, body)
+            while self.faults.loses_answers:
+                eventlet.sleep(0.05)
+        return _answer(start_response, status, content)
+
+    def _read(self, parts, query):
+        kind = parts[0]
+        if len(parts) == 2:
+            item = self._objects.get((kind, parts[1]))
+            return (200, item) if item else (404, {"error": "absent"})
+        if "watch" in query:
+            return self._watch(kind, int(query["watch"]), int(query["wait_ms"]) / 1000)
+        after = query.get("after", "")
+        items = [
+            item
+            for (item_kind, name), item in sorted(self._objects.items())
+            if item_kind == kind and name > after
+        ]
+        return 200, {"items": items, "more": False, "current_rev": self.revision}
+
+    def _watch(self, kind: str, revision: int, wait_s: float):
+        with eventlet.Timeout(wait_s, False):
+            while True:
+                if revision < self.oldest_revision:
+                    return 410, {"error": "gone"}
+                events = [
+                    {"object": item, "deleted": is_deleted}
+                    for at, item_kind, item, is_deleted in self._history
+                    if at > revision and item_kind == kind
+                ]
+                if events:
+                    break
+                self._changed.wait()
+            return 200, {"events": events, "current_rev": self.revision}
+        return 200, {"events": [], "current_rev": self.revision}
+
+    def _write(self, method, parts, query, body):
+        kind = parts[0]
+        metadata = body.get("metadata", {})
+        name = parts[1] if len(parts) > 1 else metadata["name"]
+        known = self._objects.get((kind, name))
+        if method == "POST":
+            if known:
+                return 409, known
+            self.put(kind, name, body.get("spec"))
+            return 201, self._objects[kind, name]
+        if known is None:
+            return 404, {"error": "absent"}
+        expected = int(query.get("revision", metadata.get("revision", 0)))
+        if expected and expected != known["metadata"]["revision"]:
+            return 409, known
+        if method == "DELETE":
+            self.remove(kind, name)
+            return 200, known
+        if known["spec"] != body.get("spec"):
+            self.put(kind, name, body.get("spec"))
+        return 200, self._objects[kind, name]
+
+    def _note(self, kind: str, item: dict, *, is_deleted: bool) -> None:
+        self._history.append((self.revision, kind, item, is_deleted))
+        del self._history[:-HISTORY_LENGTH]
+        self._wake()
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, Event()
+        changed.send(True)
+
+
+def _answer(start_response, status: int, content: object):
+    body = json.dumps(content).encode()
+    start_response(
+        f"{status} Status",
+        [("Content-Type", "application/json"), ("Content-Length", str(len(body)))],
+    )
+    return [body]
--- /dev/null
+++ b/standins/platform_upstream.py
@@ -0,0 +1,125 @@
+"""Stand-in for an upstream on the platform: runs requests, reports its status."""
+
+import json
+from collections import Counter
+from dataclasses import dataclass, field
+from http.client import HTTPConnection
+
+import eventlet
+from eventlet import wsgi
+from eventlet.green import socket
+
+
+@dataclass(slots=True)
+class StandinPlatformUpstream:
+    """One upstream; counts what it runs by request id.
+
+    Attributes
+    ----------
+    work_s : float
+        Time that a request takes.
+    sheds : bool
+        Requests are answered as not run.
+    """
+
+    upstream_id: str
+    service: str
+    slots: int = 8
+    work_s: float = 0.0
+    sheds: bool = False
+    status: int = 200
+    runs_by_request: Counter = field(default_factory=Counter)
+    ended_runs: Counter = field(default_factory=Counter)
+    headers_by_request: dict[str, dict[str, str]] = field(default_factory=dict)
+    running: int = 0
+    most_running: int = 0
+    sequence: int = 0
+    born_ms: int = 1
+
+    def serve(self, listener) -> None:
+        """Serve until the green thread is killed."""
+        wsgi.server(listener, self, log_output=False, debug=False)
+
+    def report(
+        self, control: str, address: str, *, state: str = "ready", **fields
+    ) -> int:
+        """Send a status report and return the answer's status."""
+        self.sequence += 1
+        content = {
+            "service": self.service,
+            "address": address,
+            "zone": "zone",
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "cold_left_ms": 0,
+            "sequence": self.sequence,
+            "born": self.born_ms,
+            **fields,
+        }
+        return self._call(control, "PUT", json.dumps(content).encode())
+
+    def leave(self, control: str) -> int:
+        """Say that this upstream leaves; return the answer's status."""
+        return self._call(control, "DELETE", b"")
+
+    def _call(self, control: str, method: str, body: bytes) -> int:
+        host, _, port = control.rpartition(":")
+        connection = HTTPConnection(host, int(port), timeout=2)
+        connection.sock = socket.create_connection((host, int(port)), 2)
+        connection.request(method, f"/instances/{self.upstream_id}", body)
+        status = connection.getresponse().status
+        connection.close()
+        return status
+
+    def __call__(self, environ, start_response):
+        """Run one request."""
+        if environ["PATH_INFO"] == "/health":
+            load = f"{self.running},0,{self.slots}"
+            headers = [("Instance-Id", self.upstream_id), ("Server-Load", load)]
+            start_response("200 OK", [*headers, ("Content-Length", "0")])
+            return [b""]
+        request_id = environ.get("HTTP_ATTEMPT_ID", "")
+        expected = environ.get("HTTP_TARGET_INSTANCE", self.upstream_id)
+        if expected != self.upstream_id:
+            return self._refuse(start_response, "421 Misdirected Request", request_id)
+        if self.sheds:
+            return self._refuse(start_response, "503 Unavailable", request_id)
+        return self._run(environ, start_response, request_id)
+
+    def _run(self, environ, start_response, request_id: str):
+        self.runs_by_request[request_id] += 1
+        self.headers_by_request[request_id] = {
+            key: value for key, value in environ.items() if key.startswith("HTTP_")
+        }
+        body = environ["wsgi.input"].read()
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            eventlet.sleep(self.work_s)
+        finally:
+            self.running -= 1
+        self.ended_runs[request_id] += 1
+        content = f"{environ['REQUEST_METHOD']} {environ['RAW_PATH_INFO']}".encode()
+        content += b" " + body
+        start_response(
+            f"{self.status} Status",
+            [
+                ("Attempt-Id", request_id),
+                ("Response-Seal", f"seal-{request_id}"),
+                ("Content-Length", str(len(content))),
+            ],
+        )
+        return [content]
+
+    def _refuse(self, start_response, status: str, request_id: str):
+        start_response(
+            status,
+            [
+                ("Attempt-Id", request_id),
+                ("Not-Executed", "1"),
+                ("Instance-Id", self.upstream_id),
+                ("Content-Length", "0"),
+            ],
+        )
+        return [b""]
--- /dev/null
+++ b/tests/mesh_world.py
@@ -0,0 +1,224 @@
+"""Nodes on the stand-in platform in one process: store, upstreams, callers."""
+
+from dataclasses import dataclass, field
+from http.client import HTTPConnection
+from itertools import count
+
+import eventlet
+from eventlet.green import socket
+
+from standins.platform_store import StandinPlatformStore
+from standins.platform_upstream import StandinPlatformUpstream
+from tests.call_support import free_port, wait_until
+from verbenawick.mesh._settings import (
+    MeshSettings,
+    OwnUpstreamSettings,
+    RetryBudgetSettings,
+)
+from verbenawick.platform._node_server import NodeServer
+
+CONFIG_KIND = "config"
+RECORD_KIND = "verbenawick-upstreams"
+REPORT_INTERVAL_S = 0.2
+
+_request_numbers = count(1)
+
+
+def route(name: str, prefix: str, **spec) -> dict:
+    """Return a route resource of the platform's configuration."""
+    defaults = {
+        "host": "mesh.example",
+        "path_prefix": prefix,
+        "kind": "safe",
+        "timeout_ms": 2000,
+        "target_latency_ms": 500,
+        "priority": 1,
+        "max_attempts": 2,
+    }
+    return {
+        "resource_type": "routes",
+        "metadata": {"name": name},
+        "spec": {**defaults, **spec},
+    }
+
+
+def service(name: str) -> dict:
+    """Return a service resource of the platform's configuration."""
+    spec = {"health_path": "/health", "max_connections": 120, "protocol": "h1"}
+    return {"resource_type": "services", "metadata": {"name": name}, "spec": spec}
+
+
+def limits() -> dict:
+    """Return the limits resource of the platform's configuration."""
+    spec = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1048576,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    }
+    return {"resource_type": "limits", "metadata": {}, "spec": spec}
+
+
+@dataclass
+class Answer:
+    """An answer as a caller gets it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass
+class WorldNode:
+    """A node, its upstream and their addresses.
+
+    Attributes
+    ----------
+    is_reporting : bool
+        Whether the upstream sends status reports.
+    """
+
+    server: NodeServer
+    upstream: StandinPlatformUpstream
+    upstream_address: str
+    upstream_thread: object
+    is_reporting: bool = True
+    state: str = "ready"
+    reporter: object = None
+    listener: object = None
+
+    @property
+    def node_id(self) -> str:
+        """Return the id of the node."""
+        return self.server.settings.node_id
+
+    @property
+    def call_address(self) -> str:
+        """Return where callers connect."""
+        return self.server.settings.call_address
+
+    @property
+    def control_address(self) -> str:
+        """Return where the upstream reports."""
+        return self.server.settings.report_address
+
+
+@dataclass
+class MeshWorld:
+    """Stand-in platform with nodes; close it at the end of the test."""
+
+    store: StandinPlatformStore = field(default_factory=StandinPlatformStore)
+    nodes: list[WorldNode] = field(default_factory=list)
+    resources: list[dict] = field(default_factory=list)
+    version: int = 0
+    _threads: list = field(default_factory=list)
+
+    def __post_init__(self):
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.store_address = f"127.0.0.1:{listener.getsockname()[1]}"
+        self._threads.append(eventlet.spawn(self.store.serve, listener))
+
+    def configure(self, *resources: dict) -> int:
+        """Accept a configuration of these resources; return its version."""
+        self.version += 1
+        content = {"version": self.version, "resources": [*resources, limits()]}
+        self.store.put(CONFIG_KIND, "main", content)
+        return self.version
+
+    def add_node(
+        self, service_name: str, *, data_centre="dc1", region="north", **upstream
+    ) -> WorldNode:
+        """Start an upstream with a node beside it."""
+        number = len(self.nodes) + 1
+        standin = StandinPlatformUpstream(f"i-{number}", service_name, **upstream)
+        listener = eventlet.listen(("127.0.0.1", 0))
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        thread = eventlet.spawn(standin.serve, listener)
+        settings = MeshSettings(
+            node_id=f"node-{number}",
+            data_centre=data_centre,
+            region=region,
+            call_address=f"127.0.0.1:{free_port()}",
+            peer_address=f"127.0.0.1:{free_port()}",
+            readiness_address=f"127.0.0.1:{free_port()}",
+            report_address=f"127.0.0.1:{free_port()}",
+            metrics_address=f"127.0.0.1:{free_port()}",
+            store_address=self.store_address,
+            upstream=OwnUpstreamSettings(service=service_name, address=address),
+            retry_budget=RetryBudgetSettings(ratio=0.2, slack=60, window_s=10),
+        )
+        node = WorldNode(NodeServer(settings, leaving_s=0.2), standin, address, thread)
+        node.listener = listener
+        node.server.start()
+        node.reporter = eventlet.spawn(self._report, node)
+        self.nodes.append(node)
+        return node
+
+    def restart_node(self, node: WorldNode) -> None:
+        """Kill the node's process and start it again; the upstream stays."""
+        node.server.kill()
+        eventlet.sleep(0.05)
+        node.server = NodeServer(node.server.settings, leaving_s=0.2)
+        node.server.start()
+
+    def stop_upstream(self, node: WorldNode) -> None:
+        """Crash the upstream: its listener and its reports end."""
+        node.is_reporting = False
+        node.upstream_thread.kill()
+        node.listener.close()
+
+    def wait_ready(self) -> None:
+        """Wait until every node knows every upstream and has links to all."""
+        expected = sum(node.state == "ready" for node in self.nodes)
+        wait_until(lambda: all(self._is_ready(n, expected) for n in self.nodes), 10)
+
+    def _is_ready(self, node: WorldNode, expected: int) -> bool:
+        mesh = node.server.node
+        ready = [e for e in mesh.endpoints.all() if e.state == "ready"]
+        linked = [
+            e
+            for e in ready
+            if e.node_id == node.node_id or mesh.links.is_connected(e.peer_address)
+        ]
+        return mesh.is_ready and len(linked) == expected
+
+    def _report(self, node: WorldNode) -> None:
+        while True:
+            if node.is_reporting:
+                try:
+                    node.upstream.report(
+                        node.control_address, node.upstream_address, state=node.state
+                    )
+                except OSError:
+                    pass  # the node is down; the next report tries again
+            eventlet.sleep(REPORT_INTERVAL_S)
+
+    def call(
+        self, node: WorldNode, path: str, *, method="GET", body=None, **headers
+    ) -> Answer:
+        """Send one request to a node over a channel of its own."""
+        host, _, port = node.call_address.rpartition(":")
+        connection = HTTPConnection(host, int(port), timeout=10)
+        connection.sock = socket.create_connection((host, int(port)), 10)
+        sent = {
+            "Host": "mesh.example",
+            "Attempt-Id": f"a-{next(_request_numbers)}",
+            "Deadline-Remaining": "2000",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        try:
+            connection.request(method, path, body, sent)
+            response = connection.getresponse()
+            return Answer(response.status, dict(response.headers), response.read())
+        finally:
+            connection.close()
+
+    def close(self) -> None:
+        """Stop everything."""
+        for node in self.nodes:
+            node.reporter.kill()
+            node.server.kill()
+            node.upstream_thread.kill()
+            node.listener.close()
+        for thread in self._threads:
+            thread.kill()
