Keep connections between nodes and to upstreams registered with the hub

A received message took five system calls, three of them to register the socket with the hub and to find nothing. Links and upstream channels register once. Idle links ask for a sign of life each 15 s, the log writer and the probe sleep until there is something to do.

--- a/src/verbenawick/_call_links.py
+++ b/src/verbenawick/_call_links.py
@@ -12,7 +12,7 @@
 from verbenawick._call_messages import CallCancel, CallRequest
 from verbenawick._clock import Clock
 from verbenawick._component import NodeIdentity
-from verbenawick._links import CALL_CHANNEL, Link, dial_link
+from verbenawick._links import CALL_CHANNEL, PING_INTERVAL_S, Link, dial_link
 from verbenawick._members import Member
 from verbenawick._messages import Message
 from verbenawick._metrics import MetricKind, MetricSet, register_metric
@@ -97,9 +97,11 @@
         metrics: MetricSet,
         delay_for: Callable[[str], float] = lambda ip: 0.0,
         dial_timeout_s: float = DIAL_TIMEOUT_S,
+        ping_interval_s: float = PING_INTERVAL_S,
         on_link_open: Callable[[Link], None] = lambda link: None,
     ):
         self._dial_timeout_s = dial_timeout_s
+        self._ping_interval_s = ping_interval_s
         self._on_link_open = on_link_open
         self._identity = identity
         self._clock = clock
@@ -401,6 +403,7 @@
                 handler=self,
                 delay_s=self._delay_for(host),
                 timeout_s=timeout_s,
+                ping_interval_s=self._ping_interval_s,
             )
         except LinkClosedError:
             peer.retry_at = self._clock.now() + REDIAL_PAUSE_S
--- a/src/verbenawick/_links.py
+++ b/src/verbenawick/_links.py
@@ -32,6 +32,7 @@
     decode_message,
     encode_message,
 )
+from verbenawick._read_waiter import ReadWaiter
 from verbenawick._sockets import listen
 from verbenawick.errors import LinkClosedError, LinkOverflowError, ProtocolError
 
@@ -40,12 +41,13 @@
 
 IDENTITY_HEADER = "Verbenawick-Identity"
 
-RECEIVE_BYTES = 65536
+# Larger buffers are given back to the system after each read.
+RECEIVE_BYTES = 32_768
 MAX_QUEUED_BYTES = 32 * 1024 * 1024
 HANDSHAKE_TIMEOUT_S = 5.0
 PING_INTERVAL_S = 2.0
-# A peer that answers no ping for this long is frozen or cut off.
-PING_TIMEOUT_S = 6.0
+# A peer that answers no ping for so many intervals is frozen or cut off.
+PING_TIMEOUT_INTERVALS = 3
 
 
 @register_event(101, level="WARNING")
@@ -128,7 +130,19 @@
         Bytes on the socket, websocket framing included.
     """
 
-    def __init__(self, sock, protocol, *, peer, channel, is_dialled, handler, delay_s):
+    def __init__(
+        self,
+        sock,
+        protocol,
+        *,
+        peer,
+        channel,
+        is_dialled,
+        handler,
+        delay_s,
+        ping_interval_s=PING_INTERVAL_S,
+    ):
+        self._ping_interval_s = ping_interval_s
         self.peer: NodeIdentity = peer
         self.channel: str = channel
         self.is_dialled: bool = is_dialled
@@ -137,6 +151,7 @@
         self.bytes_received = 0
         self.is_open = True
         self._sock = sock
+        self._waiter = ReadWaiter(sock.fileno())
         self._protocol = protocol
         self._handler = handler
         self._delay_s = delay_s
@@ -213,12 +228,17 @@
         finally:
             pinger.kill()
             self.close()
+            self._waiter.close()
             self._sock.close()
             emit(LinkClosed(self.peer.node_id, self.channel, self._close_reason))
             self._handler.on_close(self)
 
     def _read_once(self) -> None:
-        data = self._sock.recv(RECEIVE_BYTES)
+        self._waiter.wait()
+        try:
+            data = self._sock.fd.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
         if not data:
             self.close("peer closed the connection")
             return
@@ -262,8 +282,9 @@
 
     def _ping_until_closed(self) -> None:
         while self.is_open:
-            eventlet.sleep(PING_INTERVAL_S)
-            if self._clock.now() - self._last_heard_at > PING_TIMEOUT_S:
+            eventlet.sleep(self._ping_interval_s)
+            limit_s = PING_TIMEOUT_INTERVALS * self._ping_interval_s
+            if self._clock.now() - self._last_heard_at > limit_s:
                 self.close("peer answers no ping")
                 return
             if self.channel == CONTROL_CHANNEL and self._was_heard_lately():
@@ -273,7 +294,7 @@
             self.ping()
 
     def _was_heard_lately(self) -> bool:
-        return self._clock.now() - self._last_heard_at < PING_INTERVAL_S
+        return self._clock.now() - self._last_heard_at < self._ping_interval_s
 
     def _flush(self) -> None:
         data = b"".join(self._protocol.data_to_send())
@@ -335,6 +356,7 @@
     handler: LinkHandler,
     delay_s: float = 0.0,
     timeout_s: float = HANDSHAKE_TIMEOUT_S,
+    ping_interval_s: float = PING_INTERVAL_S,
 ) -> Link:
     """Open a link to the node at `address` and start its reader.
 
@@ -346,6 +368,8 @@
         `CONTROL_CHANNEL` or `CALL_CHANNEL`.
     delay_s : float
         Added one-way delay; for tests.
+    ping_interval_s : float
+        Time between signs of life that are asked of an idle peer.
 
     Raises
     ------
@@ -374,6 +398,7 @@
         is_dialled=True,
         handler=handler,
         delay_s=delay_s,
+        ping_interval_s=ping_interval_s,
     )
     eventlet.spawn_n(link.run)
     return link
@@ -424,7 +449,9 @@
         *,
         delay_for: Callable[[str], float] = lambda ip: 0.0,
         max_links: int = 4096,
+        ping_interval_s: float = PING_INTERVAL_S,
     ):
+        self._ping_interval_s = ping_interval_s
         self._identity = identity
         self._handlers_by_channel = handlers_by_channel
         self._delay_for = delay_for
@@ -491,6 +518,7 @@
             is_dialled=False,
             handler=handler,
             delay_s=self._delay_for(address[0]),
+            ping_interval_s=self._ping_interval_s,
         )
 
     @staticmethod
--- a/src/verbenawick/mesh/_log_output.py
+++ b/src/verbenawick/mesh/_log_output.py
@@ -6,6 +6,7 @@
 
 import eventlet
 import msgspec
+from eventlet.event import Event
 from loguru import logger
 
 # Lines kept while the reader of the output is slow.
@@ -29,6 +30,7 @@
         self._fileno = fileno
         self._lines: deque[bytes] = deque()
         self._partial = b""
+        self._has_lines = Event()
         self._counts_by_event: dict[int, list[float]] = {}
         self._omitted_by_event: dict[str, int] = {}
         self._reported_at = monotonic()
@@ -58,9 +60,12 @@
     def run(self) -> None:
         """Write lines until the green thread is killed."""
         while True:
+            self._has_lines.wait()
             eventlet.sleep(FLUSH_INTERVAL_S)
             self._report_omitted()
             self.flush()
+            if not self._lines and not self._partial:
+                self._has_lines = Event()
 
     def flush(self) -> None:
         """Write what the reader takes now."""
@@ -83,6 +88,8 @@
             self._lines.popleft()
             count = self._omitted_by_event.get("unread", 0)
             self._omitted_by_event["unread"] = count + 1
+        if not self._has_lines.ready():
+            self._has_lines.send(True)
         self._lines.append(msgspec.json.encode(line, enc_hook=str) + b"\n")
 
     def _is_within_rate(self, number: int) -> bool:
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from random import SystemRandom
+from random import Random, SystemRandom
 
 import eventlet
 
@@ -38,7 +38,9 @@
 DIAL_TIMEOUT_S = 0.5
 FIRST_REDIAL_S = 0.1
 LONGEST_REDIAL_S = 1.0
-SILENCE_CHECK_INTERVAL_S = 0.1
+SILENCE_CHECK_INTERVAL_S = 0.15
+# Links that owe answers are watched closely; idle ones need few signs of life.
+IDLE_PING_INTERVAL_S = 15.0
 # The upstream answers health checks in a millisecond unless its slots are in use.
 PROBE_TIMEOUT_S = 0.5
 PROBE_INTERVAL_S = 0.3
@@ -161,13 +163,14 @@
         self.settings = settings
         self.caller_service = settings.upstream.service
         self.clock = BootClock()
-        self.random = SystemRandom()
+        # Draws among gateways and waits need no system call each.
+        self.random = Random(SystemRandom().getrandbits(64))
         self.metrics = MetricSet()
         self.is_stopping = False
         self._protocol = protocol
         self.identity = NodeIdentity(
             node_id=settings.node_id,
-            incarnation=self.random.getrandbits(INCARNATION_BITS),
+            incarnation=SystemRandom().getrandbits(INCARNATION_BITS),
             service_id=settings.upstream.service,
             data_centre=settings.data_centre,
             region=settings.region,
@@ -188,6 +191,7 @@
             clock=MonotonicClock(),
             metrics=self.metrics,
             dial_timeout_s=DIAL_TIMEOUT_S,
+            ping_interval_s=IDLE_PING_INTERVAL_S,
             on_link_open=self._on_link_open,
         )
         guard = CrashGuard()
@@ -231,7 +235,11 @@
         )
         self.links.register_notice(GatewayNotice, self._on_gateway_notice)
         self.links.register_notice(CrashNotice, self._on_crash_notice)
-        self._link_server = LinkServer(self.identity, {CALL_CHANNEL: self.links})
+        self._link_server = LinkServer(
+            self.identity,
+            {CALL_CHANNEL: self.links},
+            ping_interval_s=IDLE_PING_INTERVAL_S,
+        )
         self._publisher = RecordPublisher(
             open_store(),
             node_id=settings.node_id,
@@ -246,6 +254,7 @@
         )
         self._connectors_by_node_id: dict[str, object] = {}
         self._tasks = []
+        self._is_probing = False
         self._put_own_endpoint()
 
     @property
@@ -268,10 +277,10 @@
                 self._record_follower.run,
                 self._publisher.run,
                 self._watch_silence,
-                self._probe_until_known,
             )
         ]
         settings = self.settings
+        self._start_probing()
         emit(
             MeshNodeStarted(
                 self.identity.incarnation,
@@ -419,6 +428,7 @@
 
     def _on_upstream_change(self) -> None:
         self.gateway.on_upstream_change()
+        self._start_probing()
         self._put_own_endpoint()
         self._publisher.wake()
         self._notify_state()
@@ -468,13 +478,20 @@
             upstream.slots,
         )
 
+    def _start_probing(self) -> None:
+        if self.upstream.state is UpstreamState.UNKNOWN and not self._is_probing:
+            self._is_probing = True
+            self._tasks.append(eventlet.spawn(self._probe_until_known))
+
     def _probe_until_known(self) -> None:
         """Ask the upstream who it is until it or a report says so."""
-        while True:
-            configuration = self.entry.configuration
-            if self.upstream.state is UpstreamState.UNKNOWN and configuration:
-                self._probe(configuration)
-            eventlet.sleep(PROBE_INTERVAL_S)
+        try:
+            while self.upstream.state is UpstreamState.UNKNOWN:
+                if self.entry.configuration is not None:
+                    self._probe(self.entry.configuration)
+                eventlet.sleep(PROBE_INTERVAL_S)
+        finally:
+            self._is_probing = False
 
     def _probe(self, configuration: MeshConfiguration) -> None:
         service = configuration.services_by_name.get(self.upstream.service)
--- a/src/verbenawick/mesh/_upstream_channels.py
+++ b/src/verbenawick/mesh/_upstream_channels.py
@@ -17,6 +17,7 @@
 from verbenawick._clock import Clock
 from verbenawick._metrics import MetricKind, MetricSet, register_metric
 from verbenawick._polling import is_readable
+from verbenawick._read_waiter import ReadWaiter
 from verbenawick.errors import (
     BadCallError,
     BadResponseError,
@@ -27,7 +28,8 @@
 )
 from verbenawick.mesh._model import Headers
 
-RECEIVE_BYTES = 65_536
+# Larger buffers are given back to the system after each read.
+RECEIVE_BYTES = 32_768
 # Opening a channel takes about a millisecond; the upstream is on the same VM.
 CONNECT_TIMEOUT_S = 1.0
 # Idle channels are not used again after this, unless the upstream names a shorter time.
@@ -132,9 +134,22 @@
 class _Channel:
     def __init__(self, sock):
         self.sock = sock
+        self.waiter = ReadWaiter(sock.fileno())
         self.reader = _AnswerReader()
         self.idle_until = 0.0
-        self.is_fresh = True
+
+    def receive(self) -> bytes:
+        """Return the next bytes, none at the end."""
+        while True:
+            self.waiter.wait()
+            try:
+                return self.sock.fd.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                continue
+
+    def close(self) -> None:
+        self.waiter.close()
+        self.sock.close()
 
 
 class UpstreamChannels:
@@ -245,7 +260,7 @@
                 if kind is not AnswerKind.FOREIGN:
                     return kind, answer
                 self._metrics.count(ANSWERS_SKIPPED)
-            data = channel.sock.recv(RECEIVE_BYTES)
+            data = channel.receive()
             if not data:
                 reader.end()
                 if not reader.complete:
@@ -308,7 +323,7 @@
 
     def _discard(self, channel: _Channel) -> None:
         self._open_count -= 1
-        channel.sock.close()
+        channel.close()
 
 
 class _DeadlinePassed(Exception):
--- a/src/verbenawick/platform/_servers.py
+++ b/src/verbenawick/platform/_servers.py
@@ -28,7 +28,7 @@
 MAX_REPORT_BYTES = 16_384
 # Interval at which calls in flight are checked for callers that left, seconds; an
 # upstream has to be free half a second after its caller left.
-CALLER_CHECK_INTERVAL_S = 0.1
+CALLER_CHECK_INTERVAL_S = 0.2
 
 
 class CallApplication:
