Relay the configuration inside a region; weigh distance by size; finish calls at a stop

One node per region watches the store now and passes the compressed document on; without its beacons each node watches itself.

A refusal no longer changes the state of a gateway at the entry, since the notice that it is ready again may come first. A stopping node runs calls for others until shortly before it closes its listener. Deadlines and links of a node use one clock.

--- a/src/verbenawick/_call_links.py
+++ b/src/verbenawick/_call_links.py
@@ -167,6 +167,14 @@
         peer = self._peers_by_address.get(peer_address)
         return peer is not None and bool(peer.silent_since)
 
+    def now(self) -> float:
+        """Return the current instant of the clock that deadlines refer to."""
+        return self._clock.now()
+
+    def dialled_links(self) -> list[Link]:
+        """Return the open links that this node dialled, one for each peer."""
+        return [link for link in self._links if link.is_dialled and link.is_open]
+
     def notify_all(self, message: Message) -> None:
         """Send a notice on all links; peers without a link do not get it."""
         for link in list(self._links):
@@ -404,6 +412,7 @@
                 delay_s=self._delay_for(host),
                 timeout_s=timeout_s,
                 ping_interval_s=self._ping_interval_s,
+                clock=self._clock,
             )
         except LinkClosedError:
             peer.retry_at = self._clock.now() + REDIAL_PAUSE_S
--- a/src/verbenawick/_links.py
+++ b/src/verbenawick/_links.py
@@ -141,6 +141,7 @@
         handler,
         delay_s,
         ping_interval_s=PING_INTERVAL_S,
+        clock=None,
     ):
         self._ping_interval_s = ping_interval_s
         self.peer: NodeIdentity = peer
@@ -155,7 +156,7 @@
         self._protocol = protocol
         self._handler = handler
         self._delay_s = delay_s
-        self._clock: Clock = MonotonicClock()
+        self._clock: Clock = clock or MonotonicClock()
         self._backlog: deque[tuple[float, bytes]] = deque()
         self._backlog_bytes = 0
         self._is_writing = False
@@ -357,6 +358,7 @@
     delay_s: float = 0.0,
     timeout_s: float = HANDSHAKE_TIMEOUT_S,
     ping_interval_s: float = PING_INTERVAL_S,
+    clock: Clock | None = None,
 ) -> Link:
     """Open a link to the node at `address` and start its reader.
 
@@ -399,6 +401,7 @@
         handler=handler,
         delay_s=delay_s,
         ping_interval_s=ping_interval_s,
+        clock=clock,
     )
     eventlet.spawn_n(link.run)
     return link
@@ -450,7 +453,9 @@
         delay_for: Callable[[str], float] = lambda ip: 0.0,
         max_links: int = 4096,
         ping_interval_s: float = PING_INTERVAL_S,
+        clock: Clock | None = None,
     ):
+        self._link_clock = clock
         self._ping_interval_s = ping_interval_s
         self._identity = identity
         self._handlers_by_channel = handlers_by_channel
@@ -519,6 +524,7 @@
             handler=handler,
             delay_s=self._delay_for(address[0]),
             ping_interval_s=self._ping_interval_s,
+            clock=self._link_clock,
         )
 
     @staticmethod
--- a/src/verbenawick/mesh/_endpoints.py
+++ b/src/verbenawick/mesh/_endpoints.py
@@ -21,9 +21,13 @@
 # An own call that runs this many times longer than usual shows that its gateway or
 # upstream has become slow.
 OVERDUE_FACTOR = 3.0
-# A gateway that could not be reached is avoided for this long, seconds.
-UNREACHABLE_PAUSE_S = 0.5
+# A gateway that was unreachable or took no calls is avoided for this long, seconds.
+AVOIDED_S = 0.5
 MAX_ROUTES_KEPT = 2000
+# Headers of request and response, bytes.
+HEADER_BYTES = 600
+# Weight of a new sample in the usual size of a route's calls.
+SIZE_WEIGHT = 0.1
 
 
 @dataclass(slots=True)
@@ -66,6 +70,7 @@
         self._region = region
         self._by_node_id: dict[str, Endpoint] = {}
         self._service_s_by_route: dict[str, float] = {}
+        self._bytes_by_route: dict[str, float] = {}
 
     def __len__(self) -> int:
         """Return the number of known gateways."""
@@ -138,11 +143,23 @@
             endpoint.failing_share = share + FAILURE_WEIGHT * (1 - share)
             endpoint.failing_at = now
 
+    def learn_size(self, route: str, body_bytes: int) -> None:
+        """Learn from the bodies of a call and its response."""
+        size = body_bytes + HEADER_BYTES
+        if len(self._bytes_by_route) >= MAX_ROUTES_KEPT:
+            self._bytes_by_route.clear()
+        usual = self._bytes_by_route.get(route, size)
+        self._bytes_by_route[route] = usual + SIZE_WEIGHT * (size - usual)
+
+    def kilobytes(self, route: str) -> float:
+        """Return the usual size of the calls of a route."""
+        return self._bytes_by_route.get(route, HEADER_BYTES) / 1000
+
     def avoid(self, node_id: str, now: float) -> None:
-        """Avoid a gateway that could not be reached."""
+        """Avoid a gateway that was unreachable or takes no calls."""
         endpoint = self._by_node_id.get(node_id)
         if endpoint is not None:
-            endpoint.avoided_until = now + UNREACHABLE_PAUSE_S
+            endpoint.avoided_until = now + AVOIDED_S
 
     def candidate(self, endpoint: Endpoint, route: str, now: float) -> Candidate:
         """Return what a call of `route` has to expect at a gateway."""
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -53,6 +53,11 @@
 # When no upstream of a service is known or reachable, seconds: about one status report.
 ABSENT_RETRY_AFTER_S = 0.3
 
+# After these another gateway is better for a while.
+AVOIDED_CODES = frozenset(
+    {DrainingError.code, WrongServiceError.code, PeerUnreachableError.code}
+)
+
 CALLS = register_metric("mesh.calls", MetricKind.COUNTER, "calls", "Calls of callers")
 COMPLETED = register_metric(
     "mesh.calls_completed", MetricKind.COUNTER, "calls", "Calls with a whole response"
@@ -224,13 +229,14 @@
 
     def _choose(self, forwarded: ForwardedCall, tried: set[str]) -> Endpoint | None:
         now = self._clock.now()
-        usable = [
+        ready = [
             endpoint
             for endpoint in self._endpoints.of_service(forwarded.service)
             if endpoint.state is UpstreamState.READY
             and endpoint.node_id not in tried
-            and self._is_reachable(endpoint, now)
+            and self._is_reachable(endpoint)
         ]
+        usable = [e for e in ready if e.avoided_until <= now] or ready
         candidates = [
             self._endpoints.candidate(endpoint, forwarded.route, now)
             for endpoint in usable
@@ -240,14 +246,13 @@
             objective_s=max(forwarded.objective_at - now, 0.001),
             left_s=max(forwarded.deadline - now, 0.001),
             random=self._random,
+            kilobytes=self._endpoints.kilobytes(forwarded.route),
         )
         return self._endpoints.get(chosen.node_id) if chosen else None
 
-    def _is_reachable(self, endpoint: Endpoint, now: float) -> bool:
+    def _is_reachable(self, endpoint: Endpoint) -> bool:
         if endpoint.distance is Distance.OWN_NODE:
             return True
-        if endpoint.avoided_until > now:
-            return False
         address = endpoint.peer_address
         return self._links.is_connected(address) and not self._links.is_silent(address)
 
@@ -263,14 +268,8 @@
             self._endpoints.end(
                 endpoint.node_id, call_id, forwarded.route, result, self._clock.now()
             )
-        if result.code in (DrainingError.code, WrongServiceError.code):
-            self._endpoints.put_state(
-                endpoint.node_id,
-                service=endpoint.service,
-                upstream_id=endpoint.upstream_id,
-                state=UpstreamState.DRAINING,
-            )
-        elif result.code == PeerUnreachableError.code:
+        if result.code in AVOIDED_CODES:
+            # Its own notice says when it takes calls again; until then or for a moment.
             self._endpoints.avoid(endpoint.node_id, self._clock.now())
         return result
 
@@ -309,6 +308,7 @@
 
     def _completed(self, call, route, forwarded, result, offers) -> CallResult:
         self._metrics.count(COMPLETED)
+        self._endpoints.learn_size(route.name, len(call.body) + len(result.body))
         if len(offers) > 1 or result.status >= 500:
             self._log(call, route, forwarded, result, offers, 0.0)
         return result
--- a/src/verbenawick/mesh/_followers.py
+++ b/src/verbenawick/mesh/_followers.py
@@ -7,11 +7,20 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
+from zlib import compress, decompress
+from zlib import error as zlib_error
 
 import eventlet
 
+from verbenawick._clock import Clock
 from verbenawick._events import Event, emit, register_event
 from verbenawick.errors import StoreHistoryGoneError, VerbenawickError
+from verbenawick.mesh._configuration_relay import (
+    RELAY_WATCH_WAIT_S,
+    ConfigurationBeacon,
+    ConfigurationDocument,
+    RelayState,
+)
 from verbenawick.mesh._model import MeshConfiguration
 from verbenawick.mesh._state_store import RecordChange, StateStore
 
@@ -19,7 +28,9 @@
 WATCH_WAIT_S = 2.4
 # Changes in quick succession are fetched together: a call to the store costs more than
 # a second of delay, and a configuration has 2 s to come into force.
-CONFIGURATION_PAUSE_S = 0.9
+CONFIGURATION_PAUSE_S = 0.4
+# How soon a follower notices that its relay is gone, besides the beacons, seconds.
+RELAY_CHECK_INTERVAL_S = 0.15
 RECORDS_PAUSE_S = 0.3
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 1.0
@@ -101,7 +112,17 @@
 
 
 class ConfigurationFollower(_Follower):
-    """Brings each accepted configuration to `apply`."""
+    """Brings each accepted configuration to `apply`, from the store or from a relay.
+
+    Parameters
+    ----------
+    is_relay : callable
+        Whether this node watches the store for its region.
+    decode : callable
+        Returns the configuration in a document of the store at a revision.
+    query : callable
+        Asks a node by its id for the configuration that it serves.
+    """
 
     subject = "configuration"
     pause_s = CONFIGURATION_PAUSE_S
@@ -111,23 +132,95 @@
         store: StateStore,
         *,
         random: Random,
+        clock: Clock,
         apply: Callable[[MeshConfiguration], None],
+        relay: RelayState,
+        is_relay: Callable[[], bool],
+        decode: Callable[[bytes, int], MeshConfiguration | None],
+        query: Callable[[str], ConfigurationDocument | None],
     ):
         super().__init__(store, random=random)
+        self._clock = clock
         self._apply = apply
+        self._relay = relay
+        self._is_relay = is_relay
+        self._decode = decode
+        self._query = query
+        self._version = 0
+        self._document = b""
+        self._is_querying = False
+
+    @property
+    def beacon(self) -> ConfigurationBeacon:
+        """Return the beacon for the configuration in force, without its document."""
+        return ConfigurationBeacon(self._version, self._revision, b"")
+
+    def document_for(self, call_id: int) -> ConfigurationDocument:
+        """Return the answer to a query."""
+        return ConfigurationDocument(
+            call_id, self._version, self._revision, self._document
+        )
+
+    def on_beacon(self, relay_id: str, beacon: ConfigurationBeacon) -> None:
+        """Follow a relay of the own region; must not block."""
+        if beacon.version > self._version and beacon.document:
+            self._take_document(beacon.document, beacon.revision)
+        if beacon.version > self._version:
+            if not self._is_querying:
+                self._is_querying = True
+                eventlet.spawn_n(self._fetch, relay_id)
+            return
+        self._relay.on_beacon(relay_id, self._clock.now())
+        if beacon.version == self._version:
+            self._revision = max(self._revision, beacon.revision)
+
+    def _fetch(self, relay_id: str) -> None:
+        try:
+            answer = self._query(relay_id)
+            if answer is not None and answer.version > self._version:
+                self._take_document(answer.document, answer.revision)
+        finally:
+            self._is_querying = False
+
+    def _take_document(self, document: bytes, revision: int) -> None:
+        try:
+            data = decompress(document)
+        except zlib_error as error:
+            emit(StoreLost("relay", self._revision, f"document is invalid: {error}"))
+            return
+        configuration = self._decode(data, revision)
+        if configuration is not None:
+            self._take(configuration, document, revision)
+
+    def _take(
+        self, configuration: MeshConfiguration, document: bytes, revision: int
+    ) -> None:
+        if configuration.version > self._version:
+            self._version = configuration.version
+            self._document = document
+            self._apply(configuration)
+        self._revision = max(self._revision, revision)
 
     def _step(self) -> bool:
         if not self._revision:
             change = self._store.read_configuration()
+        elif self._is_relay():
+            change = self._store.watch_configuration(
+                self._revision, wait_s=RELAY_WATCH_WAIT_S
+            )
+        elif self._relay.can_follow(self._clock.now()):
+            eventlet.sleep(RELAY_CHECK_INTERVAL_S)
+            return False
         else:
             change = self._store.watch_configuration(
                 self._revision, wait_s=WATCH_WAIT_S
             )
-        if change.configuration is not None:
-            self._apply(change.configuration)
-        if change.configuration is not None or change.revision:
+        self._relay.on_contact(self._clock.now())
+        if change.configuration is None:
             self._revision = max(self._revision, change.revision)
-        return change.configuration is not None
+            return False
+        self._take(change.configuration, compress(change.document), change.revision)
+        return True
 
 
 class RecordFollower(_Follower):
--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -152,6 +152,7 @@
         self._failing_share = 0.0
         self._in_flight = 0
         self._is_stopping = False
+        # Identities of the calls that must not run twice and are at the upstream.
         self._sent_once: set[int] = set()
         self._running_fingerprints: dict[int, bytes] = {}
         self._offset_by_peer: dict[tuple[str, int], float] = {}
@@ -196,7 +197,7 @@
         A request that must not run twice and is at the upstream runs to its end: its
         requester may have left, its effect is wanted all the same.
         """
-        return call.is_idempotent or call.call_id not in self._sent_once
+        return call.is_idempotent or id(call) not in self._sent_once
 
     def on_call(
         self, peer: NodeIdentity, call: ForwardedCall, sent_at: float
@@ -332,7 +333,7 @@
             self._metrics.count(RUNS)
             self._running_fingerprints[id(call)] = fingerprint_of(call)
             if not call.is_idempotent:
-                self._sent_once.add(call.call_id)
+                self._sent_once.add(id(call))
 
         try:
             return self._channels.exchange(
@@ -351,7 +352,7 @@
             raise
         finally:
             self._running_fingerprints.pop(id(call), None)
-            self._sent_once.discard(call.call_id)
+            self._sent_once.discard(id(call))
 
     def _note_crash(self, upstream_id: str) -> None:
         """Report a crash when the upstream accepts no channel any more."""
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -1,20 +1,28 @@
 """A node whose platform keeps the state: builds its parts, starts and stops them."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random, SystemRandom
 
 import eventlet
 
 from verbenawick._call_links import CallLinks
-from verbenawick._clock import BootClock, MonotonicClock
+from verbenawick._call_messages import next_call_id
+from verbenawick._clock import BootClock
 from verbenawick._component import NodeIdentity
 from verbenawick._events import Event, emit, register_event
 from verbenawick._links import CALL_CHANNEL, Link, LinkServer
 from verbenawick._members import Member
 from verbenawick._messages import Message
 from verbenawick._metrics import MetricSet
-from verbenawick.errors import CallError, LinkClosedError
+from verbenawick.errors import AnswerLostError, CallError, LinkClosedError
+from verbenawick.mesh._configuration_relay import (
+    BEACON_INTERVAL_S,
+    ConfigurationBeacon,
+    ConfigurationDocument,
+    ConfigurationQuery,
+    RelayState,
+)
 from verbenawick.mesh._crash_guard import CrashGuard
 from verbenawick.mesh._endpoints import Endpoints
 from verbenawick.mesh._entry import MeshEntry
@@ -27,6 +35,7 @@
     UpstreamRecord,
     UpstreamState,
 )
+from verbenawick.mesh._placement import Distance
 from verbenawick.mesh._publisher import RecordPublisher
 from verbenawick.mesh._retry_budget import RetryBudget
 from verbenawick.mesh._settings import MeshSettings
@@ -44,6 +53,8 @@
 # The upstream answers health checks in a millisecond unless its slots are in use.
 PROBE_TIMEOUT_S = 0.5
 PROBE_INTERVAL_S = 0.3
+# A node of the own region answers in milliseconds.
+QUERY_TIMEOUT_S = 0.5
 # Longest wait for the last write to the store at a stop, seconds.
 LAST_WRITE_S = 0.5
 # Left of the grace for closing sockets before the process is killed, seconds.
@@ -149,6 +160,8 @@
     ----------
     open_store : callable
         Returns a `StateStore` with a connection of its own.
+    decode : callable
+        Returns the configuration in a document of the store at a revision.
     protocol : UpstreamProtocol
         How upstreams are spoken to.
     """
@@ -159,6 +172,7 @@
         *,
         open_store: Callable[[], StateStore],
         protocol: UpstreamProtocol,
+        decode: Callable[[bytes, int], MeshConfiguration | None],
     ):
         self.settings = settings
         self.caller_service = settings.upstream.service
@@ -167,6 +181,7 @@
         self.random = Random(SystemRandom().getrandbits(64))
         self.metrics = MetricSet()
         self.is_stopping = False
+        self.is_handing_off = False
         self._protocol = protocol
         self.identity = NodeIdentity(
             node_id=settings.node_id,
@@ -188,7 +203,7 @@
         )
         self.links = CallLinks(
             self.identity,
-            clock=MonotonicClock(),
+            clock=self.clock,
             metrics=self.metrics,
             dial_timeout_s=DIAL_TIMEOUT_S,
             ping_interval_s=IDLE_PING_INTERVAL_S,
@@ -235,10 +250,12 @@
         )
         self.links.register_notice(GatewayNotice, self._on_gateway_notice)
         self.links.register_notice(CrashNotice, self._on_crash_notice)
+        self._relay = RelayState(node_id=settings.node_id)
         self._link_server = LinkServer(
             self.identity,
             {CALL_CHANNEL: self.links},
             ping_interval_s=IDLE_PING_INTERVAL_S,
+            clock=self.clock,
         )
         self._publisher = RecordPublisher(
             open_store(),
@@ -247,7 +264,21 @@
             random=self.random,
         )
         self._configuration_follower = ConfigurationFollower(
-            open_store(), random=self.random, apply=self._on_configuration
+            open_store(),
+            random=self.random,
+            clock=self.clock,
+            apply=self._on_configuration,
+            relay=self._relay,
+            is_relay=self._is_relay,
+            decode=decode,
+            query=self._query_configuration,
+        )
+        self.links.register_notice(ConfigurationBeacon, self._on_beacon)
+        self.links.register_handler(
+            ConfigurationQuery,
+            lambda peer, query, sent_at: self._configuration_follower.document_for(
+                query.call_id
+            ),
         )
         self._record_follower = RecordFollower(
             open_store(), random=self.random, apply=self._on_records
@@ -277,6 +308,7 @@
                 self._record_follower.run,
                 self._publisher.run,
                 self._watch_silence,
+                self._send_beacons,
             )
         ]
         settings = self.settings
@@ -291,11 +323,16 @@
         )
 
     def start_stopping(self, *, calls_in_flight: int) -> None:
-        """Take no more calls of other nodes and count as not ready."""
+        """Count as not ready; callers and other nodes are still served."""
         self.is_stopping = True
         emit(MeshNodeStopping(calls_in_flight, self.gateway.in_flight))
+
+    def hand_off(self) -> None:
+        """Take no more calls of other nodes; the upstream is idle from then on."""
+        self.is_handing_off = True
         self._notify_state()
-        eventlet.spawn_after(HANDOFF_S, self.gateway.stop_accepting)
+        eventlet.sleep(HANDOFF_S)
+        self.gateway.stop_accepting()
 
     def finish(self, *, deadline: float, all_calls_ended: bool) -> None:
         """Wait for the calls of other nodes, bring the record up to date, close."""
@@ -340,10 +377,63 @@
                 len(configuration.routes),
             )
         )
+        if self._may_send_beacon():
+            document = self._configuration_follower.document_for(0).document
+            beacon = replace(self._configuration_follower.beacon, document=document)
+            self._send_beacon(beacon)
         service = configuration.services_by_name.get(self.upstream.service)
         if service is not None:
             self.channels.max_channels = service.max_connections
 
+    def _is_relay(self) -> bool:
+        """Return whether this node watches the store for its region."""
+        if self.is_stopping:
+            return False
+        linked = (
+            endpoint.node_id
+            for endpoint in self.endpoints.all()
+            if endpoint.distance in (Distance.DATA_CENTRE, Distance.REGION)
+            and self.links.is_connected(endpoint.peer_address)
+            and not self.links.is_silent(endpoint.peer_address)
+        )
+        return self._relay.is_relay(linked)
+
+    def _may_send_beacon(self) -> bool:
+        return (
+            self.entry.configuration is not None
+            and self._relay.may_send_beacon(self.clock.now())
+            and self._is_relay()
+        )
+
+    def _send_beacons(self) -> None:
+        while True:
+            eventlet.sleep(BEACON_INTERVAL_S)
+            if self._may_send_beacon():
+                self._send_beacon(self._configuration_follower.beacon)
+
+    def _send_beacon(self, beacon: ConfigurationBeacon) -> None:
+        region = self.settings.region
+        for link in self.links.dialled_links():
+            if link.peer.region == region:
+                self.links.notify(link, beacon)
+
+    def _on_beacon(self, peer: NodeIdentity, beacon: ConfigurationBeacon) -> None:
+        if peer.region == self.settings.region:
+            self._configuration_follower.on_beacon(peer.node_id, beacon)
+
+    def _query_configuration(self, node_id: str) -> ConfigurationDocument | None:
+        endpoint = self.endpoints.get(node_id)
+        if endpoint is None:
+            return None
+        member = Member(node_id, 0, "", "", "", endpoint.peer_address, 0)
+        deadline = self.links.now() + QUERY_TIMEOUT_S
+        try:
+            query = ConfigurationQuery(next_call_id())
+            return self.links.request(member, query, deadline=deadline)
+        except (LinkClosedError, AnswerLostError) as error:
+            emit(PeerLost(node_id, f"configuration not sent: {error}"))
+            return None
+
     def _on_records(self, change: RecordChange) -> None:
         records = change.records_by_node_id
         if change.is_complete:
@@ -437,7 +527,7 @@
         self.links.notify_all(self._notice())
 
     def _notice(self) -> GatewayNotice:
-        state = UpstreamState.DRAINING if self.is_stopping else self.upstream.state
+        state = UpstreamState.DRAINING if self.is_handing_off else self.upstream.state
         return GatewayNotice(
             self.upstream.service,
             self.upstream.upstream_id,
--- a/src/verbenawick/mesh/_placement.py
+++ b/src/verbenawick/mesh/_placement.py
@@ -28,13 +28,21 @@
     Distance.REGION: 0.002,
     Distance.REMOTE: 0.018,
 }
-# Price of the bytes of one call as a share of its value. Traffic between regions is
-# paid by volume.
+# Cost of a hop as a share of the value of a call: the work of a further node, and the
+# lower chance of an answer over a longer way.
 DISTANCE_COST = {
     Distance.OWN_NODE: 0.0,
-    Distance.DATA_CENTRE: 0.002,
-    Distance.REGION: 0.01,
-    Distance.REMOTE: 0.15,
+    Distance.DATA_CENTRE: 0.005,
+    Distance.REGION: 0.02,
+    Distance.REMOTE: 0.06,
+}
+# Cost of a kilobyte as a share of the value of a call. Traffic between regions is paid
+# by volume, traffic between data centres at about a quarter of that.
+KILOBYTE_COST = {
+    Distance.OWN_NODE: 0.0,
+    Distance.DATA_CENTRE: 0.0,
+    Distance.REGION: 0.012,
+    Distance.REMOTE: 0.05,
 }
 # Share of the value that is lost when a response is later than its objective.
 LATE_COST = 0.7
@@ -67,13 +75,17 @@
         return self.expected_s + ROUND_TRIP_S[self.distance]
 
 
-def cost_of(candidate: Candidate, *, objective_s: float, left_s: float) -> float:
+def cost_of(
+    candidate: Candidate, *, objective_s: float, left_s: float, kilobytes: float = 1.0
+) -> float:
     """Return the expected loss of a call at `candidate` as a share of its value.
 
     Parameters
     ----------
     objective_s, left_s : float
         Time left until the objective and until the deadline of the call.
+    kilobytes : float
+        Usual size of request and response.
     """
     completion_s = candidate.completion_s
     if completion_s >= left_s:
@@ -84,7 +96,9 @@
         # Service times spread widely around their mean, so the chance of a miss
         # rises well before the mean reaches the objective.
         miss = LATE_COST * (completion_s / objective_s) ** 3
-    return miss + DISTANCE_COST[candidate.distance] + candidate.failing_share
+    way = DISTANCE_COST[candidate.distance]
+    way += KILOBYTE_COST[candidate.distance] * kilobytes
+    return miss + way + candidate.failing_share
 
 
 def choose(
@@ -93,6 +107,7 @@
     objective_s: float,
     left_s: float,
     random: Random,
+    kilobytes: float = 1.0,
 ) -> Candidate | None:
     """Return the candidate of least cost, None without one."""
     if not candidates:
--- a/src/verbenawick/mesh/_state_store.py
+++ b/src/verbenawick/mesh/_state_store.py
@@ -16,10 +16,13 @@
         Revision of the store to watch from.
     configuration : MeshConfiguration or None
         None when there is none or nothing changed.
+    document : bytes
+        The document that it was decoded from.
     """
 
     revision: int
     configuration: MeshConfiguration | None
+    document: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/verbenawick/platform/_node_server.py
+++ b/src/verbenawick/platform/_node_server.py
@@ -5,10 +5,10 @@
 
 from verbenawick._entry_server import EntryServer
 from verbenawick._sockets import listen
-from verbenawick.mesh._node import STOP_MARGIN_S, MeshNode
+from verbenawick.mesh._node import HANDOFF_S, STOP_MARGIN_S, MeshNode
 from verbenawick.mesh._settings import MeshSettings
 from verbenawick.platform._calls import PlatformUpstreamProtocol
-from verbenawick.platform._objects import PlatformStore
+from verbenawick.platform._objects import PlatformStore, read_configuration
 from verbenawick.platform._servers import (
     CallApplication,
     readiness_application,
@@ -37,6 +37,7 @@
             settings,
             open_store=lambda: PlatformStore(settings.store_address),
             protocol=PlatformUpstreamProtocol(),
+            decode=read_configuration,
         )
         self.application = CallApplication(
             self.node.entry,
@@ -67,6 +68,9 @@
         grace_s = self.settings.stop_grace_s - STOP_MARGIN_S
         deadline = self.node.clock.now() + grace_s
         self.node.start_stopping(calls_in_flight=self.application.in_flight)
+        # The node goes on running calls for others as long as it can: its upstream has
+        # no other way to work.
+        eventlet.spawn_after(max(self._leaving_s - HANDOFF_S, 0.0), self.node.hand_off)
         ended = self._entry_server.stop(
             grace_s=self._leaving_s, timeout_s=grace_s - self._leaving_s
         )
--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -16,7 +16,11 @@
     StoreHistoryGoneError,
     StoreUnavailableError,
 )
-from verbenawick.mesh._model import UpstreamRecord, UpstreamState
+from verbenawick.mesh._model import (
+    MeshConfiguration,
+    UpstreamRecord,
+    UpstreamState,
+)
 from verbenawick.mesh._state_store import ConfigurationChange, RecordChange
 from verbenawick.platform._documents import decode_configuration
 from verbenawick.platform._events import ObjectInvalid
@@ -104,23 +108,25 @@
 
     def read_configuration(self) -> ConfigurationChange:
         """Return the latest configuration."""
-        listing = self._list(CONFIGURATION_KIND, stale=False)
-        for item in listing[0]:
-            if item.metadata.name == CONFIGURATION_NAME:
-                return ConfigurationChange(listing[1], self._configuration(item))
-        return ConfigurationChange(listing[1], None)
+        items, current = self._list(CONFIGURATION_KIND, stale=False)
+        return self._latest(items, current)
 
     def watch_configuration(
         self, revision: int, *, wait_s: float
     ) -> ConfigurationChange:
         """Return the change after `revision`; wait until there is one."""
         events, current = self._watch(CONFIGURATION_KIND, revision, wait_s, stale=False)
-        configuration = None
-        for event in events:
-            is_main = event.object.metadata.name == CONFIGURATION_NAME
-            if is_main and not event.deleted:
-                configuration = self._configuration(event.object) or configuration
-        return ConfigurationChange(current, configuration)
+        return self._latest([e.object for e in events if not e.deleted], current)
+
+    def _latest(self, items: list[_Object], current: int) -> ConfigurationChange:
+        """Return the last valid configuration among objects in order of change."""
+        for item in reversed(items):
+            if item.metadata.name != CONFIGURATION_NAME:
+                continue
+            configuration = read_configuration(bytes(item.spec), item.metadata.revision)
+            if configuration is not None:
+                return ConfigurationChange(current, configuration, bytes(item.spec))
+        return ConfigurationChange(current, None)
 
     def read_records(self) -> RecordChange:
         """Return all records; they may be seconds old."""
@@ -188,13 +194,6 @@
             self._connection.close()
             self._connection = None
 
-    def _configuration(self, item: _Object):
-        try:
-            return decode_configuration(bytes(item.spec), item.metadata.revision)
-        except (msgspec.MsgspecError, ValueError) as error:
-            emit(ObjectInvalid(CONFIGURATION_KIND, item.metadata.name, str(error)))
-            return None
-
     def _record(self, item: _Object) -> UpstreamRecord | None:
         try:
             spec = msgspec.json.decode(item.spec, type=_RecordSpec)
@@ -325,6 +324,15 @@
         return StoreAnswerLostError(reason, step=step, peer=self._address)
 
 
+def read_configuration(data: bytes, revision: int) -> MeshConfiguration | None:
+    """Return the configuration in a document, None when it is invalid."""
+    try:
+        return decode_configuration(data, revision)
+    except (msgspec.MsgspecError, ValueError) as error:
+        emit(ObjectInvalid(CONFIGURATION_KIND, CONFIGURATION_NAME, str(error)))
+        return None
+
+
 def _spec_of(record: UpstreamRecord) -> _RecordSpec:
     return _RecordSpec(
         record.service,
--- /dev/null
+++ b/tests/test_mesh_slot_queue.py
@@ -0,0 +1,181 @@
+"""Which call gets a slot, and which one is refused at once."""
+
+from random import Random
+
+from testtools import TestCase
+
+from verbenawick.mesh._slot_queue import SlotQueue, SlotRequest, Verdict
+
+
+class Caller:
+    """A call and what the queue decided about it."""
+
+    def __init__(self, *, priority=1, objective=0.3, deadline=1.0, route="r", now=0.0):
+        self.verdict = None
+        self.retry_after_s = None
+        self.request = SlotRequest(
+            route, priority, now + objective, now + deadline, self._decide
+        )
+
+    def _decide(self, verdict, retry_after_s):
+        if self.verdict is not None:
+            raise AssertionError("decided twice")
+        self.verdict = verdict
+        self.retry_after_s = retry_after_s
+
+
+class SlotQueueTest(TestCase):
+    """One upstream with two slots and calls of 0.1 s."""
+
+    def setUp(self):
+        super().setUp()
+        self.queue = SlotQueue(slots=2)
+        self.queue.times.add("r", 0.1)
+
+    def enter(self, now=0.0, **options):
+        caller = Caller(now=now, **options)
+        self.queue.enter(caller.request, now)
+        return caller
+
+    def test_slots_are_never_exceeded(self):
+        """An upstream beyond its slots queues or sheds, out of our order."""
+        callers = [self.enter() for _ in range(4)]
+        granted = [c for c in callers if c.verdict is Verdict.GRANTED]
+        self.assertEqual(2, len(granted))
+        self.assertEqual(2, self.queue.running_count)
+        self.queue.leave(granted[0].request, 0.1, service_s=0.1)
+        self.assertEqual(2, self.queue.running_count)
+
+    def test_urgent_call_is_served_before_earlier_ones(self):
+        """A less urgent kind served more often than an urgent one is a fault."""
+        first = [self.enter() for _ in range(2)]
+        low = self.enter(priority=2)
+        urgent = self.enter(priority=0)
+        self.queue.leave(first[0].request, 0.1, service_s=0.1)
+        self.assertIsNone(low.verdict)
+        self.assertEqual(Verdict.GRANTED, urgent.verdict)
+
+    def test_call_that_can_still_meet_its_objective_goes_before_a_late_one(self):
+        """Serving a late call first makes the next one late as well."""
+        first = [self.enter() for _ in range(2)]
+        late = self.enter(objective=0.05)
+        timely = self.enter(objective=0.5, priority=1)
+        self.queue.leave(first[0].request, 0.1, service_s=0.1)
+        self.assertIsNone(late.verdict)
+        self.assertEqual(Verdict.GRANTED, timely.verdict)
+
+    def test_call_that_cannot_end_in_time_is_refused_at_once(self):
+        """Waiting until the deadline passes takes the caller's second chance."""
+        for _ in range(8):
+            self.enter()
+        hopeless = self.enter(deadline=0.12, objective=0.12)
+        self.assertEqual(Verdict.REFUSED, hopeless.verdict)
+        self.assertGreater(hopeless.retry_after_s, 0)
+
+    def test_slow_upstream_is_noticed_before_its_first_call_ends(self):
+        """Ages of running calls tell; else a queue builds up behind a dead one."""
+        for _ in range(2):
+            self.enter()
+        waiting = self.enter(now=0.9, deadline=1.0)
+        self.assertEqual(Verdict.REFUSED, waiting.verdict)
+
+    def test_withdrawn_calls_free_their_place(self):
+        """A caller that left must not hold a slot or a place."""
+        running = [self.enter() for _ in range(2)]
+        waiting = self.enter()
+        self.queue.leave(waiting.request, 0.0)
+        self.assertEqual(0, self.queue.waiting_count)
+        self.queue.leave(running[0].request, 0.05)
+        self.assertEqual(1, self.queue.running_count)
+
+    def test_drain_refuses_everything_that_waits(self):
+        """Nothing may be sent after a leaving was acknowledged."""
+        for _ in range(2):
+            self.enter()
+        waiting = [self.enter() for _ in range(2)]
+        self.queue.refuse_all()
+        self.assertEqual({Verdict.REFUSED}, {c.verdict for c in waiting})
+
+
+def play(*, use_queue: bool, load: float, seed: int) -> dict[int, float]:
+    """Play 60 s of a service with 12 slots; return shares served in time by priority.
+
+    Parameters
+    ----------
+    use_queue : bool
+        Whether the queue decides; otherwise first come, first served without refusal.
+    load : float
+        Offered work as a share of the slots.
+    """
+    random = Random(seed)
+    slots, work_s = 12, 0.08
+    queue = SlotQueue(slots=slots)
+    rate = load * slots / work_s
+    events: list[tuple[float, int, object]] = []
+    order = 0
+    now = 0.0
+    while now < 60:
+        now += random.expovariate(rate)
+        events.append((now, order, Caller(priority=random.randrange(3), now=now)))
+        order += 1
+    events.sort()
+    offered = {0: 0, 1: 0, 2: 0}
+    timely = {0: 0, 1: 0, 2: 0}
+    running: list[tuple[float, object]] = []
+    plain: list[Caller] = []
+    started: set[int] = set()
+    callers = [caller for _, _, caller in events]
+    index = 0
+
+    def start_granted(at: float) -> None:
+        for caller in callers[max(0, index - 400) : index]:
+            if caller.verdict is Verdict.GRANTED and id(caller) not in started:
+                started.add(id(caller))
+                running.append((at + random.uniform(0.5, 1.5) * work_s, caller))
+
+    while index < len(events) or running:
+        next_end = min((end for end, _ in running), default=float("inf"))
+        if index < len(events) and events[index][0] <= next_end:
+            at, _, caller = events[index]
+            index += 1
+            offered[caller.request.priority] += 1
+            if use_queue:
+                queue.enter(caller.request, at)
+                start_granted(at)
+            else:
+                plain.append(caller)
+        else:
+            item = min(running, key=lambda entry: entry[0])
+            running.remove(item)
+            at, caller = item
+            if at <= caller.request.objective_at:
+                timely[caller.request.priority] += 1
+            if use_queue:
+                queue.leave(
+                    caller.request, at, service_s=at - caller.request.started_at
+                )
+                start_granted(at)
+        while not use_queue and plain and len(running) < slots:
+            caller = plain.pop(0)
+            if at < caller.request.deadline:
+                running.append((at + random.uniform(0.5, 1.5) * work_s, caller))
+    return {p: timely[p] / max(offered[p], 1) for p in offered}
+
+
+class OverloadTest(TestCase):
+    """Callers served in time by the queue, against first come, first served."""
+
+    def test_overload_serves_the_urgent_and_more_in_all(self):
+        """Without an order every caller is late under one and a half times the load."""
+        for seed in range(3):
+            ordered = play(use_queue=True, load=1.5, seed=seed)
+            plain = play(use_queue=False, load=1.5, seed=seed)
+            self.assertGreater(ordered[0], 0.95)
+            self.assertGreaterEqual(ordered[0], ordered[1])
+            self.assertGreaterEqual(ordered[1], ordered[2])
+            self.assertGreater(sum(ordered.values()), sum(plain.values()) + 0.5)
+
+    def test_light_load_refuses_nobody(self):
+        """A refusal with a free slot serves nobody."""
+        served = play(use_queue=True, load=0.6, seed=1)
+        self.assertGreater(min(served.values()), 0.995)
--- a/tests/test_mesh_world.py
+++ b/tests/test_mesh_world.py
@@ -103,3 +103,112 @@
         self.world.store.forget_history()
         self.configure(route("r-n", "/new/", service="booking"))
         wait_until(lambda: self.world.call(self.a1, "/new/1").status == 200, 4)
+
+    def test_planned_restart_cuts_no_call(self):
+        """Callers and other nodes have calls under way when a node is told to stop."""
+        self.b1.upstream.work_s = 0.3
+        answers = []
+
+        def call(node, path, method):
+            answers.append(self.world.call(node, path, method=method).status)
+
+        threads = [
+            eventlet.spawn(call, node, "/booking/1", "POST")
+            for node in (self.a1, self.b1)
+            for _ in range(3)
+        ]
+        eventlet.sleep(0.1)
+        self.b1.server.stop()
+        for thread in threads:
+            thread.wait()
+        self.assertEqual([200] * 6, answers)
+
+    def test_stopping_node_is_not_ready_and_asks_callers_to_leave(self):
+        """Callers that stay on their channels would be cut at its end."""
+        stopping = eventlet.spawn(self.b1.server.stop)
+        eventlet.sleep(0.05)
+        self.assertFalse(self.b1.server.node.is_ready)
+        answer = self.world.call(self.b1, "/archive/1")
+        self.assertEqual((200, "close"), (answer.status, answer.headers["Connection"]))
+        stopping.wait()
+
+    def test_caller_that_leaves_frees_the_upstream(self):
+        """An upstream that works for nobody has one slot less for the others."""
+        self.a1.upstream.work_s = self.a2.upstream.work_s = 1.5
+        thread = eventlet.spawn(
+            self.world.call, self.a1, "/archive/1", Attempt_Id="left"
+        )
+        eventlet.sleep(0.2)
+        gateways = [n.server.node.gateway for n in (self.a1, self.a2)]
+        self.assertEqual(1, sum(g.in_flight for g in gateways))
+        thread.kill()
+        wait_until(lambda: not sum(g.in_flight for g in gateways), 0.5)
+
+    def test_unsafe_request_at_its_upstream_outlives_its_caller(self):
+        """A booking that has begun is wanted, whether or not its caller waits."""
+        self.b1.upstream.work_s = 0.4
+        for entry in (self.a1, self.b1):
+            name = f"booked-{entry.node_id}"
+            thread = eventlet.spawn(
+                self.world.call, entry, "/booking/1", method="POST", Attempt_Id=name
+            )
+            eventlet.sleep(0.2)
+            thread.kill()
+            ended = self.b1.upstream.ended_runs
+            wait_until(lambda name=name, ended=ended: ended[name] == 1, 1.0)
+
+    def test_unsafe_request_runs_once_when_its_answer_is_lost(self):
+        """A repeated booking sends two crews."""
+        second = self.world.add_node("booking")
+        self.world.wait_ready()
+        for node in (self.b1, second):
+            node.upstream.work_s = 0.2
+        results = []
+        thread = eventlet.spawn(
+            lambda: results.append(
+                self.world.call(self.a1, "/booking/1", method="POST", Attempt_Id="once")
+            )
+        )
+        eventlet.sleep(0.1)
+        runner = next(
+            n for n in (self.b1, second) if n.upstream.runs_by_request["once"]
+        )
+        runner.is_reporting = False
+        runner.server.kill()
+        thread.wait()
+        self.assertIn(results[0].status, (502, 504))
+        runs = [n.upstream.runs_by_request["once"] for n in (self.b1, second)]
+        self.assertEqual(1, sum(runs))
+
+    def test_slots_of_an_upstream_are_never_exceeded(self):
+        """Many entries send at once; the gateway alone knows the slots."""
+        self.b1.upstream.work_s = 0.05
+        pool = eventlet.GreenPool()
+        statuses = list(
+            pool.imap(
+                lambda number: (
+                    self.world.call(
+                        (self.a1, self.a2, self.b1)[number % 3],
+                        "/booking/1",
+                        method="POST",
+                    ).status
+                ),
+                range(40),
+            )
+        )
+        self.assertEqual({200}, set(statuses))
+        self.assertLessEqual(self.b1.upstream.most_running, self.b1.upstream.slots)
+
+    def test_shed_requests_move_on_and_are_counted(self):
+        """An upstream that refuses while it has room must not fail its callers."""
+        self.a1.upstream.sheds = True
+        statuses = [self.world.call(self.a1, "/archive/1").status for _ in range(6)]
+        self.assertEqual([200] * 6, statuses)
+
+    def test_expired_budget_ends_with_a_final_answer(self):
+        """Every request has its answer when its time is over."""
+        self.b1.upstream.work_s = 1.0
+        answer = self.world.call(
+            self.a1, "/booking/1", method="POST", Deadline_Remaining="200"
+        )
+        self.assertEqual(504, answer.status)
--- /dev/null
+++ b/tests/test_platform_border.py
@@ -0,0 +1,257 @@
+"""The platform's wire format: what is decoded, what is refused, what is answered."""
+
+import json
+
+import msgspec
+from testtools import TestCase
+
+from verbenawick.mesh._model import CallOutcome, CallResult
+from verbenawick.mesh._upstream_channels import AnswerKind, RawAnswer
+from verbenawick.platform._calls import (
+    HeaderError,
+    PlatformUpstreamProtocol,
+    decode_call,
+    encode_result,
+    status_of,
+)
+from verbenawick.platform._documents import decode_configuration, decode_report
+
+REPORT = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "cold_left_ms": 1500,
+    "sequence": 3,
+    "born": 1700000000000,
+}
+ROUTE = {
+    "host": "h.example",
+    "path_prefix": "/x/",
+    "kind": "unsafe",
+    "timeout_ms": 1200,
+    "target_latency_ms": 300,
+    "priority": 1,
+    "service": "s",
+    "max_attempts": 2,
+}
+
+
+def document(*routes, **changes) -> bytes:
+    """Return a configuration document."""
+    resources = [
+        {"resource_type": "routes", "metadata": {"name": f"r{i}"}, "spec": spec}
+        for i, spec in enumerate(routes)
+    ]
+    resources.append(
+        {
+            "resource_type": "services",
+            "metadata": {"name": "s"},
+            "spec": {"health_path": "/h", "max_connections": 9, "tls": False},
+        }
+    )
+    resources.append(
+        {
+            "resource_type": "limits",
+            "metadata": {},
+            "spec": {"max_body_bytes": 10, "idle_timeout_ms": 15000},
+        }
+    )
+    return json.dumps({"version": 7, "resources": resources, **changes}).encode()
+
+
+class ReportTest(TestCase):
+    """Status reports."""
+
+    def test_whole_report(self):
+        """Every field has to arrive in its own unit."""
+        report = decode_report("u1", json.dumps({**REPORT, "new": 1}).encode())
+        self.assertEqual(("u1", "s", 4), (report.upstream_id, "s", report.slots))
+        self.assertEqual((1.5, 3), (report.cold_left_s, report.sequence))
+        self.assertEqual(1700000000000, report.born_ms)
+        self.assertFalse(report.is_draining)
+
+    def test_invalid_reports_name_no_upstream(self):
+        """A report of another writer must not change what a node believes."""
+        rows = [
+            {k: v for k, v in REPORT.items() if k != name}
+            for name in ("service", "address", "slots", "state", "sequence")
+        ]
+        rows += [
+            {**REPORT, "state": "resting"},
+            {**REPORT, "slots": "4"},
+            {**REPORT, "slots": 0},
+            {**REPORT, "sequence": None},
+            {**REPORT, "service": ""},
+            {**REPORT, "service": ["s"]},
+            {**REPORT, "born": 1.5},
+            [],
+            "x",
+            None,
+        ]
+        bodies = [json.dumps(row).encode() for row in rows]
+        bodies += [b"", b"{", b"\xff\x00", json.dumps(REPORT).encode()[:-5]]
+        for body in bodies:
+            self.assertRaises(
+                (msgspec.MsgspecError, ValueError), decode_report, "u1", body
+            )
+
+
+class ConfigurationTest(TestCase):
+    """Configuration documents."""
+
+    def test_routes_services_and_limits(self):
+        """A field that is lost on the way changes how requests are served."""
+        split = {k: v for k, v in ROUTE.items() if k != "service"}
+        split["weighted_split"] = [
+            {"service": "s", "weight": 90},
+            {"service": "t", "weight": 10},
+        ]
+        split["kind"] = "safe"
+        configuration = decode_configuration(document(ROUTE, split), 42)
+        plain, weighted = configuration.routes
+        self.assertEqual((7, 42), (configuration.version, configuration.revision))
+        self.assertEqual(
+            (1.2, 0.3, 1, 2),
+            (plain.timeout_s, plain.objective_s, plain.priority, plain.max_attempts),
+        )
+        self.assertFalse(plain.is_idempotent)
+        self.assertTrue(weighted.is_idempotent)
+        self.assertEqual([90, 10], [t.weight for t in weighted.targets])
+        self.assertEqual("/h", configuration.services_by_name["s"].health_path)
+        self.assertEqual(10, configuration.limits.max_body_bytes)
+        self.assertEqual(15.0, configuration.limits.idle_timeout_s)
+
+    def test_unknown_kinds_of_request_are_not_repeated(self):
+        """Only what is named as repeatable may run twice."""
+        configuration = decode_configuration(document({**ROUTE, "kind": "new"}), 1)
+        self.assertFalse(configuration.routes[0].is_idempotent)
+
+    def test_invalid_documents(self):
+        """Part of a version must never come into force."""
+        no_service = {k: v for k, v in ROUTE.items() if k != "service"}
+        rows = (
+            document(no_service),
+            document({**ROUTE, "timeout_ms": "long"}),
+            document({k: v for k, v in ROUTE.items() if k != "host"}),
+            document(ROUTE, version="7"),
+            document(ROUTE)[:-9],
+            b"null",
+            b"",
+        )
+        for row in rows:
+            self.assertRaises(
+                (msgspec.MsgspecError, ValueError), decode_configuration, row, 1
+            )
+
+
+class CallTest(TestCase):
+    """Headers of calls and answers."""
+
+    def environ(self, *headers, **changes):
+        environ = {
+            "REQUEST_METHOD": "GET",
+            "PATH_INFO": "/x/a b",
+            "RAW_PATH_INFO": "/x/a%20b",
+            "HTTP_HOST": "h.example:80",
+            "HTTP_ATTEMPT_ID": "q1",
+            "HTTP_DEADLINE_REMAINING": "800",
+            "headers_raw": [("Host", "h.example:80"), ("Attempt-Id", "q1"), *headers],
+        }
+        return {**environ, **changes}
+
+    def decode(self, environ):
+        return decode_call(environ, b"", caller_service="own", now=5.0)
+
+    def test_request_is_passed_on_unchanged(self):
+        """The path keeps its escapes, the query its bytes."""
+        call = self.decode(self.environ(("X-Y", "1"), QUERY_STRING="a=%2F"))
+        self.assertEqual("/x/a%20b?a=%2F", call.target)
+        self.assertEqual(("q1", "h.example"), (call.call_id, call.host))
+        self.assertEqual((0.8, 5.0), (call.budget_s, call.arrived_at))
+        self.assertIn(("X-Y", "1"), call.headers)
+        self.assertIn(("Attempt-Id", "q1"), call.headers)
+
+    def test_headers_of_the_node_are_its_own(self):
+        """A caller that names its own service or time left must not be believed."""
+        call = self.decode(
+            self.environ(
+                ("Caller-Service", "forged"),
+                ("Target-Instance", "forged"),
+                ("Deadline-Remaining", "800"),
+                ("Connection", "X-Hop"),
+                ("X-Hop", "1"),
+                HTTP_CONNECTION="X-Hop",
+            )
+        )
+        names = [name for name, _ in call.headers]
+        self.assertEqual(1, names.count("Caller-Service"))
+        self.assertIn(("Caller-Service", "own"), call.headers)
+        for name in ("Target-Instance", "Deadline-Remaining", "X-Hop", "Connection"):
+            self.assertNotIn(name, names)
+
+    def test_time_left(self):
+        """Without a valid time the route's own holds."""
+        for text, expected in (
+            ("800", 0.8),
+            ("0.5", 0.0005),
+            ("0", None),
+            ("-1", None),
+            ("nan", None),
+            ("inf", None),
+            ("soon", None),
+        ):
+            call = self.decode(self.environ(HTTP_DEADLINE_REMAINING=text))
+            self.assertEqual(expected, call.budget_s, text)
+
+    def test_request_without_an_id_is_refused(self):
+        """Its answer could not be told from another one's."""
+        self.assertRaises(HeaderError, self.decode, self.environ(HTTP_ATTEMPT_ID=""))
+
+    def test_statuses_promise_only_what_is_known(self):
+        """A 503 says that nothing ran; 502 and 504 say nothing."""
+        not_run, unknown = CallOutcome.NOT_RUN, CallOutcome.UNKNOWN
+        rows = (
+            (not_run, "call.queue-full", 503),
+            (not_run, "call.not-ready", 503),
+            (not_run, "call.quarantined", 503),
+            (not_run, "call.deadline-unreachable", 503),
+            (not_run, "call.no-route", 404),
+            (not_run, "call.bad-request", 400),
+            (not_run, "call.request-too-large", 413),
+            (unknown, "call.timeout", 504),
+            (unknown, "call.peer-lost", 502),
+            (unknown, "call.bad-response", 502),
+            (unknown, "call.queue-full", 502),
+            (unknown, "never-heard-of", 502),
+        )
+        for outcome, code, status in rows:
+            self.assertEqual(status, status_of(CallResult(outcome, code)), code)
+
+    def test_refusal_says_when_to_come_back(self):
+        """Callers without a time come back at once, all together."""
+        result = CallResult(CallOutcome.NOT_RUN, "call.queue-full", retry_after_s=0.25)
+        status, headers, _ = encode_result(result, "q1")
+        self.assertTrue(status.startswith("503 "))
+        self.assertIn(("Retry-After", "0.250"), headers)
+
+    def test_answers_of_upstreams(self):
+        """An answer that belongs to another request must not be passed on."""
+        protocol = PlatformUpstreamProtocol()
+        rows = (
+            (200, [("attempt-id", "q1")], AnswerKind.OWN),
+            (500, [("Attempt-Id", "q1")], AnswerKind.OWN),
+            (200, [("Attempt-Id", "q0")], AnswerKind.FOREIGN),
+            (200, [], AnswerKind.FOREIGN),
+            (503, [("Not-Executed", "1"), ("Attempt-Id", "q1")], AnswerKind.NOT_RUN),
+            (503, [("Not-Executed", "1"), ("Attempt-Id", "q0")], AnswerKind.FOREIGN),
+            (400, [("Not-Executed", "1")], AnswerKind.NOT_RUN),
+            (421, [("Instance-Id", "u9")], AnswerKind.OTHER_UPSTREAM),
+            (421, [("Attempt-Id", "q0")], AnswerKind.FOREIGN),
+        )
+        for status, headers, expected in rows:
+            answer = RawAnswer(status, headers)
+            kind = protocol.classify(answer, request_id="q1")
+            self.assertEqual(expected, kind, (status, headers))
