--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -126,6 +126,8 @@
     ----------
     on_crash : callable
         Told the fingerprints of the calls that were running when the upstream crashed.
+    observe : callable
+        Told the seconds that the upstream took for a call.
     """
 
     def __init__(
@@ -139,7 +141,9 @@
         clock: Clock,
         metrics: MetricSet,
         on_crash: Callable[[tuple[bytes, ...]], None] = lambda fingerprints: None,
+        observe: Callable[[float], None] = lambda seconds: None,
     ):
+        self._observe = observe
         self._node_id = node_id
         self._upstream = upstream
         self._channels = channels
@@ -262,6 +266,7 @@
             self._check(call, started_at)
             kind, answer = self._run(call, deadline)
             service_s = self._clock.now() - started_at
+            self._observe(service_s)
         finally:
             self._queue.leave(request, self._clock.now(), service_s=service_s)
         if kind is AnswerKind.OTHER_UPSTREAM:
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -30,6 +30,7 @@
 from verbenawick.mesh._gateway import MeshGateway, UpstreamProtocol
 from verbenawick.mesh._local_upstream import LocalUpstream
 from verbenawick.mesh._messages import CrashNotice, ForwardedCall, GatewayNotice
+from verbenawick.mesh._metrics_page import MetricsPage
 from verbenawick.mesh._model import (
     MeshConfiguration,
     UpstreamRecord,
@@ -180,6 +181,7 @@
         # Draws among gateways and waits need no system call each.
         self.random = Random(SystemRandom().getrandbits(64))
         self.metrics = MetricSet()
+        self.metrics_page = MetricsPage(self.metrics)
         self.is_stopping = False
         self.is_handing_off = False
         self._protocol = protocol
@@ -226,6 +228,7 @@
             clock=self.clock,
             metrics=self.metrics,
             on_crash=self._on_crash,
+            observe=self.metrics_page.observe_upstream,
         )
         self.entry = MeshEntry(
             node_id=settings.node_id,
--- a/src/verbenawick/platform/_node_server.py
+++ b/src/verbenawick/platform/_node_server.py
@@ -11,6 +11,7 @@
 from verbenawick.platform._objects import PlatformStore, read_configuration
 from verbenawick.platform._servers import (
     CallApplication,
+    metrics_application,
     readiness_application,
     report_application,
 )
@@ -32,7 +33,7 @@
 
     def __init__(self, settings: MeshSettings, *, leaving_s: float = LEAVING_S):
         self.settings = settings
-        self._leaving_s = leaving_s
+        self.leaving_s = leaving_s
         self.node = MeshNode(
             settings,
             open_store=lambda: PlatformStore(settings.store_address),
@@ -43,6 +44,7 @@
             self.node.entry,
             clock=self.node.clock,
             caller_service=lambda: self.node.caller_service,
+            observe=self.node.metrics_page.observe_call,
         )
         self._entry_server = EntryServer(self.application)
         self._page_threads = []
@@ -60,6 +62,10 @@
             self.settings.report_address,
             report_application(node.upstream, clock=node.clock),
         )
+        self._serve_page(
+            self.settings.metrics_address,
+            metrics_application(node.metrics_page.render),
+        )
         node.start()
         self._entry_server.start()
 
@@ -70,9 +76,9 @@
         self.node.start_stopping(calls_in_flight=self.application.in_flight)
         # The node goes on running calls for others as long as it can: its upstream has
         # no other way to work.
-        eventlet.spawn_after(max(self._leaving_s - HANDOFF_S, 0.0), self.node.hand_off)
+        eventlet.spawn_after(max(self.leaving_s - HANDOFF_S, 0.0), self.node.hand_off)
         ended = self._entry_server.stop(
-            grace_s=self._leaving_s, timeout_s=grace_s - self._leaving_s
+            grace_s=self.leaving_s, timeout_s=grace_s - self.leaving_s
         )
         self.node.finish(deadline=deadline, all_calls_ended=ended)
         self._close_pages()
--- a/src/verbenawick/platform/_servers.py
+++ b/src/verbenawick/platform/_servers.py
@@ -24,6 +24,7 @@
 from verbenawick.platform._documents import decode_report
 from verbenawick.platform._events import ReportInvalid
 
+METRICS_PATH = "/metrics"
 # Status reports are a few hundred bytes; the platform bounds them to 4 KiB.
 MAX_REPORT_BYTES = 16_384
 # Interval at which calls in flight are checked for callers that left, seconds; an
@@ -38,11 +39,19 @@
     ----------
     caller_service : callable
         Returns the service of this VM.
+    observe : callable
+        Told the outcome of each call and the seconds it took.
     """
 
     def __init__(
-        self, entry: MeshEntry, *, clock: Clock, caller_service: Callable[[], str]
+        self,
+        entry: MeshEntry,
+        *,
+        clock: Clock,
+        caller_service: Callable[[], str],
+        observe: Callable[[str, float], None] = lambda outcome, seconds: None,
     ):
+        self._observe = observe
         self._entry = entry
         self._clock = clock
         self._caller_service = caller_service
@@ -71,8 +80,9 @@
     def __call__(self, environ, start_response):
         """Serve one call."""
         self._in_flight += 1
+        now = self._clock.now()
         try:
-            result = self._serve(environ)
+            result = self._serve(environ, now)
         except GreenletExit:
             start_response("499 Caller Closed", [("Content-Length", "0")])
             return [b""]
@@ -80,6 +90,7 @@
             self._in_flight -= 1
             if self._is_stopping and not self._in_flight and not self._idle.ready():
                 self._idle.send(True)
+        self._observe(result.outcome, self._clock.now() - now)
         request_id = environ.get("HTTP_ATTEMPT_ID", "")
         status, headers, body = encode_result(result, request_id)
         if self._is_stopping:
@@ -87,8 +98,7 @@
         start_response(status, headers)
         return [body]
 
-    def _serve(self, environ) -> CallResult:
-        now = self._clock.now()
+    def _serve(self, environ, now: float) -> CallResult:
         configuration = self._entry.configuration
         limits = configuration.limits if configuration else RequestLimits()
         try:
@@ -145,6 +155,25 @@
     return application
 
 
+def metrics_application(render: Callable[[], bytes]):
+    """Return the WSGI application that serves the metrics as text."""
+
+    def application(environ, start_response):
+        if environ["PATH_INFO"] != METRICS_PATH:
+            return _answer(start_response, "404 Not Found", {"error": "no such page"})
+        body = render()
+        start_response(
+            "200 OK",
+            [
+                ("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),
+                ("Content-Length", str(len(body))),
+            ],
+        )
+        return [body]
+
+    return application
+
+
 def _answer(start_response, status: str, content: dict) -> list[bytes]:
     body = msgspec.json.encode(content)
     start_response(
--- a/tests/mesh_world.py
+++ b/tests/mesh_world.py
@@ -213,6 +213,16 @@
         finally:
             connection.close()
 
+    def get(self, address: str, path: str) -> str:
+        """Return the text of a page."""
+        host, _, port = address.rpartition(":")
+        connection = HTTPConnection(host, int(port), timeout=5)
+        connection.sock = socket.create_connection((host, int(port)), 5)
+        connection.request("GET", path)
+        text = connection.getresponse().read().decode()
+        connection.close()
+        return text
+
     def close(self) -> None:
         """Stop everything."""
         for node in self.nodes:
--- a/tests/test_mesh_world.py
+++ b/tests/test_mesh_world.py
@@ -104,6 +104,13 @@
         self.configure(route("r-n", "/new/", service="booking"))
         wait_until(lambda: self.world.call(self.a1, "/new/1").status == 200, 4)
 
+    def test_metrics_are_served_as_text(self):
+        """On-call engineers have only logs and metrics."""
+        self.world.call(self.a1, "/archive/1")
+        page = self.world.get(self.a1.server.settings.metrics_address, "/metrics")
+        self.assertIn("verbenawick_mesh_calls_total 1.0", page)
+        self.assertIn('verbenawick_call_seconds_count{outcome="complete"} 1.0', page)
+
     def test_planned_restart_cuts_no_call(self):
         """Callers and other nodes have calls under way when a node is told to stop."""
         self.b1.upstream.work_s = 0.3
@@ -125,8 +132,10 @@
 
     def test_stopping_node_is_not_ready_and_asks_callers_to_leave(self):
         """Callers that stay on their channels would be cut at its end."""
+        # Long enough for a call on a busy machine; the listener closes after it.
+        self.b1.server.leaving_s = 2.0
         stopping = eventlet.spawn(self.b1.server.stop)
-        eventlet.sleep(0.05)
+        wait_until(lambda: not self.b1.server.node.is_ready)
         self.assertFalse(self.b1.server.node.is_ready)
         answer = self.world.call(self.b1, "/archive/1")
         self.assertEqual((200, "close"), (answer.status, answer.headers["Connection"]))
