Price kilobytes between regions as the users do; refuse overtaken calls earlier

A call was refused after 0.85 s of 1 s in a queue in which calls that could still meet their objective overtook it.

--- a/src/verbenawick/mesh/_placement.py
+++ b/src/verbenawick/mesh/_placement.py
@@ -41,8 +41,8 @@
 KILOBYTE_COST = {
     Distance.OWN_NODE: 0.0,
     Distance.DATA_CENTRE: 0.0,
-    Distance.REGION: 0.012,
-    Distance.REMOTE: 0.05,
+    Distance.REGION: 0.03,
+    Distance.REMOTE: 0.12,
 }
 # Share of the value that is lost when a response is later than its objective.
 LATE_COST = 0.7
--- a/src/verbenawick/mesh/_slot_queue.py
+++ b/src/verbenawick/mesh/_slot_queue.py
@@ -17,6 +17,9 @@
 # Share of the time left that the expected wait and run may take. The rest covers
 # calls that take longer than usual.
 ADMITTED_SHARE = 0.75
+# The same for a call that can no longer meet its objective. Those that can are served
+# first, also those that arrive later, so its turn comes later than it seems.
+ADMITTED_SHARE_LATE = 0.4
 # Share of the usual service time that has to be left when a call gets its slot.
 LEAST_SHARE_LEFT = 0.5
 # Bound of the queue, in calls per slot.
@@ -188,7 +191,9 @@
         for request in ranked:
             wait_s = self.expected_wait_s(now, ahead=ahead)
             needed_s = wait_s + self.expected_service_s(request.route, now)
-            if now + needed_s > now + ADMITTED_SHARE * (request.deadline - now):
+            is_late = now + needed_s > request.objective_at
+            share = ADMITTED_SHARE_LATE if is_late else ADMITTED_SHARE
+            if needed_s > share * (request.deadline - now):
                 self._waiting.remove(request)
                 self._refuse(request)
             else:
--- a/tests/test_mesh_slot_queue.py
+++ b/tests/test_mesh_slot_queue.py
@@ -162,6 +162,25 @@
     return {p: timely[p] / max(offered[p], 1) for p in offered}
 
 
+class LateCallTest(TestCase):
+    """Calls that wait although their objective is out of reach."""
+
+    def test_call_that_others_overtake_is_refused_before_its_time_is_over(self):
+        """A caller that is told after 0.85 s of 1 s cannot try again."""
+        queue = SlotQueue(slots=2)
+        queue.times.add("r", 0.1)
+        for _ in range(2):
+            queue.enter(Caller(objective=0.25).request, 0.0)
+        low = Caller(priority=2, objective=0.25, deadline=1.0)
+        queue.enter(low.request, 0.0)
+        now = 0.0
+        while low.verdict is None:
+            now += 0.02
+            queue.enter(Caller(priority=0, objective=0.3, now=now).request, now)
+        self.assertEqual(Verdict.REFUSED, low.verdict)
+        self.assertLess(now, 0.5)
+
+
 class OverloadTest(TestCase):
     """Callers served in time by the queue, against first come, first served."""
 
