Keep retries of failed parents from repeating the calls behind them

Failed inner calls made their parents fail at every upstream alike; the entries ran the parents again, and each run repeated its inner calls, which count too and which no node sees.

Nodes on the platform start without pydantic and with compiled sources; log lines beyond the limit are dropped before they are formatted.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,3 +11,5 @@
 rm -rf "$deps/verbenawick"
 cp -R src/verbenawick "$deps/verbenawick"
 find "$deps/verbenawick" -name __pycache__ -type d -prune -exec rm -rf {} +
+# Nodes cannot write next to the sources, so each start would compile them again.
+python3 -m compileall -q "$deps/verbenawick"
--- a/src/verbenawick/_claim_messages.py
+++ b/src/verbenawick/_claim_messages.py
@@ -4,7 +4,8 @@
 from enum import StrEnum
 
 from verbenawick._call_messages import CallAnswer
-from verbenawick._messages import Message, Row, register_message
+from verbenawick._message_rows import Row
+from verbenawick._messages import Message, register_message
 
 
 class ClaimState(StrEnum):
--- a/src/verbenawick/_config_messages.py
+++ b/src/verbenawick/_config_messages.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-from verbenawick._messages import Message, Row, register_message
+from verbenawick._message_rows import Row
+from verbenawick._messages import Message, register_message
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/verbenawick/_delta.py
+++ b/src/verbenawick/_delta.py
@@ -13,7 +13,7 @@
 import zstandard
 from pydantic import TypeAdapter, ValidationError
 
-from verbenawick._messages import Row
+from verbenawick._message_rows import Row
 from verbenawick.errors import (
     BaseMismatchError,
     DigestMismatchError,
--- a/src/verbenawick/_events.py
+++ b/src/verbenawick/_events.py
@@ -8,6 +8,7 @@
 distribution, 400 membership and status, 500 calls, 600 claims.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, fields
 
 from loguru import logger
@@ -53,9 +54,20 @@
     return _registration_by_type[event_type][1]
 
 
+_limit: Callable[[int], bool] | None = None
+
+
+def limit_events(is_wanted: Callable[[int], bool]) -> None:
+    """Ask `is_wanted` about the number of each event before it is formatted."""
+    global _limit
+    _limit = is_wanted
+
+
 def emit(event: Event) -> None:
     """Write `event` to the log with its number and fields."""
     number, level = _registration_by_type[type(event)]
+    if _limit is not None and not _limit(number):
+        return
     values_by_name = {field.name: getattr(event, field.name) for field in fields(event)}
     text = " ".join(f"{name}={value}" for name, value in values_by_name.items())
     logger.bind(event=number, **values_by_name).log(
--- a/src/verbenawick/_head.py
+++ b/src/verbenawick/_head.py
@@ -10,7 +10,7 @@
 import cbor2
 from pydantic import TypeAdapter, ValidationError
 
-from verbenawick._messages import Row
+from verbenawick._message_rows import Row
 from verbenawick.errors import DocumentError
 
 HEAD_KEY = "config/head"
--- a/src/verbenawick/_member_table.py
+++ b/src/verbenawick/_member_table.py
@@ -22,7 +22,7 @@
     MemberRow,
     TableVersion,
 )
-from verbenawick._messages import Row
+from verbenawick._message_rows import Row
 from verbenawick.errors import MemberTableError
 
 # Eight times the design size. Beyond it further joins are refused, so that a faulty
--- a/src/verbenawick/_messages.py
+++ b/src/verbenawick/_messages.py
@@ -8,12 +8,12 @@
 Kind blocks: 10 membership, 30 configuration, 50 calls, 70 claims.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, fields, is_dataclass
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, get_args, get_origin, get_type_hints
 
 import cbor2
-from pydantic import BeforeValidator, ConfigDict, TypeAdapter, ValidationError
-from pydantic_core import ArgsKwargs
+import msgspec
 
 from verbenawick.errors import ProtocolError
 
@@ -27,20 +27,12 @@
     """Base class of all messages."""
 
 
-T = TypeVar("T")
-
-
-def _fields_from_array(value: Any) -> Any:
-    if isinstance(value, list | tuple):
-        return ArgsKwargs(tuple(value))
-    return value
-
-
-Row = Annotated[T, BeforeValidator(_fields_from_array)]
+# Returns the message with these field values, or raises ValueError.
+Decoder = Callable[[list], "Message"]
 
 messages_by_kind: dict[int, type[Message]] = {}
 _kind_by_type: dict[type[Message], int] = {}
-_adapters_by_kind: dict[int, TypeAdapter] = {}
+_decoders_by_kind: dict[int, Decoder] = {}
 _names_by_type: dict[type, tuple[str, ...]] = {}
 
 
@@ -56,7 +48,6 @@
     def decorate(cls):
         if kind in messages_by_kind:
             raise ValueError(f"message kind {kind} is registered twice")
-        cls.__pydantic_config__ = ConfigDict(arbitrary_types_allowed=False)
         messages_by_kind[kind] = cls
         _kind_by_type[cls] = kind
         return cls
@@ -87,12 +78,48 @@
     )
 
 
-def _adapter_for(kind: int) -> TypeAdapter | None:
-    adapter = _adapters_by_kind.get(kind)
-    if adapter is None and kind in messages_by_kind:
-        # Built on first use, since building an adapter takes about a millisecond.
-        adapter = _adapters_by_kind[kind] = TypeAdapter(messages_by_kind[kind])
-    return adapter
+def _decoder_for(kind: int) -> Decoder | None:
+    decoder = _decoders_by_kind.get(kind)
+    if decoder is None and kind in messages_by_kind:
+        # Built on first use, since building a decoder takes about a millisecond.
+        cls = messages_by_kind[kind]
+        hints = get_type_hints(cls, include_extras=True).values()
+        build = _row_decoder if any(map(_has_rows, hints)) else _flat_decoder
+        decoder = _decoders_by_kind[kind] = build(cls)
+    return decoder
+
+
+def _has_rows(annotation: Any) -> bool:
+    if get_origin(annotation) is Annotated:
+        return True
+    return any(_has_rows(argument) for argument in get_args(annotation))
+
+
+def _flat_decoder(cls: type[Message]) -> Decoder:
+    names = _names_of(cls)
+
+    def decode(values: list) -> Message:
+        if len(values) != len(names):
+            raise ValueError(f"{len(values)} fields instead of {len(names)}")
+        return msgspec.convert(dict(zip(names, values, strict=True)), cls)
+
+    return decode
+
+
+def _row_decoder(cls: type[Message]) -> Decoder:
+    # Imported here: a node that uses no such message does without the library.
+    from pydantic import TypeAdapter, ValidationError
+    from pydantic_core import ArgsKwargs
+
+    adapter = TypeAdapter(cls)
+
+    def decode(values: list) -> Message:
+        try:
+            return adapter.validate_python(ArgsKwargs(tuple(values)))
+        except ValidationError as error:
+            raise ValueError(error.errors()[0]["msg"]) from error
+
+    return decode
 
 
 def decode_message(data: bytes, *, peer: str = "") -> Message:
@@ -128,16 +155,16 @@
             step="decode.version",
             peer=peer,
         )
-    adapter = _adapter_for(kind) if isinstance(kind, int) else None
-    if adapter is None:
+    decoder = _decoder_for(kind) if isinstance(kind, int) else None
+    if decoder is None:
         raise ProtocolError(
             f"unknown message kind {kind!r}", step="decode.kind", peer=peer
         )
     try:
-        return adapter.validate_python(ArgsKwargs(tuple(values)))
-    except ValidationError as error:
+        return decoder(values)
+    except (ValueError, msgspec.ValidationError) as error:
         raise ProtocolError(
-            f"invalid {messages_by_kind[kind].__name__}: {error.errors()[0]['msg']}",
+            f"invalid {messages_by_kind[kind].__name__}: {error}",
             step="decode.fields",
             peer=peer,
         ) from error
--- a/src/verbenawick/_quarantine.py
+++ b/src/verbenawick/_quarantine.py
@@ -25,7 +25,8 @@
     StorePort,
 )
 from verbenawick._events import Event, emit, register_event
-from verbenawick._messages import Message, Row, register_message
+from verbenawick._message_rows import Row
+from verbenawick._messages import Message, register_message
 from verbenawick._metrics import MetricKind, MetricSet, register_metric
 from verbenawick.errors import ProtocolError, VerbenawickError
 
--- a/src/verbenawick/_status.py
+++ b/src/verbenawick/_status.py
@@ -26,7 +26,8 @@
 from verbenawick._distribution import ConfigDistribution
 from verbenawick._events import Event, emit, register_event
 from verbenawick._members import MemberView
-from verbenawick._messages import Message, Row
+from verbenawick._message_rows import Row
+from verbenawick._messages import Message
 from verbenawick.errors import (
     StatusError,
     StoreAnswerLostError,
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -53,6 +53,8 @@
 # When no upstream of a service is known or reachable, seconds: about one status report.
 ABSENT_RETRY_AFTER_S = 0.3
 
+# An upstream that fails less than this share of what the failing one does is sound.
+SOUND_SHARE = 0.5
 # After these another gateway is better for a while.
 AVOIDED_CODES = frozenset(
     {DrainingError.code, WrongServiceError.code, PeerUnreachableError.code}
@@ -190,7 +192,7 @@
             offers.append(f"{endpoint.node_id}:{result.code or result.status}")
             arrivals += result.has_arrived
             if result.outcome is CallOutcome.COMPLETE:
-                if not self._may_improve(result, route, forwarded, arrivals):
+                if not self._may_improve(result, route, forwarded, arrivals, tried):
                     return self._completed(call, route, forwarded, result, offers)
                 unknown = result
             elif result.outcome is CallOutcome.UNKNOWN:
@@ -210,10 +212,23 @@
             call, route, forwarded.service, code, offers, retry_after_s, forwarded
         )
 
-    def _may_improve(self, result, route, forwarded, arrivals) -> bool:
-        """Return whether a failed response of the upstream is worth another run."""
+    def _may_improve(self, result, route, forwarded, arrivals, tried) -> bool:
+        """Return whether a failed response of the upstream is worth another run.
+
+        When the others fail as often, the cause is behind them: a further run would
+        fail too, and repeat the calls that it makes.
+        """
         if result.status < 500 or not route.is_idempotent:
             return False
+        now = self._clock.now()
+        shares = [
+            endpoint.failing_now(now)
+            for endpoint in self._endpoints.of_service(forwarded.service)
+            if endpoint.node_id not in tried and endpoint.state is UpstreamState.READY
+        ]
+        own_share = result.load.failing_share
+        if not shares or min(shares) > SOUND_SHARE * own_share:
+            return False
         return self._may_repeat(route, forwarded, arrivals, peek=True)
 
     def _may_repeat(self, route, forwarded, arrivals, *, peek=False) -> bool:
--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -254,7 +254,8 @@
 
     def _handle(self, call, deadline, objective_at) -> CallResult:
         now = self._clock.now()
-        self._check(call, now)
+        fingerprint = fingerprint_of(call)
+        self._check(call, fingerprint, now)
         request = SlotRequest(
             call.route, call.priority, objective_at, deadline, lambda *verdict: None
         )
@@ -263,8 +264,8 @@
         service_s = None
         try:
             # The state may have changed while the call waited.
-            self._check(call, started_at)
-            kind, answer = self._run(call, deadline)
+            self._check(call, fingerprint, started_at)
+            kind, answer = self._run(call, fingerprint, deadline)
             service_s = self._clock.now() - started_at
             self._observe(service_s)
         finally:
@@ -277,7 +278,7 @@
                 step="gateway.run",
                 peer=self._upstream.upstream_id,
             )
-        self._guard.on_completion(fingerprint_of(call))
+        self._guard.on_completion(fingerprint)
         self._count_outcome(is_failure=answer.status >= 500)
         return CallResult(
             CallOutcome.COMPLETE,
@@ -291,7 +292,7 @@
             self.load(call.route),
         )
 
-    def _check(self, call: ForwardedCall, now: float) -> None:
+    def _check(self, call: ForwardedCall, fingerprint: bytes, now: float) -> None:
         upstream = self._upstream
         if self._is_stopping or not upstream.accepts_work:
             raise DrainingError(
@@ -303,7 +304,7 @@
                 step="gateway",
                 peer=self._node_id,
             )
-        if self._guard.is_refused(fingerprint_of(call), now):
+        if self._guard.is_refused(fingerprint, now):
             raise QuarantinedError(
                 "equal requests crashed upstreams", step="gateway", peer=self._node_id
             )
@@ -326,7 +327,7 @@
             error.retry_after_s = verdict[1]
             raise error
 
-    def _run(self, call: ForwardedCall, deadline: float):
+    def _run(self, call: ForwardedCall, fingerprint: bytes, deadline: float):
         upstream_id = self._upstream.upstream_id
         headers = self._protocol.request_headers(
             call.headers,
@@ -336,7 +337,7 @@
 
         def on_sent() -> None:
             self._metrics.count(RUNS)
-            self._running_fingerprints[id(call)] = fingerprint_of(call)
+            self._running_fingerprints[id(call)] = fingerprint
             if not call.is_idempotent:
                 self._sent_once.add(id(call))
 
--- a/src/verbenawick/mesh/_log_output.py
+++ b/src/verbenawick/mesh/_log_output.py
@@ -9,6 +9,8 @@
 from eventlet.event import Event
 from loguru import logger
 
+from verbenawick._events import limit_events
+
 # Lines kept while the reader of the output is slow.
 MAX_LINES_KEPT = 5000
 # Lines a second written for one event; the rest are counted.
@@ -41,10 +43,6 @@
         record = message.record
         extra = record["extra"]
         number = extra.get("event", 0)
-        if not self._is_within_rate(number):
-            name = str(number)
-            self._omitted_by_event[name] = self._omitted_by_event.get(name, 0) + 1
-            return
         fields = {key: value for key, value in extra.items() if key != "event"}
         line = {
             "time": record["time"].isoformat(timespec="milliseconds"),
@@ -92,13 +90,18 @@
             self._has_lines.send(True)
         self._lines.append(msgspec.json.encode(line, enc_hook=str) + b"\n")
 
-    def _is_within_rate(self, number: int) -> bool:
+    def is_within_rate(self, number: int) -> bool:
+        """Return whether one more line of an event is written now; count the others."""
         now = monotonic()
         window = self._counts_by_event.setdefault(number, [now, 0])
         if now - window[0] >= 1:
             window[0], window[1] = now, 0
         window[1] += 1
-        return window[1] <= LINES_PER_EVENT_S
+        if window[1] <= LINES_PER_EVENT_S:
+            return True
+        name = str(number)
+        self._omitted_by_event[name] = self._omitted_by_event.get(name, 0) + 1
+        return False
 
     def _report_omitted(self) -> None:
         now = monotonic()
@@ -114,6 +117,7 @@
     logger.remove()
     logger.configure(extra={"node": node_id})
     logger.add(output.sink, level=level, format="{message}")
+    limit_events(output.is_within_rate)
 
 
 def _name_in(message: str) -> str:
--- a/src/verbenawick/mesh/_retry_budget.py
+++ b/src/verbenawick/mesh/_retry_budget.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 
 # Share of the fleet-wide allowance that the nodes hand out together. Calls that a
-# repeated request makes count as repeats as well, and no node sees those.
-SAFETY_SHARE = 0.6
+# repeated request makes, and their own repeats, count as well, and no node sees those.
+SAFETY_SHARE = 0.4
 
 # Length of the steps in which a window is counted, seconds.
 STEP_S = 0.5
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -7,10 +7,10 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
+from verbenawick._message_rows import Row
 from verbenawick._messages import (
     MAX_MESSAGE_BYTES,
     Message,
-    Row,
     decode_message,
     encode_message,
     register_message,
