--- a/src/verbenawick/_cli.py
+++ b/src/verbenawick/_cli.py
@@ -18,7 +18,7 @@
 
 STORE_VARIABLE = "VERBENAWICK_STORE"
 # Commands that work without the store.
-LOCAL_COMMANDS = ("check", "node", "ctl validate", "ctl explain")
+LOCAL_COMMANDS = ("check", "explain", "node", "ctl validate", "ctl explain")
 INTERRUPTED_TEXT = "interrupted; `ctl history` shows whether a change was accepted"
 
 EXIT_CODES_HELP = "exit codes:\n" + "\n".join(
@@ -74,6 +74,9 @@
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
     node = _add(commands, "node", help="run the node beside an upstream")
     node.add_argument("--settings", type=Path, required=True, metavar="FILE")
+    story = _add(commands, "explain", help="tell the story of a request from log files")
+    story.add_argument("--request", required=True, metavar="ID")
+    story.add_argument("files", type=Path, nargs="+", metavar="FILE")
     check = _add(commands, "check", help="check a node's settings file")
     check.add_argument("file", type=Path, metavar="FILE")
     _add_json(check)
--- a/src/verbenawick/_commands.py
+++ b/src/verbenawick/_commands.py
@@ -4,7 +4,9 @@
 import json
 from argparse import Namespace
 from collections.abc import Callable
+from contextlib import ExitStack
 from dataclasses import replace
+from itertools import chain
 
 from verbenawick._acceptance import Acceptor
 from verbenawick._change_plan import Acceptance
@@ -28,6 +30,7 @@
     wait_until_in_force,
 )
 from verbenawick._node_pages import read_page
+from verbenawick._request_story import tell_story
 from verbenawick._settings import load_settings
 from verbenawick._store import StoreClient
 from verbenawick.errors import DocumentError
@@ -65,6 +68,18 @@
     return Result(ExitCode(exit_code), "")
 
 
+@register_command("explain")
+def explain_request(arguments: Namespace) -> Result:
+    """Print what the logs of the nodes say about a request, in order."""
+    with ExitStack() as stack:
+        files = [stack.enter_context(path.open()) for path in arguments.files]
+        story = tell_story(arguments.request, chain.from_iterable(files))
+    if not story:
+        text = f"no log line names {arguments.request}; calm calls are only counted"
+        return Result(ExitCode.REFUSED, text)
+    return Result(ExitCode.DONE, "\n".join(map(str, story)))
+
+
 @register_command("ctl validate")
 def validate(arguments: Namespace) -> Result:
     """Check a document without the store."""
--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -74,7 +74,7 @@
     route: str
     code: str
     upstream: str
-    elapsed_s: float
+    left_s: float
     reason: str
 
 
