--- a/src/verbenawick/mesh/_placement.py
+++ b/src/verbenawick/mesh/_placement.py
@@ -34,7 +34,7 @@
     Distance.OWN_NODE: 0.0,
     Distance.DATA_CENTRE: 0.005,
     Distance.REGION: 0.02,
-    Distance.REMOTE: 0.06,
+    Distance.REMOTE: 0.1,
 }
 # Cost of a kilobyte as a share of the value of a call. Traffic between regions is paid
 # by volume, traffic between data centres at about a quarter of that.
@@ -42,7 +42,7 @@
     Distance.OWN_NODE: 0.0,
     Distance.DATA_CENTRE: 0.0,
     Distance.REGION: 0.03,
-    Distance.REMOTE: 0.12,
+    Distance.REMOTE: 0.15,
 }
 # Share of the value that is lost when a response is later than its objective.
 LATE_COST = 0.7
