--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -1,7 +1,7 @@
 """A node whose platform keeps the state: builds its parts, starts and stops them."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random, SystemRandom
 
 import eventlet
@@ -10,7 +10,7 @@
 from verbenawick._call_messages import next_call_id
 from verbenawick._clock import BootClock
 from verbenawick._component import NodeIdentity
-from verbenawick._events import Event, emit, register_event
+from verbenawick._events import emit
 from verbenawick._links import CALL_CHANNEL, Link, LinkServer
 from verbenawick._members import Member
 from verbenawick._messages import Message
@@ -36,6 +36,17 @@
     UpstreamRecord,
     UpstreamState,
 )
+from verbenawick.mesh._node_events import (
+    ConfigurationInForce,
+    MeshNodeStarted,
+    MeshNodeStopped,
+    MeshNodeStopping,
+    PeerLost,
+    SettingsRejected,
+    SettingsReloaded,
+    UpstreamProbeFailed,
+)
+from verbenawick.mesh._peer_connectors import PeerConnectors
 from verbenawick.mesh._placement import Distance
 from verbenawick.mesh._publisher import RecordPublisher
 from verbenawick.mesh._retry_budget import RetryBudget
@@ -46,8 +57,6 @@
 INCARNATION_BITS = 48
 # A node on the same site answers in milliseconds; a VM that is off never does.
 DIAL_TIMEOUT_S = 0.5
-FIRST_REDIAL_S = 0.1
-LONGEST_REDIAL_S = 1.0
 SILENCE_CHECK_INTERVAL_S = 0.15
 # Links that owe answers are watched closely; idle ones need few signs of life.
 IDLE_PING_INTERVAL_S = 15.0
@@ -64,96 +73,6 @@
 HANDOFF_S = 0.1
 
 
-@register_event(700, level="WARNING")
-@dataclass(frozen=True, slots=True)
-class LinesOmitted(Event):
-    """Log lines were left out, to bound their volume; counted by event number."""
-
-    omitted: str
-
-
-@register_event(701)
-@dataclass(frozen=True, slots=True)
-class MeshNodeStarted(Event):
-    """The node listens on all its addresses."""
-
-    incarnation: int
-    service: str
-    data_centre: str
-    region: str
-
-
-@register_event(702)
-@dataclass(frozen=True, slots=True)
-class MeshNodeStopping(Event):
-    """The node was told to stop; it finishes its calls first."""
-
-    calls_in_flight: int
-    gateway_calls: int
-
-
-@register_event(703)
-@dataclass(frozen=True, slots=True)
-class MeshNodeStopped(Event):
-    """The node has ended its calls."""
-
-    all_calls_ended: bool
-
-
-@register_event(704)
-@dataclass(frozen=True, slots=True)
-class SettingsReloaded(Event):
-    """The settings file was read again."""
-
-    cause: str
-    service: str
-    upstream_address: str
-
-
-@register_event(705)
-@dataclass(frozen=True, slots=True)
-class ConfigurationInForce(Event):
-    """The node serves a configuration from now on."""
-
-    version: int
-    earlier_version: int
-    revision: int
-    routes: int
-
-
-@register_event(706)
-@dataclass(frozen=True, slots=True)
-class PeerReached(Event):
-    """A link to another node is open."""
-
-    peer: str
-
-
-@register_event(707, level="WARNING")
-@dataclass(frozen=True, slots=True)
-class PeerLost(Event):
-    """Another node cannot be reached or gives no sign of life."""
-
-    peer: str
-    reason: str
-
-
-@register_event(708, level="DEBUG")
-@dataclass(frozen=True, slots=True)
-class UpstreamProbeFailed(Event):
-    """The upstream beside the node did not answer a health probe well."""
-
-    reason: str
-
-
-@register_event(709, level="ERROR")
-@dataclass(frozen=True, slots=True)
-class SettingsRejected(Event):
-    """The changed settings are invalid; the node goes on with those at hand."""
-
-    reason: str
-
-
 class MeshNode:
     """One node with its entry and its gateway.
 
@@ -286,7 +205,7 @@
         self._record_follower = RecordFollower(
             open_store(), random=self.random, apply=self._on_records
         )
-        self._connectors_by_node_id: dict[str, object] = {}
+        self._connectors = PeerConnectors(self.links, random=self.random)
         self._tasks = []
         self._is_probing = False
         self._put_own_endpoint()
@@ -351,8 +270,9 @@
     def close(self) -> None:
         """End all tasks and close all links."""
         self._link_server.stop()
-        for task in (*self._tasks, *self._connectors_by_node_id.values()):
+        for task in self._tasks:
             task.kill()
+        self._connectors.close()
         self.links.close()
 
     def reload(self, settings: MeshSettings, *, cause: str) -> None:
@@ -452,9 +372,7 @@
             return
         if record is None:
             self.endpoints.remove(node_id)
-            connector = self._connectors_by_node_id.pop(node_id, None)
-            if connector is not None:
-                connector.kill()
+            self._connectors.forget(node_id)
             return
         known = self.endpoints.get(node_id)
         has_moved = known is not None and known.peer_address != record.peer_address
@@ -465,33 +383,7 @@
             or not self.links.is_connected(record.peer_address)
         ):
             self.endpoints.put_record(record)
-        if has_moved:
-            self._connectors_by_node_id.pop(node_id).kill()
-        if node_id not in self._connectors_by_node_id:
-            self._connectors_by_node_id[node_id] = eventlet.spawn(
-                self._stay_connected, record
-            )
-
-    def _stay_connected(self, record: UpstreamRecord) -> None:
-        """Keep a link to another node open, so that no call has to wait for one."""
-        member = Member(
-            record.node_id, 0, record.service, "", "", record.peer_address, 0
-        )
-        failures = 0
-        while True:
-            try:
-                self.links.connect(member)
-                emit(PeerReached(record.node_id))
-                failures = 0
-                self.links.wait_until_closed(record.peer_address)
-                emit(PeerLost(record.node_id, "link closed"))
-                eventlet.sleep(FIRST_REDIAL_S * self.random.random())
-            except LinkClosedError as error:
-                failures += 1
-                if failures == 1:
-                    emit(PeerLost(record.node_id, str(error)))
-                wait_s = min(FIRST_REDIAL_S * 2**failures, LONGEST_REDIAL_S)
-                eventlet.sleep(wait_s * (0.5 + 0.5 * self.random.random()))
+        self._connectors.keep(record)
 
     def _watch_silence(self) -> None:
         while True:
