--- a/src/verbenawick/mesh/_endpoints.py
+++ b/src/verbenawick/mesh/_endpoints.py
@@ -47,7 +47,6 @@
     failing_share: float = 0.0
     failing_at: float = 0.0
     avoided_until: float = 0.0
-    is_silent: bool = False
 
     def current_load(self) -> int:
         """Return the calls at the gateway, own ones since its last answer included."""
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -15,7 +15,6 @@
 from verbenawick.errors import (
     AnswerLostError,
     CallTimeoutError,
-    DeadlineUnreachableError,
     DrainingError,
     LinkClosedError,
     NoEndpointError,
@@ -343,8 +342,6 @@
         retry_after_s = min(
             max(retry_after_s, LEAST_RETRY_AFTER_S) * spread, LONGEST_RETRY_AFTER_S
         )
-        if code == DeadlineUnreachableError.code:
-            code = NoEndpointError.code
         result = CallResult(CallOutcome.NOT_RUN, code, retry_after_s=retry_after_s)
         self._log(call, route, forwarded, result, offers, retry_after_s)
         return result
@@ -381,7 +378,6 @@
             answer.running,
             answer.waiting,
             answer.slots,
-            answer.wait_s,
             answer.service_s,
             answer.failing_share,
         ),
--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -190,7 +190,6 @@
             self._queue.running_count,
             self._queue.waiting_count,
             self._queue.slots,
-            self._queue.expected_wait_s(now),
             self._queue.expected_service_s(route, now),
             self._failing_share,
         )
@@ -226,7 +225,6 @@
             load.running,
             load.waiting,
             load.slots,
-            load.wait_s,
             load.service_s,
             load.failing_share,
         )
--- a/src/verbenawick/mesh/_local_upstream.py
+++ b/src/verbenawick/mesh/_local_upstream.py
@@ -63,7 +63,6 @@
         self.upstream_id = ""
         self.state = UpstreamState.UNKNOWN
         self.slots = DEFAULT_SLOTS
-        self.cold_until = 0.0
         self._on_change = on_change
         self._sequence = -1
         self._born_ms = 0
@@ -93,7 +92,6 @@
             state = UpstreamState.DRAINING
         self._sequence = report.sequence
         self._born_ms = report.born_ms
-        self.cold_until = now + report.cold_left_s
         self._become(
             state, report.upstream_id, report.service, report.slots, cause="report"
         )
--- a/src/verbenawick/mesh/_messages.py
+++ b/src/verbenawick/mesh/_messages.py
@@ -52,7 +52,6 @@
     running: int
     waiting: int
     slots: int
-    wait_s: float
     service_s: float
     failing_share: float
 
--- a/src/verbenawick/mesh/_model.py
+++ b/src/verbenawick/mesh/_model.py
@@ -184,8 +184,6 @@
     running, waiting, slots : int
         Requests at the upstream, requests in the queue, and what the upstream runs at
         the same time.
-    wait_s : float
-        Expected wait of a further request of the same route.
     service_s : float
         Usual time at the upstream of a request of the same route; 0 when unknown.
     failing_share : float
@@ -195,7 +193,6 @@
     running: int = 0
     waiting: int = 0
     slots: int = 0
-    wait_s: float = 0.0
     service_s: float = 0.0
     failing_share: float = 0.0
 
--- a/src/verbenawick/platform/_calls.py
+++ b/src/verbenawick/platform/_calls.py
@@ -48,7 +48,9 @@
     """A header of a request has an invalid value."""
 
 
-def decode_call(environ, body: bytes, *, caller_service: str, now: float):
+def decode_call(
+    environ, body: bytes, *, caller_service: str, now: float
+) -> IncomingCall:
     """Return the call in a WSGI environment.
 
     Raises
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -121,7 +121,7 @@
         status=200,
         node_id="n2",
     ):
-        load = GatewayLoad(running, 0, 4, 0.0, service_s, failing)
+        load = GatewayLoad(running, 0, 4, service_s, failing)
         result = CallResult(CallOutcome.COMPLETE, "", status, load=load)
         self.endpoints.end(node_id, call, "r", result, now)
 
