--- a/tests/test_call_links.py
+++ b/tests/test_call_links.py
@@ -6,7 +6,7 @@
 from testtools import TestCase
 
 from tests.call_support import free_port, member, wait_until
-from verbenawick._call_links import ANSWERS_DROPPED, CallLinks
+from verbenawick._call_links import ANSWERS_DROPPED, SILENCE_LIMIT_S, CallLinks
 from verbenawick._call_messages import CallCancel, CallRequest, next_call_id
 from verbenawick._clock import MonotonicClock
 from verbenawick._component import NodeIdentity
@@ -57,8 +57,8 @@
     return CallRequest(**{**fields, **changes})
 
 
-class CallLinksTest(TestCase):
-    """Correlation, lost answers and cancellation."""
+class CallLinksWorld(TestCase):
+    """A client and a server of call links."""
 
     def setUp(self):
         super().setUp()
@@ -99,6 +99,10 @@
         deadline = self.clock.now() + timeout_s
         return self.client.request(self.peer, message, deadline=deadline)
 
+
+class CallLinksTest(CallLinksWorld):
+    """Correlation, lost answers and cancellation."""
+
     def test_answers_reach_their_requests_in_any_order(self):
         """Guards against a caller that gets the response to another request."""
 
@@ -200,3 +204,76 @@
         self.request()
         self.assertLess(sent[0], 0.09)
         self.assertGreaterEqual(sent[1], 0.1)
+
+
+class SilenceTest(CallLinksWorld):
+    """Silent peers are told from idle ones."""
+
+    def check(self, may_abandon=True):
+        return self.client.check_silence(may_abandon=lambda message: may_abandon)
+
+    def open_link(self):
+        self.answer_with(lambda peer, message, at: Reply(message.call_id))
+        self.request()
+        return self.client.dialled_links()[0]
+
+    def freeze(self, link):
+        """Let the peer answer neither requests nor pings."""
+        self.answer_with(self.hang)
+        link.ping = lambda: None
+
+    def test_link_that_was_idle_is_not_silent_at_its_next_request(self):
+        """Calm links were taken for dead, and their calls cut and sent again."""
+        link = self.open_link()
+        link._last_heard_at -= 10 * SILENCE_LIMIT_S
+        self.answer_with(self.hang)
+        thread = eventlet.spawn(self.request)
+        wait_until(lambda: self.running)
+        self.assertEqual([], self.check())
+        self.assertFalse(self.client.is_silent(self.peer.peer_address))
+        thread.kill()
+
+    def test_silent_peer_loses_only_what_may_be_sent_again(self):
+        """A request that must not run twice may still be answered."""
+        link = self.open_link()
+        self.freeze(link)
+        results = []
+
+        def send():
+            try:
+                results.append(self.request())
+            except AnswerLostError as error:
+                results.append(error)
+
+        thread = eventlet.spawn(send)
+        wait_until(lambda: self.running)
+        eventlet.sleep(SILENCE_LIMIT_S + 0.1)
+        self.assertEqual(1, len(self.check(may_abandon=False)))
+        self.assertTrue(self.client.is_silent(self.peer.peer_address))
+        eventlet.sleep(0)
+        self.assertEqual([], results)
+        self.check()
+        thread.wait()
+        self.assertIsInstance(results[0], AnswerLostError)
+
+    def test_busy_peer_that_answers_pings_is_not_silent(self):
+        """A slow upstream must not make its node look dead."""
+        self.open_link()
+        self.answer_with(self.hang)
+        thread = eventlet.spawn(self.request)
+        wait_until(lambda: self.running)
+        end = self.clock.now() + SILENCE_LIMIT_S + 0.3
+        while self.clock.now() < end:
+            self.assertEqual([], self.check())
+            eventlet.sleep(0.05)
+        thread.kill()
+
+    def test_waiting_for_the_end_of_a_link(self):
+        """A connector that misses the end would never dial again."""
+        link = self.open_link()
+        thread = eventlet.spawn(self.client.wait_until_closed, self.peer.peer_address)
+        eventlet.sleep(0)
+        link.close()
+        with eventlet.Timeout(2):
+            thread.wait()
+        self.assertFalse(self.client.is_connected(self.peer.peer_address))
--- a/tests/test_mesh_world.py
+++ b/tests/test_mesh_world.py
@@ -221,3 +221,25 @@
             self.a1, "/booking/1", method="POST", Deadline_Remaining="200"
         )
         self.assertEqual(504, answer.status)
+
+    def test_failures_of_all_upstreams_are_not_run_again(self):
+        """The cause is behind them; each further run repeats the calls it makes."""
+        for node in (self.a1, self.a2):
+            node.upstream.status = 500
+        for _ in range(30):
+            self.world.call(self.a1, "/archive/1")
+        ids = [f"failing-{number}" for number in range(10)]
+        for request_id in ids:
+            self.world.call(self.a1, "/archive/1", Attempt_Id=request_id)
+        runs = sum(
+            node.upstream.runs_by_request[request_id]
+            for node in (self.a1, self.a2)
+            for request_id in ids
+        )
+        self.assertLessEqual(runs, 12)
+
+    def test_failure_of_one_upstream_is_run_again_at_a_sound_one(self):
+        """An upstream that fails alone must not fail its callers."""
+        self.a1.upstream.status = 500
+        statuses = [self.world.call(self.a1, "/archive/1").status for _ in range(8)]
+        self.assertEqual([200] * 8, statuses)
