Count the silence of a peer from the first probe

Cause: after a standstill of the own process (a suspended VM, a busy machine) the first check found every link silent for longer than the limit and gave up its requests before the bytes that had arrived meanwhile were read. Found by reading, after a read that an upstream shed once was not served in a test. The new test fails without the change.

--- a/src/verbenawick/_call_links.py
+++ b/src/verbenawick/_call_links.py
@@ -55,6 +55,8 @@
     retry_at: float = 0.0
     # When a link whose peer owes answers was first seen without a sign of life.
     silent_since: float = 0.0
+    # When the sign of life was asked for that is still missing.
+    probed_at: float = 0.0
     closed: Event = field(default_factory=Event)
 
 
@@ -200,11 +202,15 @@
             # An idle link was silent before it owed anything.
             silence_s = now - max(link.last_heard_at, owing_since)
             if silence_s < PROBE_SILENCE_S:
-                peer.silent_since = 0.0
+                peer.silent_since = peer.probed_at = 0.0
                 continue
             with suppress(LinkClosedError, LinkOverflowError):
                 link.ping()
-            if silence_s < SILENCE_LIMIT_S:
+            if link.last_heard_at >= peer.probed_at:
+                # Counted from the first probe: this process may have stood still, and
+                # what the peer sent meanwhile is yet to be read.
+                peer.probed_at = now
+            if now - peer.probed_at < SILENCE_LIMIT_S - PROBE_SILENCE_S:
                 continue
             if not peer.silent_since:
                 peer.silent_since = now
