Do not lose a change of the record that is told during a write

The removal was told while the answer to the write was under way, and compared with what the node knew before it. The record is read again now after such a write.

--- a/src/verbenawick/mesh/_publisher.py
+++ b/src/verbenawick/mesh/_publisher.py
@@ -65,6 +65,8 @@
         self._random = random
         self._stored: UpstreamRecord | None = None
         self._is_known = False
+        self._is_writing = False
+        self._has_changed_since = False
         self._changed = Event()
         self._idle = Event()
 
@@ -75,6 +77,10 @@
 
     def on_stored(self, record: UpstreamRecord | None) -> None:
         """Learn from a watch what the store holds; others may have changed it."""
+        if self._is_writing:
+            # The answer to the write may be older than this change.
+            self._has_changed_since = True
+            return
         known = self._stored.revision if self._stored else 0
         if record is None or record.revision > known:
             if record != self._stored:
@@ -87,7 +93,7 @@
         while True:
             if not self._is_current():
                 try:
-                    self._write()
+                    self._write_once()
                     failures = 0
                 except (StoreConditionError, StoreAnswerLostError) as error:
                     self._is_known = False
@@ -118,6 +124,15 @@
             return wanted is self._stored
         return replace(wanted, revision=self._stored.revision) == self._stored
 
+    def _write_once(self) -> None:
+        self._is_writing, self._has_changed_since = True, False
+        try:
+            self._write()
+        finally:
+            self._is_writing = False
+        if self._has_changed_since:
+            self._is_known = False
+
     def _write(self) -> None:
         wanted = self._wanted()
         if not self._is_known:
