--- /dev/null
+++ b/deploy/replay-seeds.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# Plays the days of deploy/seeds.txt that belong to a site file again.
+set -eu
+fleetbench=$1
+site=$2
+name=$(basename "$site" .toml)
+grep -v '^#' "$(dirname "$0")/seeds.txt" | while read -r site_name day seed; do
+    [ "$site_name" = "$name" ] || continue
+    "$fleetbench" run "$site" "$day" --seed "$seed" --why "seed that once failed"
+done
