Read request heads with the parser that reads answers

Cause: the standard library's mail parser takes 99 us for a head of five headers, and it accepts heads with a length beside a chunked body. Ruled out: replacing the WSGI server; most of a call's time there is cold code after a wake-up (2.3 ms of user time a call at 30 calls/s, 1.25 ms at 400/s), which another parser does not change. Change: CallerProtocol reads heads with httptools and refuses ambiguous ones; the histogram of calls keeps its children by outcome.

--- a/src/verbenawick/_entry_server.py
+++ b/src/verbenawick/_entry_server.py
@@ -7,6 +7,7 @@
 from eventlet import wsgi
 from greenlet import GreenletExit
 
+from verbenawick._caller_protocol import CallerProtocol
 from verbenawick._sockets import listen
 
 MAX_CONNECTIONS = 1024
@@ -58,6 +59,7 @@
         wsgi.server(
             self._listener,
             self._application,
+            protocol=CallerProtocol,
             log_output=False,
             debug=False,
             max_size=self._max_connections,
--- a/src/verbenawick/mesh/_metrics_page.py
+++ b/src/verbenawick/mesh/_metrics_page.py
@@ -30,6 +30,7 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._call_seconds_by_outcome: dict[str, Histogram] = {}
         self._upstream_seconds = Histogram(
             "upstream_seconds",
             "Time of a call at the own upstream",
@@ -40,7 +41,12 @@
 
     def observe_call(self, outcome: str, seconds: float) -> None:
         """Count a call by how it ended."""
-        self._call_seconds.labels(outcome).observe(seconds)
+        # Looking up a child by its label takes longer than observing.
+        child = self._call_seconds_by_outcome.get(outcome)
+        if child is None:
+            child = self._call_seconds.labels(outcome)
+            self._call_seconds_by_outcome[outcome] = child
+        child.observe(seconds)
 
     def observe_upstream(self, seconds: float) -> None:
         """Count a call that the own upstream ran."""
