Count the size of a call in its placement; keep short steps near

Cause: choose() took the size of a call and did not pass it on, so each call counted as one kilobyte; calls with an objective of 60 ms, which are steps of other calls, crossed regions to save some 20 ms of their parents. Change: the size reaches cost_of(); a late response costs in proportion to the objective below 0.2 s; kilobytes cost what the users pay.

--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -37,7 +37,7 @@
     MeshRoute,
     UpstreamState,
 )
-from verbenawick.mesh._placement import Distance, choose
+from verbenawick.mesh._placement import Distance, choose, late_cost_of
 from verbenawick.mesh._retry_budget import RetryBudget
 from verbenawick.mesh._route_index import RouteIndex, TargetRotation
 
@@ -260,6 +260,7 @@
             left_s=max(forwarded.deadline - now, 0.001),
             random=self._random,
             kilobytes=self._endpoints.kilobytes(forwarded.route),
+            late_cost=late_cost_of(forwarded.objective_at - forwarded.sent_at),
         )
         return self._endpoints.get(chosen.node_id) if chosen else None
 
--- a/src/verbenawick/mesh/_placement.py
+++ b/src/verbenawick/mesh/_placement.py
@@ -37,15 +37,22 @@
     Distance.REMOTE: 0.1,
 }
 # Cost of a kilobyte as a share of the value of a call. Traffic between regions is paid
-# by volume, traffic between data centres at about a quarter of that.
+# by volume, traffic between data centres at about a third of that.
 KILOBYTE_COST = {
     Distance.OWN_NODE: 0.0,
     Distance.DATA_CENTRE: 0.0,
-    Distance.REGION: 0.03,
-    Distance.REMOTE: 0.15,
+    Distance.REGION: 0.05,
+    Distance.REMOTE: 0.17,
 }
 # Share of the value that is lost when a response is later than its objective.
 LATE_COST = 0.7
+# Objective from which on a late response loses that much, seconds. A shorter objective
+# belongs to a step of another call, which a late step delays by tens of milliseconds
+# only; that is seldom worth paid traffic.
+FULL_COST_OBJECTIVE_S = 0.2
+# How much more a late response costs when it is expected right at the deadline, which
+# service times longer than usual make it miss.
+LATE_RISE = 0.4
 # Cost of a call that is expected to end after its deadline.
 LOST_COST = 1.5
 # How the chance of a miss rises with the expected share of the objective. Service
@@ -78,8 +85,18 @@
         return self.expected_s + ROUND_TRIP_S[self.distance]
 
 
+def late_cost_of(objective_s: float) -> float:
+    """Return what a call with an objective loses when its response is late."""
+    return LATE_COST * min(objective_s / FULL_COST_OBJECTIVE_S, 1.0)
+
+
 def cost_of(
-    candidate: Candidate, *, objective_s: float, left_s: float, kilobytes: float = 1.0
+    candidate: Candidate,
+    *,
+    objective_s: float,
+    left_s: float,
+    kilobytes: float = 1.0,
+    late_cost: float = LATE_COST,
 ) -> float:
     """Return the expected loss of a call at `candidate` as a share of its value.
 
@@ -89,14 +106,16 @@
         Time left until the objective and until the deadline of the call.
     kilobytes : float
         Usual size of request and response.
+    late_cost : float
+        Lost by a response that is later than its objective, as a share of the value.
     """
     completion_s = candidate.completion_s
     if completion_s >= left_s:
         miss = LOST_COST
     elif completion_s >= objective_s:
-        miss = LATE_COST + 0.3 * completion_s / left_s
+        miss = late_cost * (1 + LATE_RISE * completion_s / left_s)
     else:
-        miss = LATE_COST * (completion_s / objective_s) ** MISS_EXPONENT
+        miss = late_cost * (completion_s / objective_s) ** MISS_EXPONENT
     way = DISTANCE_COST[candidate.distance]
     way += KILOBYTE_COST[candidate.distance] * kilobytes
     return miss + way + candidate.failing_share
@@ -109,6 +128,7 @@
     left_s: float,
     random: Random,
     kilobytes: float = 1.0,
+    late_cost: float = LATE_COST,
 ) -> Candidate | None:
     """Return the candidate of least cost, None without one."""
     if not candidates:
@@ -116,7 +136,13 @@
     return min(
         candidates,
         key=lambda candidate: (
-            cost_of(candidate, objective_s=objective_s, left_s=left_s)
+            cost_of(
+                candidate,
+                objective_s=objective_s,
+                left_s=left_s,
+                kilobytes=kilobytes,
+                late_cost=late_cost,
+            )
             + JITTER_COST * random.random()
         ),
     )
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -16,7 +16,13 @@
     UpstreamRecord,
     UpstreamState,
 )
-from verbenawick.mesh._placement import Candidate, Distance, choose, cost_of
+from verbenawick.mesh._placement import (
+    Candidate,
+    Distance,
+    choose,
+    cost_of,
+    late_cost_of,
+)
 from verbenawick.mesh._retry_budget import RetryBudget
 from verbenawick.mesh._route_index import RouteIndex, TargetRotation
 
@@ -39,13 +45,16 @@
 class PlacementTest(TestCase):
     """Cost of a call at a gateway."""
 
-    def chosen(self, *candidates, objective_s=0.25, left_s=1.0, kilobytes=1.0):
+    def chosen(
+        self, *candidates, objective_s=0.25, left_s=1.0, kilobytes=1.0, full_s=None
+    ):
         return choose(
             candidates,
             objective_s=objective_s,
             left_s=left_s,
             random=Random(1),
             kilobytes=kilobytes,
+            late_cost=late_cost_of(full_s or objective_s),
         ).node_id
 
     def test_near_upstream_is_preferred_while_the_objective_is_safe(self):
@@ -73,6 +82,32 @@
         large = cost_of(far, objective_s=0.25, left_s=1, kilobytes=6)
         self.assertGreater(large, small)
 
+    def test_size_decides_between_a_late_near_and_a_far_upstream(self):
+        """Guards against a choice that takes every call for one kilobyte."""
+        near = Candidate("near", Distance.DATA_CENTRE, 0.4)
+        far = Candidate("far", Distance.REMOTE, 0.05)
+        self.assertEqual("far", self.chosen(near, far, kilobytes=1.0))
+        self.assertEqual("near", self.chosen(near, far, kilobytes=8.0))
+
+    def test_short_steps_stay_near_when_they_are_somewhat_late(self):
+        """A lookup that is 20 ms late delays its parent by 20 ms, not by a miss."""
+        near = Candidate("near", Distance.DATA_CENTRE, 0.065)
+        far = Candidate("far", Distance.REMOTE, 0.02)
+        self.assertEqual("near", self.chosen(near, far, objective_s=0.06, left_s=0.2))
+
+    def test_short_steps_move_on_from_an_upstream_that_misses_their_deadline(self):
+        """A lookup that fails makes its parent fail."""
+        near = Candidate("near", Distance.DATA_CENTRE, 0.25)
+        far = Candidate("far", Distance.REMOTE, 0.02)
+        self.assertEqual("far", self.chosen(near, far, objective_s=0.06, left_s=0.2))
+
+    def test_a_call_near_its_objective_keeps_its_value(self):
+        """The value follows from the whole objective, not from what is left of it."""
+        near = Candidate("near", Distance.DATA_CENTRE, 0.25)
+        far = Candidate("far", Distance.REMOTE, 0.02)
+        chosen = self.chosen(near, far, objective_s=0.05, left_s=0.8, full_s=0.25)
+        self.assertEqual("far", chosen)
+
     def test_cost_never_falls_with_a_longer_wait(self):
         """A longer queue must not look better than a shorter one."""
         costs = [
