Watch the configuration once for all regions

Cause: the relay of each region pulled every version, 71 KB, from the store; two of the three regions pay for it, and a storm brings four versions a second. Ruled out: sending deltas (a compressed version is about a tenth, and a follower without the earlier version needs the whole); beacons to every node (they would send that tenth 16 times). Change: the head nearest to the store, by the round trip of its connections, relays to its region and to the heads of the others, which repeat to theirs.

--- a/src/verbenawick/mesh/_followers.py
+++ b/src/verbenawick/mesh/_followers.py
@@ -16,13 +16,18 @@
 from verbenawick._events import Event, emit, register_event
 from verbenawick.errors import StoreHistoryGoneError, VerbenawickError
 from verbenawick.mesh._configuration_relay import (
+    FIRST_WATCH_WAIT_S,
     RELAY_WATCH_WAIT_S,
     ConfigurationBeacon,
     ConfigurationDocument,
     RelayState,
 )
 from verbenawick.mesh._model import MeshConfiguration
-from verbenawick.mesh._state_store import RecordChange, StateStore
+from verbenawick.mesh._state_store import (
+    ConfigurationChange,
+    RecordChange,
+    StateStore,
+)
 
 # Below the 3 s after the end of a fault within which a node has to be up to date again.
 WATCH_WAIT_S = 2.4
@@ -122,6 +127,8 @@
         Returns the configuration in a document of the store at a revision.
     query : callable
         Asks a node by its id for the configuration that it serves.
+    announce : callable
+        Called when this node can send beacons after a time in which it could not.
     """
 
     subject = "configuration"
@@ -138,6 +145,7 @@
         is_relay: Callable[[], bool],
         decode: Callable[[bytes, int], MeshConfiguration | None],
         query: Callable[[str], ConfigurationDocument | None],
+        announce: Callable[[], None] = lambda: None,
     ):
         super().__init__(store, random=random)
         self._clock = clock
@@ -146,6 +154,7 @@
         self._is_relay = is_relay
         self._decode = decode
         self._query = query
+        self._announce = announce
         self._version = 0
         self._document = b""
         self._is_querying = False
@@ -153,7 +162,13 @@
     @property
     def beacon(self) -> ConfigurationBeacon:
         """Return the beacon for the configuration in force, without its document."""
-        return ConfigurationBeacon(self._version, self._revision, b"")
+        return ConfigurationBeacon(
+            self._relay.node_id,
+            self._relay.distance,
+            self._version,
+            self._revision,
+            b"",
+        )
 
     def document_for(self, call_id: int) -> ConfigurationDocument:
         """Return the answer to a query."""
@@ -161,22 +176,22 @@
             call_id, self._version, self._revision, self._document
         )
 
-    def on_beacon(self, relay_id: str, beacon: ConfigurationBeacon) -> None:
-        """Follow a relay of the own region; must not block."""
+    def on_beacon(self, sender_id: str, beacon: ConfigurationBeacon) -> None:
+        """Follow a relay; must not block."""
         if beacon.version > self._version and beacon.document:
             self._take_document(beacon.document, beacon.revision)
         if beacon.version > self._version:
             if not self._is_querying:
                 self._is_querying = True
-                eventlet.spawn_n(self._fetch, relay_id)
+                eventlet.spawn_n(self._fetch, sender_id)
             return
-        self._relay.on_beacon(relay_id, self._clock.now())
+        self._relay.on_beacon(beacon, self._clock.now())
         if beacon.version == self._version:
             self._revision = max(self._revision, beacon.revision)
 
-    def _fetch(self, relay_id: str) -> None:
+    def _fetch(self, node_id: str) -> None:
         try:
-            answer = self._query(relay_id)
+            answer = self._query(node_id)
             if answer is not None and answer.version > self._version:
                 self._take_document(answer.document, answer.revision)
         finally:
@@ -205,9 +220,7 @@
         if not self._revision:
             change = self._store.read_configuration()
         elif self._is_relay():
-            change = self._store.watch_configuration(
-                self._revision, wait_s=RELAY_WATCH_WAIT_S
-            )
+            return self._watch_as_relay()
         elif self._relay.can_follow(self._clock.now()):
             eventlet.sleep(RELAY_CHECK_INTERVAL_S)
             return False
@@ -215,7 +228,19 @@
             change = self._store.watch_configuration(
                 self._revision, wait_s=WATCH_WAIT_S
             )
-        self._relay.on_contact(self._clock.now())
+        return self._take_change(change)
+
+    def _watch_as_relay(self) -> bool:
+        had_contact = self._relay.may_send_beacon(self._clock.now())
+        wait_s = RELAY_WATCH_WAIT_S if had_contact else FIRST_WATCH_WAIT_S
+        change = self._store.watch_configuration(self._revision, wait_s=wait_s)
+        has_changed = self._take_change(change)
+        if not had_contact:
+            self._announce()
+        return has_changed
+
+    def _take_change(self, change: ConfigurationChange) -> bool:
+        self._relay.on_contact(self._clock.now(), round_trip_s=self._store.round_trip_s)
         if change.configuration is None:
             self._revision = max(self._revision, change.revision)
             return False
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -195,6 +195,7 @@
             is_relay=self._is_relay,
             decode=decode,
             query=self._query_configuration,
+            announce=self._send_beacon_when_due,
         )
         self.links.register_notice(ConfigurationBeacon, self._on_beacon)
         self.links.register_handler(
@@ -301,17 +302,14 @@
                 len(configuration.routes),
             )
         )
-        if self._may_send_beacon():
-            document = self._configuration_follower.document_for(0).document
-            beacon = replace(self._configuration_follower.beacon, document=document)
-            self._send_beacon(beacon)
+        self._send_beacon_when_due(with_document=True)
         service = configuration.services_by_name.get(self.upstream.service)
         if service is not None:
             self.channels.max_channels = service.max_connections
 
     def _is_relay(self) -> bool:
-        """Return whether this node watches the store for its region."""
-        if self.is_stopping:
+        """Return whether this node watches the store for the others."""
+        if self.is_stopping or self._relay.hears_nearer_relay(self.clock.now()):
             return False
         linked = (
             endpoint.node_id
@@ -320,30 +318,51 @@
             and self.links.is_connected(endpoint.peer_address)
             and not self.links.is_silent(endpoint.peer_address)
         )
-        return self._relay.is_relay(linked)
-
-    def _may_send_beacon(self) -> bool:
-        return (
-            self.entry.configuration is not None
-            and self._relay.may_send_beacon(self.clock.now())
-            and self._is_relay()
-        )
+        return self._relay.is_head(linked)
 
     def _send_beacons(self) -> None:
         while True:
             eventlet.sleep(BEACON_INTERVAL_S)
-            if self._may_send_beacon():
-                self._send_beacon(self._configuration_follower.beacon)
+            self._send_beacon_when_due()
 
-    def _send_beacon(self, beacon: ConfigurationBeacon) -> None:
+    def _send_beacon_when_due(self, *, with_document: bool = False) -> None:
+        if (
+            self.entry.configuration is None
+            or not self._relay.may_send_beacon(self.clock.now())
+            or not self._is_relay()
+        ):
+            return
+        beacon = self._configuration_follower.beacon
+        if with_document:
+            document = self._configuration_follower.document_for(0).document
+            beacon = replace(beacon, document=document)
+        self._repeat_beacon(beacon)
+        for link in self._links_to_other_heads():
+            self.links.notify(link, beacon)
+
+    def _repeat_beacon(self, beacon: ConfigurationBeacon) -> None:
+        """Send a beacon to the own region."""
         region = self.settings.region
         for link in self.links.dialled_links():
             if link.peer.region == region:
                 self.links.notify(link, beacon)
 
+    def _links_to_other_heads(self) -> list[Link]:
+        heads_by_region: dict[str, Link] = {}
+        for link in self.links.dialled_links():
+            peer = link.peer
+            if peer.region == self.settings.region:
+                continue
+            head = heads_by_region.get(peer.region)
+            is_sound = not self.links.is_silent(peer.peer_address)
+            if is_sound and (head is None or peer.node_id < head.peer.node_id):
+                heads_by_region[peer.region] = link
+        return list(heads_by_region.values())
+
     def _on_beacon(self, peer: NodeIdentity, beacon: ConfigurationBeacon) -> None:
-        if peer.region == self.settings.region:
-            self._configuration_follower.on_beacon(peer.node_id, beacon)
+        if peer.region != self.settings.region:
+            self._repeat_beacon(beacon)
+        self._configuration_follower.on_beacon(peer.node_id, beacon)
 
     def _query_configuration(self, node_id: str) -> ConfigurationDocument | None:
         endpoint = self.endpoints.get(node_id)
--- a/src/verbenawick/mesh/_state_store.py
+++ b/src/verbenawick/mesh/_state_store.py
@@ -51,6 +51,11 @@
     `StoreHistoryGoneError` when the changes after its revision are no longer known.
     """
 
+    @property
+    def round_trip_s(self) -> float:
+        """Return the shortest round trip to the store seen so far."""
+        ...
+
     def read_configuration(self) -> ConfigurationChange:
         """Return the latest configuration."""
         ...
--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -1,5 +1,6 @@
 """The platform's store: objects by kind and name, read and written over HTTP."""
 
+from time import monotonic
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -105,6 +106,12 @@
     def __init__(self, address: str):
         self._address = address
         self._connection: _StoreConnection | None = None
+        self._round_trip_s = float("inf")
+
+    @property
+    def round_trip_s(self) -> float:
+        """Return the shortest round trip to the store seen so far."""
+        return self._round_trip_s
 
     def read_configuration(self) -> ConfigurationChange:
         """Return the latest configuration."""
@@ -304,10 +311,13 @@
         if self._connection is None:
             host, _, port = self._address.rpartition(":")
             connection = _StoreConnection(host, int(port))
+            started_at = monotonic()
             try:
                 connection.connect()
             except OSError as error:
                 raise self._unavailable(f"cannot connect: {error}", step) from error
+            # A connection opens in one round trip, whatever the store has to do.
+            self._round_trip_s = min(self._round_trip_s, monotonic() - started_at)
             self._connection = connection
         return self._connection
 
--- a/tests/mesh_world.py
+++ b/tests/mesh_world.py
@@ -154,6 +154,10 @@
         self.nodes.append(node)
         return node
 
+    def node(self, node_id: str) -> WorldNode:
+        """Return a node by its id."""
+        return next(node for node in self.nodes if node.node_id == node_id)
+
     def restart_node(self, node: WorldNode) -> None:
         """Kill the node's process and start it again; the upstream stays."""
         node.server.kill()
--- a/tests/test_configuration_relay.py
+++ b/tests/test_configuration_relay.py
@@ -8,12 +8,19 @@
 from verbenawick.mesh._configuration_relay import (
     BEACON_VALID_S,
     CONTACT_VALID_S,
+    TAKEOVER_AFTER_S,
+    ConfigurationBeacon,
     RelayState,
 )
 
 APPLY_BOUND_S = 2.0
 
 
+def beacon(relay_id: str, distance: int = 0) -> ConfigurationBeacon:
+    """Return a beacon without a document."""
+    return ConfigurationBeacon(relay_id, distance, 1, 1, b"")
+
+
 class RelayStateTest(TestCase):
     """When a node relays and when it relies on a relay."""
 
@@ -21,14 +28,14 @@
         """A follower that waits for a dead relay would miss the bound of 2 s."""
         state = RelayState(node_id="b")
         self.assertFalse(state.can_follow(0.0))
-        state.on_beacon("a", 10.0)
+        state.on_beacon(beacon("a"), 10.0)
         self.assertTrue(state.can_follow(9.99 + BEACON_VALID_S))
         self.assertFalse(state.can_follow(10.01 + BEACON_VALID_S))
 
     def test_relay_without_contact_to_the_store_sends_no_beacons(self):
         """Its followers would believe that nothing has changed."""
         state = RelayState(node_id="a")
-        state.on_contact(10.0)
+        state.on_contact(10.0, round_trip_s=0.001)
         self.assertTrue(state.may_send_beacon(9.99 + CONTACT_VALID_S))
         self.assertFalse(state.may_send_beacon(10.01 + CONTACT_VALID_S))
 
@@ -36,11 +43,38 @@
         """A relay is cut off right after contact, followers after its last beacon."""
         self.assertLess(CONTACT_VALID_S + BEACON_VALID_S, 0.75 * APPLY_BOUND_S)
 
-    def test_lowest_linked_id_relays(self):
+    def test_lowest_linked_id_is_the_head(self):
         """Two permanent relays would double the calls to the store."""
-        self.assertTrue(RelayState(node_id="a").is_relay(["b", "c"]))
-        self.assertFalse(RelayState(node_id="b").is_relay(["a", "c"]))
-        self.assertTrue(RelayState(node_id="b").is_relay([]))
+        self.assertTrue(RelayState(node_id="a").is_head(["b", "c"]))
+        self.assertFalse(RelayState(node_id="b").is_head(["a", "c"]))
+        self.assertTrue(RelayState(node_id="b").is_head([]))
+
+    def test_heads_leave_the_watch_to_the_one_nearest_to_the_store(self):
+        """A far relay pulls each whole document over the way between regions."""
+        near, far = RelayState(node_id="z"), RelayState(node_id="a")
+        near.on_contact(10.0, round_trip_s=0.001)
+        far.on_contact(10.0, round_trip_s=0.017)
+        far.on_beacon(beacon("z", near.distance), 10.0)
+        near.on_beacon(beacon("a", far.distance), 10.0)
+        self.assertTrue(far.hears_nearer_relay(10.0))
+        self.assertFalse(near.hears_nearer_relay(10.0))
+
+    def test_heads_at_the_same_distance_agree_on_one(self):
+        """Neither must wait for the other, nor both relay for good."""
+        low, high = RelayState(node_id="a"), RelayState(node_id="b")
+        for state in (low, high):
+            state.on_contact(10.0, round_trip_s=0.001)
+        low.on_beacon(beacon("b", high.distance), 10.0)
+        high.on_beacon(beacon("a", low.distance), 10.0)
+        self.assertFalse(low.hears_nearer_relay(10.0))
+        self.assertTrue(high.hears_nearer_relay(10.0))
+
+    def test_a_head_takes_over_before_the_others_turn_to_the_store(self):
+        """All nodes at once would load the store at the worst moment."""
+        state = RelayState(node_id="b")
+        state.on_beacon(beacon("a"), 10.0)
+        self.assertFalse(state.hears_nearer_relay(10.01 + TAKEOVER_AFTER_S))
+        self.assertTrue(state.can_follow(10.01 + TAKEOVER_AFTER_S))
 
 
 class RelayedWorldTest(TestCase):
@@ -99,3 +133,60 @@
         node = follower.server.node
         node._configuration_follower._take_document(old.document, old.revision)
         self.assertEqual({version}, self.versions([follower]))
+
+
+class ThreeRegionsTest(TestCase):
+    """Two nodes in each of three regions on the stand-in platform."""
+
+    def setUp(self):
+        super().setUp()
+        self.world = MeshWorld()
+        self.addCleanup(self.world.close)
+        self.configure()
+        self.nodes = [
+            self.world.add_node("archive", region=region)
+            for region in ("south", "north", "south", "north", "west", "west")
+        ]
+        self.world.wait_ready()
+        eventlet.sleep(2.6)  # until the first direct watches have returned
+
+    def configure(self):
+        return self.world.configure(
+            route("r-a", "/archive/", service="archive"), service("archive")
+        )
+
+    def assert_in_force_everywhere(self, nodes, version):
+        wait_until(
+            lambda: (
+                {n.server.node.entry.configuration.version for n in nodes} == {version}
+            ),
+            APPLY_BOUND_S,
+        )
+
+    def relays(self):
+        return [n.node_id for n in self.nodes if n.server.node._is_relay()]
+
+    def test_one_node_watches_for_all_regions(self):
+        """Each further watch pulls every version once more over a paid way."""
+        self.assertEqual(1, len(self.relays()))
+        before = len(self.world.store.calls)
+        self.assert_in_force_everywhere(self.nodes, self.configure())
+        paths = [path for _, path in self.world.store.calls[before:]]
+        self.assertLessEqual(paths.count("/objects/config"), 3)
+
+    def test_loss_of_the_relay_delays_no_region_beyond_the_bound(self):
+        """Another head takes over; a version is accepted at that moment."""
+        relay = self.world.node(self.relays()[0])
+        relay.is_reporting = False
+        relay.server.kill()
+        others = [n for n in self.nodes if n is not relay]
+        self.assert_in_force_everywhere(others, self.configure())
+
+    def test_loss_of_a_repeating_head_delays_its_region_only_within_the_bound(self):
+        """Its followers hear nothing from the relay themselves."""
+        region = self.world.node(self.relays()[0]).server.settings.region
+        head = next(n for n in self.nodes if n.server.settings.region != region)
+        head.is_reporting = False
+        head.server.kill()
+        others = [n for n in self.nodes if n is not head]
+        self.assert_in_force_everywhere(others, self.configure())
