Replace a silent link once no call waits for it

Cause: a link that goes silent for good kept its pair of nodes apart until its pings were missed three times, 45 s on the platform, since the connector dials again only when a link closes. Ruled out: shorter pings on idle links (some 370 messages a second over 24 nodes). Change: check_silence() closes a silent link when nothing waits on it any more; requests that must not run twice still wait for their answer. A new link starts without the silence of the earlier one.

--- a/src/verbenawick/_call_links.py
+++ b/src/verbenawick/_call_links.py
@@ -197,7 +197,8 @@
         """Probe peers that owe answers; return those that give no sign of life.
 
         Their requests that `may_abandon` selects fail with `AnswerLostError`. The
-        others wait on: they cannot be sent again, and the peer may come back.
+        others wait on: they cannot be sent again, and the peer may come back. Once
+        none waits any more the link is closed, since a new one may work.
         """
         now = self._clock.now()
         silent = []
@@ -220,6 +221,8 @@
                 peer.silent_since = now
                 silent.append(link.peer)
             self._abandon(link, may_abandon)
+            if not any(w.link is link for w in self._waiting_by_call_id.values()):
+                link.close("no sign of life")
         return silent
 
     def _peers_owing(self) -> list[tuple[_Peer, float]]:
@@ -230,7 +233,7 @@
         owing = []
         for peer in self._peers_by_address.values():
             if peer.link is None or not peer.link.is_open:
-                peer.silent_since = 0.0
+                peer.silent_since = peer.probed_at = 0.0
             elif peer.link in sent_at_by_link:
                 owing.append((peer, sent_at_by_link[peer.link]))
             elif peer.silent_since:
@@ -438,6 +441,8 @@
             )
         self._links.add(link)
         peer.link = link
+        # What an earlier link failed to answer says nothing about this one.
+        peer.silent_since = peer.probed_at = 0.0
         peer.closed = Event()
         self._metrics.count(LINKS_DIALLED)
         return link
--- a/tests/test_call_links.py
+++ b/tests/test_call_links.py
@@ -260,6 +260,24 @@
         thread.wait()
         self.assertIsInstance(results[0], AnswerLostError)
 
+    def test_silent_link_is_replaced_once_nothing_waits_on_it(self):
+        """A link can go silent for good while new ones to the same node work."""
+        link = self.open_link()
+        self.freeze(link)
+        thread = eventlet.spawn(self.request, timeout_s=SILENCE_LIMIT_S + 0.2)
+        wait_until(lambda: self.running)
+        while not self.client.is_silent(self.peer.peer_address):
+            eventlet.sleep(0.05)
+            self.check(may_abandon=False)
+        self.check(may_abandon=False)
+        self.assertTrue(link.is_open)
+        self.assertRaises(AnswerLostError, thread.wait)
+        self.check(may_abandon=False)
+        self.assertFalse(link.is_open)
+        self.answer_with(lambda peer, message, at: Reply(message.call_id))
+        self.request()
+        self.assertFalse(self.client.is_silent(self.peer.peer_address))
+
     def test_own_standstill_is_not_taken_for_silence_of_the_peer(self):
         """A suspended VM would cut the calls of all its links when it resumes."""
         link = self.open_link()
