Count calls in flight in one class; answer a broken call as unknown

Cause: entry, platform entry and gateway counted calls in flight in the same lines, and the gateway polled for the last one. An unexpected error in the platform's entry left no log line. Change: CallsInFlight serves all three; CallBroken (752) names the request and the error, and its caller is told that it may have run.

--- a/src/verbenawick/_entry.py
+++ b/src/verbenawick/_entry.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 from http.client import responses
 
-from eventlet.event import Event
 from greenlet import GreenletExit
 
 from verbenawick._call_messages import (
@@ -13,6 +12,7 @@
     Outcome,
 )
 from verbenawick._caller_watcher import CallerWatcher
+from verbenawick._calls_in_flight import CallsInFlight
 from verbenawick._clock import Clock
 from verbenawick._dispatch import Call, Dispatcher
 from verbenawick._entry_request import (
@@ -114,44 +114,34 @@
         self._is_quarantined = is_quarantined
         self._router = Router()
         self._watcher = CallerWatcher()
-        self._in_flight = 0
-        self._is_stopping = False
-        self._idle = Event()
+        self._calls = CallsInFlight()
 
     @property
     def in_flight(self) -> int:
         """Return the number of calls in flight."""
-        return self._in_flight
+        return self._calls.count
 
     def stop_accepting(self) -> None:
         """Answer with ``Connection: close`` from now on."""
-        self._is_stopping = True
-        emit(EntryStopping(self._node_id, self._in_flight))
-        if not self._in_flight:
-            self._idle.send(True)
+        emit(EntryStopping(self._node_id, self._calls.count))
+        self._calls.stop()
 
     def wait_idle(self, *, timeout_s: float) -> bool:
         """Return whether the last call ended within `timeout_s`, after the stop."""
-        if self._is_stopping and not self._in_flight:
-            return True
-        return bool(self._idle.wait(timeout=timeout_s))
+        return self._calls.wait_idle(timeout_s=timeout_s)
 
     def __call__(self, environ, start_response):
         """Serve one call."""
-        self._in_flight += 1
         self._metrics.count(CALLS)
         table = self._table()
         context = self._tracer.context_from(environ.get("HTTP_TRACEPARENT"))
         try:
-            answer = self._serve(environ, table, context)
+            with self._calls.enter():
+                answer = self._serve(environ, table, context)
         except GreenletExit:
             self._metrics.count(CALLS_ABANDONED)
             start_response("499 Caller Closed", [("Content-Length", "0")])
             return [b""]
-        finally:
-            self._in_flight -= 1
-            if self._is_stopping and not self._in_flight and not self._idle.ready():
-                self._idle.send(True)
         self._metrics.count(METRIC_BY_OUTCOME[answer.outcome])
         return self._respond(start_response, answer, table, context)
 
@@ -237,7 +227,7 @@
         ]
         if answer.code:
             headers.append(("Verbenawick-Code", answer.code))
-        if self._is_stopping:
+        if self._calls.is_stopping:
             headers.append(("Connection", "close"))
         reason = responses.get(status, "Status")
         start_response(f"{status} {reason}", headers)
--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -8,6 +8,7 @@
 from eventlet.event import Event
 from xxhash import xxh3_128_digest
 
+from verbenawick._calls_in_flight import CallsInFlight
 from verbenawick._clock import Clock
 from verbenawick._component import NodeIdentity
 from verbenawick._events import Event as LogEvent
@@ -154,8 +155,7 @@
         self._on_crash = on_crash
         self._queue = SlotQueue(slots=upstream.slots)
         self._failing_share = 0.0
-        self._in_flight = 0
-        self._is_stopping = False
+        self._calls = CallsInFlight()
         # Identities of the calls that must not run twice and are at the upstream.
         self._sent_once: set[int] = set()
         self._running_fingerprints: dict[int, bytes] = {}
@@ -164,13 +164,17 @@
     @property
     def in_flight(self) -> int:
         """Return the number of calls that the gateway is handling."""
-        return self._in_flight
+        return self._calls.count
 
     def stop_accepting(self) -> None:
         """Refuse new calls; those under way finish."""
-        self._is_stopping = True
+        self._calls.stop()
         self._queue.refuse_all()
 
+    def wait_idle(self, *, timeout_s: float) -> bool:
+        """Return whether the last call ended within `timeout_s`, after the stop."""
+        return self._calls.wait_idle(timeout_s=timeout_s)
+
     def on_upstream_change(self) -> None:
         """Follow a change of the upstream's state or size."""
         self._queue.slots = max(self._upstream.slots, 1)
@@ -234,16 +238,14 @@
         deadline, objective_at : float
             Instants of the local clock.
         """
-        self._in_flight += 1
-        try:
-            return self._handle(call, deadline, objective_at)
-        except CallError as error:
-            return self._failure(call, error, deadline)
-        except Exception as error:
-            emit(GatewayError(call.request_id, repr(error)))
-            return self._result(call, CallOutcome.UNKNOWN, CallError.code)
-        finally:
-            self._in_flight -= 1
+        with self._calls.enter():
+            try:
+                return self._handle(call, deadline, objective_at)
+            except CallError as error:
+                return self._failure(call, error, deadline)
+            except Exception as error:
+                emit(GatewayError(call.request_id, repr(error)))
+                return self._result(call, CallOutcome.UNKNOWN, CallError.code)
 
     def _handle(self, call, deadline, objective_at) -> CallResult:
         now = self._clock.now()
@@ -287,7 +289,7 @@
 
     def _check(self, call: ForwardedCall, fingerprint: bytes, now: float) -> None:
         upstream = self._upstream
-        if self._is_stopping or not upstream.accepts_work:
+        if self._calls.is_stopping or not upstream.accepts_work:
             raise DrainingError(
                 f"upstream is {upstream.state}", step="gateway", peer=self._node_id
             )
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -260,8 +260,7 @@
 
     def finish(self, *, deadline: float, all_calls_ended: bool) -> None:
         """Wait for the calls of other nodes, bring the record up to date, close."""
-        while self.gateway.in_flight and self.clock.now() < deadline:
-            eventlet.sleep(0.02)
+        self.gateway.wait_idle(timeout_s=max(deadline - self.clock.now(), 0.0))
         left_s = max(min(deadline - self.clock.now(), LAST_WRITE_S), 0.0)
         if self.upstream.state is UpstreamState.GONE:
             self._publisher.flush(timeout_s=left_s)
--- a/src/verbenawick/platform/_events.py
+++ b/src/verbenawick/platform/_events.py
@@ -22,3 +22,12 @@
 
     upstream: str
     reason: str
+
+
+@register_event(752, level="ERROR")
+@dataclass(frozen=True, slots=True)
+class CallBroken(Event):
+    """A call ended with an error that the node does not know; it may have run."""
+
+    request: str
+    error: str
--- a/src/verbenawick/platform/_servers.py
+++ b/src/verbenawick/platform/_servers.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 
 import msgspec
-from eventlet.event import Event
 from greenlet import GreenletExit
 
 from verbenawick._caller_watcher import CallerWatcher
+from verbenawick._calls_in_flight import CallsInFlight
 from verbenawick._clock import Clock
 from verbenawick._entry_request import read_body
 from verbenawick._events import emit
@@ -22,7 +22,7 @@
     encode_result,
 )
 from verbenawick.platform._documents import decode_report
-from verbenawick.platform._events import ReportInvalid
+from verbenawick.platform._events import CallBroken, ReportInvalid
 
 METRICS_PATH = "/metrics"
 # Status reports are a few hundred bytes; the platform bounds them to 4 KiB.
@@ -56,44 +56,37 @@
         self._clock = clock
         self._caller_service = caller_service
         self._watcher = CallerWatcher(interval_s=CALLER_CHECK_INTERVAL_S)
-        self._in_flight = 0
-        self._is_stopping = False
-        self._idle = Event()
+        self._calls = CallsInFlight()
 
     @property
     def in_flight(self) -> int:
         """Return the number of calls in flight."""
-        return self._in_flight
+        return self._calls.count
 
     def stop_accepting(self) -> None:
         """Answer with ``Connection: close`` from now on."""
-        self._is_stopping = True
-        if not self._in_flight:
-            self._idle.send(True)
+        self._calls.stop()
 
     def wait_idle(self, *, timeout_s: float) -> bool:
         """Return whether the last call ended within `timeout_s`, after the stop."""
-        if self._is_stopping and not self._in_flight:
-            return True
-        return bool(self._idle.wait(timeout=timeout_s))
+        return self._calls.wait_idle(timeout_s=timeout_s)
 
     def __call__(self, environ, start_response):
         """Serve one call."""
-        self._in_flight += 1
         now = self._clock.now()
         try:
-            result = self._serve(environ, now)
+            with self._calls.enter():
+                result = self._serve(environ, now)
         except GreenletExit:
             start_response("499 Caller Closed", [("Content-Length", "0")])
             return [b""]
-        finally:
-            self._in_flight -= 1
-            if self._is_stopping and not self._in_flight and not self._idle.ready():
-                self._idle.send(True)
+        except Exception as error:
+            emit(CallBroken(environ.get("HTTP_ATTEMPT_ID", ""), repr(error)))
+            result = CallResult(CallOutcome.UNKNOWN, CallError.code)
         self._observe(result.outcome, self._clock.now() - now)
         request_id = environ.get("HTTP_ATTEMPT_ID", "")
         status, headers, body = encode_result(result, request_id)
-        if self._is_stopping:
+        if self._calls.is_stopping:
             headers.append(("Connection", "close"))
         start_response(status, headers)
         return [body]
