Send nothing over an open channel after the deadline; follow a changed address

Cause: the check of the deadline stood behind the reuse of an idle channel, so a call that a partition had held up was sent to the upstream after its caller had its answer. A changed address of the upstream in the settings was logged and not followed: all its reports were then ignored. Change: the deadline is checked first; move_to() of the channels and of the local upstream follow the settings.

--- a/src/verbenawick/mesh/_local_upstream.py
+++ b/src/verbenawick/mesh/_local_upstream.py
@@ -133,6 +133,14 @@
                 UpstreamState.UNKNOWN, "", self.service, self.slots, cause="other"
             )
 
+    def move_to(self, address: str, service: str) -> None:
+        """Follow changed settings; who listens at another address is yet unknown."""
+        if address == self.address:
+            return
+        self.address = address
+        self._sequence = -1
+        self._become(UpstreamState.UNKNOWN, "", service, self.slots, cause="settings")
+
     def _reason_to_ignore(self, report: StatusReport, now: float) -> str:
         if report.address != self.address:
             return "address"
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -279,6 +279,9 @@
     def reload(self, settings: MeshSettings, *, cause: str) -> None:
         """Take over changed settings that need no restart."""
         self.caller_service = settings.upstream.service
+        if settings.upstream.address != self.upstream.address:
+            self.channels.move_to(settings.upstream.address)
+            self.upstream.move_to(settings.upstream.address, settings.upstream.service)
         emit(
             SettingsReloaded(
                 cause, settings.upstream.service, settings.upstream.address
--- a/src/verbenawick/mesh/_upstream_channels.py
+++ b/src/verbenawick/mesh/_upstream_channels.py
@@ -132,8 +132,9 @@
 
 
 class _Channel:
-    def __init__(self, sock):
+    def __init__(self, sock, generation: int):
         self.sock = sock
+        self.generation = generation
         self.waiter = ReadWaiter(sock.fileno())
         self.reader = _AnswerReader()
         self.idle_until = 0.0
@@ -164,14 +165,14 @@
     def __init__(
         self, address: str, *, max_channels: int, clock: Clock, metrics: MetricSet
     ):
-        host, _, port = address.rpartition(":")
-        self._address = address
-        self._target = (host, int(port))
+        self._set_address(address)
         self.max_channels = max_channels
         self._clock = clock
         self._metrics = metrics
         self._idle: deque[_Channel] = deque()
         self._open_count = 0
+        # Rises with each change of the address.
+        self._generation = 0
 
     @property
     def open_count(self) -> int:
@@ -246,11 +247,22 @@
             return False
         return True
 
+    def move_to(self, address: str) -> None:
+        """Open channels to `address` from now on; calls under way finish."""
+        self._set_address(address)
+        self._generation += 1
+        self.close_idle()
+
     def close_idle(self) -> None:
         """Close the channels that no call uses."""
         while self._idle:
             self._discard(self._idle.popleft())
 
+    def _set_address(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._address = address
+        self._target = (host, int(port))
+
     def _read_own(self, channel: _Channel, classify) -> tuple[AnswerKind, RawAnswer]:
         reader = channel.reader
         while True:
@@ -276,18 +288,18 @@
 
     def _acquire(self, deadline: float) -> _Channel:
         now = self._clock.now()
-        while self._idle:
-            channel = self._idle.pop()
-            # Readable while idle: closed, or bytes that belong to no request.
-            if now < channel.idle_until and not is_readable(channel.sock.fileno()):
-                return channel
-            self._discard(channel)
         if deadline <= now:
             raise DeadlineUnreachableError(
                 "deadline passed before the request was sent",
                 step="upstream.connect",
                 peer=self._address,
             )
+        while self._idle:
+            channel = self._idle.pop()
+            # Readable while idle: closed, or bytes that belong to no request.
+            if now < channel.idle_until and not is_readable(channel.sock.fileno()):
+                return channel
+            self._discard(channel)
         if self._open_count >= self.max_channels:
             raise UpstreamUnreachableError(
                 f"all {self.max_channels} channels are in use",
@@ -312,10 +324,10 @@
                 ) from error
             raise
         self._metrics.count(CHANNELS_OPENED)
-        return _Channel(sock)
+        return _Channel(sock, self._generation)
 
     def _give_back(self, channel: _Channel, answer: RawAnswer | None) -> None:
-        if answer is None:
+        if answer is None or channel.generation != self._generation:
             self._discard(channel)
             return
         channel.idle_until = self._clock.now() + _idle_time_s(answer)
--- a/tests/test_mesh_local_upstream.py
+++ b/tests/test_mesh_local_upstream.py
@@ -142,6 +142,16 @@
         self.upstream.on_probe("u2", 4)
         self.assertEqual("u2", self.upstream.upstream_id)
 
+    def test_changed_settings_make_the_upstream_unknown(self):
+        """Reports for the earlier address say nothing about the new one."""
+        self.give(report())
+        self.upstream.move_to("10.9.9.9:80", "s")
+        self.assertEqual(UNKNOWN, self.upstream.state)
+        self.give(report(sequence=2))
+        self.assertEqual(UNKNOWN, self.upstream.state)
+        self.upstream.move_to("10.9.9.9:80", "s")
+        self.assertEqual(2, self.changes)
+
     def test_unchanged_reports_change_nothing(self):
         """Each change is written to the store; a report is not."""
         for sequence in range(5):
--- a/tests/test_mesh_upstream_channels.py
+++ b/tests/test_mesh_upstream_channels.py
@@ -218,6 +218,36 @@
         self.assertRaises(UpstreamUnreachableError, self.exchange, **note)
         self.assertEqual([], sent)
 
+    def test_an_open_channel_does_not_outlast_the_deadline(self):
+        """A call that was held up on its way must not run after its caller's time."""
+        self.script(["request", answer("q1", b"a"), "request", answer("q2", b"b"), 1.0])
+        self.exchange("q1")
+        self.assertRaises(
+            DeadlineUnreachableError, self.exchange, "q2", timeout_s=-0.01
+        )
+        eventlet.sleep(0.05)
+        self.assertEqual(1, len(self.requests))
+
+    def test_channels_follow_a_changed_address(self):
+        """A channel to the earlier address would reach another upstream."""
+        self.script(["request", answer("q1", b"a"), "request", 1.0])
+        self.exchange("q1")
+        first, self.listener = self.listener, eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(first.close)
+        self.script(["request", answer("q2", b"b"), 1.0])
+        self.channels.move_to(f"127.0.0.1:{self.listener.getsockname()[1]}")
+        self.assertEqual(0, self.channels.open_count)
+        self.assertEqual(b"b", self.exchange("q2").body)
+
+    def test_a_call_under_way_ends_at_the_earlier_address(self):
+        """Its answer is valid, its channel must not be used for the next call."""
+        self.script(["request", 0.1, answer("q1", b"a"), 1.0])
+        thread = eventlet.spawn(self.exchange, "q1")
+        eventlet.sleep(0.05)
+        self.channels.move_to("127.0.0.1:1")
+        self.assertEqual(b"a", thread.wait().body)
+        self.assertEqual(0, self.channels.open_count)
+
     def test_body_and_head_are_sent_unchanged(self):
         """The upstream gets what the caller sent."""
         self.script(["request", answer("q1", b""), 1.0])
