Keep moving averages in one module

Four places averaged samples with a weight of their own, one with a bare figure; the times by route of a queue were unbounded. Behaviour is unchanged but for that bound.

--- a/src/verbenawick/mesh/_endpoints.py
+++ b/src/verbenawick/mesh/_endpoints.py
@@ -10,6 +10,7 @@
     UpstreamRecord,
     UpstreamState,
 )
+from verbenawick.mesh._moving_average import MovingAverages
 from verbenawick.mesh._placement import Candidate, Distance
 
 # Assumed time at an upstream that is not known yet, seconds.
@@ -17,7 +18,8 @@
 # Half-life of a share of failures without new answers, seconds: a failing upstream is
 # tried again after some of them.
 FAILURE_HALF_LIFE_S = 2.0
-# Weight of a new outcome in the share of failures.
+# Weight of an own failed call in the share of failures of a gateway that told no share
+# of its own; the gateway itself sees more calls and weighs each less.
 FAILURE_WEIGHT = 0.15
 # An own call that runs this many times longer than usual shows that its gateway or
 # upstream has become slow.
@@ -27,8 +29,10 @@
 MAX_ROUTES_KEPT = 2000
 # Headers of request and response, bytes.
 HEADER_BYTES = 600
-# Weight of a new sample in the usual size of a route's calls.
+# Weight of a new sample in the usual size of a route's calls, and in their usual time
+# over all gateways.
 SIZE_WEIGHT = 0.1
+SERVICE_TIME_WEIGHT = 0.1
 
 
 def member_of(record: UpstreamRecord) -> Member:
@@ -87,8 +91,8 @@
         self._data_centre = data_centre
         self._region = region
         self._by_node_id: dict[str, Endpoint] = {}
-        self._service_s_by_route: dict[str, float] = {}
-        self._bytes_by_route: dict[str, float] = {}
+        self._service_s_by_route = MovingAverages(SERVICE_TIME_WEIGHT)
+        self._bytes_by_route = MovingAverages(SIZE_WEIGHT)
 
     def __len__(self) -> int:
         """Return the number of known gateways."""
@@ -163,15 +167,12 @@
 
     def learn_size(self, route: str, body_bytes: int) -> None:
         """Learn from the bodies of a call and its response."""
-        size = body_bytes + HEADER_BYTES
-        if len(self._bytes_by_route) >= MAX_ROUTES_KEPT:
-            self._bytes_by_route.clear()
-        usual = self._bytes_by_route.get(route, size)
-        self._bytes_by_route[route] = usual + SIZE_WEIGHT * (size - usual)
+        self._bytes_by_route.add(route, body_bytes + HEADER_BYTES)
 
     def kilobytes(self, route: str) -> float:
         """Return the usual size of the calls of a route."""
-        return self._bytes_by_route.get(route, HEADER_BYTES) / 1000
+        size = self._bytes_by_route.value(route)
+        return (HEADER_BYTES if size is None else size) / 1000
 
     def avoid(self, node_id: str, now: float) -> None:
         """Avoid a gateway that was unreachable or takes no calls."""
@@ -183,7 +184,9 @@
         """Return what a call of `route` has to expect at a gateway."""
         service_s = endpoint.service_s_by_route.get(route)
         if service_s is None:
-            service_s = self._service_s_by_route.get(route, SERVICE_PRIOR_S)
+            service_s = self._service_s_by_route.value(route)
+        if service_s is None:
+            service_s = SERVICE_PRIOR_S
         if endpoint.starts_by_call:
             oldest_s = now - next(iter(endpoint.starts_by_call.values()))
             if oldest_s > OVERDUE_FACTOR * service_s:
@@ -206,11 +209,7 @@
         if len(endpoint.service_s_by_route) >= MAX_ROUTES_KEPT:
             endpoint.service_s_by_route.clear()
         endpoint.service_s_by_route[route] = load.service_s
-        if len(self._service_s_by_route) >= MAX_ROUTES_KEPT:
-            self._service_s_by_route.clear()
-        usual_s = self._service_s_by_route.get(route, load.service_s)
-        usual_s += 0.1 * (load.service_s - usual_s)
-        self._service_s_by_route[route] = usual_s
+        self._service_s_by_route.add(route, load.service_s)
 
     def _set_upstream(self, endpoint: Endpoint, service: str, upstream_id: str) -> None:
         if (endpoint.service, endpoint.upstream_id) == (service, upstream_id):
--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -34,6 +34,7 @@
     GatewayLoad,
     Headers,
 )
+from verbenawick.mesh._moving_average import MovingAverage
 from verbenawick.mesh._slot_queue import SlotQueue, SlotRequest, Verdict
 from verbenawick.mesh._upstream_channels import AnswerKind, RawAnswer, UpstreamChannels
 
@@ -154,7 +155,7 @@
         self._metrics = metrics
         self._on_crash = on_crash
         self._queue = SlotQueue(slots=upstream.slots)
-        self._failing_share = 0.0
+        self._failing_share = MovingAverage(FAILURE_WEIGHT, 0.0)
         self._calls = CallsInFlight()
         # Identities of the calls that must not run twice and are at the upstream.
         self._sent_once: set[int] = set()
@@ -190,7 +191,7 @@
             self._queue.waiting_count,
             self._queue.slots,
             self._queue.expected_service_s(route, now),
-            self._failing_share,
+            self._failing_share.value,
         )
 
     def is_cancellable(self, call: ForwardedCall) -> bool:
@@ -418,7 +419,7 @@
         )
 
     def _count_outcome(self, *, is_failure: bool) -> None:
-        self._failing_share += FAILURE_WEIGHT * (is_failure - self._failing_share)
+        self._failing_share.add(float(is_failure))
 
     def _offset(self, peer: NodeIdentity, call: ForwardedCall) -> float:
         """Return what the peer's clock is ahead of the local one.
--- a/src/verbenawick/mesh/_slot_queue.py
+++ b/src/verbenawick/mesh/_slot_queue.py
@@ -10,6 +10,8 @@
 from enum import StrEnum
 from itertools import count
 
+from verbenawick.mesh._moving_average import MovingAverage, MovingAverages
+
 # Weight of a new sample in the average service times: about the last ten calls.
 SERVICE_TIME_WEIGHT = 0.1
 # Assumed before the first sample, seconds.
@@ -55,40 +57,31 @@
     started_at: float = 0.0
 
 
-@dataclass(slots=True)
-class _Average:
-    value: float = 0.0
-    has_sample: bool = False
-
-    def add(self, sample: float) -> None:
-        if not self.has_sample:
-            self.value, self.has_sample = sample, True
-            return
-        self.value += SERVICE_TIME_WEIGHT * (sample - self.value)
-
-
 @dataclass(slots=True)
 class ServiceTimes:
     """Average time at the upstream, by route and over all routes."""
 
-    by_route: dict[str, _Average] = field(default_factory=dict)
-    overall: _Average = field(default_factory=_Average)
+    by_route: MovingAverages = field(
+        default_factory=lambda: MovingAverages(SERVICE_TIME_WEIGHT)
+    )
+    overall: MovingAverage = field(
+        default_factory=lambda: MovingAverage(SERVICE_TIME_WEIGHT)
+    )
 
     def add(self, route: str, seconds: float) -> None:
         """Add the time that a call took."""
-        self.by_route.setdefault(route, _Average()).add(seconds)
+        self.by_route.add(route, seconds)
         self.overall.add(seconds)
 
     def expected_s(self, route: str) -> float:
         """Return the usual time of a call of `route`."""
-        average = self.by_route.get(route)
-        if average is not None and average.has_sample:
-            return average.value
-        return self.mean_s()
+        value = self.by_route.value(route)
+        return self.mean_s() if value is None else value
 
     def mean_s(self) -> float:
         """Return the usual time of any call."""
-        return self.overall.value if self.overall.has_sample else SERVICE_TIME_PRIOR_S
+        value = self.overall.value
+        return SERVICE_TIME_PRIOR_S if value is None else value
 
 
 class SlotQueue:
