--- a/src/verbenawick/mesh/_log_output.py
+++ b/src/verbenawick/mesh/_log_output.py
@@ -9,7 +9,8 @@
 from eventlet.event import Event
 from loguru import logger
 
-from verbenawick._events import limit_events
+from verbenawick._events import emit, limit_events
+from verbenawick.mesh._node_events import LinesOmitted
 
 # Lines kept while the reader of the output is slow.
 MAX_LINES_KEPT = 5000
@@ -109,7 +110,8 @@
             return
         omitted, self._omitted_by_event = self._omitted_by_event, {}
         self._reported_at = now
-        self._append({"name": "LinesOmitted", "event": 700, "omitted": omitted})
+        counts = (f"{number}={count}" for number, count in sorted(omitted.items()))
+        emit(LinesOmitted(",".join(counts)))
 
 
 def configure_log_output(output: LogOutput, *, node_id: str, level: str) -> None:
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -10,6 +10,7 @@
 from verbenawick._call_messages import next_call_id
 from verbenawick._clock import BootClock
 from verbenawick._component import NodeIdentity
+from verbenawick._entry_server import EntryServer
 from verbenawick._events import emit
 from verbenawick._links import CALL_CHANNEL, Link, LinkServer
 from verbenawick._messages import Message
@@ -70,6 +71,9 @@
 STOP_MARGIN_S = 0.5
 # Other nodes learn within this time that the node takes no more calls, seconds.
 HANDOFF_S = 0.1
+# The platform asks for readiness once a second and sends no new callers after two
+# refusals; until then callers are served.
+LEAVING_S = 2.3
 
 
 class MeshNode:
@@ -246,19 +250,44 @@
             )
         )
 
-    def start_stopping(self, *, calls_in_flight: int) -> None:
-        """Count as not ready; callers and other nodes are still served."""
+    def stop(
+        self,
+        callers: EntryServer,
+        *,
+        calls_in_flight: int,
+        leaving_s: float = LEAVING_S,
+    ) -> None:
+        """Finish all calls and close everything within the grace of the settings.
+
+        The node goes on running calls for others as long as it can: its upstream has
+        no other way to work.
+
+        Parameters
+        ----------
+        callers : EntryServer
+            Listener of the callers on this VM.
+        calls_in_flight : int
+            Their calls at the moment, for the log.
+        leaving_s : float
+            Time during which new callers are still served.
+        """
+        grace_s = self.settings.stop_grace_s - STOP_MARGIN_S
+        deadline = self.clock.now() + grace_s
+        # Not ready from here on; callers and other nodes are still served.
         self.is_stopping = True
         emit(MeshNodeStopping(calls_in_flight, self.gateway.in_flight))
+        eventlet.spawn_after(max(leaving_s - HANDOFF_S, 0.0), self._hand_off)
+        ended = callers.stop(grace_s=leaving_s, timeout_s=grace_s - leaving_s)
+        self._finish(deadline=deadline, all_calls_ended=ended)
 
-    def hand_off(self) -> None:
+    def _hand_off(self) -> None:
         """Take no more calls of other nodes; the upstream is idle from then on."""
         self.is_handing_off = True
         self._notify_state()
         eventlet.sleep(HANDOFF_S)
         self.gateway.stop_accepting()
 
-    def finish(self, *, deadline: float, all_calls_ended: bool) -> None:
+    def _finish(self, *, deadline: float, all_calls_ended: bool) -> None:
         """Wait for the calls of other nodes, bring the record up to date, close."""
         self.gateway.wait_idle(timeout_s=max(deadline - self.clock.now(), 0.0))
         left_s = max(min(deadline - self.clock.now(), LAST_WRITE_S), 0.0)
--- a/src/verbenawick/mesh/_node_events.py
+++ b/src/verbenawick/mesh/_node_events.py
@@ -8,7 +8,10 @@
 @register_event(700, level="WARNING")
 @dataclass(frozen=True, slots=True)
 class LinesOmitted(Event):
-    """Log lines were left out, to bound their volume; counted by event number."""
+    """Log lines were left out, to bound their volume.
+
+    `omitted` counts them by event number; ``unread`` counts lines that nobody read.
+    """
 
     omitted: str
 
--- a/src/verbenawick/platform/_node_server.py
+++ b/src/verbenawick/platform/_node_server.py
@@ -5,7 +5,7 @@
 
 from verbenawick._entry_server import EntryServer
 from verbenawick._sockets import listen
-from verbenawick.mesh._node import HANDOFF_S, STOP_MARGIN_S, MeshNode
+from verbenawick.mesh._node import LEAVING_S, MeshNode
 from verbenawick.mesh._settings import MeshSettings
 from verbenawick.platform._calls import PlatformUpstreamProtocol
 from verbenawick.platform._objects import PlatformStore, read_configuration
@@ -16,9 +16,6 @@
     report_application,
 )
 
-# The platform asks for readiness once a second and sends no new callers after two
-# refusals; until then callers are served.
-LEAVING_S = 2.3
 MAX_PAGE_CONNECTIONS = 64
 
 
@@ -71,16 +68,11 @@
 
     def stop(self) -> None:
         """Finish all calls and close everything within the grace of the settings."""
-        grace_s = self.settings.stop_grace_s - STOP_MARGIN_S
-        deadline = self.node.clock.now() + grace_s
-        self.node.start_stopping(calls_in_flight=self.application.in_flight)
-        # The node goes on running calls for others as long as it can: its upstream has
-        # no other way to work.
-        eventlet.spawn_after(max(self.leaving_s - HANDOFF_S, 0.0), self.node.hand_off)
-        ended = self._entry_server.stop(
-            grace_s=self.leaving_s, timeout_s=grace_s - self.leaving_s
+        self.node.stop(
+            self._entry_server,
+            calls_in_flight=self.application.in_flight,
+            leaving_s=self.leaving_s,
         )
-        self.node.finish(deadline=deadline, all_calls_ended=ended)
         self._close_pages()
 
     def kill(self) -> None:
