Remove the records of nodes that are away for good

Cause: only a node itself removed its record, so each VM that failed for good left one behind, and every other node went on dialling it. Ruled out: an expiry in the store, which has none; a vote, since a wrong guess is repaired by the node that is still alive.

--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -15,7 +15,13 @@
 from verbenawick._links import CALL_CHANNEL, Link, LinkServer
 from verbenawick._messages import Message
 from verbenawick._metrics import MetricSet
-from verbenawick.errors import AnswerLostError, CallError, LinkClosedError
+from verbenawick.errors import (
+    AnswerLostError,
+    CallError,
+    LinkClosedError,
+    VerbenawickError,
+)
+from verbenawick.mesh._absent_nodes import AbsentNodes
 from verbenawick.mesh._configuration_relay import (
     BEACON_INTERVAL_S,
     ConfigurationBeacon,
@@ -42,6 +48,8 @@
     MeshNodeStopped,
     MeshNodeStopping,
     PeerLost,
+    RecordNotRemoved,
+    RecordRemoved,
     SettingsRejected,
     SettingsReloaded,
     UpstreamProbeFailed,
@@ -63,6 +71,8 @@
 # The upstream answers health checks in a millisecond unless its slots are in use.
 PROBE_TIMEOUT_S = 0.5
 PROBE_INTERVAL_S = 0.3
+# Records of lost VMs are removed minutes after their loss.
+ABSENCE_CHECK_INTERVAL_S = 10.0
 # A node of the own region answers in milliseconds.
 QUERY_TIMEOUT_S = 0.5
 # Longest wait for the last write to the store at a stop, seconds.
@@ -107,6 +117,7 @@
         self.is_stopping = False
         self.is_handing_off = False
         self._protocol = protocol
+        self._open_store = open_store
         self.identity = NodeIdentity(
             node_id=settings.node_id,
             incarnation=SystemRandom().getrandbits(INCARNATION_BITS),
@@ -237,6 +248,7 @@
                 self._publisher.run,
                 self._watch_silence,
                 self._send_beacons,
+                self._remove_absent,
             )
         ]
         settings = self.settings
@@ -356,6 +368,33 @@
             eventlet.sleep(BEACON_INTERVAL_S)
             self._send_beacon_when_due()
 
+    def _remove_absent(self) -> None:
+        """Remove the records of nodes that are away for good; only as the relay."""
+        absent = AbsentNodes()
+        while True:
+            eventlet.sleep(ABSENCE_CHECK_INTERVAL_S)
+            is_linked_by_node_id = {
+                endpoint.node_id: self.links.is_connected(endpoint.peer_address)
+                for endpoint in self.endpoints.all()
+                if endpoint.distance is not Distance.OWN_NODE
+            }
+            gone = absent.observe(is_linked_by_node_id, self.clock.now())
+            if gone and self._is_relay():
+                self._remove_record(gone[0])
+
+    def _remove_record(self, node_id: str) -> None:
+        store = self._open_store()
+        try:
+            record = store.read_record(node_id)
+            if record is not None:
+                store.delete_record(node_id, record.revision)
+                emit(RecordRemoved(node_id, record.upstream_id, record.revision))
+        except VerbenawickError as error:
+            # The next round tries again.
+            emit(RecordNotRemoved(node_id, str(error)))
+        finally:
+            store.close()
+
     def _send_beacon_when_due(self, *, with_document: bool = False) -> None:
         if (
             self.entry.configuration is None
--- a/src/verbenawick/mesh/_node_events.py
+++ b/src/verbenawick/mesh/_node_events.py
@@ -96,3 +96,22 @@
     """The changed settings are invalid; the node goes on with those at hand."""
 
     reason: str
+
+
+@register_event(715)
+@dataclass(frozen=True, slots=True)
+class RecordRemoved(Event):
+    """The record of a node that has been away for minutes was removed."""
+
+    peer: str
+    upstream: str
+    revision: int
+
+
+@register_event(716, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class RecordNotRemoved(Event):
+    """The record of a node that is away could not be removed; it is tried again."""
+
+    peer: str
+    reason: str
--- a/tests/test_mesh_world.py
+++ b/tests/test_mesh_world.py
@@ -92,6 +92,17 @@
         statuses = {self.world.call(self.a1, "/archive/1").status for _ in range(5)}
         self.assertEqual({200}, statuses)
 
+    def test_record_of_a_lost_vm_is_removed_and_of_a_living_one_written_again(self):
+        """Nothing in the store expires, and a guess from outside may be wrong."""
+        self.world.stop_upstream(self.b1)
+        self.b1.server.kill()
+        self.a1.server.node._remove_record(self.b1.node_id)
+        self.assertIsNone(self.world.store.get(RECORD_KIND, self.b1.node_id))
+        self.a1.server.node._remove_record(self.a2.node_id)
+        wait_until(
+            lambda: self.world.store.get(RECORD_KIND, self.a2.node_id) is not None, 3
+        )
+
     def test_store_outage_stops_no_call(self):
         """The store is needed for changes only."""
         self.world.store.faults.status = 503
