Check the settings of the platform with the same command

The platform's settings had a loader of their own, which took a key that stands twice, and no command validated them. One module reads JSON with comments and checks addresses for both formats.

--- a/src/verbenawick/_commands.py
+++ b/src/verbenawick/_commands.py
@@ -29,11 +29,13 @@
     read_fleet_status,
     wait_until_in_force,
 )
+from verbenawick._json_settings import load_json_with_comments
 from verbenawick._node_pages import read_page
 from verbenawick._request_story import tell_story
-from verbenawick._settings import load_settings
+from verbenawick._settings import settings_of
 from verbenawick._store import StoreClient
 from verbenawick.errors import DocumentError
+from verbenawick.mesh._settings import is_mesh_settings, mesh_settings_of
 
 Command = Callable[[Namespace], Result]
 
@@ -52,8 +54,12 @@
 
 @register_command("check")
 def check(arguments: Namespace) -> Result:
-    """Validate a node's settings."""
-    settings = load_settings(arguments.file)
+    """Validate a node's settings, of the own interface or of the platform."""
+    value = load_json_with_comments(arguments.file)
+    if is_mesh_settings(value):
+        settings = mesh_settings_of(value, arguments.file)
+    else:
+        settings = settings_of(value, arguments.file)
     text = f"{arguments.file} is valid: node {settings.node_id}"
     return Result(ExitCode.DONE, text, {"node_id": settings.node_id})
 
--- a/src/verbenawick/_settings.py
+++ b/src/verbenawick/_settings.py
@@ -1,10 +1,8 @@
 """Settings of a node: JSON with comments, validated before any socket is opened."""
 
-from ipaddress import ip_address
 from pathlib import Path
 from typing import Annotated
 
-import json5
 from pydantic import (
     AfterValidator,
     BaseModel,
@@ -14,25 +12,10 @@
     model_validator,
 )
 
+from verbenawick._json_settings import check_address, load_json_with_comments
 from verbenawick.errors import SettingsError
 
-
-def _check_address(value: str) -> str:
-    host, separator, port = value.rpartition(":")
-    if not separator or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(
-            f"{value!r} is not 'ip:port'; write for example '127.0.0.1:80'"
-        )
-    try:
-        ip_address(host)
-    except ValueError:
-        raise ValueError(
-            f"{host!r} is not an IP number; names are not resolved"
-        ) from None
-    return value
-
-
-Address = Annotated[str, AfterValidator(_check_address)]
+Address = Annotated[str, AfterValidator(check_address)]
 Identifier = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
 
@@ -165,30 +148,6 @@
         return self
 
 
-def _refuse_duplicate_keys(pairs: list[tuple[str, object]]) -> dict[str, object]:
-    values_by_key: dict[str, object] = {}
-    for key, value in pairs:
-        if key in values_by_key:
-            raise ValueError(f"key {key!r} appears twice")
-        values_by_key[key] = value
-    return values_by_key
-
-
-def load_json_with_comments(path: Path) -> object:
-    """Return the value in a file of JSON with comments.
-
-    Raises
-    ------
-    SettingsError
-        The file cannot be read, is not JSON, or has a key twice in one object.
-    """
-    try:
-        text = path.read_text(encoding="utf-8")
-        return json5.loads(text, object_pairs_hook=_refuse_duplicate_keys)
-    except (OSError, ValueError) as error:
-        raise SettingsError(f"{path}: {error}", step="settings.read") from error
-
-
 def describe_validation_error(error: ValidationError) -> str:
     """Return one line per problem: the path inside the value and the reason."""
     lines = []
@@ -206,7 +165,17 @@
     SettingsError
         The file is unreadable or breaks a rule; the message names file, path, reason.
     """
-    value = load_json_with_comments(path)
+    return settings_of(load_json_with_comments(path), path)
+
+
+def settings_of(value: object, path: Path) -> NodeSettings:
+    """Return the validated settings in the value of the file at `path`.
+
+    Raises
+    ------
+    SettingsError
+        A value breaks a rule; the message names file, path, reason.
+    """
     try:
         return NodeSettings.model_validate(value)
     except ValidationError as error:
--- a/src/verbenawick/mesh/_settings.py
+++ b/src/verbenawick/mesh/_settings.py
@@ -1,13 +1,12 @@
 """Settings of a node whose platform keeps the state: JSON with comments, validated."""
 
-from ipaddress import ip_address
 from pathlib import Path
 from typing import Annotated
 
-import json5
 import msgspec
 from msgspec import Meta
 
+from verbenawick._json_settings import check_address, load_json_with_comments
 from verbenawick.errors import SettingsError
 
 Share = Annotated[float, Meta(ge=0, le=1)]
@@ -89,6 +88,21 @@
     log_level: str = "INFO"
 
 
+_ADDRESS_NAMES = (
+    "call_address",
+    "peer_address",
+    "readiness_address",
+    "report_address",
+    "metrics_address",
+    "store_address",
+)
+
+
+def is_mesh_settings(value: object) -> bool:
+    """Return whether the value of a settings file is meant for `MeshSettings`."""
+    return isinstance(value, dict) and "readiness_address" in value
+
+
 def load_mesh_settings(path: Path) -> MeshSettings:
     """Return the settings in a file of JSON with comments.
 
@@ -97,29 +111,29 @@
     SettingsError
         The file cannot be read, or a value breaks a rule; the error names it.
     """
+    return mesh_settings_of(load_json_with_comments(path), path)
+
+
+def mesh_settings_of(value: object, path: Path) -> MeshSettings:
+    """Return the settings in the value of the file at `path`.
+
+    Raises
+    ------
+    SettingsError
+        A value breaks a rule; the error names the file and the value.
+    """
     try:
-        content = json5.loads(path.read_text(encoding="utf-8"))
-        settings = msgspec.convert(content, type=MeshSettings)
-        for name in (
-            "call_address",
-            "peer_address",
-            "readiness_address",
-            "report_address",
-            "metrics_address",
-            "store_address",
-        ):
+        settings = msgspec.convert(value, type=MeshSettings)
+        for name in _ADDRESS_NAMES:
             _check_address(name, getattr(settings, name))
         _check_address("upstream.address", settings.upstream.address)
-    except (OSError, ValueError, msgspec.ValidationError) as error:
-        raise SettingsError(f"{path}: {error}", step="settings.load") from error
+    except (ValueError, msgspec.ValidationError) as error:
+        raise SettingsError(f"{path}: {error}", step="settings.validate") from error
     return settings
 
 
 def _check_address(name: str, value: str) -> None:
-    host, _, port = value.rpartition(":")
-    if not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"{name}: {value!r} is not 'ip:port'")
     try:
-        ip_address(host)
-    except ValueError:
-        raise ValueError(f"{name}: {host!r} is not an IP number") from None
+        check_address(value)
+    except ValueError as error:
+        raise ValueError(f"{name}: {error}") from None
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -311,6 +311,34 @@
         self.assertEqual(ExitCode.REFUSED, exit_code)
         self.assertThat(err, Contains("node_id"))
 
+    def test_check_knows_the_settings_of_the_platform(self):
+        """Each format has rules of its own; the wrong ones would reject all keys."""
+        values = {
+            "node_id": "n1",
+            "data_centre": "dc1",
+            "region": "north",
+            **{
+                f"{name}_address": f"127.0.0.1:{port}"
+                for port, name in enumerate(
+                    ("call", "peer", "readiness", "report", "metrics", "store"), 1
+                )
+            },
+            "upstream": {"service": "s", "address": "127.0.0.1:80"},
+        }
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = Path(folder.name) / "node.json5"
+        for changes, expected, text in (
+            ({}, ExitCode.DONE, "n1"),
+            ({"store_address": "store:80"}, ExitCode.REFUSED, "store_address"),
+            ({"retry_budget": {"ratio": 2}}, ExitCode.REFUSED, "retry_budget.ratio"),
+            ({"colour": "red"}, ExitCode.REFUSED, "colour"),
+        ):
+            path.write_text(json.dumps({**values, **changes}))
+            exit_code, out, err = self.run_command("check", str(path))
+            self.assertEqual(expected, exit_code, err)
+            self.assertThat(out + err, Contains(text))
+
     def test_process_ends_with_the_exit_code(self):
         for arguments, expected in (
             (["ctl", "validate", ANDINA], ExitCode.DONE),
