--- a/src/verbenawick/mesh/_configuration_relay.py
+++ b/src/verbenawick/mesh/_configuration_relay.py
@@ -87,6 +87,7 @@
         self._contact_at = float("-inf")
         self._nearer_at = float("-inf")
         self.distance = 0
+        self.relay_id = ""
 
     def on_contact(self, now: float, *, round_trip_s: float) -> None:
         """Note that the store answered, and how far away it is."""
@@ -96,6 +97,7 @@
     def on_beacon(self, beacon: ConfigurationBeacon, now: float) -> None:
         """Note a beacon of a relay."""
         self._beacon_at = now
+        self.relay_id = beacon.relay_id
         if (beacon.distance, beacon.relay_id) < (self.distance, self.node_id):
             self._nearer_at = now
 
--- a/src/verbenawick/mesh/_followers.py
+++ b/src/verbenawick/mesh/_followers.py
@@ -69,6 +69,21 @@
     revision: int
 
 
+@register_event(743)
+@dataclass(frozen=True, slots=True)
+class ConfigurationSourceChanged(Event):
+    """The node learns of new versions in another way from now on.
+
+    `source` is ``relay`` (this node watches the store for the others), ``beacons`` (it
+    relies on `relay`) or ``store`` (it watches the store for itself).
+    """
+
+    source: str
+    relay: str
+    distance: int
+    version: int
+
+
 class _Follower:
     """Reads once, then watches; subclasses say what."""
 
@@ -158,6 +173,7 @@
         self._version = 0
         self._document = b""
         self._is_querying = False
+        self._source = ("", "")
 
     @property
     def beacon(self) -> ConfigurationBeacon:
@@ -220,16 +236,29 @@
         if not self._revision:
             change = self._store.read_configuration()
         elif self._is_relay():
+            self._note_source("relay", "")
             return self._watch_as_relay()
         elif self._relay.can_follow(self._clock.now()):
+            self._note_source("beacons", self._relay.relay_id)
             eventlet.sleep(RELAY_CHECK_INTERVAL_S)
             return False
         else:
+            self._note_source("store", "")
             change = self._store.watch_configuration(
                 self._revision, wait_s=WATCH_WAIT_S
             )
         return self._take_change(change)
 
+    def _note_source(self, source: str, relay_id: str) -> None:
+        if self._source == (source, relay_id):
+            return
+        self._source = (source, relay_id)
+        emit(
+            ConfigurationSourceChanged(
+                source, relay_id, self._relay.distance, self._version
+            )
+        )
+
     def _watch_as_relay(self) -> bool:
         had_contact = self._relay.may_send_beacon(self._clock.now())
         wait_s = RELAY_WATCH_WAIT_S if had_contact else FIRST_WATCH_WAIT_S
--- a/tests/test_configuration_relay.py
+++ b/tests/test_configuration_relay.py
@@ -1,10 +1,13 @@
 """One store watch per region, and what happens without its relay."""
 
+from unittest import mock
+
 import eventlet
 from testtools import TestCase
 
 from tests.call_support import wait_until
 from tests.mesh_world import MeshWorld, route, service
+from verbenawick.mesh import _followers
 from verbenawick.mesh._configuration_relay import (
     BEACON_VALID_S,
     CONTACT_VALID_S,
@@ -124,6 +127,22 @@
         version = self.configure()
         wait_until(lambda: self.versions(followers) == {version}, APPLY_BOUND_S)
 
+    def test_changes_of_the_source_are_logged(self):
+        """On-call engineers have to see from whom a node learns of versions."""
+        follower = self.nodes[1].server.node._configuration_follower
+        self.assertEqual(("beacons", self.nodes[0].node_id), follower._source)
+        with mock.patch.object(_followers, "emit") as emit:
+            self.nodes[0].is_reporting = False
+            self.nodes[0].server.kill()
+            wait_until(lambda: follower._source[0] == "relay", APPLY_BOUND_S)
+        events = [call.args[0] for call in emit.call_args_list]
+        sources = [
+            event.source
+            for event in events
+            if isinstance(event, _followers.ConfigurationSourceChanged)
+        ]
+        self.assertIn("relay", sources)
+
     def test_older_versions_of_a_relay_change_nothing(self):
         """A node must never go back, whatever a relay says."""
         relay, follower, _ = self.nodes
