Let the stand-in tell a change that comes at a watch's timeout

Cause: a change and the timeout of a watch in the same round of the hub gave an answer with the new revision and without its event, so the relay went on from there and never learned of the version. Change: the stand-in looks for events after the timeout.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -117,19 +117,23 @@
 
     def _watch(self, kind: str, revision: int, wait_s: float):
         with eventlet.Timeout(wait_s, False):
-            while True:
-                if revision < self.oldest_revision:
-                    return 410, {"error": "gone"}
-                events = [
-                    {"object": item, "deleted": is_deleted}
-                    for at, item_kind, item, is_deleted in self._history
-                    if at > revision and item_kind == kind
-                ]
-                if events:
+            while revision >= self.oldest_revision:
+                if self._events_since(kind, revision):
                     break
                 self._changed.wait()
-            return 200, {"events": events, "current_rev": self.revision}
-        return 200, {"events": [], "current_rev": self.revision}
+        if revision < self.oldest_revision:
+            return 410, {"error": "gone"}
+        # A change can come in the same moment as the timeout; an answer with its
+        # revision but without its event would hide it for good.
+        events = self._events_since(kind, revision)
+        return 200, {"events": events, "current_rev": self.revision}
+
+    def _events_since(self, kind: str, revision: int) -> list[dict]:
+        return [
+            {"object": item, "deleted": is_deleted}
+            for at, item_kind, item, is_deleted in self._history
+            if at > revision and item_kind == kind
+        ]
 
     def _write(self, method, parts, query, body):
         kind = parts[0]
