--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
+	$(BIN)/lint-imports --no-cache
 	$(BIN)/python -m tools.catalogues --check
 	$(BIN)/python -m tools.fault_table --check
 
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -18,19 +18,19 @@
 
 from bench.calls import fetch, new_addresses
 from bench.registry import register_benchmark
-from verbenawick._call_links import CallLinks
-from verbenawick._call_messages import CallAnswer, Outcome
-from verbenawick._claim_messages import SealRequest
-from verbenawick._claim_records import ClaimTable
-from verbenawick._claims import ClaimKeeper, ClaimLimits
-from verbenawick._clock import MonotonicClock
-from verbenawick._component import NodeIdentity
-from verbenawick._links import CALL_CHANNEL, LinkServer
-from verbenawick._members import Member
-from verbenawick._metrics import MetricSet
-from verbenawick._rendezvous import find_owner
-from verbenawick._store import StoreClient
+from verbenawick.claims._claim_messages import SealRequest
+from verbenawick.claims._claim_records import ClaimTable
+from verbenawick.claims._claims import ClaimKeeper, ClaimLimits
 from verbenawick.errors import StoreUnavailableError
+from verbenawick.links._call_links import CallLinks
+from verbenawick.links._call_messages import CallAnswer, Outcome
+from verbenawick.links._component import NodeIdentity
+from verbenawick.links._links import CALL_CHANNEL, LinkServer
+from verbenawick.links._members import Member
+from verbenawick.membership._rendezvous import find_owner
+from verbenawick.runtime._clock import MonotonicClock
+from verbenawick.runtime._metrics import MetricSet
+from verbenawick.store._store import StoreClient
 
 SERVICE = "treasury"
 MEMBERS = 16  # members of a service at the design size: 1,300 upstreams, 82 services
--- a/bench/distribution.py
+++ b/bench/distribution.py
@@ -16,9 +16,9 @@
 
 from bench.mesh import Mesh, MeshPlan, running_mesh
 from bench.registry import register_benchmark
-from verbenawick._acceptance import Acceptor
-from verbenawick._document import parse_document
-from verbenawick._store import StoreClient
+from verbenawick.configuration._acceptance import Acceptor
+from verbenawick.configuration._document import parse_document
+from verbenawick.store._store import StoreClient
 
 MAX_SINGLE_NODES = 48
 SHARED_PROCESSES = 8
--- a/bench/distribution_worker.py
+++ b/bench/distribution_worker.py
@@ -10,19 +10,19 @@
 
 import eventlet
 
-from verbenawick._clock import MonotonicClock
-from verbenawick._component import NodeIdentity
-from verbenawick._config_codec import ConfigCodec
-from verbenawick._config_state import ConfigState, VersionRef
-from verbenawick._control import ControlTask
-from verbenawick._distribution import ConfigDistribution
-from verbenawick._lifecycle import Lifecycle
-from verbenawick._links import CONTROL_CHANNEL, LinkServer
-from verbenawick._membership import Membership
-from verbenawick._metrics import MetricSet
-from verbenawick._settings import NodeSettings
-from verbenawick._status import StatusAggregator
-from verbenawick._store import StoreClient, Traffic
+from verbenawick.runtime._clock import MonotonicClock
+from verbenawick.links._component import NodeIdentity
+from verbenawick.configuration._config_codec import ConfigCodec
+from verbenawick.configuration._config_state import ConfigState, VersionRef
+from verbenawick.node._control import ControlTask
+from verbenawick.configuration._distribution import ConfigDistribution
+from verbenawick.configuration._lifecycle import Lifecycle
+from verbenawick.links._links import CONTROL_CHANNEL, LinkServer
+from verbenawick.membership._membership import Membership
+from verbenawick.runtime._metrics import MetricSet
+from verbenawick.settings._settings import NodeSettings
+from verbenawick.configuration._status import StatusAggregator
+from verbenawick.store._store import StoreClient, Traffic
 from verbenawick.errors import VerbenawickError
 
 HEAD_KEY = "config/head"
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -12,7 +12,7 @@
 import urllib3
 
 from standins.processes import free_network
-from verbenawick._settings import NodeSettings
+from verbenawick.settings._settings import NodeSettings
 
 ROOT = Path(__file__).resolve().parent.parent
 PEER_PORT = 7000
--- a/bench/mesh_worker.py
+++ b/bench/mesh_worker.py
@@ -19,16 +19,16 @@
 from eventlet.green import os as green_os
 from loguru import logger
 
-from verbenawick._clock import MonotonicClock
-from verbenawick._component import NodeIdentity
-from verbenawick._control import ControlTask
-from verbenawick._links import CONTROL_CHANNEL, LinkServer
-from verbenawick._membership import Membership
-from verbenawick._metrics import MetricSet
-from verbenawick._settings import NodeSettings
-from verbenawick._store import StoreClient
-from verbenawick._store_workers import STORE_CALLS
 from verbenawick.errors import StoreUnavailableError, VerbenawickError
+from verbenawick.links._component import NodeIdentity
+from verbenawick.links._links import CONTROL_CHANNEL, LinkServer
+from verbenawick.membership._membership import Membership
+from verbenawick.node._control import ControlTask
+from verbenawick.runtime._clock import MonotonicClock
+from verbenawick.runtime._metrics import MetricSet
+from verbenawick.settings._settings import NodeSettings
+from verbenawick.store._store import StoreClient
+from verbenawick.store._store_workers import STORE_CALLS
 
 LOAD_INTERVAL_S = 1.0
 # Share of nodes whose load jumps each second, so that loads have to be sent.
--- a/src/verbenawick/__main__.py
+++ b/src/verbenawick/__main__.py
@@ -10,10 +10,10 @@
     filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
     if sys.argv[1:2] == ["node"]:
         # eventlet has to patch the standard library before the other imports.
-        import verbenawick._daemon  # noqa: F401
-    from verbenawick._cli import run
-    from verbenawick._logging import configure_logging
-    from verbenawick._settings import LogSettings
+        import verbenawick.node._daemon  # noqa: F401
+    from verbenawick.operators._cli import run
+    from verbenawick.runtime._logging import configure_logging
+    from verbenawick.settings._settings import LogSettings
 
     # A node configures its own log from its settings.
     configure_logging(LogSettings(level="WARNING"), node_id="ctl")
--- a/src/verbenawick/_admission.py
+++ b/src/verbenawick/calls/_admission.py
@@ -7,15 +7,15 @@
 
 from eventlet.event import Event
 
-from verbenawick._clock import Clock
-from verbenawick._metrics import MetricKind, MetricSet, register_metric
-from verbenawick._table import Criticality, ServicePolicy
+from verbenawick.calls._table import Criticality, ServicePolicy
 from verbenawick.errors import (
     CallError,
     DeadlineUnreachableError,
     DrainingError,
     QueueFullError,
 )
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 
 # Weight of a new sample in the average service time: about the last 20 calls.
 SERVICE_TIME_WEIGHT = 0.05
--- a/src/verbenawick/_balancer.py
+++ b/src/verbenawick/calls/_balancer.py
@@ -5,10 +5,10 @@
 from math import exp
 from random import Random
 
-from verbenawick._clock import Clock
-from verbenawick._events import Event, emit, register_event
-from verbenawick._members import Member, MemberState, MemberView
-from verbenawick._metrics import MetricKind, MetricSet, register_metric
+from verbenawick.links._members import Member, MemberState, MemberView
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event, emit, register_event
+from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 
 # Weight of a new sample in the latency average: about the last 10 calls.
 LATENCY_WEIGHT = 0.1
--- a/src/verbenawick/_dispatch.py
+++ b/src/verbenawick/calls/_dispatch.py
@@ -5,21 +5,10 @@
 
 import eventlet
 
-from verbenawick._balancer import Balancer
-from verbenawick._call_messages import (
-    CallAnswer,
-    CallRequest,
-    Headers,
-    Outcome,
-    next_call_id,
-)
-from verbenawick._clock import Clock
-from verbenawick._component import RequestPort
-from verbenawick._gateway import ClaimPort, Gateway
-from verbenawick._members import Member
-from verbenawick._metrics import MetricKind, MetricSet, register_metric
-from verbenawick._retry import CallTraits, RetryRules
-from verbenawick._table import Criticality, ServicePolicy
+from verbenawick.calls._balancer import Balancer
+from verbenawick.calls._gateway import ClaimPort, Gateway
+from verbenawick.calls._retry import CallTraits, RetryRules
+from verbenawick.calls._table import Criticality, ServicePolicy
 from verbenawick.errors import (
     AnswerLostError,
     BadResponseError,
@@ -35,6 +24,17 @@
     UpstreamShedError,
     UpstreamUnreachableError,
 )
+from verbenawick.links._call_messages import (
+    CallAnswer,
+    CallRequest,
+    Headers,
+    Outcome,
+    next_call_id,
+)
+from verbenawick.links._component import RequestPort
+from verbenawick.links._members import Member
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 
 # A timeout counts against an endpoint only when the call had a usual amount of time.
 LEAST_TIME_OF_FAILURE_S = 0.1
--- a/src/verbenawick/_drain_detector.py
+++ b/src/verbenawick/calls/_drain_detector.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from verbenawick._events import Event, emit, register_event
+from verbenawick.runtime._events import Event, emit, register_event
 
 REFUSALS_TO_DRAIN = 3
 
--- a/src/verbenawick/_entry.py
+++ b/src/verbenawick/calls/_entry.py
@@ -6,16 +6,8 @@
 
 from greenlet import GreenletExit
 
-from verbenawick._call_messages import (
-    LARGEST_BODY_BYTES,
-    CallAnswer,
-    Outcome,
-)
-from verbenawick._caller_watcher import CallerWatcher
-from verbenawick._calls_in_flight import CallsInFlight
-from verbenawick._clock import Clock
-from verbenawick._dispatch import Call, Dispatcher
-from verbenawick._entry_request import (
+from verbenawick.calls._dispatch import Call, Dispatcher
+from verbenawick.calls._entry_request import (
     MAX_KEY_LENGTH,
     attempt_in,
     criticality_in,
@@ -25,12 +17,9 @@
     read_body,
     timeout_in,
 )
-from verbenawick._events import Event as LogEvent
-from verbenawick._events import emit, register_event
-from verbenawick._metrics import MetricKind, MetricSet, register_metric
-from verbenawick._routing import Router
-from verbenawick._table import RoutingTable
-from verbenawick._tracing import TraceContext, Tracer
+from verbenawick.calls._routing import Router
+from verbenawick.calls._table import RoutingTable
+from verbenawick.calls._tracing import TraceContext, Tracer
 from verbenawick.errors import (
     BadCallError,
     BelowFloorError,
@@ -41,6 +30,17 @@
     QuarantinedError,
     errors_by_code,
 )
+from verbenawick.links._call_messages import (
+    LARGEST_BODY_BYTES,
+    CallAnswer,
+    Outcome,
+)
+from verbenawick.runtime._caller_watcher import CallerWatcher
+from verbenawick.runtime._calls_in_flight import CallsInFlight
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event as LogEvent
+from verbenawick.runtime._events import emit, register_event
+from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 
 CALLS = register_metric("entry.calls", MetricKind.COUNTER, "calls", "Calls accepted")
 CALLS_COMPLETE = register_metric(
--- a/src/verbenawick/_entry_request.py
+++ b/src/verbenawick/calls/_entry_request.py
@@ -5,10 +5,10 @@
 
 from xxhash import xxh3_128_digest
 
-from verbenawick._call_messages import Headers
-from verbenawick._table import Criticality, ServicePolicy
-from verbenawick._upstream import HOP_HEADERS
+from verbenawick.calls._table import Criticality, ServicePolicy
+from verbenawick.calls._upstream import HOP_HEADERS
 from verbenawick.errors import BadCallError, RequestTooLargeError
+from verbenawick.links._call_messages import Headers
 
 # Headers that the entry reads and the gateway writes anew.
 CALL_HEADERS = frozenset(
--- a/src/verbenawick/_entry_server.py
+++ b/src/verbenawick/calls/_entry_server.py
@@ -7,8 +7,8 @@
 from eventlet import wsgi
 from greenlet import GreenletExit
 
-from verbenawick._caller_protocol import CallerProtocol
-from verbenawick._sockets import listen
+from verbenawick.calls._caller_protocol import CallerProtocol
+from verbenawick.runtime._sockets import listen
 
 MAX_CONNECTIONS = 1024
 # An idle connection of a caller is closed after this time.
--- a/src/verbenawick/_gateway.py
+++ b/src/verbenawick/calls/_gateway.py
@@ -9,24 +9,10 @@
 from greenlet import GreenletExit
 from xxhash import xxh64_intdigest
 
-from verbenawick._admission import Admission
-from verbenawick._call_messages import (
-    LARGEST_BODY_BYTES,
-    CallAnswer,
-    CallRequest,
-    Headers,
-    Outcome,
-    next_call_id,
-)
-from verbenawick._clock import Clock
-from verbenawick._component import NodeIdentity, RequestPort
-from verbenawick._events import Event as LogEvent
-from verbenawick._events import emit, register_event
-from verbenawick._members import Member, MemberState, MemberView
-from verbenawick._metrics import MetricSet
-from verbenawick._table import Criticality, RoutingTable, ServicePolicy
-from verbenawick._tracing import Tracer
-from verbenawick._upstream import UpstreamConnections
+from verbenawick.calls._admission import Admission
+from verbenawick.calls._table import Criticality, RoutingTable, ServicePolicy
+from verbenawick.calls._tracing import Tracer
+from verbenawick.calls._upstream import UpstreamConnections
 from verbenawick.errors import (
     AnswerLostError,
     CallError,
@@ -46,6 +32,20 @@
     UpstreamUnreachableError,
     WrongServiceError,
 )
+from verbenawick.links._call_messages import (
+    LARGEST_BODY_BYTES,
+    CallAnswer,
+    CallRequest,
+    Headers,
+    Outcome,
+    next_call_id,
+)
+from verbenawick.links._component import NodeIdentity, RequestPort
+from verbenawick.links._members import Member, MemberState, MemberView
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event as LogEvent
+from verbenawick.runtime._events import emit, register_event
+from verbenawick.runtime._metrics import MetricSet
 
 # Refusals of one upstream that another upstream of the service may accept.
 CODES_OF_BUSY_UPSTREAM = frozenset(
--- a/src/verbenawick/_quarantine.py
+++ b/src/verbenawick/calls/_quarantine.py
@@ -15,8 +15,8 @@
 
 import cbor2
 
-from verbenawick._clock import Clock
-from verbenawick._component import (
+from verbenawick.errors import ProtocolError, VerbenawickError
+from verbenawick.links._component import (
     LinkPurpose,
     NodeIdentity,
     PeerPort,
@@ -24,11 +24,11 @@
     StoreObject,
     StorePort,
 )
-from verbenawick._events import Event, emit, register_event
-from verbenawick._message_rows import Row
-from verbenawick._messages import Message, register_message
-from verbenawick._metrics import MetricKind, MetricSet, register_metric
-from verbenawick.errors import ProtocolError, VerbenawickError
+from verbenawick.links._message_rows import Row
+from verbenawick.links._messages import Message, register_message
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event, emit, register_event
+from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 
 CRASHES_TO_REFUSE = 3
 QUARANTINE_S = 600.0
--- a/src/verbenawick/_retry.py
+++ b/src/verbenawick/calls/_retry.py
@@ -2,9 +2,7 @@
 
 from dataclasses import dataclass
 
-from verbenawick._call_messages import CallAnswer, Outcome
-from verbenawick._metrics import MetricKind, MetricSet, register_metric
-from verbenawick._table import ServicePolicy
+from verbenawick.calls._table import ServicePolicy
 from verbenawick.errors import (
     BadResponseError,
     CallTimeoutError,
@@ -17,6 +15,8 @@
     UpstreamUnreachableError,
     WrongServiceError,
 )
+from verbenawick.links._call_messages import CallAnswer, Outcome
+from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 
 # Retries that a service may save up while its calls succeed; covers the loss of one
 # upstream with all its slots in use.
--- a/src/verbenawick/_routing.py
+++ b/src/verbenawick/calls/_routing.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 
-from verbenawick._table import Route, RoutingTable
+from verbenawick.calls._table import Route, RoutingTable
 
 
 class Router:
--- a/src/verbenawick/_tracing.py
+++ b/src/verbenawick/calls/_tracing.py
@@ -24,7 +24,7 @@
     set_span_in_context,
 )
 
-from verbenawick._events import Event, emit, register_event
+from verbenawick.runtime._events import Event, emit, register_event
 
 TRACEPARENT_LENGTH = 55
 SAMPLED_FLAG = 0x01
--- a/src/verbenawick/_upstream.py
+++ b/src/verbenawick/calls/_upstream.py
@@ -14,10 +14,6 @@
 from eventlet.green import socket
 from urllib3.connection import HTTPConnection
 
-from verbenawick._call_messages import Headers
-from verbenawick._clock import Clock
-from verbenawick._metrics import MetricKind, MetricSet, register_metric
-from verbenawick._polling import is_readable
 from verbenawick.errors import (
     BadCallError,
     BadResponseError,
@@ -27,6 +23,10 @@
     UpstreamShedError,
     UpstreamUnreachableError,
 )
+from verbenawick.links._call_messages import Headers
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
+from verbenawick.runtime._polling import is_readable
 
 # eventlet removes `poll` from the patched module; polling with no wait never blocks.
 select = patcher.original("select")
--- a/src/verbenawick/_upstream_probe.py
+++ b/src/verbenawick/calls/_upstream_probe.py
@@ -11,7 +11,7 @@
 from urllib3 import HTTPConnectionPool, Timeout
 from urllib3.exceptions import HTTPError
 
-from verbenawick._events import Event, emit, register_event
+from verbenawick.runtime._events import Event, emit, register_event
 
 HEALTH_PATH = "/health"
 PROBE_INTERVAL_S = 1.0
--- a/src/verbenawick/_claim_handover.py
+++ b/src/verbenawick/claims/_claim_handover.py
@@ -3,24 +3,24 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-from verbenawick._call_messages import next_call_id
-from verbenawick._claim_messages import (
+from verbenawick.claims._claim_messages import (
     ClaimHandover,
     ClaimHandoverAnswer,
     OwnerRef,
     RecordRow,
 )
-from verbenawick._claim_records import ClaimTable, size_of
-from verbenawick._clock import Clock
-from verbenawick._component import NodeIdentity, RequestPort
-from verbenawick._events import Event, emit, register_event
-from verbenawick._members import Member, MemberView
-from verbenawick._rendezvous import find_owner
+from verbenawick.claims._claim_records import ClaimTable, size_of
 from verbenawick.errors import (
     AnswerLostError,
     ClaimStoppingError,
     LinkClosedError,
 )
+from verbenawick.links._call_messages import next_call_id
+from verbenawick.links._component import NodeIdentity, RequestPort
+from verbenawick.links._members import Member, MemberView
+from verbenawick.membership._rendezvous import find_owner
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event, emit, register_event
 
 # A batch takes a few milliseconds to decode, so that calls are not held up longer.
 MAX_BATCH_RECORDS = 256
--- a/src/verbenawick/_claim_messages.py
+++ b/src/verbenawick/claims/_claim_messages.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from verbenawick._call_messages import CallAnswer
-from verbenawick._message_rows import Row
-from verbenawick._messages import Message, register_message
+from verbenawick.links._call_messages import CallAnswer
+from verbenawick.links._message_rows import Row
+from verbenawick.links._messages import Message, register_message
 
 
 class ClaimState(StrEnum):
--- a/src/verbenawick/_claim_records.py
+++ b/src/verbenawick/claims/_claim_records.py
@@ -3,11 +3,11 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from verbenawick._call_messages import CallAnswer
-from verbenawick._claim_messages import ClaimState, OwnerRef, RecordRow
-from verbenawick._clock import Clock
-from verbenawick._events import Event, emit, register_event
+from verbenawick.claims._claim_messages import ClaimState, OwnerRef, RecordRow
 from verbenawick.errors import ClaimTableFullError
+from verbenawick.links._call_messages import CallAnswer
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event, emit, register_event
 
 
 @register_event(600, level="WARNING")
--- a/src/verbenawick/_claims.py
+++ b/src/verbenawick/claims/_claims.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from verbenawick._call_messages import CallAnswer, next_call_id
-from verbenawick._claim_handover import HandoverSender
-from verbenawick._claim_messages import (
+from verbenawick.calls._gateway import ClaimDecision, ClaimVerdict
+from verbenawick.claims._claim_handover import HandoverSender
+from verbenawick.claims._claim_messages import (
     ClaimHandover,
     ClaimHandoverAnswer,
     ClaimState,
@@ -19,14 +19,7 @@
     SealRequest,
     SealVerdict,
 )
-from verbenawick._claim_records import ClaimLimits, ClaimRecord, ClaimTable
-from verbenawick._clock import Clock
-from verbenawick._component import NodeIdentity, RequestPort
-from verbenawick._events import Event, emit, register_event
-from verbenawick._gateway import ClaimDecision, ClaimVerdict
-from verbenawick._members import DepartedMember, Member, MemberView
-from verbenawick._messages import Message
-from verbenawick._rendezvous import find_owner, possible_earlier_owners, score_of
+from verbenawick.claims._claim_records import ClaimLimits, ClaimRecord, ClaimTable
 from verbenawick.errors import (
     AnswerLostError,
     AuthorityEndedError,
@@ -44,6 +37,17 @@
     LinkClosedError,
     NotOwnerError,
 )
+from verbenawick.links._call_messages import CallAnswer, next_call_id
+from verbenawick.links._component import NodeIdentity, RequestPort
+from verbenawick.links._members import DepartedMember, Member, MemberView
+from verbenawick.links._messages import Message
+from verbenawick.membership._rendezvous import (
+    find_owner,
+    possible_earlier_owners,
+    score_of,
+)
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event, emit, register_event
 
 
 @register_event(602, level="DEBUG")
--- /dev/null
+++ b/src/verbenawick/configuration/__init__.py
@@ -0,0 +1,4 @@
+"""Accepted configuration: documents, acceptance, distribution, status.
+
+Uses `calls` for the routing table, and `store`; `node` and `operators` import it.
+"""
--- a/src/verbenawick/_acceptance.py
+++ b/src/verbenawick/configuration/_acceptance.py
@@ -10,17 +10,17 @@
 from itertools import islice
 from time import sleep as sleep_seconds
 
-from verbenawick._change_plan import Acceptance, Base, Plan, build_plan
-from verbenawick._clock import Clock, MonotonicClock
-from verbenawick._config_store import ConfigStore, HeadState
-from verbenawick._delta import Content, Difference
-from verbenawick._document import ConfigurationDocument
-from verbenawick._events import Event, emit, register_event
-from verbenawick._head import Change, encode_record
-from verbenawick._head_update import RETRY_PAUSE_S, HeadUpdate
-from verbenawick._outcomes import not_begun_on_store_errors, outcome_unknown
-from verbenawick._pruning import CHANGE_LIMIT_S, PRUNING_INTERVAL, prune
-from verbenawick._store import StoreClient
+from verbenawick.configuration._change_plan import Acceptance, Base, Plan, build_plan
+from verbenawick.configuration._config_store import ConfigStore, HeadState
+from verbenawick.configuration._delta import Content, Difference
+from verbenawick.configuration._document import ConfigurationDocument
+from verbenawick.configuration._head import Change, encode_record
+from verbenawick.configuration._head_update import RETRY_PAUSE_S, HeadUpdate
+from verbenawick.configuration._outcomes import (
+    not_begun_on_store_errors,
+    outcome_unknown,
+)
+from verbenawick.configuration._pruning import CHANGE_LIMIT_S, PRUNING_INTERVAL, prune
 from verbenawick.errors import (
     ChangeNotBegunError,
     ConflictError,
@@ -31,6 +31,9 @@
     StoreUnavailableError,
     VerbenawickError,
 )
+from verbenawick.runtime._clock import Clock, MonotonicClock
+from verbenawick.runtime._events import Event, emit, register_event
+from verbenawick.store._store import StoreClient
 
 RESOLVE_TIMEOUT_S = 10.0
 CREATE_ATTEMPTS = 3
--- a/src/verbenawick/_acks.py
+++ b/src/verbenawick/configuration/_acks.py
@@ -4,9 +4,9 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
-from verbenawick._clock import Clock
-from verbenawick._config_messages import ProcessStart
-from verbenawick._config_state import VersionRef
+from verbenawick.configuration._config_messages import ProcessStart
+from verbenawick.configuration._config_state import VersionRef
+from verbenawick.runtime._clock import Clock
 
 # Less than TimingSettings.member_timeout_s, 4 s, after which a member is dropped.
 ACK_LIFETIME_S = 3.0
--- a/src/verbenawick/_change_plan.py
+++ b/src/verbenawick/configuration/_change_plan.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from verbenawick._compile import compile_document
-from verbenawick._config_store import HeadState
-from verbenawick._delta import (
+from verbenawick.configuration._compile import compile_document
+from verbenawick.configuration._config_store import HeadState
+from verbenawick.configuration._delta import (
     Content,
     Difference,
     diff_documents,
@@ -13,8 +13,8 @@
     encode_snapshot,
     find_differences,
 )
-from verbenawick._document import parse_document
-from verbenawick._head import (
+from verbenawick.configuration._document import parse_document
+from verbenawick.configuration._head import (
     MAX_INLINE_DELTA_BYTES,
     Change,
     Head,
@@ -22,8 +22,8 @@
     encode_record,
     snapshot_key,
 )
-from verbenawick._store import MAX_VALUE_BYTES
 from verbenawick.errors import DocumentError
+from verbenawick.store._store import MAX_VALUE_BYTES
 
 MAX_SUMMARY_LENGTH = 200
 MAX_AUTHOR_LENGTH = 64
--- a/src/verbenawick/_compile.py
+++ b/src/verbenawick/configuration/_compile.py
@@ -1,11 +1,11 @@
 """Compilation of a configuration document into the table that nodes serve from."""
 
-from verbenawick._document import (
+from verbenawick.calls._table import Criticality, Route, RoutingTable, ServicePolicy
+from verbenawick.configuration._document import (
     ConfigurationDocument,
     DocumentRoute,
     effective_policy,
 )
-from verbenawick._table import Criticality, Route, RoutingTable, ServicePolicy
 
 
 def compile_document(
--- a/src/verbenawick/_config_codec.py
+++ b/src/verbenawick/configuration/_config_codec.py
@@ -2,19 +2,19 @@
 
 from typing import Any
 
-from verbenawick._compile import compile_document
-from verbenawick._config_feed import ChangeInfo, HeadInfo
-from verbenawick._config_state import NO_VERSION, VersionRef
-from verbenawick._delta import (
+from verbenawick.calls._table import RoutingTable
+from verbenawick.configuration._compile import compile_document
+from verbenawick.configuration._config_feed import ChangeInfo, HeadInfo
+from verbenawick.configuration._config_state import NO_VERSION, VersionRef
+from verbenawick.configuration._delta import (
     apply_delta,
     decode_delta,
     decode_snapshot,
     digest_of,
     encode_snapshot,
 )
-from verbenawick._document import parse_document
-from verbenawick._head import change_key, decode_change, decode_head
-from verbenawick._table import RoutingTable
+from verbenawick.configuration._document import parse_document
+from verbenawick.configuration._head import change_key, decode_change, decode_head
 
 
 class ConfigCodec:
--- a/src/verbenawick/_config_feed.py
+++ b/src/verbenawick/configuration/_config_feed.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from verbenawick._component import StoreObject, StorePort
-from verbenawick._config_messages import DeltaStep
-from verbenawick._config_state import NO_VERSION, VersionRef
-from verbenawick._events import Event, emit, register_event
+from verbenawick.configuration._config_messages import DeltaStep
+from verbenawick.configuration._config_state import NO_VERSION, VersionRef
 from verbenawick.errors import VerbenawickError
+from verbenawick.links._component import StoreObject, StorePort
+from verbenawick.runtime._events import Event, emit, register_event
 
 # Beyond this many changes one snapshot costs fewer store calls than the chain.
 MAX_CHAIN_LENGTH = 16
--- a/src/verbenawick/_config_state.py
+++ b/src/verbenawick/configuration/_config_state.py
@@ -5,8 +5,7 @@
 from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
-from verbenawick._events import Event, emit, register_event
-from verbenawick._table import RoutingTable
+from verbenawick.calls._table import RoutingTable
 from verbenawick.errors import (
     BaseMismatchError,
     DigestMismatchError,
@@ -15,6 +14,7 @@
     OlderVersionError,
     VerbenawickError,
 )
+from verbenawick.runtime._events import Event, emit, register_event
 
 PRESET_IDS = frozenset({"ordinary", "peak", "maintenance"})
 
--- a/src/verbenawick/_config_store.py
+++ b/src/verbenawick/configuration/_config_store.py
@@ -4,9 +4,8 @@
 from dataclasses import dataclass
 from time import sleep as sleep_seconds
 
-from verbenawick._component import StoreObject
-from verbenawick._delta import Content, decode_snapshot
-from verbenawick._head import (
+from verbenawick.configuration._delta import Content, decode_snapshot
+from verbenawick.configuration._head import (
     HEAD_KEY,
     Change,
     Head,
@@ -16,8 +15,9 @@
     encode_record,
     snapshot_key,
 )
-from verbenawick._store import StoreClient
 from verbenawick.errors import StoreUnavailableError
+from verbenawick.links._component import StoreObject
+from verbenawick.store._store import StoreClient
 
 # A read may be stale; a later one of an object that exists finds it.
 READ_ATTEMPTS = 5
--- a/src/verbenawick/_delta.py
+++ b/src/verbenawick/configuration/_delta.py
@@ -13,12 +13,12 @@
 import zstandard
 from pydantic import TypeAdapter, ValidationError
 
-from verbenawick._message_rows import Row
 from verbenawick.errors import (
     BaseMismatchError,
     DigestMismatchError,
     DocumentError,
 )
+from verbenawick.links._message_rows import Row
 
 DIGEST_BYTES = 16
 COMPRESSION_LEVEL = 12
--- a/src/verbenawick/_distribution.py
+++ b/src/verbenawick/configuration/_distribution.py
@@ -5,18 +5,15 @@
 from dataclasses import dataclass
 from random import Random
 
-from verbenawick._acks import AckTally
-from verbenawick._clock import Clock
-from verbenawick._component import (
-    LinkPurpose,
-    NodeIdentity,
-    PeerPort,
-    RoleView,
-    StoreObject,
-    StorePort,
+from verbenawick.calls._table import RoutingTable
+from verbenawick.configuration._acks import AckTally
+from verbenawick.configuration._config_feed import (
+    ConfigFeed,
+    FeedCodec,
+    FeedResult,
+    HeadInfo,
 )
-from verbenawick._config_feed import ConfigFeed, FeedCodec, FeedResult, HeadInfo
-from verbenawick._config_messages import (
+from verbenawick.configuration._config_messages import (
     Commit,
     DeltaStep,
     FloorAnswer,
@@ -29,7 +26,7 @@
     VersionDigest,
     VersionRequest,
 )
-from verbenawick._config_state import (
+from verbenawick.configuration._config_state import (
     NO_VERSION,
     ConfigState,
     Note,
@@ -38,14 +35,9 @@
     emit_only,
     withhold_routes,
 )
-from verbenawick._events import Event, emit, register_event
-from verbenawick._explain import DecisionRecord
-from verbenawick._floor import HEAD_KEY, FloorKeeper, HeadConfirmer
-from verbenawick._lifecycle import Lifecycle, LifecycleState
-from verbenawick._members import MemberView
-from verbenawick._messages import Message
-from verbenawick._step_cache import StepCache
-from verbenawick._table import RoutingTable
+from verbenawick.configuration._floor import HEAD_KEY, FloorKeeper, HeadConfirmer
+from verbenawick.configuration._lifecycle import Lifecycle, LifecycleState
+from verbenawick.configuration._step_cache import StepCache
 from verbenawick.errors import (
     BaseMismatchError,
     DigestMismatchError,
@@ -54,6 +46,19 @@
     OlderVersionError,
     VerbenawickError,
 )
+from verbenawick.links._component import (
+    LinkPurpose,
+    NodeIdentity,
+    PeerPort,
+    RoleView,
+    StoreObject,
+    StorePort,
+)
+from verbenawick.links._members import MemberView
+from verbenawick.links._messages import Message
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event, emit, register_event
+from verbenawick.runtime._explain import DecisionRecord
 
 EXCHANGE_INTERVAL_S = 1.0
 ANNOUNCE_INTERVAL_S = 0.5
--- a/src/verbenawick/_document.py
+++ b/src/verbenawick/configuration/_document.py
@@ -22,8 +22,8 @@
     create_model,
 )
 
-from verbenawick._settings import Identifier
 from verbenawick.errors import DocumentError
+from verbenawick.settings._settings import Identifier
 
 PRESET_IDS = ("ordinary", "peak", "maintenance")
 # A claim of a departed node is released 30 s after its end, so no call may last longer.
--- a/src/verbenawick/_fleet_status.py
+++ b/src/verbenawick/configuration/_fleet_status.py
@@ -5,21 +5,21 @@
 from enum import StrEnum
 from time import sleep as sleep_seconds
 
-from verbenawick._clock import Clock, MonotonicClock
-from verbenawick._component import StoreObject
-from verbenawick._config_store import ConfigStore, HeadState
-from verbenawick._status import (
+from verbenawick.configuration._config_store import ConfigStore, HeadState
+from verbenawick.configuration._status import (
     STATUS_PREFIX,
     NodeStatus,
     RegionStatus,
     decode_region_status,
 )
-from verbenawick._store import StoreClient
 from verbenawick.errors import (
     StatusError,
     StoreAnswerLostError,
     StoreUnavailableError,
 )
+from verbenawick.links._component import StoreObject
+from verbenawick.runtime._clock import Clock, MonotonicClock
+from verbenawick.store._store import StoreClient
 
 # A region relay writes at least every 5 s; the store's own clock gives the age.
 MAX_REGION_AGE_S = 15.0
--- a/src/verbenawick/_floor.py
+++ b/src/verbenawick/configuration/_floor.py
@@ -10,16 +10,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from verbenawick._clock import Clock
-from verbenawick._component import (
-    LinkPurpose,
-    NodeIdentity,
-    PeerPort,
-    RoleView,
-    StoreObject,
-    StorePort,
-)
-from verbenawick._config_messages import (
+from verbenawick.configuration._config_messages import (
     Asker,
     FloorAnswer,
     FloorQuery,
@@ -27,10 +18,19 @@
     HeadQuery,
     ProcessStart,
 )
-from verbenawick._config_state import VersionRef
-from verbenawick._events import Event, emit, register_event
-from verbenawick._members import MemberView
+from verbenawick.configuration._config_state import VersionRef
 from verbenawick.errors import VerbenawickError
+from verbenawick.links._component import (
+    LinkPurpose,
+    NodeIdentity,
+    PeerPort,
+    RoleView,
+    StoreObject,
+    StorePort,
+)
+from verbenawick.links._members import MemberView
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event, emit, register_event
 
 HEAD_KEY = "config/head"
 
--- a/src/verbenawick/_head.py
+++ b/src/verbenawick/configuration/_head.py
@@ -10,8 +10,8 @@
 import cbor2
 from pydantic import TypeAdapter, ValidationError
 
-from verbenawick._message_rows import Row
 from verbenawick.errors import DocumentError
+from verbenawick.links._message_rows import Row
 
 HEAD_KEY = "config/head"
 CHANGE_PREFIX = "config/change/"
--- a/src/verbenawick/_head_update.py
+++ b/src/verbenawick/configuration/_head_update.py
@@ -3,13 +3,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from verbenawick._change_plan import Plan
-from verbenawick._clock import Clock
-from verbenawick._config_store import ConfigStore, HeadState
-from verbenawick._delta import Difference, find_differences
-from verbenawick._events import Event, emit, register_event
-from verbenawick._head import HEAD_KEY, encode_record
-from verbenawick._outcomes import conflict, not_begun, outcome_unknown
+from verbenawick.configuration._change_plan import Plan
+from verbenawick.configuration._config_store import ConfigStore, HeadState
+from verbenawick.configuration._delta import Difference, find_differences
+from verbenawick.configuration._head import HEAD_KEY, encode_record
+from verbenawick.configuration._outcomes import conflict, not_begun, outcome_unknown
 from verbenawick.errors import (
     ChangeNotBegunError,
     StoreAnswerLostError,
@@ -17,6 +15,8 @@
     StoreUnavailableError,
     VerbenawickError,
 )
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event, emit, register_event
 
 RETRY_PAUSE_S = 0.2
 STEP = "apply.update-head"
--- a/src/verbenawick/_lifecycle.py
+++ b/src/verbenawick/configuration/_lifecycle.py
@@ -7,7 +7,7 @@
 from sismic.interpreter import Interpreter
 from sismic.io import import_from_yaml
 
-from verbenawick._events import Event, emit, register_event
+from verbenawick.runtime._events import Event, emit, register_event
 
 
 class LifecycleState(StrEnum):
--- a/src/verbenawick/_outcomes.py
+++ b/src/verbenawick/configuration/_outcomes.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from verbenawick._config_store import HeadState
-from verbenawick._delta import Difference
+from verbenawick.configuration._config_store import HeadState
+from verbenawick.configuration._delta import Difference
 from verbenawick.errors import (
     ChangeNotBegunError,
     ChangeOutcomeUnknownError,
--- a/src/verbenawick/_pruning.py
+++ b/src/verbenawick/configuration/_pruning.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterator
 
-from verbenawick._config_store import ConfigStore
-from verbenawick._head import (
+from verbenawick.configuration._config_store import ConfigStore
+from verbenawick.configuration._head import (
     CHANGE_PREFIX,
     Change,
     change_key,
--- a/src/verbenawick/_status.py
+++ b/src/verbenawick/configuration/_status.py
@@ -13,8 +13,15 @@
 from pydantic import TypeAdapter, ValidationError
 from pydantic_core import ArgsKwargs
 
-from verbenawick._clock import Clock
-from verbenawick._component import (
+from verbenawick.configuration._config_messages import DataCentreReport, NodeReport
+from verbenawick.configuration._distribution import ConfigDistribution
+from verbenawick.errors import (
+    StatusError,
+    StoreAnswerLostError,
+    StoreConditionError,
+    VerbenawickError,
+)
+from verbenawick.links._component import (
     LinkPurpose,
     NodeIdentity,
     PeerPort,
@@ -22,18 +29,11 @@
     StoreObject,
     StorePort,
 )
-from verbenawick._config_messages import DataCentreReport, NodeReport
-from verbenawick._distribution import ConfigDistribution
-from verbenawick._events import Event, emit, register_event
-from verbenawick._members import MemberView
-from verbenawick._message_rows import Row
-from verbenawick._messages import Message
-from verbenawick.errors import (
-    StatusError,
-    StoreAnswerLostError,
-    StoreConditionError,
-    VerbenawickError,
-)
+from verbenawick.links._members import MemberView
+from verbenawick.links._message_rows import Row
+from verbenawick.links._messages import Message
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event, emit, register_event
 
 STATUS_PREFIX = "status/"
 
--- a/src/verbenawick/_step_cache.py
+++ b/src/verbenawick/configuration/_step_cache.py
@@ -3,8 +3,8 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
-from verbenawick._config_messages import DeltaStep
-from verbenawick._config_state import NO_VERSION, VersionRef
+from verbenawick.configuration._config_messages import DeltaStep
+from verbenawick.configuration._config_state import NO_VERSION, VersionRef
 
 MAX_CACHED_STEPS = 64
 MAX_CACHED_BYTES = 1024 * 1024
--- a/src/verbenawick/_call_links.py
+++ b/src/verbenawick/links/_call_links.py
@@ -9,19 +9,19 @@
 from eventlet.greenthread import GreenThread
 from eventlet.semaphore import Semaphore
 
-from verbenawick._call_messages import CallCancel, CallRequest
-from verbenawick._clock import Clock
-from verbenawick._component import NodeIdentity
-from verbenawick._links import CALL_CHANNEL, PING_INTERVAL_S, Link, dial_link
-from verbenawick._members import Member
-from verbenawick._messages import Message
-from verbenawick._metrics import MetricKind, MetricSet, register_metric
 from verbenawick.errors import (
     AnswerLostError,
     LinkClosedError,
     LinkOverflowError,
     VerbenawickError,
 )
+from verbenawick.links._call_messages import CallCancel, CallRequest
+from verbenawick.links._component import NodeIdentity
+from verbenawick.links._links import CALL_CHANNEL, PING_INTERVAL_S, Link, dial_link
+from verbenawick.links._members import Member
+from verbenawick.links._messages import Message
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 
 RequestHandler = Callable[[NodeIdentity, Message, float], Message]
 NoticeHandler = Callable[[NodeIdentity, Message], None]
--- a/src/verbenawick/_call_messages.py
+++ b/src/verbenawick/links/_call_messages.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from itertools import count
 
-from verbenawick._messages import MAX_MESSAGE_BYTES, Message, register_message
+from verbenawick.links._messages import MAX_MESSAGE_BYTES, Message, register_message
 
 next_call_id = count(1).__next__
 """Return a number that is unique among the requests of this process."""
--- a/src/verbenawick/_component.py
+++ b/src/verbenawick/links/_component.py
@@ -10,9 +10,9 @@
 from enum import StrEnum
 from typing import Protocol
 
-from verbenawick._members import Member
-from verbenawick._messages import Message
 from verbenawick.errors import VerbenawickError
+from verbenawick.links._members import Member
+from verbenawick.links._messages import Message
 
 
 class LinkPurpose(StrEnum):
--- a/src/verbenawick/_links.py
+++ b/src/verbenawick/links/_links.py
@@ -27,18 +27,18 @@
 from websockets.server import ServerProtocol
 from websockets.uri import parse_uri
 
-from verbenawick._clock import Clock, MonotonicClock
-from verbenawick._component import NodeIdentity
-from verbenawick._events import Event, emit, register_event
-from verbenawick._messages import (
+from verbenawick.errors import LinkClosedError, LinkOverflowError, ProtocolError
+from verbenawick.links._component import NodeIdentity
+from verbenawick.links._messages import (
     MAX_MESSAGE_BYTES,
     Message,
     decode_message,
     encode_message,
 )
-from verbenawick._read_waiter import ReadWaiter
-from verbenawick._sockets import listen
-from verbenawick.errors import LinkClosedError, LinkOverflowError, ProtocolError
+from verbenawick.runtime._clock import Clock, MonotonicClock
+from verbenawick.runtime._events import Event, emit, register_event
+from verbenawick.runtime._read_waiter import ReadWaiter
+from verbenawick.runtime._sockets import listen
 
 CONTROL_CHANNEL = "/control"
 CALL_CHANNEL = "/calls"
--- a/src/verbenawick/_centre_registry.py
+++ b/src/verbenawick/membership/_centre_registry.py
@@ -3,22 +3,22 @@
 from collections import deque
 from dataclasses import dataclass, replace
 
-from verbenawick._clock import Clock
-from verbenawick._explain import DecisionRecord
-from verbenawick._member_table import JoinedMember
-from verbenawick._membership_events import (
+from verbenawick.membership._member_table import JoinedMember
+from verbenawick.membership._membership_events import (
     DeparturesDoubted,
     MemberDeparted,
     MemberJoined,
     MemberStateChanged,
 )
-from verbenawick._membership_messages import (
+from verbenawick.membership._membership_messages import (
     DepartedRow,
     Heartbeat,
     LoadRow,
     MemberBatch,
     MemberRow,
 )
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._explain import DecisionRecord
 
 # Members search for a relay while it is being replaced. After a takeover they need
 # about 3 s to hear of it from neighbours that they ask every 0.5 s. With 10 s, members
--- a/src/verbenawick/_member_table.py
+++ b/src/verbenawick/membership/_member_table.py
@@ -8,22 +8,22 @@
 from pydantic import TypeAdapter, ValidationError
 from pydantic_core import ArgsKwargs
 
-from verbenawick._clock import Clock
-from verbenawick._component import NodeIdentity
-from verbenawick._members import (
+from verbenawick.errors import MemberTableError
+from verbenawick.links._component import NodeIdentity
+from verbenawick.links._members import (
     DepartedMember,
     Member,
     MemberState,
     ReportedLoad,
 )
-from verbenawick._membership_messages import (
+from verbenawick.links._message_rows import Row
+from verbenawick.membership._membership_messages import (
     DepartedRow,
     LoadRow,
     MemberRow,
     TableVersion,
 )
-from verbenawick._message_rows import Row
-from verbenawick.errors import MemberTableError
+from verbenawick.runtime._clock import Clock
 
 # Eight times the design size. Beyond it further joins are refused, so that a faulty
 # peer cannot exhaust the memory.
--- a/src/verbenawick/_membership.py
+++ b/src/verbenawick/membership/_membership.py
@@ -8,29 +8,29 @@
 from collections import deque
 from dataclasses import dataclass
 
-from verbenawick._centre_registry import CentreRegistry
-from verbenawick._clock import Clock
-from verbenawick._component import (
+from verbenawick.errors import MemberTableError
+from verbenawick.links._component import (
     LinkPurpose,
     NodeIdentity,
     PeerPort,
     StoreObject,
     StorePort,
 )
-from verbenawick._explain import DecisionRecord
-from verbenawick._member_table import (
+from verbenawick.links._members import DepartedMember
+from verbenawick.links._messages import Message
+from verbenawick.membership._centre_registry import CentreRegistry
+from verbenawick.membership._member_table import (
     MemberTable,
     decode_region_table,
     departed_row,
     encode_region_table,
 )
-from verbenawick._members import DepartedMember
-from verbenawick._membership_events import (
+from verbenawick.membership._membership_events import (
     AuthorityWithdrawn,
     TableInvalid,
     TableReplaced,
 )
-from verbenawick._membership_messages import (
+from verbenawick.membership._membership_messages import (
     DepartedRow,
     Goodbye,
     Heartbeat,
@@ -46,11 +46,11 @@
     TableVersion,
     TableVersions,
 )
-from verbenawick._messages import Message
-from verbenawick._region_members import RegionMembers, members_key
-from verbenawick._settings import TimingSettings
-from verbenawick._topology import Topology
-from verbenawick.errors import MemberTableError
+from verbenawick.membership._region_members import RegionMembers, members_key
+from verbenawick.membership._topology import Topology
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._explain import DecisionRecord
+from verbenawick.settings._settings import TimingSettings
 
 BATCH_INTERVAL_S = 0.5
 # Loads only break ties between endpoints. At 65 nodes below a relay and 163 members in
--- a/src/verbenawick/_membership_messages.py
+++ b/src/verbenawick/membership/_membership_messages.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from verbenawick._message_rows import Row
-from verbenawick._messages import Message, register_message
+from verbenawick.links._message_rows import Row
+from verbenawick.links._messages import Message, register_message
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/verbenawick/_region_members.py
+++ b/src/verbenawick/membership/_region_members.py
@@ -3,10 +3,9 @@
 from collections import OrderedDict
 from dataclasses import replace
 
-from verbenawick._clock import Clock
-from verbenawick._component import RoleView, StoreObject, StorePort
-from verbenawick._explain import DecisionRecord
-from verbenawick._member_table import (
+from verbenawick.errors import MemberTableError, VerbenawickError
+from verbenawick.links._component import RoleView, StoreObject, StorePort
+from verbenawick.membership._member_table import (
     AGE_TOLERANCE_S,
     MAX_DEPARTED_PER_REGION,
     MemberTable,
@@ -15,18 +14,19 @@
     departed_row,
     encode_region_table,
 )
-from verbenawick._membership_events import (
+from verbenawick.membership._membership_events import (
     DataCentreDeparted,
     MembersWritten,
     TableInvalid,
 )
-from verbenawick._membership_messages import (
+from verbenawick.membership._membership_messages import (
     DepartedRow,
     MemberBatch,
     MemberRow,
     TableDelta,
 )
-from verbenawick.errors import MemberTableError, VerbenawickError
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._explain import DecisionRecord
 
 # A data centre relay is replaced within about 8 s; members register within the
 # takeover grace after that, but its own link to the region relay comes first.
--- a/src/verbenawick/_relay_search.py
+++ b/src/verbenawick/membership/_relay_search.py
@@ -5,13 +5,13 @@
 from random import Random
 from typing import Protocol
 
-from verbenawick._backoff import Backoff
-from verbenawick._clock import Clock
-from verbenawick._component import LinkPurpose, NodeIdentity
-from verbenawick._events import Event, register_event
-from verbenawick._explain import DecisionRecord
-from verbenawick._lease import Lease
-from verbenawick._membership_messages import RelayReference
+from verbenawick.links._component import LinkPurpose, NodeIdentity
+from verbenawick.membership._membership_messages import RelayReference
+from verbenawick.runtime._backoff import Backoff
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event, register_event
+from verbenawick.runtime._explain import DecisionRecord
+from verbenawick.store._lease import Lease
 
 # Replies to heartbeats come every second; two missing ones start the search.
 RELAY_SILENCE_S = 2.0
--- a/src/verbenawick/_rendezvous.py
+++ b/src/verbenawick/membership/_rendezvous.py
@@ -4,7 +4,7 @@
 
 from xxhash import xxh3_64_intdigest
 
-from verbenawick._members import DepartedMember, Member, MemberState
+from verbenawick.links._members import DepartedMember, Member, MemberState
 
 
 def score_of(key: str, node_id: str) -> int:
--- a/src/verbenawick/_topology.py
+++ b/src/verbenawick/membership/_topology.py
@@ -9,15 +9,19 @@
 
 from xxhash import xxh64_intdigest
 
-from verbenawick._backoff import Backoff
-from verbenawick._clock import Clock
-from verbenawick._component import LinkPurpose, NodeIdentity, PeerPort
-from verbenawick._explain import DecisionRecord
-from verbenawick._lease import Lease
-from verbenawick._members import MemberView
-from verbenawick._membership_messages import RelayAnswer, RelayQuery, RelayReference
-from verbenawick._messages import Message
-from verbenawick._relay_search import Dialler, RelaySearch
+from verbenawick.links._component import LinkPurpose, NodeIdentity, PeerPort
+from verbenawick.links._members import MemberView
+from verbenawick.links._messages import Message
+from verbenawick.membership._membership_messages import (
+    RelayAnswer,
+    RelayQuery,
+    RelayReference,
+)
+from verbenawick.membership._relay_search import Dialler, RelaySearch
+from verbenawick.runtime._backoff import Backoff
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._explain import DecisionRecord
+from verbenawick.store._lease import Lease
 
 NEIGHBOUR_LINKS = 3
 NEIGHBOUR_REPLACEMENT_S = 60.0
--- a/src/verbenawick/mesh/_configuration_relay.py
+++ b/src/verbenawick/mesh/_configuration_relay.py
@@ -18,7 +18,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from verbenawick._messages import Message, register_message
+from verbenawick.links._messages import Message, register_message
 
 BEACON_INTERVAL_S = 0.3
 BEACON_VALID_S = 0.65
--- a/src/verbenawick/mesh/_endpoints.py
+++ b/src/verbenawick/mesh/_endpoints.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from verbenawick._members import Member
+from verbenawick.links._members import Member
 from verbenawick.mesh._model import (
     CallOutcome,
     CallResult,
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -5,12 +5,6 @@
 
 import eventlet
 
-from verbenawick._call_links import CallLinks
-from verbenawick._call_messages import next_call_id
-from verbenawick._clock import Clock
-from verbenawick._events import Event as LogEvent
-from verbenawick._events import emit, register_event
-from verbenawick._metrics import MetricKind, MetricSet, register_metric
 from verbenawick.errors import (
     AnswerLostError,
     CallTimeoutError,
@@ -24,6 +18,8 @@
     QuarantinedError,
     WrongServiceError,
 )
+from verbenawick.links._call_links import CallLinks
+from verbenawick.links._call_messages import next_call_id
 from verbenawick.mesh._crash_guard import CrashGuard
 from verbenawick.mesh._endpoints import Endpoint, Endpoints
 from verbenawick.mesh._gateway import MeshGateway, fingerprint_of
@@ -40,6 +36,10 @@
 from verbenawick.mesh._placement import Distance, choose, late_cost_of
 from verbenawick.mesh._retry_budget import RetryBudget
 from verbenawick.mesh._route_index import RouteIndex, TargetRotation
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event as LogEvent
+from verbenawick.runtime._events import emit, register_event
+from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 
 # Gateways that one call may be offered to; refusals of gateways cost little.
 MAX_OFFERS = 4
--- a/src/verbenawick/mesh/_followers.py
+++ b/src/verbenawick/mesh/_followers.py
@@ -12,8 +12,6 @@
 
 import eventlet
 
-from verbenawick._clock import Clock
-from verbenawick._events import Event, emit, register_event
 from verbenawick.errors import StoreHistoryGoneError, VerbenawickError
 from verbenawick.mesh._configuration_relay import (
     FIRST_WATCH_WAIT_S,
@@ -28,6 +26,8 @@
     RecordChange,
     StateStore,
 )
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event, emit, register_event
 
 # Below the 3 s after the end of a fault within which a node has to be up to date again.
 WATCH_WAIT_S = 2.4
--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -8,12 +8,6 @@
 from eventlet.event import Event
 from xxhash import xxh3_128_digest
 
-from verbenawick._calls_in_flight import CallsInFlight
-from verbenawick._clock import Clock
-from verbenawick._component import NodeIdentity
-from verbenawick._events import Event as LogEvent
-from verbenawick._events import emit, register_event
-from verbenawick._metrics import MetricKind, MetricSet, register_metric
 from verbenawick.errors import (
     CallError,
     CallNotRunError,
@@ -25,6 +19,7 @@
     UpstreamUnreachableError,
     WrongServiceError,
 )
+from verbenawick.links._component import NodeIdentity
 from verbenawick.mesh._crash_guard import CrashGuard
 from verbenawick.mesh._local_upstream import LocalUpstream
 from verbenawick.mesh._messages import ForwardedAnswer, ForwardedCall
@@ -37,6 +32,11 @@
 from verbenawick.mesh._moving_average import MovingAverage
 from verbenawick.mesh._slot_queue import SlotQueue, SlotRequest, Verdict
 from verbenawick.mesh._upstream_channels import AnswerKind, RawAnswer, UpstreamChannels
+from verbenawick.runtime._calls_in_flight import CallsInFlight
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event as LogEvent
+from verbenawick.runtime._events import emit, register_event
+from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 
 # Weight of a new outcome in the share of failures of the upstream.
 FAILURE_WEIGHT = 0.1
--- a/src/verbenawick/mesh/_local_upstream.py
+++ b/src/verbenawick/mesh/_local_upstream.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from verbenawick._events import Event, emit, register_event
 from verbenawick.mesh._model import StatusReport, UpstreamState
+from verbenawick.runtime._events import Event, emit, register_event
 
 # Assumed until a report or a probe says how many requests the upstream runs at once.
 DEFAULT_SLOTS = 8
--- a/src/verbenawick/mesh/_log_output.py
+++ b/src/verbenawick/mesh/_log_output.py
@@ -9,8 +9,8 @@
 from eventlet.event import Event
 from loguru import logger
 
-from verbenawick._events import emit, limit_events
 from verbenawick.mesh._node_events import LinesOmitted
+from verbenawick.runtime._events import emit, limit_events
 
 # Lines kept while the reader of the output is slow.
 MAX_LINES_KEPT = 5000
--- a/src/verbenawick/mesh/_messages.py
+++ b/src/verbenawick/mesh/_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from verbenawick._messages import Message, register_message
+from verbenawick.links._messages import Message, register_message
 from verbenawick.mesh._model import CallOutcome, Headers, UpstreamState
 
 
--- a/src/verbenawick/mesh/_metrics_page.py
+++ b/src/verbenawick/mesh/_metrics_page.py
@@ -3,7 +3,7 @@
 from prometheus_client import CollectorRegistry, Histogram, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
-from verbenawick._metrics import MetricKind, MetricSet, metrics_by_name
+from verbenawick.runtime._metrics import MetricKind, MetricSet, metrics_by_name
 
 NAMESPACE = "verbenawick"
 # From the work of a short call to the longest time a caller waits, seconds.
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -6,21 +6,18 @@
 
 import eventlet
 
-from verbenawick._call_links import CallLinks
-from verbenawick._call_messages import next_call_id
-from verbenawick._clock import BootClock
-from verbenawick._component import NodeIdentity
-from verbenawick._entry_server import EntryServer
-from verbenawick._events import emit
-from verbenawick._links import CALL_CHANNEL, Link, LinkServer
-from verbenawick._messages import Message
-from verbenawick._metrics import MetricSet
+from verbenawick.calls._entry_server import EntryServer
 from verbenawick.errors import (
     AnswerLostError,
     CallError,
     LinkClosedError,
     VerbenawickError,
 )
+from verbenawick.links._call_links import CallLinks
+from verbenawick.links._call_messages import next_call_id
+from verbenawick.links._component import NodeIdentity
+from verbenawick.links._links import CALL_CHANNEL, Link, LinkServer
+from verbenawick.links._messages import Message
 from verbenawick.mesh._absent_nodes import AbsentNodes
 from verbenawick.mesh._configuration_relay import (
     BEACON_INTERVAL_S,
@@ -61,6 +58,9 @@
 from verbenawick.mesh._settings import MeshSettings
 from verbenawick.mesh._state_store import RecordChange, StateStore
 from verbenawick.mesh._upstream_channels import AnswerKind, UpstreamChannels
+from verbenawick.runtime._clock import BootClock
+from verbenawick.runtime._events import emit
+from verbenawick.runtime._metrics import MetricSet
 
 INCARNATION_BITS = 48
 # A node on the same site answers in milliseconds; a VM that is off never does.
--- a/src/verbenawick/mesh/_node_events.py
+++ b/src/verbenawick/mesh/_node_events.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from verbenawick._events import Event, register_event
+from verbenawick.runtime._events import Event, register_event
 
 
 @register_event(700, level="WARNING")
--- a/src/verbenawick/mesh/_peer_connectors.py
+++ b/src/verbenawick/mesh/_peer_connectors.py
@@ -4,12 +4,12 @@
 
 import eventlet
 
-from verbenawick._call_links import CallLinks
-from verbenawick._events import emit
 from verbenawick.errors import LinkClosedError
+from verbenawick.links._call_links import CallLinks
 from verbenawick.mesh._endpoints import member_of
 from verbenawick.mesh._model import UpstreamRecord
 from verbenawick.mesh._node_events import PeerLost, PeerReached
+from verbenawick.runtime._events import emit
 
 FIRST_REDIAL_S = 0.1
 LONGEST_REDIAL_S = 1.0
--- a/src/verbenawick/mesh/_publisher.py
+++ b/src/verbenawick/mesh/_publisher.py
@@ -7,8 +7,6 @@
 import eventlet
 from eventlet.event import Event
 
-from verbenawick._events import Event as LogEvent
-from verbenawick._events import emit, register_event
 from verbenawick.errors import (
     StoreAnswerLostError,
     StoreConditionError,
@@ -16,6 +14,8 @@
 )
 from verbenawick.mesh._model import UpstreamRecord
 from verbenawick.mesh._state_store import StateStore
+from verbenawick.runtime._events import Event as LogEvent
+from verbenawick.runtime._events import emit, register_event
 
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 1.0
--- a/src/verbenawick/mesh/_settings.py
+++ b/src/verbenawick/mesh/_settings.py
@@ -6,8 +6,8 @@
 import msgspec
 from msgspec import Meta
 
-from verbenawick._json_settings import check_address, load_json_with_comments
 from verbenawick.errors import SettingsError
+from verbenawick.settings._json_settings import check_address, load_json_with_comments
 
 Share = Annotated[float, Meta(ge=0, le=1)]
 Seconds = Annotated[float, Meta(gt=0)]
--- a/src/verbenawick/mesh/_upstream_channels.py
+++ b/src/verbenawick/mesh/_upstream_channels.py
@@ -14,10 +14,6 @@
 from eventlet.green import socket
 from httptools import HttpParserError, HttpResponseParser
 
-from verbenawick._clock import Clock
-from verbenawick._metrics import MetricKind, MetricSet, register_metric
-from verbenawick._polling import is_readable
-from verbenawick._read_waiter import ReadWaiter
 from verbenawick.errors import (
     BadCallError,
     BadResponseError,
@@ -27,6 +23,10 @@
     UpstreamUnreachableError,
 )
 from verbenawick.mesh._model import Headers
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
+from verbenawick.runtime._polling import is_readable
+from verbenawick.runtime._read_waiter import ReadWaiter
 
 # Larger buffers are given back to the system after each read.
 RECEIVE_BYTES = 32_768
--- a/src/verbenawick/_control.py
+++ b/src/verbenawick/node/_control.py
@@ -14,26 +14,26 @@
 import eventlet
 from eventlet.queue import Empty, LightQueue
 
-from verbenawick._clock import Clock, MonotonicClock
-from verbenawick._component import (
+from verbenawick.errors import LinkClosedError, LinkOverflowError
+from verbenawick.links._component import (
     Component,
     LinkPurpose,
     NodeIdentity,
     StoreObject,
 )
-from verbenawick._control_links import ControlLinks
-from verbenawick._events import Event, emit, register_event
-from verbenawick._explain import DecisionRecord
-from verbenawick._lease import Lease
-from verbenawick._links import Link, dial_link
-from verbenawick._members import MemberView
-from verbenawick._membership_messages import RelayAnswer, RelayQuery
-from verbenawick._messages import Message
-from verbenawick._metrics import MetricKind, MetricSet, register_metric
-from verbenawick._settings import NodeSettings
-from verbenawick._store_workers import StoreAccess, StoreWatch, StoreWorkers
-from verbenawick._topology import Topology
-from verbenawick.errors import LinkClosedError, LinkOverflowError
+from verbenawick.links._links import Link, dial_link
+from verbenawick.links._members import MemberView
+from verbenawick.links._messages import Message
+from verbenawick.membership._membership_messages import RelayAnswer, RelayQuery
+from verbenawick.membership._topology import Topology
+from verbenawick.node._control_links import ControlLinks
+from verbenawick.runtime._clock import Clock, MonotonicClock
+from verbenawick.runtime._events import Event, emit, register_event
+from verbenawick.runtime._explain import DecisionRecord
+from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
+from verbenawick.settings._settings import NodeSettings
+from verbenawick.store._lease import Lease
+from verbenawick.store._store_workers import StoreAccess, StoreWatch, StoreWorkers
 
 TICK_S = 0.1
 MAILBOX_ITEMS = 4096
--- a/src/verbenawick/_control_links.py
+++ b/src/verbenawick/node/_control_links.py
@@ -5,16 +5,16 @@
 
 import eventlet
 
-from verbenawick._component import LinkPurpose, NodeIdentity
-from verbenawick._links import CONTROL_CHANNEL, Link, dial_link
-from verbenawick._membership_messages import Attach
-from verbenawick._messages import Message
-from verbenawick._settings import NodeSettings
 from verbenawick.errors import (
     LinkClosedError,
     LinkOverflowError,
     VerbenawickError,
 )
+from verbenawick.links._component import LinkPurpose, NodeIdentity
+from verbenawick.links._links import CONTROL_CHANNEL, Link, dial_link
+from verbenawick.links._messages import Message
+from verbenawick.membership._membership_messages import Attach
+from verbenawick.settings._settings import NodeSettings
 
 # A frozen peer accepts connections in its kernel but answers no handshake.
 DIAL_TIMEOUT_S = 2.0
--- a/src/verbenawick/_daemon.py
+++ b/src/verbenawick/node/_daemon.py
@@ -10,9 +10,9 @@
 
 from eventlet.event import Event
 
-from verbenawick._logging import configure_logging
-from verbenawick._node import Node
-from verbenawick._settings import load_settings
+from verbenawick.node._node import Node
+from verbenawick.runtime._logging import configure_logging
+from verbenawick.settings._settings import load_settings
 
 # A full collection walks all long-lived objects; after start-up few of them die, so it
 # runs rarely. Younger generations keep their usual thresholds.
--- a/src/verbenawick/_node.py
+++ b/src/verbenawick/node/_node.py
@@ -8,41 +8,41 @@
 from eventlet import wsgi
 from statsd import StatsClient
 
-from verbenawick._admin import AdminPages
-from verbenawick._admission import Admission
-from verbenawick._balancer import Balancer
-from verbenawick._call_links import CallLinks
-from verbenawick._call_messages import CallRequest
-from verbenawick._claim_messages import ClaimHandover, SealRequest
-from verbenawick._claim_records import ClaimLimits
-from verbenawick._claims import ClaimKeeper
-from verbenawick._clock import MonotonicClock
-from verbenawick._component import NodeIdentity
-from verbenawick._config_codec import ConfigCodec
-from verbenawick._config_state import ConfigState
-from verbenawick._control import ControlTask
-from verbenawick._dispatch import Dispatcher
-from verbenawick._distribution import ConfigDistribution
-from verbenawick._drain_detector import DrainDetector
-from verbenawick._entry import EntryApplication
-from verbenawick._entry_server import EntryServer
-from verbenawick._events import Event, emit, register_event
-from verbenawick._gateway import Gateway
-from verbenawick._lease import describe_lease
-from verbenawick._lifecycle import Lifecycle
-from verbenawick._links import CALL_CHANNEL, CONTROL_CHANNEL, LinkServer
-from verbenawick._members import MemberState
-from verbenawick._membership import Membership
-from verbenawick._metrics import FLUSH_INTERVAL_S, MetricSet
-from verbenawick._quarantine import Quarantine
-from verbenawick._retry import RetryRules
-from verbenawick._settings import NodeSettings, TimingSettings
-from verbenawick._sockets import listen
-from verbenawick._status import StatusAggregator
-from verbenawick._store import StoreClient
-from verbenawick._tracing import Tracer
-from verbenawick._upstream import UpstreamConnections
-from verbenawick._upstream_probe import UpstreamProbe
+from verbenawick.calls._admission import Admission
+from verbenawick.calls._balancer import Balancer
+from verbenawick.calls._dispatch import Dispatcher
+from verbenawick.calls._drain_detector import DrainDetector
+from verbenawick.calls._entry import EntryApplication
+from verbenawick.calls._entry_server import EntryServer
+from verbenawick.calls._gateway import Gateway
+from verbenawick.calls._quarantine import Quarantine
+from verbenawick.calls._retry import RetryRules
+from verbenawick.calls._tracing import Tracer
+from verbenawick.calls._upstream import UpstreamConnections
+from verbenawick.calls._upstream_probe import UpstreamProbe
+from verbenawick.claims._claim_messages import ClaimHandover, SealRequest
+from verbenawick.claims._claim_records import ClaimLimits
+from verbenawick.claims._claims import ClaimKeeper
+from verbenawick.configuration._config_codec import ConfigCodec
+from verbenawick.configuration._config_state import ConfigState
+from verbenawick.configuration._distribution import ConfigDistribution
+from verbenawick.configuration._lifecycle import Lifecycle
+from verbenawick.configuration._status import StatusAggregator
+from verbenawick.links._call_links import CallLinks
+from verbenawick.links._call_messages import CallRequest
+from verbenawick.links._component import NodeIdentity
+from verbenawick.links._links import CALL_CHANNEL, CONTROL_CHANNEL, LinkServer
+from verbenawick.links._members import MemberState
+from verbenawick.membership._membership import Membership
+from verbenawick.node._admin import AdminPages
+from verbenawick.node._control import ControlTask
+from verbenawick.runtime._clock import MonotonicClock
+from verbenawick.runtime._events import Event, emit, register_event
+from verbenawick.runtime._metrics import FLUSH_INTERVAL_S, MetricSet
+from verbenawick.runtime._sockets import listen
+from verbenawick.settings._settings import NodeSettings, TimingSettings
+from verbenawick.store._lease import describe_lease
+from verbenawick.store._store import StoreClient
 
 INCARNATION_BITS = 48
 HANDOVER_TIMEOUT_S = 5.0
--- a/src/verbenawick/_cli.py
+++ b/src/verbenawick/operators/_cli.py
@@ -8,13 +8,13 @@
 
 from pydantic import TypeAdapter, ValidationError
 
-from verbenawick._cli_output import Result, error_result
-from verbenawick._commands import commands_by_name
-from verbenawick._document import PRESET_IDS
-from verbenawick._exit_codes import DESCRIPTIONS_BY_EXIT_CODE, ExitCode
-from verbenawick._settings import Address
-from verbenawick._store import DEFAULT_TIMEOUT_S
+from verbenawick.configuration._document import PRESET_IDS
 from verbenawick.errors import VerbenawickError
+from verbenawick.operators._cli_output import Result, error_result
+from verbenawick.operators._commands import commands_by_name
+from verbenawick.runtime._exit_codes import DESCRIPTIONS_BY_EXIT_CODE, ExitCode
+from verbenawick.settings._settings import Address
+from verbenawick.store._store import DEFAULT_TIMEOUT_S
 
 STORE_VARIABLE = "VERBENAWICK_STORE"
 # Commands that work without the store.
--- a/src/verbenawick/_cli_output.py
+++ b/src/verbenawick/operators/_cli_output.py
@@ -6,11 +6,11 @@
 
 from tabulate import tabulate
 
-from verbenawick._change_plan import Acceptance
-from verbenawick._exit_codes import ExitCode, exit_code_of
-from verbenawick._fleet_status import FleetStatus, RegionState
-from verbenawick._head import Change
+from verbenawick.configuration._change_plan import Acceptance
+from verbenawick.configuration._fleet_status import FleetStatus, RegionState
+from verbenawick.configuration._head import Change
 from verbenawick.errors import VerbenawickError
+from verbenawick.runtime._exit_codes import ExitCode, exit_code_of
 
 MAX_SHOWN_NODES = 20
 DECISION_COLUMNS = ("event_number", "event_name", "cause", "details")
--- a/src/verbenawick/_commands.py
+++ b/src/verbenawick/operators/_commands.py
@@ -8,9 +8,20 @@
 from dataclasses import replace
 from itertools import chain
 
-from verbenawick._acceptance import Acceptor
-from verbenawick._change_plan import Acceptance
-from verbenawick._cli_output import (
+from verbenawick.configuration._acceptance import Acceptor
+from verbenawick.configuration._change_plan import Acceptance
+from verbenawick.configuration._compile import compile_document
+from verbenawick.configuration._delta import digest_of, find_differences
+from verbenawick.configuration._document import load_document
+from verbenawick.configuration._fleet_status import (
+    RegionState,
+    read_fleet_status,
+    wait_until_in_force,
+)
+from verbenawick.errors import DocumentError
+from verbenawick.mesh._settings import is_mesh_settings, mesh_settings_of
+from verbenawick.node._node_pages import read_page
+from verbenawick.operators._cli_output import (
     Result,
     acceptance_data,
     acceptance_text,
@@ -20,22 +31,11 @@
     status_data,
     status_text,
 )
-from verbenawick._compile import compile_document
-from verbenawick._delta import digest_of, find_differences
-from verbenawick._document import load_document
-from verbenawick._exit_codes import ExitCode
-from verbenawick._fleet_status import (
-    RegionState,
-    read_fleet_status,
-    wait_until_in_force,
-)
-from verbenawick._json_settings import load_json_with_comments
-from verbenawick._node_pages import read_page
-from verbenawick._request_story import tell_story
-from verbenawick._settings import settings_of
-from verbenawick._store import StoreClient
-from verbenawick.errors import DocumentError
-from verbenawick.mesh._settings import is_mesh_settings, mesh_settings_of
+from verbenawick.operators._request_story import tell_story
+from verbenawick.runtime._exit_codes import ExitCode
+from verbenawick.settings._json_settings import load_json_with_comments
+from verbenawick.settings._settings import settings_of
+from verbenawick.store._store import StoreClient
 
 Command = Callable[[Namespace], Result]
 
@@ -68,7 +68,7 @@
 def node(arguments: Namespace) -> Result:
     """Run a node until it is told to stop."""
     # Importing the daemon patches the standard library; no other command may do so.
-    from verbenawick._daemon import run_node
+    from verbenawick.node._daemon import run_node
 
     exit_code = run_node(arguments.settings)
     return Result(ExitCode(exit_code), "")
--- a/src/verbenawick/platform/__main__.py
+++ b/src/verbenawick/platform/__main__.py
@@ -30,8 +30,8 @@
     # Header names are passed on as the upstream wrote them, on purpose.
     filterwarnings("ignore", message="capitalize_response_headers is disabled")
     # Imported late: the import patches the standard library.
-    from verbenawick._platform_daemon import run_platform_node
     from verbenawick.errors import SettingsError
+    from verbenawick.platform._daemon import run_platform_node
 
     try:
         return run_platform_node(Path(arguments.settings))
--- a/src/verbenawick/platform/_node_server.py
+++ b/src/verbenawick/platform/_node_server.py
@@ -3,8 +3,7 @@
 import eventlet
 from eventlet import wsgi
 
-from verbenawick._entry_server import EntryServer
-from verbenawick._sockets import listen
+from verbenawick.calls._entry_server import EntryServer
 from verbenawick.mesh._node import LEAVING_S, MeshNode
 from verbenawick.mesh._settings import MeshSettings
 from verbenawick.platform._calls import PlatformUpstreamProtocol
@@ -15,6 +14,7 @@
     readiness_application,
     report_application,
 )
+from verbenawick.runtime._sockets import listen
 
 MAX_PAGE_CONNECTIONS = 64
 
--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -10,7 +10,6 @@
 from urllib3.exceptions import HTTPError
 from urllib3.util import SKIP_HEADER
 
-from verbenawick._events import emit
 from verbenawick.errors import (
     StoreAnswerLostError,
     StoreConditionError,
@@ -25,6 +24,7 @@
 from verbenawick.mesh._state_store import ConfigurationChange, RecordChange
 from verbenawick.platform._documents import decode_configuration
 from verbenawick.platform._events import ObjectInvalid
+from verbenawick.runtime._events import emit
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
--- a/src/verbenawick/platform/_servers.py
+++ b/src/verbenawick/platform/_servers.py
@@ -5,11 +5,7 @@
 import msgspec
 from greenlet import GreenletExit
 
-from verbenawick._caller_watcher import CallerWatcher
-from verbenawick._calls_in_flight import CallsInFlight
-from verbenawick._clock import Clock
-from verbenawick._entry_request import read_body
-from verbenawick._events import emit
+from verbenawick.calls._entry_request import read_body
 from verbenawick.errors import CallError
 from verbenawick.mesh._entry import MeshEntry
 from verbenawick.mesh._local_upstream import LocalUpstream
@@ -23,6 +19,10 @@
 )
 from verbenawick.platform._documents import decode_report
 from verbenawick.platform._events import CallBroken, ReportInvalid
+from verbenawick.runtime._caller_watcher import CallerWatcher
+from verbenawick.runtime._calls_in_flight import CallsInFlight
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import emit
 
 METRICS_PATH = "/metrics"
 # Status reports are a few hundred bytes; the platform bounds them to 4 KiB.
--- a/src/verbenawick/_caller_watcher.py
+++ b/src/verbenawick/runtime/_caller_watcher.py
@@ -5,7 +5,7 @@
 import eventlet
 from eventlet.greenthread import getcurrent
 
-from verbenawick._polling import closed_by_peer
+from verbenawick.runtime._polling import closed_by_peer
 
 # Interval at which calls in flight are checked for callers that went away.
 WATCH_INTERVAL_S = 0.025
--- a/src/verbenawick/_explain.py
+++ b/src/verbenawick/runtime/_explain.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, fields
 from itertools import count
 
-from verbenawick._clock import Clock
-from verbenawick._events import Event, emit, number_of
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event, emit, number_of
 
 # About 400 bytes an entry, hence below 1 MB.
 MAX_ENTRIES = 2000
--- a/src/verbenawick/_logging.py
+++ b/src/verbenawick/runtime/_logging.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from verbenawick._settings import LogSettings
+from verbenawick.settings._settings import LogSettings
 
 TEXT_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level: <7} {extra[node]} {message}"
 
--- a/src/verbenawick/_settings.py
+++ b/src/verbenawick/settings/_settings.py
@@ -12,8 +12,8 @@
     model_validator,
 )
 
-from verbenawick._json_settings import check_address, load_json_with_comments
 from verbenawick.errors import SettingsError
+from verbenawick.settings._json_settings import check_address, load_json_with_comments
 
 Address = Annotated[str, AfterValidator(check_address)]
 Identifier = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
--- a/src/verbenawick/_lease.py
+++ b/src/verbenawick/store/_lease.py
@@ -19,16 +19,16 @@
 from sismic.io import import_from_yaml
 from sismic.model import Statechart
 
-from verbenawick._backoff import Backoff
-from verbenawick._clock import Clock
-from verbenawick._component import NodeIdentity, StoreObject, StorePort
-from verbenawick._events import Event, register_event
-from verbenawick._explain import DecisionRecord
-from verbenawick._settings import TimingSettings
 from verbenawick.errors import (
     StoreUnavailableError,
     VerbenawickError,
 )
+from verbenawick.links._component import NodeIdentity, StoreObject, StorePort
+from verbenawick.runtime._backoff import Backoff
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event, register_event
+from verbenawick.runtime._explain import DecisionRecord
+from verbenawick.settings._settings import TimingSettings
 
 # Covers the difference between the rates of two clocks and the time between the check
 # of the authority and the effect of a write.
--- a/src/verbenawick/_store.py
+++ b/src/verbenawick/store/_store.py
@@ -11,13 +11,13 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 from urllib3.util import SKIP_HEADER
 
-from verbenawick._component import StoreObject
 from verbenawick.errors import (
     StoreAnswerLostError,
     StoreConditionError,
     StoreUnavailableError,
     StoreValueTooLargeError,
 )
+from verbenawick.links._component import StoreObject
 
 MAX_VALUE_BYTES = 1_000_000
 DEFAULT_TIMEOUT_S = 2.0
--- a/src/verbenawick/_store_workers.py
+++ b/src/verbenawick/store/_store_workers.py
@@ -8,16 +8,16 @@
 import eventlet
 from eventlet.semaphore import Semaphore
 
-from verbenawick._backoff import Backoff
-from verbenawick._clock import Clock
-from verbenawick._component import StoreCallback, StoreObject
-from verbenawick._events import Event, emit, register_event
-from verbenawick._metrics import MetricKind, MetricSet, register_metric
 from verbenawick.errors import (
     LeaseNotHeldError,
     StoreUnavailableError,
     VerbenawickError,
 )
+from verbenawick.links._component import StoreCallback, StoreObject
+from verbenawick.runtime._backoff import Backoff
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event, emit, register_event
+from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 
 MAX_STORE_CALLS = 4
 MAX_WAITING_STORE_CALLS = 64
--- a/standins/store.py
+++ b/standins/store.py
@@ -27,8 +27,8 @@
 import eventlet.wsgi
 from eventlet.green import socket
 
-from verbenawick._clock import Clock, MonotonicClock
-from verbenawick._sockets import listen
+from verbenawick.runtime._clock import Clock, MonotonicClock
+from verbenawick.runtime._sockets import listen
 
 MAX_VALUE_BYTES = 1_000_000
 HISTORY_LENGTH = 4096
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -35,7 +35,7 @@
 from eventlet import wsgi
 from eventlet.hubs import trampoline
 
-from verbenawick._sockets import listen
+from verbenawick.runtime._sockets import listen
 
 COLD_START_FACTOR = 5.0
 EXIT_CODE_CRASH = 70
--- a/tests/call_support.py
+++ b/tests/call_support.py
@@ -9,23 +9,23 @@
 from eventlet.green import socket
 
 from standins.upstream import StandinUpstream
-from verbenawick._admission import Admission
-from verbenawick._balancer import Balancer
-from verbenawick._call_links import CallLinks
-from verbenawick._call_messages import CallAnswer, CallRequest
-from verbenawick._clock import MonotonicClock
-from verbenawick._component import NodeIdentity
-from verbenawick._dispatch import Dispatcher
-from verbenawick._entry import EntryApplication
-from verbenawick._entry_server import EntryServer
-from verbenawick._gateway import ClaimDecision, ClaimVerdict, Gateway
-from verbenawick._links import CALL_CHANNEL, LinkServer
-from verbenawick._members import Member, MemberState, ReportedLoad
-from verbenawick._metrics import MetricSet
-from verbenawick._retry import RetryRules
-from verbenawick._table import Route, RoutingTable, ServicePolicy
-from verbenawick._tracing import Tracer
-from verbenawick._upstream import UpstreamConnections
+from verbenawick.calls._admission import Admission
+from verbenawick.calls._balancer import Balancer
+from verbenawick.calls._dispatch import Dispatcher
+from verbenawick.calls._entry import EntryApplication
+from verbenawick.calls._entry_server import EntryServer
+from verbenawick.calls._gateway import ClaimDecision, ClaimVerdict, Gateway
+from verbenawick.calls._retry import RetryRules
+from verbenawick.calls._table import Route, RoutingTable, ServicePolicy
+from verbenawick.calls._tracing import Tracer
+from verbenawick.calls._upstream import UpstreamConnections
+from verbenawick.links._call_links import CallLinks
+from verbenawick.links._call_messages import CallAnswer, CallRequest
+from verbenawick.links._component import NodeIdentity
+from verbenawick.links._links import CALL_CHANNEL, LinkServer
+from verbenawick.links._members import Member, MemberState, ReportedLoad
+from verbenawick.runtime._clock import MonotonicClock
+from verbenawick.runtime._metrics import MetricSet
 
 SERVICE = "archivo"
 
--- a/tests/claim_fakes.py
+++ b/tests/claim_fakes.py
@@ -3,15 +3,15 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from verbenawick._call_messages import CallAnswer, Outcome
-from verbenawick._claim_records import ClaimLimits
-from verbenawick._claims import ClaimKeeper
-from verbenawick._clock import ManualClock
-from verbenawick._component import NodeIdentity
-from verbenawick._members import DepartedMember, Member
-from verbenawick._messages import decode_message, encode_message
-from verbenawick._rendezvous import score_of
+from verbenawick.claims._claim_records import ClaimLimits
+from verbenawick.claims._claims import ClaimKeeper
 from verbenawick.errors import AnswerLostError, LinkClosedError
+from verbenawick.links._call_messages import CallAnswer, Outcome
+from verbenawick.links._component import NodeIdentity
+from verbenawick.links._members import DepartedMember, Member
+from verbenawick.links._messages import decode_message, encode_message
+from verbenawick.membership._rendezvous import score_of
+from verbenawick.runtime._clock import ManualClock
 
 SERVICE = "treasury"
 FINGERPRINT = b"POST /fee 1"
--- a/tests/claim_world.py
+++ b/tests/claim_world.py
@@ -16,12 +16,12 @@
 from greenlet import getcurrent, greenlet
 
 from tests.claim_fakes import SERVICE, answer
-from verbenawick._claim_records import ClaimLimits
-from verbenawick._claims import ClaimKeeper
-from verbenawick._clock import ManualClock
-from verbenawick._component import NodeIdentity
-from verbenawick._members import DepartedMember, Member, MemberState
+from verbenawick.claims._claim_records import ClaimLimits
+from verbenawick.claims._claims import ClaimKeeper
 from verbenawick.errors import AnswerLostError, LinkClosedError
+from verbenawick.links._component import NodeIdentity
+from verbenawick.links._members import DepartedMember, Member, MemberState
+from verbenawick.runtime._clock import ManualClock
 
 LIMITS = ClaimLimits(
     horizon_s=400.0, authority_s=120.0, longest_call_s=10.0, seal_timeout_s=3.0
--- a/tests/control_simulation.py
+++ b/tests/control_simulation.py
@@ -8,19 +8,19 @@
 from eventlet.event import Event
 from loguru import logger
 
-from verbenawick._clock import ManualClock
-from verbenawick._component import NodeIdentity, StoreObject
-from verbenawick._control import ControlTask
-from verbenawick._lease import parse_lease_record
-from verbenawick._membership import Membership
-from verbenawick._messages import decode_message, encode_message
-from verbenawick._settings import NodeSettings
 from verbenawick.errors import (
     LinkClosedError,
     StoreAnswerLostError,
     StoreConditionError,
     StoreUnavailableError,
 )
+from verbenawick.links._component import NodeIdentity, StoreObject
+from verbenawick.links._messages import decode_message, encode_message
+from verbenawick.membership._membership import Membership
+from verbenawick.node._control import ControlTask
+from verbenawick.runtime._clock import ManualClock
+from verbenawick.settings._settings import NodeSettings
+from verbenawick.store._lease import parse_lease_record
 
 STEP_S = 0.1
 
--- a/tests/fault_mesh.py
+++ b/tests/fault_mesh.py
@@ -8,14 +8,14 @@
 
 from tests.call_support import SERVICE, CallNode, StaticMembers
 from tests.fault_table import Fault, Interface, Step
-from verbenawick._call_messages import CallAnswer, CallRequest
-from verbenawick._claim_messages import ClaimHandover, SealRequest
-from verbenawick._claims import ClaimKeeper
-from verbenawick._clock import MonotonicClock
-from verbenawick._component import NodeIdentity
-from verbenawick._members import DepartedMember, MemberState
-from verbenawick._messages import encode_message
-from verbenawick._table import Route, RoutingTable, ServicePolicy
+from verbenawick.calls._table import Route, RoutingTable, ServicePolicy
+from verbenawick.claims._claim_messages import ClaimHandover, SealRequest
+from verbenawick.claims._claims import ClaimKeeper
+from verbenawick.links._call_messages import CallAnswer, CallRequest
+from verbenawick.links._component import NodeIdentity
+from verbenawick.links._members import DepartedMember, MemberState
+from verbenawick.links._messages import encode_message
+from verbenawick.runtime._clock import MonotonicClock
 
 OK = "ok"
 SLOW_S = 0.1
--- a/tests/memory_mesh.py
+++ b/tests/memory_mesh.py
@@ -8,16 +8,12 @@
 from hashlib import blake2b
 from random import Random
 
-from verbenawick._clock import ManualClock
-from verbenawick._component import LinkPurpose, NodeIdentity, StoreObject
-from verbenawick._config_feed import ChangeInfo, HeadInfo
-from verbenawick._config_state import ConfigState, VersionRef
-from verbenawick._distribution import ConfigDistribution
-from verbenawick._lifecycle import Lifecycle
-from verbenawick._members import Member
-from verbenawick._messages import decode_message, encode_message
-from verbenawick._status import StatusAggregator
-from verbenawick._table import Route, RoutingTable, ServicePolicy
+from verbenawick.calls._table import Route, RoutingTable, ServicePolicy
+from verbenawick.configuration._config_feed import ChangeInfo, HeadInfo
+from verbenawick.configuration._config_state import ConfigState, VersionRef
+from verbenawick.configuration._distribution import ConfigDistribution
+from verbenawick.configuration._lifecycle import Lifecycle
+from verbenawick.configuration._status import StatusAggregator
 from verbenawick.errors import (
     BaseMismatchError,
     DocumentError,
@@ -25,6 +21,10 @@
     StoreConditionError,
     StoreUnavailableError,
 )
+from verbenawick.links._component import LinkPurpose, NodeIdentity, StoreObject
+from verbenawick.links._members import Member
+from verbenawick.links._messages import decode_message, encode_message
+from verbenawick.runtime._clock import ManualClock
 
 HEAD = "config/head"
 # The other regions reach the store only while they are not cut off.
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -14,14 +14,12 @@
 
 from standins.store import ObjectStore, StoreApplication, running_store
 from tests.test_document import REMOVED, change_at, example_content
-from verbenawick import _pruning
-from verbenawick._acceptance import Acceptor
-from verbenawick._clock import ManualClock
-from verbenawick._config_store import ConfigStore
-from verbenawick._delta import apply_delta, decode_delta, digest_of
-from verbenawick._document import parse_document
-from verbenawick._head import CHANGE_PREFIX, HEAD_KEY, SNAPSHOT_PREFIX
-from verbenawick._store import StoreClient
+from verbenawick.configuration import _change_plan, _pruning
+from verbenawick.configuration._acceptance import Acceptor
+from verbenawick.configuration._config_store import ConfigStore
+from verbenawick.configuration._delta import apply_delta, decode_delta, digest_of
+from verbenawick.configuration._document import parse_document
+from verbenawick.configuration._head import CHANGE_PREFIX, HEAD_KEY, SNAPSHOT_PREFIX
 from verbenawick.errors import (
     ChangeNotBegunError,
     ChangeOutcomeUnknownError,
@@ -31,6 +29,8 @@
     StoreAnswerLostError,
     StoreConditionError,
 )
+from verbenawick.runtime._clock import ManualClock
+from verbenawick.store._store import StoreClient
 
 TIMEOUT_S = 5.0
 SHORT_TIMEOUT_S = 0.25
@@ -365,12 +365,12 @@
     def test_unknown_preset_and_too_large_documents_write_nothing(self):
         revision = self.application.store.revision
         self.assertRaises(DocumentError, self.acceptor().switch_preset, "holiday")
-        with mock.patch("verbenawick._change_plan.MAX_VALUE_BYTES", 100):
+        with mock.patch.object(_change_plan, "MAX_VALUE_BYTES", 100):
             self.assertRaises(DocumentError, self.acceptor().switch_preset, "peak")
         self.assertEqual(revision, self.application.store.revision)
 
     def test_large_delta_is_left_out_of_the_head(self):
-        with mock.patch("verbenawick._change_plan.MAX_INLINE_DELTA_BYTES", 10):
+        with mock.patch.object(_change_plan, "MAX_INLINE_DELTA_BYTES", 10):
             self.acceptor().switch_preset("peak")
         self.assertEqual(b"", self.config.read_head().head.delta)
         self.assertEqual(3, self.check_store())
--- a/tests/test_acceptance_random.py
+++ b/tests/test_acceptance_random.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from tests.test_acceptance import NO_FAULTS, AcceptanceCase, KilledError
-from verbenawick._pruning import prune
+from verbenawick.configuration._pruning import prune
 from verbenawick.errors import (
     ChangeNotBegunError,
     ChangeOutcomeUnknownError,
--- a/tests/test_acks.py
+++ b/tests/test_acks.py
@@ -3,10 +3,10 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from verbenawick._acks import ACK_LIFETIME_S, AckTally
-from verbenawick._clock import ManualClock
-from verbenawick._config_messages import ProcessStart
-from verbenawick._config_state import VersionRef
+from verbenawick.configuration._acks import ACK_LIFETIME_S, AckTally
+from verbenawick.configuration._config_messages import ProcessStart
+from verbenawick.configuration._config_state import VersionRef
+from verbenawick.runtime._clock import ManualClock
 
 MEMBERS = ("relay", "x", "z", "v", "w")
 REF = VersionRef(2, b"2")
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -4,8 +4,8 @@
 
 from testtools import TestCase
 
-from verbenawick._admin import AdminPages
 from verbenawick.errors import VerbenawickError
+from verbenawick.node._admin import AdminPages
 
 
 class AdminPagesTest(TestCase):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -4,16 +4,16 @@
 from testtools import TestCase
 
 from tests.call_support import wait_until
-from verbenawick._admission import Admission
-from verbenawick._clock import ManualClock
-from verbenawick._metrics import MetricSet
-from verbenawick._table import Criticality, ServicePolicy
+from verbenawick.calls._admission import Admission
+from verbenawick.calls._table import Criticality, ServicePolicy
 from verbenawick.errors import (
     CallError,
     DeadlineUnreachableError,
     DrainingError,
     QueueFullError,
 )
+from verbenawick.runtime._clock import ManualClock
+from verbenawick.runtime._metrics import MetricSet
 
 
 class AdmissionTest(TestCase):
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -6,10 +6,10 @@
 from testtools import TestCase
 
 from tests.call_support import SERVICE, StaticMembers, member
-from verbenawick._balancer import SLOW_START_S, Balancer
-from verbenawick._clock import ManualClock
-from verbenawick._members import MemberState, ReportedLoad
-from verbenawick._metrics import MetricSet
+from verbenawick.calls._balancer import SLOW_START_S, Balancer
+from verbenawick.links._members import MemberState, ReportedLoad
+from verbenawick.runtime._clock import ManualClock
+from verbenawick.runtime._metrics import MetricSet
 
 
 class BalancerTest(TestCase):
--- a/tests/test_call_links.py
+++ b/tests/test_call_links.py
@@ -6,14 +6,14 @@
 from testtools import TestCase
 
 from tests.call_support import free_port, member, wait_until
-from verbenawick._call_links import ANSWERS_DROPPED, SILENCE_LIMIT_S, CallLinks
-from verbenawick._call_messages import CallCancel, CallRequest, next_call_id
-from verbenawick._clock import MonotonicClock
-from verbenawick._component import NodeIdentity
-from verbenawick._links import CALL_CHANNEL, LinkServer
-from verbenawick._messages import Message, register_message
-from verbenawick._metrics import MetricSet
 from verbenawick.errors import AnswerLostError, LinkClosedError
+from verbenawick.links._call_links import ANSWERS_DROPPED, SILENCE_LIMIT_S, CallLinks
+from verbenawick.links._call_messages import CallCancel, CallRequest, next_call_id
+from verbenawick.links._component import NodeIdentity
+from verbenawick.links._links import CALL_CHANNEL, LinkServer
+from verbenawick.links._messages import Message, register_message
+from verbenawick.runtime._clock import MonotonicClock
+from verbenawick.runtime._metrics import MetricSet
 
 
 @register_message(9101)
--- a/tests/test_caller_protocol.py
+++ b/tests/test_caller_protocol.py
@@ -5,7 +5,7 @@
 from eventlet.green import socket
 from testtools import TestCase
 
-from verbenawick._caller_protocol import CallerProtocol
+from verbenawick.calls._caller_protocol import CallerProtocol
 
 GOOD = (
     b"GET /a//b?x=%20 HTTP/1.1\r\nHost: h.example\r\nX-Mixed: v \r\nx-mixed: w\r\n\r\n"
--- a/tests/test_calls_in_flight.py
+++ b/tests/test_calls_in_flight.py
@@ -3,7 +3,7 @@
 import eventlet
 from testtools import TestCase
 
-from verbenawick._calls_in_flight import CallsInFlight
+from verbenawick.runtime._calls_in_flight import CallsInFlight
 
 
 class CallsInFlightTest(TestCase):
--- a/tests/test_claim_handover.py
+++ b/tests/test_claim_handover.py
@@ -3,8 +3,8 @@
 from testtools import TestCase
 
 from tests.claim_fakes import KEY, Mesh, answer, lose_answer, member, ranked
-from verbenawick._claim_handover import MAX_BATCH_RECORDS
-from verbenawick._rendezvous import find_owner
+from verbenawick.claims._claim_handover import MAX_BATCH_RECORDS
+from verbenawick.membership._rendezvous import find_owner
 
 
 class HandoverTest(TestCase):
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,9 +4,9 @@
 from testtools.matchers import Equals
 
 from tests.claim_fakes import KEY, Mesh, answer, lose_answer, member, ranked
-from verbenawick._claim_messages import OwnerRef, SealRequest
-from verbenawick._claim_records import ClaimLimits
-from verbenawick._members import MemberState
+from verbenawick.claims._claim_messages import OwnerRef, SealRequest
+from verbenawick.claims._claim_records import ClaimLimits
+from verbenawick.links._members import MemberState
 
 
 class ClaimTestCase(TestCase):
--- a/tests/test_claims_mesh.py
+++ b/tests/test_claims_mesh.py
@@ -13,10 +13,10 @@
 
 from tests.claim_fakes import answer
 from tests.control_simulation import Mesh
-from verbenawick._claim_records import ClaimLimits
-from verbenawick._claims import ClaimKeeper
-from verbenawick._settings import TimingSettings
+from verbenawick.claims._claim_records import ClaimLimits
+from verbenawick.claims._claims import ClaimKeeper
 from verbenawick.errors import LinkClosedError
+from verbenawick.settings._settings import TimingSettings
 
 # Tables of a new region relay once made other nodes forget members: of a restarted node
 # in seeds 214 and 263, of one with an old table in 1185. In 1933 a member that was away
--- a/tests/test_claims_random.py
+++ b/tests/test_claims_random.py
@@ -10,7 +10,7 @@
 from testtools import TestCase
 
 from tests.claim_world import DoubleRunError, World
-from verbenawick._claims import ClaimKeeper, EarlierOwners
+from verbenawick.claims._claims import ClaimKeeper, EarlierOwners
 
 SEEDS = int(os.environ.get("VERBENAWICK_CLAIM_SEEDS", "3"))
 STEPS = 6000
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -21,25 +21,26 @@
 
 from standins.store import ObjectStore, StoreApplication, running_store
 from tests.test_document import EXAMPLES
-from verbenawick._admin import AdminPages
-from verbenawick._cli import build_parser, run
-from verbenawick._clock import ManualClock
-from verbenawick._commands import commands_by_name
-from verbenawick._exit_codes import DESCRIPTIONS_BY_EXIT_CODE, ExitCode
-from verbenawick._explain import DecisionRecord
-from verbenawick._fleet_status import (
+from verbenawick.configuration import _acceptance, _head_update
+from verbenawick.configuration._fleet_status import (
     RegionState,
     read_fleet_status,
     wait_until_in_force,
 )
-from verbenawick._lease import LeaseReleased
-from verbenawick._status import (
+from verbenawick.configuration._status import (
     BehindCause,
     NodeStatus,
     RegionStatus,
     encode_region_status,
 )
-from verbenawick._store import StoreClient
+from verbenawick.node._admin import AdminPages
+from verbenawick.operators._cli import build_parser, run
+from verbenawick.operators._commands import commands_by_name
+from verbenawick.runtime._clock import ManualClock
+from verbenawick.runtime._exit_codes import DESCRIPTIONS_BY_EXIT_CODE, ExitCode
+from verbenawick.runtime._explain import DecisionRecord
+from verbenawick.store._lease import LeaseReleased
+from verbenawick.store._store import StoreClient
 
 ANDINA = str(EXAMPLES / "andina.json5")
 GUILD = str(EXAMPLES / "guild.json5")
@@ -180,9 +181,9 @@
 
         with (
             mock.patch.object(StoreClient, "update", lose_store),
-            mock.patch("verbenawick._head_update.RETRY_PAUSE_S", 0.01),
+            mock.patch.object(_head_update, "RETRY_PAUSE_S", 0.01),
             mock.patch.object(ManualClock, "now", side_effect=range(10_000)),
-            mock.patch("verbenawick._acceptance.MonotonicClock", ManualClock),
+            mock.patch.object(_acceptance, "MonotonicClock", ManualClock),
         ):
             exit_code, data = self.ctl_json("preset", "switch", "peak")
         self.assertEqual(ExitCode.UNKNOWN, exit_code)
--- a/tests/test_config_state.py
+++ b/tests/test_config_state.py
@@ -4,13 +4,13 @@
 from testtools.matchers import Equals, Is
 
 from tests.memory_mesh import JsonCodec, document
-from verbenawick._config_state import (
+from verbenawick.calls._table import Route, RoutingTable
+from verbenawick.configuration._config_state import (
     MAX_STAGED_VERSIONS,
     ConfigState,
     VersionRef,
     withhold_routes,
 )
-from verbenawick._table import Route, RoutingTable
 from verbenawick.errors import (
     BaseMismatchError,
     DigestMismatchError,
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,10 +5,10 @@
 from testtools import TestCase
 
 from tests.control_simulation import Mesh
-from verbenawick._backoff import Backoff
-from verbenawick._clock import ManualClock
-from verbenawick._explain import DecisionRecord
-from verbenawick._lease import LeaseAcquired, LeaseReleased
+from verbenawick.runtime._backoff import Backoff
+from verbenawick.runtime._clock import ManualClock
+from verbenawick.runtime._explain import DecisionRecord
+from verbenawick.store._lease import LeaseAcquired, LeaseReleased
 
 
 def settled_mesh(*regions, **options):
--- a/tests/test_delta.py
+++ b/tests/test_delta.py
@@ -10,7 +10,7 @@
 from testtools import TestCase
 
 from tests.test_document import REMOVED, change_at, example_content
-from verbenawick._delta import (
+from verbenawick.configuration._delta import (
     COLLECTIONS,
     MAX_DECODED_BYTES,
     Delta,
@@ -26,7 +26,7 @@
     encode_snapshot,
     find_differences,
 )
-from verbenawick._document import parse_document
+from verbenawick.configuration._document import parse_document
 from verbenawick.errors import BaseMismatchError, DigestMismatchError, DocumentError
 
 entities = st.dictionaries(
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -6,10 +6,15 @@
 from testtools.matchers import Equals, Is
 
 from tests.memory_mesh import HEAD, MemoryMesh, document
-from verbenawick._config_messages import Commit, DeltaStep, Stage, VersionDigest
-from verbenawick._config_state import VersionRef
-from verbenawick._explain import DecisionRecord
-from verbenawick._step_cache import MAX_CACHED_STEPS, StepCache
+from verbenawick.configuration._config_messages import (
+    Commit,
+    DeltaStep,
+    Stage,
+    VersionDigest,
+)
+from verbenawick.configuration._config_state import VersionRef
+from verbenawick.configuration._step_cache import MAX_CACHED_STEPS, StepCache
+from verbenawick.runtime._explain import DecisionRecord
 
 NODE_IDS = ("a1x", "a1y", "a1z", "a2x", "a2y", "b1x", "b1y", "b1z")
 
--- a/tests/test_distribution_random.py
+++ b/tests/test_distribution_random.py
@@ -10,7 +10,7 @@
 from testtools import TestCase
 
 from tests.memory_mesh import HEAD, MemoryMesh, document
-from verbenawick._config_state import PRESET_IDS, withhold_routes
+from verbenawick.configuration._config_state import PRESET_IDS, withhold_routes
 
 NODE_IDS = ("a1x", "a1y", "a1z", "a2x", "a2y", "b1x", "b1y", "b1z")
 SEEDS = range(1, 6)
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -11,9 +11,9 @@
 from testtools import TestCase
 from testtools.matchers import Contains
 
-from verbenawick._compile import compile_document
-from verbenawick._document import load_document, parse_document
-from verbenawick._table import Criticality
+from verbenawick.calls._table import Criticality
+from verbenawick.configuration._compile import compile_document
+from verbenawick.configuration._document import load_document, parse_document
 from verbenawick.errors import DocumentError
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
--- a/tests/test_drain_detector.py
+++ b/tests/test_drain_detector.py
@@ -2,7 +2,7 @@
 
 from testtools import TestCase
 
-from verbenawick._drain_detector import REFUSALS_TO_DRAIN, DrainDetector
+from verbenawick.calls._drain_detector import REFUSALS_TO_DRAIN, DrainDetector
 
 
 class DrainDetectorTest(TestCase):
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -7,9 +7,9 @@
 from testtools import TestCase
 
 from tests.call_support import SERVICE, Caller, Mesh, wait_until
-from verbenawick._call_messages import CallAnswer, CallRequest, Outcome
-from verbenawick._entry import CALLS_ABANDONED
-from verbenawick._table import Criticality, Route, ServicePolicy
+from verbenawick.calls._entry import CALLS_ABANDONED
+from verbenawick.calls._table import Criticality, Route, ServicePolicy
+from verbenawick.links._call_messages import CallAnswer, CallRequest, Outcome
 
 
 class EntryTest(TestCase):
--- a/tests/test_fault_table.py
+++ b/tests/test_fault_table.py
@@ -16,7 +16,13 @@
 BODY = b"fee=1"
 SHORT_TIMEOUT_MS = 400
 LONG_TIMEOUT_MS = 3000
-CALL_PATH_MODULES = ("_entry", "_dispatch", "_gateway", "_claims", "_call_links")
+CALL_PATH_MODULES = (
+    "calls._entry",
+    "calls._dispatch",
+    "calls._gateway",
+    "claims._claims",
+    "links._call_links",
+)
 
 
 class FaultTableTest(TestCase):
@@ -122,12 +128,13 @@
             if name not in reached:
                 reached.add(name)
                 pending.extend(_imported_modules(name))
-        self.assertIn("_claim_records", reached)
-        self.assertNotIn("_store", reached)
+        self.assertIn("claims._claim_records", reached)
+        self.assertNotIn("store._store", reached)
 
 
 def _imported_modules(name: str) -> list[str]:
-    source = (Path(verbenawick.__path__[0]) / f"{name}.py").read_text()
+    path = Path(verbenawick.__path__[0], *name.split(".")).with_suffix(".py")
+    source = path.read_text()
     return [
         node.module.removeprefix("verbenawick.")
         for node in ast.walk(ast.parse(source))
--- a/tests/test_floor.py
+++ b/tests/test_floor.py
@@ -4,7 +4,7 @@
 from testtools.matchers import Equals, Is
 
 from tests.memory_mesh import HEAD, MemoryMesh, document
-from verbenawick._config_messages import (
+from verbenawick.configuration._config_messages import (
     Asker,
     FloorAnswer,
     FloorQuery,
@@ -12,8 +12,12 @@
     HeadQuery,
     ProcessStart,
 )
-from verbenawick._floor import HEAD_QUERY_INTERVAL_S, PAUSE_S, answers_needed
-from verbenawick._lifecycle import LifecycleState
+from verbenawick.configuration._floor import (
+    HEAD_QUERY_INTERVAL_S,
+    PAUSE_S,
+    answers_needed,
+)
+from verbenawick.configuration._lifecycle import LifecycleState
 
 
 class FloorTest(TestCase):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,9 +5,9 @@
 
 from tests.call_support import SERVICE, Mesh, wait_until
 from tests.test_call_links import call_request
-from verbenawick._call_messages import Outcome
-from verbenawick._gateway import ClaimDecision, ClaimVerdict
-from verbenawick._table import ServicePolicy
+from verbenawick.calls._gateway import ClaimDecision, ClaimVerdict
+from verbenawick.calls._table import ServicePolicy
+from verbenawick.links._call_messages import Outcome
 
 
 class GatewayTest(TestCase):
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -7,20 +7,20 @@
 from testtools import TestCase
 
 from tests.control_simulation import MemoryStore, MemoryStoreClient
-from verbenawick._clock import ManualClock
-from verbenawick._component import NodeIdentity, StoreObject
-from verbenawick._explain import DecisionRecord
-from verbenawick._lease import (
+from verbenawick.errors import LeaseNotHeldError, VerbenawickError
+from verbenawick.links._component import NodeIdentity, StoreObject
+from verbenawick.runtime._clock import ManualClock
+from verbenawick.runtime._explain import DecisionRecord
+from verbenawick.runtime._metrics import MetricSet
+from verbenawick.settings._settings import TimingSettings
+from verbenawick.store._lease import (
     Lease,
     LeaseRecord,
     LeaseState,
     encode_lease_record,
     parse_lease_record,
 )
-from verbenawick._metrics import MetricSet
-from verbenawick._settings import TimingSettings
-from verbenawick._store_workers import StoreWorkers
-from verbenawick.errors import LeaseNotHeldError, VerbenawickError
+from verbenawick.store._store_workers import StoreWorkers
 
 KEY = "leases/dc/dc-1"
 
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -3,7 +3,7 @@
 from testtools import TestCase
 from testtools.matchers import Is
 
-from verbenawick._lifecycle import Lifecycle, LifecycleState
+from verbenawick.configuration._lifecycle import Lifecycle, LifecycleState
 
 
 class LifecycleTest(TestCase):
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -8,10 +8,10 @@
 from eventlet.green import socket
 from testtools import TestCase
 
-from verbenawick._component import NodeIdentity
-from verbenawick._links import CONTROL_CHANNEL, Link, LinkServer, dial_link
-from verbenawick._messages import Message, register_message
 from verbenawick.errors import LinkClosedError
+from verbenawick.links._component import NodeIdentity
+from verbenawick.links._links import CONTROL_CHANNEL, Link, LinkServer, dial_link
+from verbenawick.links._messages import Message, register_message
 
 
 @register_message(9001)
--- a/tests/test_member_table.py
+++ b/tests/test_member_table.py
@@ -2,17 +2,17 @@
 
 from testtools import TestCase
 
-from verbenawick._clock import ManualClock
-from verbenawick._component import NodeIdentity
-from verbenawick._member_table import (
+from verbenawick.errors import MemberTableError
+from verbenawick.links._component import NodeIdentity
+from verbenawick.links._members import MemberState
+from verbenawick.membership._member_table import (
     MAX_DEPARTED_PER_REGION,
     MemberTable,
     decode_region_table,
     encode_region_table,
 )
-from verbenawick._members import MemberState
-from verbenawick._membership_messages import DepartedRow, LoadRow, MemberRow
-from verbenawick.errors import MemberTableError
+from verbenawick.membership._membership_messages import DepartedRow, LoadRow, MemberRow
+from verbenawick.runtime._clock import ManualClock
 
 HORIZON_S = 7200.0
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,8 +4,12 @@
 
 from tests.control_simulation import Mesh
 from tests.test_control import settled_mesh
-from verbenawick._members import MemberState
-from verbenawick._membership_messages import LoadVector, MemberBatch, TableDelta
+from verbenawick.links._members import MemberState
+from verbenawick.membership._membership_messages import (
+    LoadVector,
+    MemberBatch,
+    TableDelta,
+)
 
 
 def plain_nodes(mesh, region=None):
--- a/tests/test_mesh_gateway.py
+++ b/tests/test_mesh_gateway.py
@@ -2,8 +2,6 @@
 
 from testtools import TestCase
 
-from verbenawick._clock import ManualClock
-from verbenawick._metrics import MetricSet
 from verbenawick.errors import (
     CallTimeoutError,
     DrainingError,
@@ -20,6 +18,8 @@
 from verbenawick.mesh._model import CallOutcome, StatusReport
 from verbenawick.mesh._upstream_channels import AnswerKind, RawAnswer
 from verbenawick.platform._calls import PlatformUpstreamProtocol
+from verbenawick.runtime._clock import ManualClock
+from verbenawick.runtime._metrics import MetricSet
 
 ADDRESS = "10.0.0.1:80"
 
--- a/tests/test_mesh_log_output.py
+++ b/tests/test_mesh_log_output.py
@@ -9,7 +9,6 @@
 from loguru import logger
 from testtools import TestCase
 
-from verbenawick._events import Event, emit, limit_events, register_event
 from verbenawick.mesh import _log_output
 from verbenawick.mesh._log_output import (
     LINES_PER_EVENT_S,
@@ -17,6 +16,7 @@
     LogOutput,
     configure_log_output,
 )
+from verbenawick.runtime._events import Event, emit, limit_events, register_event
 
 
 @register_event(9701, level="WARNING")
--- a/tests/test_mesh_upstream_channels.py
+++ b/tests/test_mesh_upstream_channels.py
@@ -4,8 +4,6 @@
 from eventlet.green import socket
 from testtools import TestCase
 
-from verbenawick._clock import MonotonicClock
-from verbenawick._metrics import MetricSet
 from verbenawick.errors import (
     BadCallError,
     BadResponseError,
@@ -15,6 +13,8 @@
     UpstreamUnreachableError,
 )
 from verbenawick.mesh._upstream_channels import AnswerKind, UpstreamChannels
+from verbenawick.runtime._clock import MonotonicClock
+from verbenawick.runtime._metrics import MetricSet
 
 
 def answer(request_id: str, body: bytes, *headers: str, status=200) -> bytes:
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -7,15 +7,15 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from verbenawick._message_rows import Row
-from verbenawick._messages import (
+from verbenawick.errors import ProtocolError
+from verbenawick.links._message_rows import Row
+from verbenawick.links._messages import (
     MAX_MESSAGE_BYTES,
     Message,
     decode_message,
     encode_message,
     register_message,
 )
-from verbenawick.errors import ProtocolError
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,9 +10,9 @@
 from urllib3.exceptions import HTTPError
 
 from standins.processes import ANDINA, free_network, run_deployment, store_address
-from verbenawick._acceptance import Acceptor
-from verbenawick._document import parse_document
-from verbenawick._store import StoreClient
+from verbenawick.configuration._acceptance import Acceptor
+from verbenawick.configuration._document import parse_document
+from verbenawick.store._store import StoreClient
 
 PLAN = replace(
     ANDINA,
--- a/tests/test_polling.py
+++ b/tests/test_polling.py
@@ -9,7 +9,7 @@
 import eventlet
 eventlet.monkey_patch()
 import select, socket
-from verbenawick._polling import closed_by_peer, is_readable
+from verbenawick.runtime._polling import closed_by_peer, is_readable
 assert not hasattr(select, "poll")
 a, b = socket.socketpair()
 assert not is_readable(a.fileno()) and not closed_by_peer([a.fileno()])
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -5,18 +5,18 @@
 from testtools import TestCase
 
 from tests.call_support import SERVICE, Caller, Mesh, wait_until
-from verbenawick._clock import ManualClock
-from verbenawick._component import LinkPurpose, NodeIdentity, StoreObject
-from verbenawick._messages import decode_message, encode_message
-from verbenawick._metrics import MetricSet
-from verbenawick._quarantine import (
+from verbenawick.calls._quarantine import (
     KEY_PREFIX,
     MAX_SUSPECTS,
     QUARANTINE_S,
     Quarantine,
 )
-from verbenawick._table import ServicePolicy
+from verbenawick.calls._table import ServicePolicy
 from verbenawick.errors import StoreConditionError, StoreUnavailableError
+from verbenawick.links._component import LinkPurpose, NodeIdentity, StoreObject
+from verbenawick.links._messages import decode_message, encode_message
+from verbenawick.runtime._clock import ManualClock
+from verbenawick.runtime._metrics import MetricSet
 
 POISON = b"p" * 16
 
--- a/tests/test_rendezvous.py
+++ b/tests/test_rendezvous.py
@@ -3,8 +3,8 @@
 from testtools import TestCase
 
 from tests.claim_fakes import member
-from verbenawick._members import DepartedMember, MemberState
-from verbenawick._rendezvous import find_owner, possible_earlier_owners
+from verbenawick.links._members import DepartedMember, MemberState
+from verbenawick.membership._rendezvous import find_owner, possible_earlier_owners
 
 MEMBERS = tuple(
     member(f"n{number}", region=("ashanti", "northern")[number % 2])
--- a/tests/test_request_story.py
+++ b/tests/test_request_story.py
@@ -4,7 +4,7 @@
 
 from testtools import TestCase
 
-from verbenawick._request_story import tell_story
+from verbenawick.operators._request_story import tell_story
 
 
 def line(second: float, node: str, event: int, name: str, **fields) -> str:
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -4,11 +4,11 @@
 
 from testtools import TestCase
 
-from verbenawick._call_messages import CallAnswer, Outcome
-from verbenawick._metrics import MetricSet
-from verbenawick._retry import BUDGET_CAPACITY, CallTraits, RetryRules
-from verbenawick._table import ServicePolicy
+from verbenawick.calls._retry import BUDGET_CAPACITY, CallTraits, RetryRules
+from verbenawick.calls._table import ServicePolicy
 from verbenawick.errors import errors_by_code
+from verbenawick.links._call_messages import CallAnswer, Outcome
+from verbenawick.runtime._metrics import MetricSet
 
 LAYERS = 29
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -2,8 +2,8 @@
 
 from testtools import TestCase
 
-from verbenawick._routing import Router
-from verbenawick._table import Route, RoutingTable
+from verbenawick.calls._routing import Router
+from verbenawick.calls._table import Route, RoutingTable
 
 
 class RouterTest(TestCase):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,8 +7,8 @@
 from testtools import TestCase
 from testtools.matchers import Contains
 
-from verbenawick._settings import load_settings
 from verbenawick.errors import SettingsError
+from verbenawick.settings._settings import load_settings
 
 VALID = {
     "node_id": "archivo-1",
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -2,8 +2,8 @@
 
 from testtools import TestCase
 
-from verbenawick._sockets import listen
 from verbenawick.errors import ListenError
+from verbenawick.runtime._sockets import listen
 
 
 class ListenTest(TestCase):
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -6,7 +6,7 @@
 from testtools.matchers import Equals, Is
 
 from tests.memory_mesh import MemoryMesh, document
-from verbenawick._status import (
+from verbenawick.configuration._status import (
     MAX_LISTED_NODES,
     BehindCause,
     Convergence,
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -11,9 +11,6 @@
 from testtools import TestCase
 
 from standins.store import ObjectStore, StoreApplication, running_store
-from verbenawick._clock import ManualClock, MonotonicClock
-from verbenawick._sockets import listen
-from verbenawick._store import MAX_VALUE_BYTES, StoreClient
 from verbenawick.errors import (
     ListenError,
     StoreAnswerLostError,
@@ -21,12 +18,15 @@
     StoreUnavailableError,
     StoreValueTooLargeError,
 )
+from verbenawick.runtime._clock import ManualClock, MonotonicClock
+from verbenawick.runtime._sockets import listen
+from verbenawick.store._store import MAX_VALUE_BYTES, StoreClient
 
 PATCHED_CLIENT = """
 import sys
 import eventlet
 eventlet.monkey_patch()
-from verbenawick._store import StoreClient
+from verbenawick.store._store import StoreClient
 client = StoreClient(sys.argv[1])
 watch = eventlet.spawn(client.watch, ("a/",), after=0, wait_s=5)
 eventlet.sleep(0.05)
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -5,7 +5,7 @@
 from opentelemetry.sdk.trace.export.in_memory_span_exporter import InMemorySpanExporter
 from testtools import TestCase
 
-from verbenawick._tracing import Tracer, parse_traceparent
+from verbenawick.calls._tracing import Tracer, parse_traceparent
 
 
 class TracingTest(TestCase):
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -7,9 +7,7 @@
 
 from standins.upstream import StandinUpstream
 from tests.call_support import free_port, wait_until
-from verbenawick._clock import MonotonicClock
-from verbenawick._metrics import MetricSet
-from verbenawick._upstream import CONNECTIONS_OPENED, UpstreamConnections
+from verbenawick.calls._upstream import CONNECTIONS_OPENED, UpstreamConnections
 from verbenawick.errors import (
     BadCallError,
     BadResponseError,
@@ -18,6 +16,8 @@
     UpstreamShedError,
     UpstreamUnreachableError,
 )
+from verbenawick.runtime._clock import MonotonicClock
+from verbenawick.runtime._metrics import MetricSet
 
 
 class UpstreamConnectionsTest(TestCase):
