--- /dev/null
+++ b/src/verbenawick/mesh/_beacons.py
@@ -0,0 +1,139 @@
+"""Beacons of the configuration watch: sent by the relay, repeated by heads."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import eventlet
+
+from verbenawick.errors import AnswerLostError, LinkClosedError
+from verbenawick.links._call_links import CallLinks
+from verbenawick.links._call_messages import next_call_id
+from verbenawick.links._component import NodeIdentity
+from verbenawick.links._links import Link
+from verbenawick.mesh._configuration_relay import (
+    BEACON_INTERVAL_S,
+    ConfigurationBeacon,
+    ConfigurationDocument,
+    ConfigurationQuery,
+    RelayState,
+)
+from verbenawick.mesh._endpoints import Endpoints
+from verbenawick.mesh._followers import ConfigurationFollower
+from verbenawick.mesh._node_events import PeerLost
+from verbenawick.mesh._placement import Distance
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import emit
+
+# A node of the own region answers in milliseconds.
+QUERY_TIMEOUT_S = 0.5
+
+
+class Beacons:
+    """Exchanges beacons and documents with other nodes for one follower.
+
+    Parameters
+    ----------
+    region : str
+        Region of this node.
+    relay : RelayState
+        What this node believes about relays.
+    is_stopping : callable
+        Whether this node leaves; it relays no more then.
+    """
+
+    def __init__(
+        self,
+        *,
+        region: str,
+        links: CallLinks,
+        endpoints: Endpoints,
+        clock: Clock,
+        relay: RelayState,
+        is_stopping: Callable[[], bool],
+    ):
+        self._region = region
+        self._links = links
+        self._endpoints = endpoints
+        self._clock = clock
+        self._relay = relay
+        self._is_stopping = is_stopping
+        self._follower: ConfigurationFollower | None = None
+
+    def serve(self, follower: ConfigurationFollower) -> None:
+        """Pass what other nodes send to `follower`, and its configuration to them."""
+        self._follower = follower
+        self._links.register_notice(ConfigurationBeacon, self._on_beacon)
+        self._links.register_handler(
+            ConfigurationQuery,
+            lambda peer, query, sent_at: follower.document_for(query.call_id),
+        )
+
+    def run(self) -> None:
+        """Send beacons until the green thread is killed."""
+        while True:
+            eventlet.sleep(BEACON_INTERVAL_S)
+            self.send_when_due()
+
+    def is_relay(self) -> bool:
+        """Return whether this node watches the store for the others."""
+        if self._is_stopping() or self._relay.hears_nearer_relay(self._clock.now()):
+            return False
+        linked = (
+            endpoint.node_id
+            for endpoint in self._endpoints.all()
+            if endpoint.distance in (Distance.DATA_CENTRE, Distance.REGION)
+            and self._links.is_connected(endpoint.peer_address)
+            and not self._links.is_silent(endpoint.peer_address)
+        )
+        return self._relay.is_head(linked)
+
+    def send_when_due(self, *, with_document: bool = False) -> None:
+        """Send a beacon if this node relays and knows the present configuration."""
+        follower = self._follower
+        if (
+            not follower.has_configuration
+            or not self._relay.may_send_beacon(self._clock.now())
+            or not self.is_relay()
+        ):
+            return
+        beacon = follower.beacon
+        if with_document:
+            beacon = replace(beacon, document=follower.document_for(0).document)
+        self._send_to_region(beacon)
+        for link in self._links_to_other_heads():
+            self._links.notify(link, beacon)
+
+    def query(self, node_id: str) -> ConfigurationDocument | None:
+        """Return the configuration that another node serves, None without one."""
+        endpoint = self._endpoints.get(node_id)
+        if endpoint is None:
+            return None
+        deadline = self._links.now() + QUERY_TIMEOUT_S
+        try:
+            query = ConfigurationQuery(next_call_id())
+            return self._links.request(endpoint.member, query, deadline=deadline)
+        except (LinkClosedError, AnswerLostError) as error:
+            emit(PeerLost(node_id, f"configuration not sent: {error}"))
+            return None
+
+    def _on_beacon(self, peer: NodeIdentity, beacon: ConfigurationBeacon) -> None:
+        if peer.region != self._region:
+            self._send_to_region(beacon)
+        self._follower.on_beacon(peer.node_id, beacon)
+
+    def _send_to_region(self, beacon: ConfigurationBeacon) -> None:
+        for link in self._links.dialled_links():
+            if link.peer.region == self._region:
+                self._links.notify(link, beacon)
+
+    def _links_to_other_heads(self) -> list[Link]:
+        heads_by_region: dict[str, Link] = {}
+        for link in self._links.dialled_links():
+            peer = link.peer
+            if peer.region == self._region:
+                continue
+            head = heads_by_region.get(peer.region)
+            is_sound = not self._links.is_silent(peer.peer_address)
+            if is_sound and (head is None or peer.node_id < head.peer.node_id):
+                heads_by_region[peer.region] = link
+        return list(heads_by_region.values())
--- a/src/verbenawick/mesh/_followers.py
+++ b/src/verbenawick/mesh/_followers.py
@@ -175,6 +175,11 @@
         self._is_querying = False
         self._source = ("", "")
 
+    @property
+    def has_configuration(self) -> bool:
+        """Return whether a configuration was brought to `apply`."""
+        return bool(self._version)
+
     @property
     def beacon(self) -> ConfigurationBeacon:
         """Return the beacon for the configuration in force, without its document."""
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -1,31 +1,17 @@
 """A node whose platform keeps the state: builds its parts, starts and stops them."""
 
 from collections.abc import Callable
-from dataclasses import replace
 from random import Random, SystemRandom
 
 import eventlet
 
 from verbenawick.calls._entry_server import EntryServer
-from verbenawick.errors import (
-    AnswerLostError,
-    CallError,
-    LinkClosedError,
-    VerbenawickError,
-)
 from verbenawick.links._call_links import CallLinks
-from verbenawick.links._call_messages import next_call_id
 from verbenawick.links._component import NodeIdentity
 from verbenawick.links._links import CALL_CHANNEL, Link, LinkServer
 from verbenawick.links._messages import Message
-from verbenawick.mesh._absent_nodes import AbsentNodes
-from verbenawick.mesh._configuration_relay import (
-    BEACON_INTERVAL_S,
-    ConfigurationBeacon,
-    ConfigurationDocument,
-    ConfigurationQuery,
-    RelayState,
-)
+from verbenawick.mesh._beacons import Beacons
+from verbenawick.mesh._configuration_relay import RelayState
 from verbenawick.mesh._crash_guard import CrashGuard
 from verbenawick.mesh._endpoints import Endpoints
 from verbenawick.mesh._entry import MeshEntry
@@ -45,19 +31,17 @@
     MeshNodeStopped,
     MeshNodeStopping,
     PeerLost,
-    RecordNotRemoved,
-    RecordRemoved,
     SettingsRejected,
     SettingsReloaded,
-    UpstreamProbeFailed,
 )
 from verbenawick.mesh._peer_connectors import PeerConnectors
-from verbenawick.mesh._placement import Distance
 from verbenawick.mesh._publisher import RecordPublisher
+from verbenawick.mesh._record_remover import RecordRemover
 from verbenawick.mesh._retry_budget import RetryBudget
 from verbenawick.mesh._settings import MeshSettings
 from verbenawick.mesh._state_store import RecordChange, StateStore
-from verbenawick.mesh._upstream_channels import AnswerKind, UpstreamChannels
+from verbenawick.mesh._upstream_channels import UpstreamChannels
+from verbenawick.mesh._upstream_prober import UpstreamProber
 from verbenawick.runtime._clock import BootClock
 from verbenawick.runtime._events import emit
 from verbenawick.runtime._metrics import MetricSet
@@ -68,13 +52,6 @@
 SILENCE_CHECK_INTERVAL_S = 0.15
 # Links that owe answers are watched closely; idle ones need few signs of life.
 IDLE_PING_INTERVAL_S = 15.0
-# The upstream answers health checks in a millisecond unless its slots are in use.
-PROBE_TIMEOUT_S = 0.5
-PROBE_INTERVAL_S = 0.3
-# Records of lost VMs are removed minutes after their loss.
-ABSENCE_CHECK_INTERVAL_S = 10.0
-# A node of the own region answers in milliseconds.
-QUERY_TIMEOUT_S = 0.5
 # Longest wait for the last write to the store at a stop, seconds.
 LAST_WRITE_S = 0.5
 # Left of the grace for closing sockets before the process is killed, seconds.
@@ -116,8 +93,6 @@
         self.metrics_page = MetricsPage(self.metrics)
         self.is_stopping = False
         self.is_handing_off = False
-        self._protocol = protocol
-        self._open_store = open_store
         self.identity = NodeIdentity(
             node_id=settings.node_id,
             incarnation=SystemRandom().getrandbits(INCARNATION_BITS),
@@ -188,7 +163,15 @@
         )
         self.links.register_notice(GatewayNotice, self._on_gateway_notice)
         self.links.register_notice(CrashNotice, self._on_crash_notice)
-        self._relay = RelayState(node_id=settings.node_id)
+        relay = RelayState(node_id=settings.node_id)
+        self._beacons = Beacons(
+            region=settings.region,
+            links=self.links,
+            endpoints=self.endpoints,
+            clock=self.clock,
+            relay=relay,
+            is_stopping=lambda: self.is_stopping,
+        )
         self._link_server = LinkServer(
             self.identity,
             {CALL_CHANNEL: self.links},
@@ -206,25 +189,32 @@
             random=self.random,
             clock=self.clock,
             apply=self._on_configuration,
-            relay=self._relay,
-            is_relay=self._is_relay,
+            relay=relay,
+            is_relay=self._beacons.is_relay,
             decode=decode,
-            query=self._query_configuration,
-            announce=self._send_beacon_when_due,
-        )
-        self.links.register_notice(ConfigurationBeacon, self._on_beacon)
-        self.links.register_handler(
-            ConfigurationQuery,
-            lambda peer, query, sent_at: self._configuration_follower.document_for(
-                query.call_id
-            ),
+            query=self._beacons.query,
+            announce=self._beacons.send_when_due,
         )
+        self._beacons.serve(self._configuration_follower)
         self._record_follower = RecordFollower(
             open_store(), random=self.random, apply=self._on_records
         )
         self._connectors = PeerConnectors(self.links, random=self.random)
+        self._record_remover = RecordRemover(
+            open_store=open_store,
+            endpoints=self.endpoints,
+            links=self.links,
+            clock=self.clock,
+            is_relay=self._beacons.is_relay,
+        )
+        self._prober = UpstreamProber(
+            self.upstream,
+            channels=self.channels,
+            protocol=protocol,
+            clock=self.clock,
+            configuration=lambda: self.entry.configuration,
+        )
         self._tasks = []
-        self._is_probing = False
         self._put_own_endpoint()
 
     @property
@@ -247,12 +237,12 @@
                 self._record_follower.run,
                 self._publisher.run,
                 self._watch_silence,
-                self._send_beacons,
-                self._remove_absent,
+                self._beacons.run,
+                self._record_remover.run,
             )
         ]
         settings = self.settings
-        self._start_probing()
+        self._prober.start_when_unknown()
         emit(
             MeshNodeStarted(
                 self.identity.incarnation,
@@ -314,6 +304,7 @@
         self._link_server.stop()
         for task in self._tasks:
             task.kill()
+        self._prober.close()
         self._connectors.close()
         self.links.close()
 
@@ -345,107 +336,11 @@
                 len(configuration.routes),
             )
         )
-        self._send_beacon_when_due(with_document=True)
+        self._beacons.send_when_due(with_document=True)
         service = configuration.services_by_name.get(self.upstream.service)
         if service is not None:
             self.channels.max_channels = service.max_connections
 
-    def _is_relay(self) -> bool:
-        """Return whether this node watches the store for the others."""
-        if self.is_stopping or self._relay.hears_nearer_relay(self.clock.now()):
-            return False
-        linked = (
-            endpoint.node_id
-            for endpoint in self.endpoints.all()
-            if endpoint.distance in (Distance.DATA_CENTRE, Distance.REGION)
-            and self.links.is_connected(endpoint.peer_address)
-            and not self.links.is_silent(endpoint.peer_address)
-        )
-        return self._relay.is_head(linked)
-
-    def _send_beacons(self) -> None:
-        while True:
-            eventlet.sleep(BEACON_INTERVAL_S)
-            self._send_beacon_when_due()
-
-    def _remove_absent(self) -> None:
-        """Remove the records of nodes that are away for good; only as the relay."""
-        absent = AbsentNodes()
-        while True:
-            eventlet.sleep(ABSENCE_CHECK_INTERVAL_S)
-            is_linked_by_node_id = {
-                endpoint.node_id: self.links.is_connected(endpoint.peer_address)
-                for endpoint in self.endpoints.all()
-                if endpoint.distance is not Distance.OWN_NODE
-            }
-            gone = absent.observe(is_linked_by_node_id, self.clock.now())
-            if gone and self._is_relay():
-                self._remove_record(gone[0])
-
-    def _remove_record(self, node_id: str) -> None:
-        store = self._open_store()
-        try:
-            record = store.read_record(node_id)
-            if record is not None:
-                store.delete_record(node_id, record.revision)
-                emit(RecordRemoved(node_id, record.upstream_id, record.revision))
-        except VerbenawickError as error:
-            # The next round tries again.
-            emit(RecordNotRemoved(node_id, str(error)))
-        finally:
-            store.close()
-
-    def _send_beacon_when_due(self, *, with_document: bool = False) -> None:
-        if (
-            self.entry.configuration is None
-            or not self._relay.may_send_beacon(self.clock.now())
-            or not self._is_relay()
-        ):
-            return
-        beacon = self._configuration_follower.beacon
-        if with_document:
-            document = self._configuration_follower.document_for(0).document
-            beacon = replace(beacon, document=document)
-        self._repeat_beacon(beacon)
-        for link in self._links_to_other_heads():
-            self.links.notify(link, beacon)
-
-    def _repeat_beacon(self, beacon: ConfigurationBeacon) -> None:
-        """Send a beacon to the own region."""
-        region = self.settings.region
-        for link in self.links.dialled_links():
-            if link.peer.region == region:
-                self.links.notify(link, beacon)
-
-    def _links_to_other_heads(self) -> list[Link]:
-        heads_by_region: dict[str, Link] = {}
-        for link in self.links.dialled_links():
-            peer = link.peer
-            if peer.region == self.settings.region:
-                continue
-            head = heads_by_region.get(peer.region)
-            is_sound = not self.links.is_silent(peer.peer_address)
-            if is_sound and (head is None or peer.node_id < head.peer.node_id):
-                heads_by_region[peer.region] = link
-        return list(heads_by_region.values())
-
-    def _on_beacon(self, peer: NodeIdentity, beacon: ConfigurationBeacon) -> None:
-        if peer.region != self.settings.region:
-            self._repeat_beacon(beacon)
-        self._configuration_follower.on_beacon(peer.node_id, beacon)
-
-    def _query_configuration(self, node_id: str) -> ConfigurationDocument | None:
-        endpoint = self.endpoints.get(node_id)
-        if endpoint is None:
-            return None
-        deadline = self.links.now() + QUERY_TIMEOUT_S
-        try:
-            query = ConfigurationQuery(next_call_id())
-            return self.links.request(endpoint.member, query, deadline=deadline)
-        except (LinkClosedError, AnswerLostError) as error:
-            emit(PeerLost(node_id, f"configuration not sent: {error}"))
-            return None
-
     def _on_records(self, change: RecordChange) -> None:
         records = change.records_by_node_id
         if change.is_complete:
@@ -502,7 +397,7 @@
 
     def _on_upstream_change(self) -> None:
         self.gateway.on_upstream_change()
-        self._start_probing()
+        self._prober.start_when_unknown()
         self._put_own_endpoint()
         self._publisher.wake()
         self._notify_state()
@@ -552,43 +447,6 @@
             upstream.slots,
         )
 
-    def _start_probing(self) -> None:
-        if self.upstream.state is UpstreamState.UNKNOWN and not self._is_probing:
-            self._is_probing = True
-            self._tasks.append(eventlet.spawn(self._probe_until_known))
-
-    def _probe_until_known(self) -> None:
-        """Ask the upstream who it is until it or a report says so."""
-        try:
-            while self.upstream.state is UpstreamState.UNKNOWN:
-                if self.entry.configuration is not None:
-                    self._probe(self.entry.configuration)
-                eventlet.sleep(PROBE_INTERVAL_S)
-        finally:
-            self._is_probing = False
-
-    def _probe(self, configuration: MeshConfiguration) -> None:
-        service = configuration.services_by_name.get(self.upstream.service)
-        if service is None:
-            return
-        try:
-            _, answer = self.channels.exchange(
-                method="GET",
-                target=service.health_path,
-                headers=self._protocol.health_headers(self.upstream.address),
-                body=b"",
-                deadline=self.clock.now() + PROBE_TIMEOUT_S,
-                classify=lambda answer: AnswerKind.OWN,
-            )
-        except CallError as error:
-            emit(UpstreamProbeFailed(str(error)))
-            return
-        upstream_id, slots = self._protocol.read_health(answer)
-        if upstream_id:
-            self.upstream.on_probe(upstream_id, slots)
-        else:
-            emit(UpstreamProbeFailed(f"answered {answer.status}"))
-
 
 def _may_abandon(message: Message) -> bool:
     return isinstance(message, ForwardedCall) and message.is_idempotent
--- /dev/null
+++ b/src/verbenawick/mesh/_record_remover.py
@@ -0,0 +1,72 @@
+"""Task that removes the records of nodes that are away for good."""
+
+from collections.abc import Callable
+
+import eventlet
+
+from verbenawick.errors import VerbenawickError
+from verbenawick.links._call_links import CallLinks
+from verbenawick.mesh._absent_nodes import AbsentNodes
+from verbenawick.mesh._endpoints import Endpoints
+from verbenawick.mesh._node_events import RecordNotRemoved, RecordRemoved
+from verbenawick.mesh._placement import Distance
+from verbenawick.mesh._state_store import StateStore
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import emit
+
+# Records of lost VMs are removed minutes after their loss.
+ABSENCE_CHECK_INTERVAL_S = 10.0
+
+
+class RecordRemover:
+    """Removes one record at a time, and only while this node is the relay.
+
+    Parameters
+    ----------
+    open_store : callable
+        Returns a `StateStore` with a connection of its own.
+    is_relay : callable
+        Whether this node watches the store for the others.
+    """
+
+    def __init__(
+        self,
+        *,
+        open_store: Callable[[], StateStore],
+        endpoints: Endpoints,
+        links: CallLinks,
+        clock: Clock,
+        is_relay: Callable[[], bool],
+    ):
+        self._open_store = open_store
+        self._endpoints = endpoints
+        self._links = links
+        self._clock = clock
+        self._is_relay = is_relay
+        self._absent = AbsentNodes()
+
+    def run(self) -> None:
+        """Watch the links until the green thread is killed."""
+        while True:
+            eventlet.sleep(ABSENCE_CHECK_INTERVAL_S)
+            is_linked_by_node_id = {
+                endpoint.node_id: self._links.is_connected(endpoint.peer_address)
+                for endpoint in self._endpoints.all()
+                if endpoint.distance is not Distance.OWN_NODE
+            }
+            gone = self._absent.observe(is_linked_by_node_id, self._clock.now())
+            if gone and self._is_relay():
+                self.remove(gone[0])
+
+    def remove(self, node_id: str) -> None:
+        """Remove the record of a node; a failure is tried again in the next round."""
+        store = self._open_store()
+        try:
+            record = store.read_record(node_id)
+            if record is not None:
+                store.delete_record(node_id, record.revision)
+                emit(RecordRemoved(node_id, record.upstream_id, record.revision))
+        except VerbenawickError as error:
+            emit(RecordNotRemoved(node_id, str(error)))
+        finally:
+            store.close()
--- a/tests/test_configuration_relay.py
+++ b/tests/test_configuration_relay.py
@@ -183,7 +183,7 @@
         )
 
     def relays(self):
-        return [n.node_id for n in self.nodes if n.server.node._is_relay()]
+        return [n.node_id for n in self.nodes if n.server.node._beacons.is_relay()]
 
     def test_one_node_watches_for_all_regions(self):
         """Each further watch pulls every version once more over a paid way."""
--- a/tests/test_mesh_world.py
+++ b/tests/test_mesh_world.py
@@ -96,9 +96,9 @@
         """Nothing in the store expires, and a guess from outside may be wrong."""
         self.world.stop_upstream(self.b1)
         self.b1.server.kill()
-        self.a1.server.node._remove_record(self.b1.node_id)
+        self.a1.server.node._record_remover.remove(self.b1.node_id)
         self.assertIsNone(self.world.store.get(RECORD_KIND, self.b1.node_id))
-        self.a1.server.node._remove_record(self.a2.node_id)
+        self.a1.server.node._record_remover.remove(self.a2.node_id)
         wait_until(
             lambda: self.world.store.get(RECORD_KIND, self.a2.node_id) is not None, 3
         )
