End the wandering of refused calls; play placement and queue under load

Cause: in an overload of all gateways a refused call was offered to three more, also in other regions: it paid for the way, came late to another full queue and delayed calls that were in time. Change: after a refusal a further offer needs an expected loss below the whole value of the call. bench/decisions.py plays placement and queue in simulated time against baselines and earlier versions.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
     "bench.calls",
     "bench.claims",
     "bench.daemons",
+    "bench.decisions",
     "bench.distribution",
     "bench.membership",
     "bench.recovery",
--- /dev/null
+++ b/bench/decisions.py
@@ -0,0 +1,455 @@
+"""Placement and queueing under load, in simulated time and without a network.
+
+Plays one service with an upstream and an entry in each of six data centres. Entries use
+`Endpoints` and `choose`, gateways use `SlotQueue`, as nodes on the platform do; other
+policies take their place for comparison. Callers come back once after a refusal.
+"""
+
+import math
+from argparse import ArgumentParser, Namespace
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from tabulate import tabulate
+
+from bench.registry import register_benchmark
+from verbenawick.mesh._endpoints import Endpoint, Endpoints
+from verbenawick.mesh._model import (
+    CallOutcome,
+    CallResult,
+    GatewayLoad,
+    UpstreamRecord,
+    UpstreamState,
+)
+from verbenawick.mesh._placement import (
+    MOST_COST_OF_FURTHER_OFFER,
+    ROUND_TRIP_S,
+    Distance,
+    choose,
+    late_cost_of,
+)
+from verbenawick.mesh._slot_queue import SlotQueue, SlotRequest, Verdict
+
+SERVICE = "service"
+DATA_CENTRES = ("n-a", "n-b", "s-a", "s-b", "w-a", "w-b")
+SLOTS = 12
+MAX_OFFERS = 4
+# Callers come back after a refusal within this share of their time.
+MAX_RETURN_SHARE = 0.33
+# Price of a kilobyte in units of value, as the users' sites have it.
+PRICE_BY_DISTANCE = {Distance.REGION: 0.07, Distance.REMOTE: 0.2}
+# A refused offer costs the request and a short answer only, kilobytes.
+OFFER_KILOBYTES = 0.6
+# Draws of work below this share of the mean do not occur.
+LEAST_WORK_SHARE = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of call; times in seconds."""
+
+    name: str
+    share: float
+    work_s: float
+    objective_s: float
+    deadline_s: float
+    priority: int
+    value: float
+    kilobytes: float
+
+
+KINDS = (
+    Kind("read", 0.5, 0.068, 0.25, 1.0, 2, 1.0, 1.0),
+    Kind("write", 0.2, 0.089, 0.3, 1.2, 1, 2.0, 1.3),
+    Kind("large", 0.1, 0.055, 0.2, 0.8, 2, 1.0, 5.6),
+    Kind("step", 0.2, 0.017, 0.06, 0.2, 1, 0.1, 1.5),
+)
+LATE_VALUE_SHARE = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Load as a share of all slots, and how many upstreams are slow meanwhile."""
+
+    name: str
+    load: float
+    slow_count: int = 0
+    slow_factor: float = 5.0
+
+
+SCENARIOS = (
+    Scenario("calm", 0.4),
+    Scenario("busy", 0.9),
+    Scenario("overload", 1.4),
+    Scenario("slow upstreams", 0.6, slow_count=2),
+)
+
+
+@dataclass(eq=False, slots=True)
+class Call:
+    """A call of a caller, through all its attempts."""
+
+    kind: Kind
+    data_centre: str
+    first_at: float
+    arrived_at: float = 0.0
+    offers: int = 0
+    tried: set[str] = field(default_factory=set)
+    has_returned: bool = False
+    retry_after_s: float = 0.0
+
+
+class FifoQueue:
+    """First come, first served, without refusal below its bound."""
+
+    max_waiting = 6 * SLOTS
+
+    def __init__(self, *, slots: int):
+        self.slots = slots
+        self._running: set[SlotRequest] = set()
+        self._waiting: list[SlotRequest] = []
+
+    @property
+    def running_count(self) -> int:
+        """Return the number of slots in use."""
+        return len(self._running)
+
+    @property
+    def waiting_count(self) -> int:
+        """Return the number of calls that wait."""
+        return len(self._waiting)
+
+    def expected_service_s(self, route: str, now: float) -> float:
+        """Return 0: nothing is learned."""
+        return 0.0
+
+    def enter(self, request: SlotRequest, now: float) -> None:
+        """Grant a slot, queue the call, or refuse it when the queue is full."""
+        if len(self._running) < self.slots:
+            self._running.add(request)
+            request.decide(Verdict.GRANTED, 0.0)
+        elif len(self._waiting) < self.max_waiting:
+            self._waiting.append(request)
+        else:
+            request.decide(Verdict.REFUSED, 0.1)
+
+    def leave(self, request: SlotRequest, now: float, *, service_s=None) -> None:
+        """Free a slot for the call that has waited longest."""
+        self._running.discard(request)
+        while self._waiting and len(self._running) < self.slots:
+            following = self._waiting.pop(0)
+            self._running.add(following)
+            following.decide(Verdict.GRANTED, 0.0)
+
+
+class NoQueue(FifoQueue):
+    """Refuses what finds no free slot."""
+
+    max_waiting = 0
+
+
+QUEUES = {"slot queue": SlotQueue, "first in first out": FifoQueue, "none": NoQueue}
+
+Placement = Callable[["Entry", Call, list[Endpoint], float], Endpoint | None]
+placements_by_name: dict[str, Placement] = {}
+
+
+def register_placement(name: str) -> Callable[[Placement], Placement]:
+    """Return a decorator that registers a placement policy."""
+
+    def decorate(placement: Placement) -> Placement:
+        placements_by_name[name] = placement
+        return placement
+
+    return decorate
+
+
+@register_placement("expected loss")
+def place_by_loss(entry, call, endpoints, now):
+    """Choose as nodes do."""
+    return entry.choose(
+        call,
+        endpoints,
+        now,
+        kilobytes=call.kind.kilobytes,
+        late_cost=late_cost_of(call.kind.objective_s),
+        most_cost=MOST_COST_OF_FURTHER_OFFER if call.offers else math.inf,
+    )
+
+
+@register_placement("expected loss, always moves on")
+def place_by_loss_without_end(entry, call, endpoints, now):
+    """Choose as nodes did before they gave up calls that are not worth a way."""
+    return entry.choose(
+        call,
+        endpoints,
+        now,
+        kilobytes=call.kind.kilobytes,
+        late_cost=late_cost_of(call.kind.objective_s),
+    )
+
+
+@register_placement("expected loss, sizes ignored")
+def place_by_loss_without_size(entry, call, endpoints, now):
+    """Choose as nodes did before they counted the size of a call."""
+    return entry.choose(call, endpoints, now)
+
+
+@register_placement("nearest")
+def place_nearest(entry, call, endpoints, now):
+    """Choose the nearest that was not tried."""
+    return min(endpoints, key=lambda e: (e.distance, entry.random.random()))
+
+
+@register_placement("least outstanding")
+def place_least_outstanding(entry, call, endpoints, now):
+    """Choose the one with the fewest own calls."""
+    return min(endpoints, key=lambda e: (len(e.starts_by_call), entry.random.random()))
+
+
+@register_placement("round robin")
+def place_in_turn(entry, call, endpoints, now):
+    """Choose one after the other."""
+    return endpoints[next(entry.turns) % len(endpoints)]
+
+
+class Entry:
+    """Entry of one data centre with what it has learned."""
+
+    def __init__(self, data_centre: str, random: Random):
+        self.random = random
+        self.turns = count()
+        self.endpoints = Endpoints(
+            node_id=f"entry-{data_centre}",
+            data_centre=data_centre,
+            region=data_centre[0],
+        )
+        for other in DATA_CENTRES:
+            record = UpstreamRecord(
+                other, SERVICE, other, other[0], "", other, UpstreamState.READY, SLOTS
+            )
+            self.endpoints.put_record(record)
+
+    def choose(self, call, endpoints, now, **options):
+        """Return the endpoint of least expected loss, None when it is too high."""
+        kind = call.kind
+        chosen = choose(
+            [self.endpoints.candidate(e, kind.name, now) for e in endpoints],
+            objective_s=max(call.first_at + kind.objective_s - now, 0.001),
+            left_s=max(call.first_at + kind.deadline_s - now, 0.001),
+            random=self.random,
+            **options,
+        )
+        return self.endpoints.get(chosen.node_id) if chosen else None
+
+
+class Simulation:
+    """One scenario with one placement and one queue."""
+
+    def __init__(self, scenario, placement, queue_type, *, seed, seconds):
+        self._scenario = scenario
+        self._place = placement
+        self._seconds = seconds
+        self._random = Random(seed)
+        self._now = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = count()
+        self._ids = count()
+        self._speeds = {d: self._random.uniform(0.8, 1.5) for d in DATA_CENTRES}
+        self._entries = {d: Entry(d, Random(seed + 1)) for d in DATA_CENTRES}
+        self._queues = {d: queue_type(slots=SLOTS) for d in DATA_CENTRES}
+        self.counts: Counter[str] = Counter()
+        self.figures: dict[str, float] = defaultdict(float)
+
+    def run(self) -> dict[str, float]:
+        """Play the scenario and return its figures."""
+        mean_work_s = sum(k.share * k.work_s for k in KINDS)
+        mean_work_s *= sum(self._speeds.values()) / len(self._speeds)
+        rate = self._scenario.load * SLOTS * len(DATA_CENTRES) / mean_work_s
+        at = 0.0
+        while (at := at + self._random.expovariate(rate)) < self._seconds:
+            kind = self._random.choices(KINDS, [k.share for k in KINDS])[0]
+            call = Call(kind, self._random.choice(DATA_CENTRES), at)
+            self._at(at, lambda call=call: self._arrive(call))
+        while self._events:
+            self._now, _, action = heappop(self._events)
+            action()
+        owed = self.figures["owed"]
+        return {
+            "worth": (self.figures["credit"] - self.figures["price"]) / owed,
+            "credit": self.figures["credit"] / owed,
+            "price": self.figures["price"] / owed,
+            **{name: n / self.counts["calls"] for name, n in self.counts.items()},
+        }
+
+    def _at(self, when: float, action: Callable[[], None]) -> None:
+        heappush(self._events, (when, next(self._order), action))
+
+    def _arrive(self, call: Call) -> None:
+        if not call.has_returned:
+            self.counts["calls"] += 1
+            self.figures["owed"] += call.kind.value
+        call.arrived_at = self._now
+        self._offer(call)
+
+    def _offer(self, call: Call) -> None:
+        entry = self._entries[call.data_centre]
+        endpoints = [
+            e
+            for e in entry.endpoints.of_service(SERVICE)
+            if e.node_id not in call.tried
+        ]
+        if not endpoints or call.offers >= MAX_OFFERS:
+            self._refuse(call)
+            return
+        endpoint = self._place(entry, call, endpoints, self._now)
+        if endpoint is None:
+            self._refuse(call)
+            return
+        call.tried.add(endpoint.node_id)
+        call.offers += 1
+        call_id = next(self._ids)
+        entry.endpoints.begin(endpoint.node_id, call_id, self._now)
+        self._pay(endpoint.distance, OFFER_KILOBYTES)
+        way_s = ROUND_TRIP_S[endpoint.distance] / 2
+        self._at(
+            self._now + way_s,
+            lambda: self._enter(call, endpoint.node_id, call_id, way_s),
+        )
+
+    def _enter(self, call: Call, node_id: str, call_id: int, way_s: float) -> None:
+        kind, queue = call.kind, self._queues[node_id]
+
+        def decide(verdict: Verdict, retry_after_s: float) -> None:
+            if verdict is Verdict.GRANTED:
+                self._start(call, node_id, call_id, way_s, request)
+            else:
+                call.retry_after_s = max(call.retry_after_s, retry_after_s)
+                result = CallResult(CallOutcome.NOT_RUN, load=self._load(node_id, kind))
+                self._answer(call, node_id, call_id, way_s, result)
+
+        request = SlotRequest(
+            kind.name,
+            kind.priority,
+            call.first_at + kind.objective_s,
+            call.first_at + kind.deadline_s,
+            decide,
+        )
+        queue.enter(request, self._now)
+
+    def _start(self, call, node_id, call_id, way_s, request) -> None:
+        started_at = self._now
+        work_s = call.kind.work_s * self._speeds[node_id] * self._slowness(node_id)
+        work_s *= max(self._random.gauss(1.0, 0.35), LEAST_WORK_SHARE)
+        left_s = max(request.deadline - self._now, 0.0)
+
+        def end() -> None:
+            served = work_s <= left_s
+            service_s = self._now - started_at
+            self._queues[node_id].leave(request, self._now, service_s=service_s)
+            result = CallResult(
+                CallOutcome.COMPLETE,
+                status=200 if served else 504,
+                load=self._load(node_id, call.kind),
+            )
+            self._answer(call, node_id, call_id, way_s, result)
+
+        self._at(self._now + min(work_s, left_s), end)
+
+    def _slowness(self, node_id: str) -> float:
+        is_time = self._seconds / 3 <= self._now < 2 * self._seconds / 3
+        slow = DATA_CENTRES[: self._scenario.slow_count]
+        return self._scenario.slow_factor if is_time and node_id in slow else 1.0
+
+    def _load(self, node_id: str, kind: Kind) -> GatewayLoad:
+        queue = self._queues[node_id]
+        return GatewayLoad(
+            queue.running_count,
+            queue.waiting_count,
+            SLOTS,
+            queue.expected_service_s(kind.name, self._now),
+        )
+
+    def _answer(self, call, node_id, call_id, way_s, result) -> None:
+        def arrive() -> None:
+            entry = self._entries[call.data_centre]
+            entry.endpoints.end(node_id, call_id, call.kind.name, result, self._now)
+            if result.outcome is CallOutcome.NOT_RUN:
+                self._offer(call)
+            else:
+                distance = entry.endpoints.get(node_id).distance
+                self._pay(distance, max(call.kind.kilobytes - OFFER_KILOBYTES, 0.0))
+                self._finish(call, is_served=result.status == 200)
+
+        self._at(self._now + way_s, arrive)
+
+    def _pay(self, distance: Distance, kilobytes: float) -> None:
+        self.figures["price"] += PRICE_BY_DISTANCE.get(distance, 0.0) * kilobytes
+
+    def _refuse(self, call: Call) -> None:
+        left_s = call.first_at + call.kind.deadline_s - self._now
+        if call.has_returned or call.retry_after_s > MAX_RETURN_SHARE * left_s:
+            self.counts["refused"] += 1
+            return
+        call.has_returned = True
+        call.tried, call.offers = set(), 0
+        self._at(self._now + call.retry_after_s, lambda: self._arrive(call))
+
+    def _finish(self, call: Call, *, is_served: bool) -> None:
+        kind, took_s = call.kind, self._now - call.first_at
+        if not is_served or took_s > kind.deadline_s:
+            self.counts["failed"] += 1
+        elif took_s > kind.objective_s:
+            self.counts["late"] += 1
+            self.figures["credit"] += LATE_VALUE_SHARE * kind.value
+        else:
+            self.counts["in time"] += 1
+            self.figures["credit"] += kind.value
+
+
+def configure(parser: ArgumentParser) -> None:
+    """Add the options of this benchmark."""
+    parser.add_argument("--seeds", type=int, default=5, help="plays of each policy")
+    parser.add_argument("--scenario", choices=[s.name for s in SCENARIOS])
+    parser.add_argument("--seconds", type=float, default=20.0, help="simulated time")
+
+
+@register_benchmark("decisions", configure=configure)
+def run(options: Namespace) -> dict:
+    """Placement and queueing against baselines, in simulated time."""
+    pairs = [(name, "slot queue") for name in placements_by_name]
+    pairs += [("expected loss", name) for name in QUEUES if name != "slot queue"]
+    rows = []
+    for scenario in SCENARIOS:
+        if options.scenario not in (None, scenario.name):
+            continue
+        for placement, queue in pairs:
+            plays = [
+                Simulation(
+                    scenario,
+                    placements_by_name[placement],
+                    QUEUES[queue],
+                    seed=seed,
+                    seconds=options.seconds,
+                ).run()
+                for seed in range(options.seed, options.seed + options.seeds)
+            ]
+            rows.append(
+                {
+                    "scenario": scenario.name,
+                    "placement": placement,
+                    "queue": queue,
+                    **_means(plays),
+                }
+            )
+    print(tabulate(rows, headers="keys", floatfmt=".3f"))
+    return {"rows": rows}
+
+
+def _means(plays: list[dict[str, float]]) -> dict[str, float]:
+    names = ("worth", "credit", "price", "in time", "late", "refused", "failed")
+    return {n: sum(p.get(n, 0.0) for p in plays) / len(plays) for n in names}
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -1,5 +1,6 @@
 """Entry role: finds route and gateway of a call, repeats it, and says how it ended."""
 
+import math
 from dataclasses import dataclass, replace
 from random import Random
 
@@ -33,7 +34,12 @@
     MeshRoute,
     UpstreamState,
 )
-from verbenawick.mesh._placement import Distance, choose, late_cost_of
+from verbenawick.mesh._placement import (
+    MOST_COST_OF_FURTHER_OFFER,
+    Distance,
+    choose,
+    late_cost_of,
+)
 from verbenawick.mesh._retry_budget import RetryBudget
 from verbenawick.mesh._route_index import RouteIndex, TargetRotation
 from verbenawick.runtime._clock import Clock
@@ -182,7 +188,14 @@
         retry_after_s = 0.0
         code = NoEndpointError.code
         while len(offers) < MAX_OFFERS:
-            endpoint = self._choose(forwarded, tried)
+            # A call that a gateway refused moves on only where that is worth it; one
+            # whose outcome is unknown has more to gain from a further run.
+            is_refused = bool(offers) and unknown is None
+            endpoint = self._choose(
+                forwarded,
+                tried,
+                most_cost=MOST_COST_OF_FURTHER_OFFER if is_refused else math.inf,
+            )
             if endpoint is None:
                 break
             result = self._offer(endpoint, forwarded)
@@ -240,7 +253,9 @@
             self._metrics.count(REPEATS)
         return True
 
-    def _choose(self, forwarded: ForwardedCall, tried: set[str]) -> Endpoint | None:
+    def _choose(
+        self, forwarded: ForwardedCall, tried: set[str], *, most_cost: float
+    ) -> Endpoint | None:
         now = self._clock.now()
         ready = [
             endpoint
@@ -261,6 +276,7 @@
             random=self._random,
             kilobytes=self._endpoints.kilobytes(forwarded.route),
             late_cost=late_cost_of(forwarded.objective_at - forwarded.sent_at),
+            most_cost=most_cost,
         )
         return self._endpoints.get(chosen.node_id) if chosen else None
 
--- a/src/verbenawick/mesh/_placement.py
+++ b/src/verbenawick/mesh/_placement.py
@@ -6,6 +6,7 @@
 farther away only when the objective is at stake.
 """
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import IntEnum
@@ -58,6 +59,10 @@
 # How the chance of a miss rises with the expected share of the objective. Service
 # times spread by about a third, so it is small up to two thirds of the objective.
 MISS_EXPONENT = 6
+# Above this a further offer is expected to lose the whole value of a call. Under an
+# overload of all gateways it only brings a late call to another full queue, over a paid
+# way, where it delays calls that are still in time.
+MOST_COST_OF_FURTHER_OFFER = 1.0
 # Draws among candidates of equal cost, so that entries do not all choose the same.
 JITTER_COST = 0.01
 
@@ -129,20 +134,21 @@
     random: Random,
     kilobytes: float = 1.0,
     late_cost: float = LATE_COST,
+    most_cost: float = math.inf,
 ) -> Candidate | None:
-    """Return the candidate of least cost, None without one."""
-    if not candidates:
+    """Return the candidate of least cost, None without one of `most_cost` or less."""
+    costs = [
+        cost_of(
+            candidate,
+            objective_s=objective_s,
+            left_s=left_s,
+            kilobytes=kilobytes,
+            late_cost=late_cost,
+        )
+        + JITTER_COST * random.random()
+        for candidate in candidates
+    ]
+    least = min(costs, default=math.inf)
+    if not candidates or least > most_cost:
         return None
-    return min(
-        candidates,
-        key=lambda candidate: (
-            cost_of(
-                candidate,
-                objective_s=objective_s,
-                left_s=left_s,
-                kilobytes=kilobytes,
-                late_cost=late_cost,
-            )
-            + JITTER_COST * random.random()
-        ),
-    )
+    return candidates[costs.index(least)]
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -17,6 +17,7 @@
     UpstreamState,
 )
 from verbenawick.mesh._placement import (
+    MOST_COST_OF_FURTHER_OFFER,
     Candidate,
     Distance,
     choose,
@@ -118,6 +119,18 @@
         ]
         self.assertEqual(sorted(costs), costs)
 
+    def test_further_offer_that_is_not_worth_its_way_is_not_made(self):
+        """A refused call would travel to another full queue and be late there."""
+        options = {"objective_s": 0.1, "left_s": 0.5, "random": Random(1)}
+        far = Candidate("far", Distance.REMOTE, 0.4)
+        self.assertEqual("far", choose([far], **options).node_id)
+        most = {"most_cost": MOST_COST_OF_FURTHER_OFFER}
+        self.assertIsNone(choose([far], **options, **most))
+        near = Candidate("near", Distance.DATA_CENTRE, 0.4)
+        self.assertEqual("near", choose([far, near], **options, **most).node_id)
+        free = Candidate("free", Distance.REMOTE, 0.02)
+        self.assertEqual("free", choose([free], **options, **most).node_id)
+
     def test_without_candidates_there_is_no_choice(self):
         """The caller is refused instead."""
         self.assertIsNone(choose([], objective_s=1, left_s=1, random=Random(1)))
