--- a/bench/plots.py
+++ b/bench/plots.py
@@ -102,6 +102,23 @@
     save(figure, "recovery-time")
 
 
+def draw_decisions(result: dict) -> None:
+    """Draw what callers get from each pair of placement and queue, by scenario."""
+    scenarios = list(dict.fromkeys(row["scenario"] for row in result["rows"]))
+    figure, axes = pyplot.subplots(len(scenarios), figsize=(7, 10), sharex=True)
+    for subplot, scenario in zip(axes, scenarios, strict=True):
+        rows = [row for row in result["rows"] if row["scenario"] == scenario]
+        names = [f"{row['placement']} / {row['queue']}" for row in rows]
+        subplot.barh(names, [row["credit"] for row in rows], label="credit")
+        subplot.barh(names, [row["worth"] for row in rows], label="less the way")
+        subplot.invert_yaxis()
+        subplot.set_title(scenario, fontsize="medium")
+        subplot.tick_params(labelsize="small")
+    axes[0].legend(fontsize="small", loc="lower left")
+    axes[-1].set_xlabel("share of the value owed")
+    save(figure, "decisions")
+
+
 def save(figure, name: str) -> None:
     """Write one plot without a date in it."""
     PLOTS.mkdir(parents=True, exist_ok=True)
@@ -116,6 +133,7 @@
     draw_membership(result)
     draw_store_calls(result)
     draw_recovery(newest("recovery", part="nodes"))
+    draw_decisions(newest("decisions", part="rows"))
     return 0
 
 
