Measure an overdue call by what its own route takes

Cause: the age of the oldest own call at a gateway was compared with the usual time of the route that was being placed. A write of 0.1 s in time thus made the gateway look slow for a lookup of 0.02 s, which left for another data centre or region over a paid way. Change: each own call remembers what its route usually takes there; only a call beyond three times that makes a gateway look slow, in proportion.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -313,7 +313,7 @@
         call.tried.add(endpoint.node_id)
         call.offers += 1
         call_id = next(self._ids)
-        entry.endpoints.begin(endpoint.node_id, call_id, self._now)
+        entry.endpoints.begin(endpoint.node_id, call_id, call.kind.name, self._now)
         self._pay(endpoint.distance, OFFER_KILOBYTES)
         way_s = ROUND_TRIP_S[endpoint.distance] / 2
         self._at(
--- a/src/verbenawick/mesh/_endpoints.py
+++ b/src/verbenawick/mesh/_endpoints.py
@@ -48,6 +48,14 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class CallStart:
+    """When an own call was sent to a gateway, and how long its route usually takes."""
+
+    at: float
+    usual_s: float
+
+
 @dataclass(slots=True)
 class Endpoint:
     """One gateway as this entry sees it."""
@@ -60,7 +68,7 @@
     distance: Distance = Distance.REMOTE
     load: GatewayLoad = field(default_factory=GatewayLoad)
     outstanding_at_load: int = 0
-    starts_by_call: dict[int, float] = field(default_factory=dict)
+    starts_by_call: dict[int, CallStart] = field(default_factory=dict)
     service_s_by_route: dict[str, float] = field(default_factory=dict)
     failing_share: float = 0.0
     failing_at: float = 0.0
@@ -136,11 +144,12 @@
         """Forget a gateway."""
         self._by_node_id.pop(node_id, None)
 
-    def begin(self, node_id: str, call: int, now: float) -> None:
+    def begin(self, node_id: str, call: int, route: str, now: float) -> None:
         """Note a call that is about to be sent."""
         endpoint = self._by_node_id.get(node_id)
         if endpoint is not None:
-            endpoint.starts_by_call[call] = now
+            usual_s = self._usual_s(endpoint, route)
+            endpoint.starts_by_call[call] = CallStart(now, usual_s)
 
     def end(
         self, node_id: str, call: int, route: str, result: CallResult | None, now: float
@@ -182,15 +191,15 @@
 
     def candidate(self, endpoint: Endpoint, route: str, now: float) -> Candidate:
         """Return what a call of `route` has to expect at a gateway."""
-        service_s = endpoint.service_s_by_route.get(route)
-        if service_s is None:
-            service_s = self._service_s_by_route.value(route)
-        if service_s is None:
-            service_s = SERVICE_PRIOR_S
+        service_s = self._usual_s(endpoint, route)
         if endpoint.starts_by_call:
-            oldest_s = now - next(iter(endpoint.starts_by_call.values()))
-            if oldest_s > OVERDUE_FACTOR * service_s:
-                service_s = oldest_s
+            oldest = next(iter(endpoint.starts_by_call.values()))
+            age_s = now - oldest.at
+            # Measured by what its own route takes: a long call says nothing about
+            # short ones.
+            if age_s > OVERDUE_FACTOR * oldest.usual_s:
+                slowed_s = min(service_s * age_s / oldest.usual_s, age_s)
+                service_s = max(service_s, slowed_s)
         slots = endpoint.load.slots or 1
         excess = endpoint.current_load() + 1 - slots
         wait_s = max(excess, 0) * service_s / slots if endpoint.load.slots else 0.0
@@ -201,6 +210,12 @@
             endpoint.failing_now(now),
         )
 
+    def _usual_s(self, endpoint: Endpoint, route: str) -> float:
+        service_s = endpoint.service_s_by_route.get(route)
+        if service_s is None:
+            service_s = self._service_s_by_route.value(route)
+        return SERVICE_PRIOR_S if service_s is None else service_s
+
     def _learn_load(self, endpoint: Endpoint, route: str, load: GatewayLoad) -> None:
         endpoint.load = load
         endpoint.outstanding_at_load = len(endpoint.starts_by_call)
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -290,7 +290,7 @@
         call_id = next_call_id()
         now = self._clock.now()
         forwarded = replace(forwarded, call_id=call_id, sent_at=now)
-        self._endpoints.begin(endpoint.node_id, call_id, now)
+        self._endpoints.begin(endpoint.node_id, call_id, forwarded.route, now)
         result = None
         try:
             result = self._send(endpoint, forwarded)
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -168,10 +168,11 @@
         failing=0.0,
         status=200,
         node_id="n2",
+        route="r",
     ):
         load = GatewayLoad(running, 0, 4, service_s, failing)
         result = CallResult(CallOutcome.COMPLETE, "", status, load=load)
-        self.endpoints.end(node_id, call, "r", result, now)
+        self.endpoints.end(node_id, call, route, result, now)
 
     def expected(self, now):
         endpoint = self.endpoints.get("n2")
@@ -179,20 +180,31 @@
 
     def test_queue_of_a_gateway_adds_to_the_expected_time(self):
         """Calls would pile up at a gateway that looks fast by its service time."""
-        self.endpoints.begin("n2", 1, 0.0)
+        self.endpoints.begin("n2", 1, "r", 0.0)
         self.end(1, now=0.1, running=8)
         self.assertGreater(self.expected(0.1).expected_s, 0.05)
 
     def test_own_overdue_call_makes_a_gateway_look_slow(self):
         """A frozen gateway answers nothing, so nothing else tells."""
-        self.endpoints.begin("n2", 1, 0.0)
+        self.endpoints.begin("n2", 1, "r", 0.0)
         self.end(1, now=0.05)
-        self.endpoints.begin("n2", 2, 1.0)
+        self.endpoints.begin("n2", 2, "r", 1.0)
         self.assertGreater(self.expected(2.0).expected_s, 0.9)
 
+    def test_long_call_in_time_does_not_make_short_ones_leave(self):
+        """Each write of 0.1 s sent the lookups of 0.02 s beside it over a paid way."""
+        for route, service_s in (("write", 0.1), ("lookup", 0.02)):
+            self.endpoints.begin("n2", 1, route, 0.0)
+            self.end(1, now=service_s, service_s=service_s, route=route)
+        self.endpoints.begin("n2", 2, "write", 1.0)
+        candidate = self.endpoints.candidate(self.endpoints.get("n2"), "lookup", 1.12)
+        self.assertLess(candidate.expected_s, 0.03)
+        late = self.endpoints.candidate(self.endpoints.get("n2"), "lookup", 1.5)
+        self.assertGreater(late.expected_s, 0.05)
+
     def test_failures_fade_so_that_an_upstream_is_tried_again(self):
         """One bad second must not exclude an upstream for good."""
-        self.endpoints.begin("n2", 1, 0.0)
+        self.endpoints.begin("n2", 1, "r", 0.0)
         self.end(1, now=0.1, failing=0.6, status=500)
         self.assertAlmostEqual(0.6, self.expected(0.1).failing_share)
         self.assertLess(self.expected(10.1).failing_share, 0.05)
@@ -200,9 +212,9 @@
     def test_successor_at_a_node_starts_with_a_clean_record(self):
         """What was learned about a slow upstream does not hold for the next one."""
         self.put("n3", "u9")
-        self.endpoints.begin("n3", 7, 0.0)
+        self.endpoints.begin("n3", 7, "r", 0.0)
         self.end(7, now=0.1, node_id="n3")
-        self.endpoints.begin("n2", 1, 0.0)
+        self.endpoints.begin("n2", 1, "r", 0.0)
         self.end(1, now=0.1, failing=0.9, service_s=2.0)
         self.assertEqual(2.0, self.expected(0.1).expected_s)
         self.put("n2", "u3")
