Log the silence of peers and stalls of the own process

The logs named the peer only: they could not tell a full link from a process without processor time.

PeerSilent and PeerResponding replace the PeerLost line of a silent peer, with the length of the silence, the pending calls and the bytes that the peer has not acknowledged. ProcessStalled tells that the process ran no other task, and how much processor time it used meanwhile.

--- a/src/verbenawick/links/_call_links.py
+++ b/src/verbenawick/links/_call_links.py
@@ -69,6 +69,27 @@
     answered: Event = field(default_factory=Event)
 
 
+@dataclass(frozen=True, slots=True)
+class PeerSilence:
+    """A peer that became silent, or that responds again.
+
+    Attributes
+    ----------
+    silence_s : float
+        How long the peer has been silent, or was silent, in seconds.
+    pending_requests : int
+        Requests that wait for an answer of the peer.
+    unsent_bytes : int
+        Bytes sent to the peer that it has not acknowledged.
+    """
+
+    peer: NodeIdentity
+    is_silent: bool
+    silence_s: float
+    pending_requests: int
+    unsent_bytes: int
+
+
 def _is_cancellable(message: Message) -> bool:
     # The owner of an idempotency key continues until the deadline: a recorded response
     # can answer a retry, while a cancelled execution has an unknown outcome.
@@ -195,8 +216,8 @@
 
     def check_silence(
         self, *, may_abandon: Callable[[Message], bool]
-    ) -> list[NodeIdentity]:
-        """Ping peers with pending requests; return those newly found to be silent.
+    ) -> list[PeerSilence]:
+        """Ping peers with pending requests; return those whose silence began or ended.
 
         The pending requests to a silent peer for which `may_abandon` is true fail with
         `AnswerLostError`. The others keep waiting: they must not be sent again, and the
@@ -204,12 +225,14 @@
         since a new link to the same node may work.
         """
         now = self._clock.now()
-        silent = []
+        changes = []
         for peer, pending_since in self._peers_to_check():
             link = peer.link
             # Silence on an idle link before the oldest pending request does not count.
             silence_s = now - max(link.last_received_at, pending_since)
             if silence_s < PROBE_AFTER_S:
+                if peer.silent_since:
+                    changes.append(self._peer_silence(peer, now, is_silent=False))
                 peer.silent_since = peer.probed_at = 0.0
                 continue
             with suppress(LinkClosedError, LinkOverflowError):
@@ -222,14 +245,24 @@
             if now - peer.probed_at < SILENCE_TIMEOUT_S - PROBE_AFTER_S:
                 continue
             if not peer.silent_since:
-                peer.silent_since = now
-                silent.append(link.peer)
+                peer.silent_since = peer.probed_at
+                changes.append(self._peer_silence(peer, now, is_silent=True))
             self._abandon_requests(link, may_abandon)
             if not any(
                 pending.link is link for pending in self._pending_by_call_id.values()
             ):
                 link.close("peer did not respond to pings")
-        return silent
+        return changes
+
+    def _peer_silence(self, peer: _Peer, now: float, *, is_silent: bool) -> PeerSilence:
+        link = peer.link
+        return PeerSilence(
+            link.peer,
+            is_silent,
+            now - peer.silent_since,
+            sum(p.link is link for p in self._pending_by_call_id.values()),
+            link.unsent_bytes,
+        )
 
     def _peers_to_check(self) -> list[tuple[_Peer, float]]:
         """Return peers that are silent or have pending requests, and since when."""
@@ -243,7 +276,7 @@
             elif peer.link in sent_at_by_link:
                 peers.append((peer, sent_at_by_link[peer.link]))
             elif peer.silent_since:
-                peers.append((peer, peer.silent_since - SILENCE_TIMEOUT_S))
+                peers.append((peer, peer.silent_since))
         return peers
 
     def _abandon_requests(
--- a/src/verbenawick/links/_links.py
+++ b/src/verbenawick/links/_links.py
@@ -38,7 +38,7 @@
 from verbenawick.runtime._clock import Clock, MonotonicClock
 from verbenawick.runtime._events import Event, emit, register_event
 from verbenawick.runtime._read_waiter import ReadWaiter
-from verbenawick.runtime._sockets import listen
+from verbenawick.runtime._sockets import listen, unacknowledged_bytes
 
 CONTROL_CHANNEL = "/control"
 CALL_CHANNEL = "/calls"
@@ -191,6 +191,13 @@
         self._protocol.send_binary(encode_message(message))
         self._flush()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that were posted and that the peer has not acknowledged yet."""
+        if not self.is_open:
+            return 0
+        return self._send_queue_bytes + unacknowledged_bytes(self._sock)
+
     @property
     def last_received_at(self) -> float:
         """Time on the monotonic clock at which data was last received."""
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Callable
 from random import Random, SystemRandom
+from time import process_time
 
 import eventlet
 
 from verbenawick.calls._entry_server import EntryServer
-from verbenawick.links._call_links import CallLinks
+from verbenawick.links._call_links import CallLinks, PeerSilence
 from verbenawick.links._component import NodeIdentity
 from verbenawick.links._links import CALL_CHANNEL, Link, LinkServer
 from verbenawick.links._messages import Message
@@ -30,7 +31,9 @@
     MeshNodeStarted,
     MeshNodeStopped,
     MeshNodeStopping,
-    PeerLost,
+    PeerResponding,
+    PeerSilent,
+    ProcessStalled,
     SettingsRejected,
     SettingsReloaded,
 )
@@ -50,6 +53,8 @@
 # Nodes on the same site accept in milliseconds; a VM that is powered off never does.
 DIAL_TIMEOUT_S = 0.5
 SILENCE_CHECK_INTERVAL_S = 0.15
+# A delay of this length at a node makes its peers ping it.
+STALL_LOGGED_S = 0.25
 # Links with pending requests are checked by `_detect_silent_peers`, so idle links need
 # only infrequent pings.
 IDLE_PING_INTERVAL_S = 15.0
@@ -384,9 +389,18 @@
 
     def _detect_silent_peers(self) -> None:
         while True:
-            eventlet.sleep(SILENCE_CHECK_INTERVAL_S)
-            for peer in self.links.check_silence(may_abandon=_may_abandon):
-                emit(PeerLost(peer.node_id, "peer did not respond to pings"))
+            self._sleep_and_log_stall(SILENCE_CHECK_INTERVAL_S)
+            for change in self.links.check_silence(may_abandon=_may_abandon):
+                _emit_silence(change)
+
+    def _sleep_and_log_stall(self, interval_s: float) -> None:
+        wake_at = self.clock.now() + interval_s
+        cpu_before_s = process_time()
+        eventlet.sleep(interval_s)
+        stalled_s = self.clock.now() - wake_at
+        if stalled_s >= STALL_LOGGED_S:
+            cpu_s = process_time() - cpu_before_s
+            emit(ProcessStalled(round(stalled_s, 3), round(cpu_s, 3)))
 
     def _on_link_open(self, link: Link) -> None:
         if not link.is_dialled:
@@ -465,5 +479,15 @@
         )
 
 
+def _emit_silence(change: PeerSilence) -> None:
+    node_id = change.peer.node_id
+    silence_s = round(change.silence_s, 3)
+    pending_calls = change.pending_requests
+    if change.is_silent:
+        emit(PeerSilent(node_id, silence_s, pending_calls, change.unsent_bytes))
+    else:
+        emit(PeerResponding(node_id, silence_s, pending_calls))
+
+
 def _may_abandon(message: Message) -> bool:
     return isinstance(message, ForwardedCall) and message.is_idempotent
--- a/src/verbenawick/mesh/_node_events.py
+++ b/src/verbenawick/mesh/_node_events.py
@@ -83,6 +83,44 @@
     reason: str
 
 
+@register_event(717, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class PeerSilent(Event):
+    """Another node has pending calls and answers no pings; it gets no new calls.
+
+    Many `unsent_bytes` point to a full or broken link; `ProcessStalled` at that node
+    points to its process.
+    """
+
+    peer: str
+    silence_s: float
+    pending_calls: int
+    unsent_bytes: int
+
+
+@register_event(718)
+@dataclass(frozen=True, slots=True)
+class PeerResponding(Event):
+    """A silent node responds again."""
+
+    peer: str
+    silence_s: float
+    pending_calls: int
+
+
+@register_event(719, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class ProcessStalled(Event):
+    """The process ran no other task for `stalled_s`.
+
+    A `cpu_s` of about `stalled_s` means that one task kept the processor; a low one
+    that the process was paused or got no processor time.
+    """
+
+    stalled_s: float
+    cpu_s: float
+
+
 @register_event(708, level="DEBUG")
 @dataclass(frozen=True, slots=True)
 class UpstreamProbeFailed(Event):
--- a/src/verbenawick/runtime/_sockets.py
+++ b/src/verbenawick/runtime/_sockets.py
@@ -1,4 +1,8 @@
-"""Listening sockets of a node."""
+"""Listening sockets of a node, and the state of connected ones."""
+
+import struct
+from fcntl import ioctl
+from termios import TIOCOUTQ
 
 import eventlet
 
@@ -35,3 +39,15 @@
             step="node.listen",
             peer=address,
         ) from error
+
+
+def unacknowledged_bytes(sock) -> int:
+    """Return the bytes in the send buffer that the peer has not acknowledged yet.
+
+    Raises
+    ------
+    OSError
+        The socket is closed.
+    """
+    buffer = ioctl(sock.fileno(), TIOCOUTQ, struct.pack("i", 0))
+    return struct.unpack("i", buffer)[0]
--- a/tests/test_call_links.py
+++ b/tests/test_call_links.py
@@ -252,7 +252,7 @@
         while not silent and self.clock.now() < end:
             eventlet.sleep(0.05)
             silent = self.check(may_abandon=False)
-        self.assertEqual(["server"], [peer.node_id for peer in silent])
+        self.assertEqual(["server"], [change.peer.node_id for change in silent])
         self.assertTrue(self.client.is_silent(self.peer.peer_address))
         eventlet.sleep(0)
         self.assertEqual([], results)
@@ -278,6 +278,32 @@
         self.request()
         self.assertFalse(self.client.is_silent(self.peer.peer_address))
 
+    def test_beginning_and_end_of_a_silence_are_reported_with_its_extent(self):
+        """Guards against a log that cannot tell a full link from a stalled process."""
+        link = self.open_link()
+        ping = link.ping
+        self.freeze(link)
+        thread = eventlet.spawn(self.request)
+        wait_until(lambda: self.running)
+        changes = []
+        with eventlet.Timeout(5):
+            while not changes:
+                eventlet.sleep(0.05)
+                changes += self.check(may_abandon=False)
+            link.ping = ping
+            while len(changes) < 2:
+                eventlet.sleep(0.05)
+                changes += self.check(may_abandon=False)
+        began, ended = changes
+        self.assertEqual((True, 1, 0), (began.is_silent, *self.extent(began)))
+        self.assertEqual((False, 1, 0), (ended.is_silent, *self.extent(ended)))
+        self.assertGreater(ended.silence_s, began.silence_s)
+        thread.kill()
+
+    @staticmethod
+    def extent(change):
+        return change.pending_requests, change.unsent_bytes
+
     def test_pause_of_this_process_is_not_taken_for_silence_of_the_peer(self):
         """Guards against failing the calls of all links when a suspended VM resumes."""
         link = self.open_link()
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -1,10 +1,16 @@
 """End-to-end tests of the mesh on the stand-in platform."""
 
+from time import monotonic
+
 import eventlet
+from loguru import logger
 from testtools import TestCase
 
 from tests.call_support import wait_until
 from tests.mesh_cluster import RECORD_KIND, MeshCluster, route, service
+from verbenawick.mesh._node import SILENCE_CHECK_INTERVAL_S, STALL_LOGGED_S
+from verbenawick.mesh._node_events import ProcessStalled
+from verbenawick.runtime._events import number_of
 
 
 class MeshClusterTest(TestCase):
@@ -122,6 +128,27 @@
         self.assertIn("verbenawick_mesh_calls_total 1.0", page)
         self.assertIn('verbenawick_call_seconds_count{outcome="complete"} 1.0', page)
 
+    def test_stall_of_the_process_is_logged(self):
+        """Guards against taking a node without processor time for a lost link."""
+        lines = []
+        sink = logger.add(lambda line: lines.append(line.record))
+        self.addCleanup(logger.remove, sink)
+        eventlet.sleep(2 * SILENCE_CHECK_INTERVAL_S)
+        end = monotonic() + 2 * STALL_LOGGED_S + SILENCE_CHECK_INTERVAL_S
+        while monotonic() < end:
+            pass
+        eventlet.sleep(2 * SILENCE_CHECK_INTERVAL_S)
+        stalls = [
+            line["extra"]
+            for line in lines
+            if line["extra"].get("event") == number_of(ProcessStalled)
+        ]
+        # All nodes of the cluster run in the process of this test.
+        self.assertGreaterEqual(len(stalls), len(self.cluster.nodes))
+        for stall in stalls:
+            self.assertGreaterEqual(stall["stalled_s"], STALL_LOGGED_S)
+            self.assertGreater(stall["cpu_s"], 0)
+
     def test_graceful_stop_completes_calls_in_flight(self):
         """Calls of callers and other nodes are in progress when the node is stopped."""
         self.b1.upstream.service_time_s = 0.3
