Keep calls in progress while their gateway's node is silent

Cause: CallLinks.check_silence failed all idempotent requests to a peer that answered no pings for 0.45 s, and the entry answered 502 whenever the retry budget, max_attempts or a free gateway was missing. Silence is only a guess: a full link or a process without processor time causes it as well. One call was ended 0.036 s after it was sent.

Silence no longer ends a request. An idempotent call is offered to another gateway in parallel if the retry rules allow it, and takes the first answer of an upstream (OfferRace); otherwise it waits until its answer, the end of the link or its deadline. The losing run is cancelled. The retry budget is charged only for a retry that is made, not for one that found no gateway.

The test of CallLinks that required the error is replaced: a silence must be reported to the requests that ask for it, must not end any, and an answer after it must reach its request.

--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -201,6 +201,21 @@
     """A request was sent to a peer, but no response arrived."""
 
 
+@register_error("link.peer-silent")
+class PeerSilentError(VerbenawickError):
+    """A peer does not respond to pings; the request to it is still pending.
+
+    Attributes
+    ----------
+    pending : PendingRequest
+        The request, which has to be resumed or abandoned.
+    """
+
+    def __init__(self, message: str, *, pending, step: str = "", peer: str = ""):
+        super().__init__(message, step=step, peer=peer)
+        self.pending = pending
+
+
 # Claims of idempotency keys
 
 
--- a/src/verbenawick/links/_call_links.py
+++ b/src/verbenawick/links/_call_links.py
@@ -13,6 +13,7 @@
     AnswerLostError,
     LinkClosedError,
     LinkOverflowError,
+    PeerSilentError,
     VerbenawickError,
 )
 from verbenawick.links._call_messages import CallCancel, CallRequest
@@ -62,10 +63,19 @@
 
 
 @dataclass(eq=False, slots=True)
-class _PendingRequest:
+class PendingRequest:
+    """A request that was sent and has no answer yet.
+
+    Attributes
+    ----------
+    reports_silence : bool
+        Whether the wait for the answer ends when the peer becomes silent.
+    """
+
     link: Link
     message: Message
     sent_at: float
+    reports_silence: bool
     answered: Event = field(default_factory=Event)
 
 
@@ -140,7 +150,7 @@
         self._notice_handlers_by_type: dict[type[Message], NoticeHandler] = {}
         self._peers_by_address: dict[str, _Peer] = {}
         self._links: set[Link] = set()
-        self._pending_by_call_id: dict[int, _PendingRequest] = {}
+        self._pending_by_call_id: dict[int, PendingRequest] = {}
         self._running: dict[tuple[Link, int], tuple[GreenThread, Message]] = {}
 
     def register_handler(
@@ -214,15 +224,13 @@
         with suppress(LinkClosedError, LinkOverflowError):
             link.post(message)
 
-    def check_silence(
-        self, *, may_abandon: Callable[[Message], bool]
-    ) -> list[PeerSilence]:
+    def check_silence(self) -> list[PeerSilence]:
         """Ping peers with pending requests; return those whose silence began or ended.
 
-        The pending requests to a silent peer for which `may_abandon` is true fail with
-        `AnswerLostError`. The others keep waiting: they must not be sent again, and the
-        peer may recover. The link is closed as soon as no request is pending on it,
-        since a new link to the same node may work.
+        Silence does not end a request, since a slow process or a full link causes it
+        too. `PeerSilentError` tells the senders that asked for it. The link is closed
+        as soon as no request is pending on it, since a new link to the same node may
+        work.
         """
         now = self._clock.now()
         changes = []
@@ -247,7 +255,7 @@
             if not peer.silent_since:
                 peer.silent_since = peer.probed_at
                 changes.append(self._peer_silence(peer, now, is_silent=True))
-            self._abandon_requests(link, may_abandon)
+            self._report_silence(link)
             if not any(
                 pending.link is link for pending in self._pending_by_call_id.values()
             ):
@@ -279,59 +287,89 @@
                 peers.append((peer, peer.silent_since))
         return peers
 
-    def _abandon_requests(
-        self, link: Link, may_abandon: Callable[[Message], bool]
-    ) -> None:
-        for pending in list(self._pending_by_call_id.values()):
-            if pending.link is not link or pending.answered.ready():
+    def _report_silence(self, link: Link) -> None:
+        for pending in self._pending_by_call_id.values():
+            if pending.link is not link or not pending.reports_silence:
                 continue
-            if may_abandon(pending.message):
-                self._send_cancel(link, pending.message)
-                pending.answered.send_exception(
-                    AnswerLostError(
-                        "peer did not respond to pings",
-                        step="calls.request",
-                        peer=link.peer.node_id,
-                    )
+            if pending.answered.ready():
+                continue
+            # An answer from now on is for `resume`.
+            waiter, pending.answered = pending.answered, Event()
+            pending.reports_silence = False
+            waiter.send_exception(
+                PeerSilentError(
+                    "peer did not respond to pings",
+                    pending=pending,
+                    step="calls.request",
+                    peer=link.peer.node_id,
                 )
+            )
 
     @property
     def running_count(self) -> int:
         """Number of requests from other nodes that this node is running."""
         return len(self._running)
 
-    def request(self, member: Member, message: Message, *, deadline: float) -> Message:
-        """Send `message` to `member` and return its answer; see `RequestPort`."""
+    def request(
+        self,
+        member: Member,
+        message: Message,
+        *,
+        deadline: float,
+        reports_silence: bool = False,
+    ) -> Message:
+        """Send `message` to `member` and return its answer; see `RequestPort`.
+
+        Parameters
+        ----------
+        reports_silence : bool
+            Whether to raise `PeerSilentError` when `check_silence` finds the peer to be
+            silent. The request is then still pending.
+        """
         link = self._link_to(member, deadline)
-        call_id = message.call_id
-        pending = self._pending_by_call_id[call_id] = _PendingRequest(
-            link, message, self._clock.now()
-        )
+        pending = PendingRequest(link, message, self._clock.now(), reports_silence)
+        self._pending_by_call_id[message.call_id] = pending
+        try:
+            link.post(message)
+        except LinkOverflowError as error:
+            self._pending_by_call_id.pop(message.call_id, None)
+            raise LinkClosedError(
+                error.message, step="calls.request", peer=member.node_id
+            ) from error
+        except BaseException:
+            self._pending_by_call_id.pop(message.call_id, None)
+            raise
+        return self.resume(pending, deadline=deadline)
+
+    def resume(self, pending: PendingRequest, *, deadline: float) -> Message:
+        """Wait for the answer to a pending request and return it; see `request`."""
+        call_id = pending.message.call_id
         try:
-            try:
-                link.post(message)
-            except LinkOverflowError as error:
-                raise LinkClosedError(
-                    error.message, step="calls.request", peer=member.node_id
-                ) from error
             timeout_s = max(deadline - self._clock.now(), 0.0)
             answer = pending.answered.wait(timeout=timeout_s)
+        except PeerSilentError:
+            raise
         except VerbenawickError:
+            self._pending_by_call_id.pop(call_id, None)
             raise
         except BaseException:
-            self._send_cancel(link, message)
+            self.abandon(pending)
             raise
-        finally:
-            self._pending_by_call_id.pop(call_id, None)
         if answer is None:
-            self._send_cancel(link, message)
+            self.abandon(pending)
             raise AnswerLostError(
                 "deadline passed before the answer arrived",
                 step="calls.request",
-                peer=member.node_id,
+                peer=pending.link.peer.node_id,
             )
+        self._pending_by_call_id.pop(call_id, None)
         return answer
 
+    def abandon(self, pending: PendingRequest) -> None:
+        """Cancel a request if it is still pending."""
+        if self._pending_by_call_id.pop(pending.message.call_id, None) is not None:
+            self._send_cancel(pending.link, pending.message)
+
     def close(self) -> None:
         """Close all links, dialled or accepted."""
         for link in list(self._links):
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -5,10 +5,16 @@
 upstream, even if the upstream refused it. `MAX_OFFERS` limits the offers of a call, and
 `max_attempts` of its route limits the arrivals. The retry budget is charged for each
 arrival that is followed by another offer.
+
+While the gateway of an offer is silent, an idempotent call is offered to another one as
+well, if the budget allows it. The offer to the silent gateway stays in progress: its
+upstream may be at work, and only the deadline of the call ends the wait for it.
 """
 
 import math
-from dataclasses import dataclass, replace
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from functools import partial
 from random import Random
 
 import eventlet
@@ -22,11 +28,12 @@
     NoRouteError,
     NotReadyError,
     PeerLostError,
+    PeerSilentError,
     PeerUnreachableError,
     QuarantinedError,
     WrongServiceError,
 )
-from verbenawick.links._call_links import CallLinks
+from verbenawick.links._call_links import CallLinks, PendingRequest
 from verbenawick.links._call_messages import next_call_id
 from verbenawick.mesh._crash_guard import CrashGuard
 from verbenawick.mesh._endpoints import Endpoint, Endpoints
@@ -41,6 +48,7 @@
     MeshRoute,
     UpstreamState,
 )
+from verbenawick.mesh._offer_race import OfferEvent, OfferRace
 from verbenawick.mesh._placement import (
     MAX_FURTHER_OFFER_COST,
     Distance,
@@ -107,6 +115,52 @@
     retry_after_s: float
 
 
+@dataclass(slots=True)
+class _Progress:
+    """What the offers of a call have led to so far.
+
+    Attributes
+    ----------
+    offers : list of str
+        Gateways and outcomes, for the log.
+    tried : set of str
+        Gateways to which the call was offered.
+    is_retry : bool
+        Whether the next offer is a retry, which is charged to the retry budget.
+    unknown : CallResult or None
+        Last result of an offer whose request may have run.
+    refusal_code : str
+        Code of the last offer whose request did not run.
+    """
+
+    offers: list[str] = field(default_factory=list)
+    tried: set[str] = field(default_factory=set)
+    arrivals: int = 0
+    is_retry: bool = False
+    unknown: CallResult | None = None
+    refusal_code: str = NoEndpointError.code
+    retry_after_s: float = 0.0
+
+    def add(self, event: OfferEvent) -> None:
+        """Add the result or the silence of an offer."""
+        result = event.result
+        if result is None:
+            self.offers.append(f"{event.node_id}:{PeerSilentError.code}")
+        else:
+            self.offers.append(f"{event.node_id}:{result.code or result.status}")
+        # An offer to a silent gateway has been counted when the silence began.
+        if not event.was_silent and (result is None or result.has_arrived):
+            self.arrivals += 1
+            self.is_retry = True
+        if result is None:
+            return
+        if result.outcome is CallOutcome.NOT_RUN:
+            self.retry_after_s = max(self.retry_after_s, result.retry_after_s)
+            self.refusal_code = result.code
+        else:
+            self.unknown = result
+
+
 class MeshEntry:
     """Handles the calls from callers on this VM.
 
@@ -201,52 +255,73 @@
     def _dispatch(
         self, call: IncomingCall, route: MeshRoute, forwarded: ForwardedCall
     ) -> CallResult:
-        offers: list[str] = []
-        tried: set[str] = set()
-        arrivals = 0
-        unknown: CallResult | None = None
-        retry_after_s = 0.0
-        code = NoEndpointError.code
-        while len(offers) < MAX_OFFERS:
-            # After a refusal, another gateway is tried only if its expected cost is low
-            # enough. A call with an unknown outcome has no such bound, because it gains
-            # more from another run.
-            is_refused = bool(offers) and unknown is None
-            endpoint = self._choose(
+        race = OfferRace()
+        try:
+            return self._dispatch_in(race, call, route, forwarded)
+        finally:
+            race.cancel()
+
+    def _dispatch_in(self, race, call, route, forwarded) -> CallResult:
+        progress = _Progress()
+        is_offering = False
+        while True:
+            if not is_offering:
+                endpoint = self._next_endpoint(route, forwarded, progress, race)
+                if endpoint is not None:
+                    progress.tried.add(endpoint.node_id)
+                    race.start(partial(self._offer, endpoint, forwarded, race))
+                    is_offering = True
+                elif not race.has_silent:
+                    break
+            event = race.next_event()
+            if not event.was_silent:
+                is_offering = False
+            progress.add(event)
+            result = event.result
+            if result is None or result.outcome is not CallOutcome.COMPLETE:
+                continue
+            if not self._should_retry_response(result, route, forwarded, progress):
+                return self._completed(call, route, forwarded, result, progress.offers)
+        unknown = progress.unknown
+        if unknown is None:
+            return self._refusal(
+                call,
+                route,
+                forwarded.service,
+                progress.refusal_code,
+                progress.offers,
+                progress.retry_after_s,
                 forwarded,
-                tried,
-                max_cost=MAX_FURTHER_OFFER_COST if is_refused else math.inf,
             )
-            if endpoint is None:
-                break
-            result = self._offer(endpoint, forwarded)
-            tried.add(endpoint.node_id)
-            offers.append(f"{endpoint.node_id}:{result.code or result.status}")
-            arrivals += result.has_arrived
-            if result.outcome is CallOutcome.COMPLETE:
-                if not self._should_retry_response(
-                    result, route, forwarded, arrivals, tried
-                ):
-                    return self._completed(call, route, forwarded, result, offers)
-                unknown = result
-            elif result.outcome is CallOutcome.UNKNOWN:
-                unknown = result
-                if not route.is_idempotent:
-                    break
-            else:
-                retry_after_s = max(retry_after_s, result.retry_after_s)
-                code = result.code
-            if result.has_arrived and not self._may_retry(route, forwarded, arrivals):
-                break
-        if unknown is not None:
-            if unknown.outcome is CallOutcome.COMPLETE:
-                return self._completed(call, route, forwarded, unknown, offers)
-            return self._unknown(call, route, forwarded, unknown, offers)
-        return self._refusal(
-            call, route, forwarded.service, code, offers, retry_after_s, forwarded
+        if unknown.outcome is CallOutcome.COMPLETE:
+            return self._completed(call, route, forwarded, unknown, progress.offers)
+        return self._unknown(call, route, forwarded, unknown, progress.offers)
+
+    def _next_endpoint(self, route, forwarded, progress, race) -> Endpoint | None:
+        """Return the gateway for the next offer, None if there is to be none."""
+        if len(progress.tried) >= MAX_OFFERS:
+            return None
+        if progress.unknown is not None and not route.is_idempotent:
+            return None
+        arrivals = progress.arrivals
+        if progress.is_retry and not self._may_retry(route, forwarded, arrivals):
+            return None
+        # After a refusal, another gateway is tried only if its expected cost is low
+        # enough, and so it is while an offer is still in progress. A call with an
+        # unknown outcome has no such bound, because it gains more from another run.
+        is_refused = bool(progress.tried) and progress.unknown is None
+        endpoint = self._choose(
+            forwarded,
+            progress.tried,
+            max_cost=MAX_FURTHER_OFFER_COST if is_refused else math.inf,
         )
+        if endpoint is not None and progress.is_retry:
+            self._budget.count_retry(forwarded.service, self._clock.now())
+            self._metrics.count(RETRIES)
+            progress.is_retry = False
+        return endpoint
 
-    def _should_retry_response(self, result, route, forwarded, arrivals, tried) -> bool:
+    def _should_retry_response(self, result, route, forwarded, progress) -> bool:
         """Return whether to retry a call that the upstream answered with a 5xx status.
 
         If the other upstreams fail about as often, the cause is a shared dependency: a
@@ -258,23 +333,19 @@
         rates = [
             endpoint.current_failure_rate(now)
             for endpoint in self._endpoints.of_service(forwarded.service)
-            if endpoint.node_id not in tried and endpoint.state is UpstreamState.READY
+            if endpoint.node_id not in progress.tried
+            and endpoint.state is UpstreamState.READY
         ]
         own_rate = result.load.failure_rate
         if not rates or min(rates) > HEALTHY_FAILURE_RATIO * own_rate:
             return False
-        return self._may_retry(route, forwarded, arrivals, peek=True)
+        return self._may_retry(route, forwarded, progress.arrivals)
 
-    def _may_retry(self, route, forwarded, arrivals, *, peek=False) -> bool:
+    def _may_retry(self, route, forwarded, arrivals: int) -> bool:
         now = self._clock.now()
         if arrivals >= route.max_attempts or now >= forwarded.deadline:
             return False
-        if not self._budget.allows(forwarded.service, now):
-            return False
-        if not peek:
-            self._budget.count_retry(forwarded.service, now)
-            self._metrics.count(RETRIES)
-        return True
+        return self._budget.allows(forwarded.service, now)
 
     def _choose(
         self, forwarded: ForwardedCall, tried: set[str], *, max_cost: float
@@ -309,7 +380,9 @@
         address = endpoint.peer_address
         return self._links.is_connected(address) and not self._links.is_silent(address)
 
-    def _offer(self, endpoint: Endpoint, forwarded: ForwardedCall) -> CallResult:
+    def _offer(
+        self, endpoint: Endpoint, forwarded: ForwardedCall, race: OfferRace
+    ) -> OfferEvent:
         call_id = next_call_id()
         now = self._clock.now()
         forwarded = replace(forwarded, call_id=call_id, sent_at=now)
@@ -317,23 +390,66 @@
         result = None
         try:
             result = self._send(endpoint, forwarded)
-        finally:
-            self._endpoints.record_result(
-                endpoint.node_id, call_id, forwarded.route, result, self._clock.now()
+        except PeerSilentError as error:
+            race.continue_silent(
+                partial(self._resume, endpoint, forwarded, error.pending),
+                abandon=partial(self._abandon, endpoint, forwarded, error.pending),
             )
-        if result.code in AVOID_ENDPOINT_CODES:
+            return OfferEvent(endpoint.node_id, None)
+        except BaseException:
+            self._record_result(endpoint, forwarded, None)
+            raise
+        self._record_result(endpoint, forwarded, result)
+        return OfferEvent(endpoint.node_id, result)
+
+    def _resume(
+        self, endpoint: Endpoint, forwarded: ForwardedCall, pending: PendingRequest
+    ) -> OfferEvent:
+        """Wait for the result of an offer whose gateway has become silent."""
+        wait = partial(self._links.resume, pending, deadline=forwarded.deadline)
+        result = self._receive(endpoint, forwarded, wait)
+        self._record_result(endpoint, forwarded, result)
+        return OfferEvent(endpoint.node_id, result, was_silent=True)
+
+    def _abandon(
+        self, endpoint: Endpoint, forwarded: ForwardedCall, pending: PendingRequest
+    ) -> None:
+        self._links.abandon(pending)
+        self._record_result(endpoint, forwarded, None)
+
+    def _record_result(
+        self, endpoint: Endpoint, forwarded: ForwardedCall, result: CallResult | None
+    ) -> None:
+        now = self._clock.now()
+        self._endpoints.record_result(
+            endpoint.node_id, forwarded.call_id, forwarded.route, result, now
+        )
+        if result is not None and result.code in AVOID_ENDPOINT_CODES:
             # The gateway's own notice tells when it accepts calls again. Until one
             # arrives, avoid the gateway for a short time.
-            self._endpoints.avoid(endpoint.node_id, self._clock.now())
-        return result
+            self._endpoints.avoid(endpoint.node_id, now)
 
     def _send(self, endpoint: Endpoint, forwarded: ForwardedCall) -> CallResult:
         if endpoint.distance is Distance.OWN_NODE:
             return self._send_locally(forwarded)
+        request = partial(
+            self._links.request,
+            endpoint.member,
+            forwarded,
+            deadline=forwarded.deadline,
+            # Another call must not run in parallel with a non-idempotent one.
+            reports_silence=forwarded.is_idempotent,
+        )
+        return self._receive(endpoint, forwarded, request)
+
+    def _receive(
+        self,
+        endpoint: Endpoint,
+        forwarded: ForwardedCall,
+        request: Callable[[], ForwardedAnswer],
+    ) -> CallResult:
         try:
-            answer = self._links.request(
-                endpoint.member, forwarded, deadline=forwarded.deadline
-            )
+            answer = request()
         except LinkClosedError:
             return CallResult(CallOutcome.NOT_RUN, PeerUnreachableError.code)
         except AnswerLostError:
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -10,7 +10,6 @@
 from verbenawick.links._call_links import CallLinks, PeerSilence
 from verbenawick.links._component import NodeIdentity
 from verbenawick.links._links import CALL_CHANNEL, Link, LinkServer
-from verbenawick.links._messages import Message
 from verbenawick.mesh._beacons import Beacons
 from verbenawick.mesh._configuration_relay import RelayState
 from verbenawick.mesh._crash_guard import CrashGuard
@@ -390,7 +389,7 @@
     def _detect_silent_peers(self) -> None:
         while True:
             self._sleep_and_log_stall(SILENCE_CHECK_INTERVAL_S)
-            for change in self.links.check_silence(may_abandon=_may_abandon):
+            for change in self.links.check_silence():
                 _emit_silence(change)
 
     def _sleep_and_log_stall(self, interval_s: float) -> None:
@@ -487,7 +486,3 @@
         emit(PeerSilent(node_id, silence_s, pending_calls, change.unsent_bytes))
     else:
         emit(PeerResponding(node_id, silence_s, pending_calls))
-
-
-def _may_abandon(message: Message) -> bool:
-    return isinstance(message, ForwardedCall) and message.is_idempotent
--- a/tests/test_call_links.py
+++ b/tests/test_call_links.py
@@ -6,7 +6,7 @@
 from testtools import TestCase
 
 from tests.call_support import free_port, member, wait_until
-from verbenawick.errors import AnswerLostError, LinkClosedError
+from verbenawick.errors import AnswerLostError, LinkClosedError, PeerSilentError
 from verbenawick.links._call_links import ANSWERS_DROPPED, SILENCE_TIMEOUT_S, CallLinks
 from verbenawick.links._call_messages import CallCancel, CallRequest, next_call_id
 from verbenawick.links._component import NodeIdentity
@@ -94,10 +94,10 @@
         finally:
             self.ended.append(message)
 
-    def request(self, message=None, timeout_s=5.0):
+    def request(self, message=None, timeout_s=5.0, **options):
         message = message or Question(next_call_id())
         deadline = self.clock.now() + timeout_s
-        return self.client.request(self.peer, message, deadline=deadline)
+        return self.client.request(self.peer, message, deadline=deadline, **options)
 
 
 class CallLinksTest(CallLinksTestCase):
@@ -209,8 +209,8 @@
 class SilenceTest(CallLinksTestCase):
     """Detection of silent peers, as opposed to idle or busy ones."""
 
-    def check(self, may_abandon=True):
-        return self.client.check_silence(may_abandon=lambda message: may_abandon)
+    def check(self):
+        return self.client.check_silence()
 
     def open_link(self):
         self.answer_with(lambda peer, message, at: Reply(message.call_id))
@@ -219,7 +219,9 @@
 
     def freeze(self, link):
         """Make the peer answer neither requests nor pings."""
-        self.answer_with(self.hang)
+        self.server.register_handler(
+            Question, self.hang, is_cancellable=lambda message: True
+        )
         link.ping = lambda: None
 
     def test_idle_link_is_not_silent_at_its_next_request(self):
@@ -233,32 +235,76 @@
         self.assertFalse(self.client.is_silent(self.peer.peer_address))
         thread.kill()
 
-    def test_silent_peer_fails_only_requests_that_may_be_retried(self):
-        """A request that must not run twice keeps waiting for its answer."""
+    def wait_until_silent(self):
+        silent = []
+        end = self.clock.now() + SILENCE_TIMEOUT_S + 0.3
+        while not silent and self.clock.now() < end:
+            eventlet.sleep(0.05)
+            silent = self.check()
+        self.assertEqual(["server"], [change.peer.node_id for change in silent])
+        self.assertTrue(self.client.is_silent(self.peer.peer_address))
+        eventlet.sleep(0)
+
+    def send_and_wait_until_silent(self, *, reports_silence):
+        """Return the list to which a green thread adds its answer or error."""
         link = self.open_link()
         self.freeze(link)
-        results = []
+        outcomes = []
 
         def send():
             try:
-                results.append(self.request())
-            except AnswerLostError as error:
-                results.append(error)
+                outcomes.append(self.request(reports_silence=reports_silence))
+            except (AnswerLostError, PeerSilentError) as error:
+                outcomes.append(error)
 
         thread = eventlet.spawn(send)
+        self.addCleanup(thread.kill)
         wait_until(lambda: self.running)
-        silent = []
-        end = self.clock.now() + SILENCE_TIMEOUT_S + 0.3
-        while not silent and self.clock.now() < end:
-            eventlet.sleep(0.05)
-            silent = self.check(may_abandon=False)
-        self.assertEqual(["server"], [change.peer.node_id for change in silent])
-        self.assertTrue(self.client.is_silent(self.peer.peer_address))
-        eventlet.sleep(0)
-        self.assertEqual([], results)
+        self.wait_until_silent()
+        return link, outcomes
+
+    def test_silence_does_not_end_a_request(self):
+        """Guards against an error in place of an answer that is only slow."""
+        link, outcomes = self.send_and_wait_until_silent(reports_silence=False)
         self.check()
-        thread.wait()
-        self.assertIsInstance(results[0], AnswerLostError)
+        eventlet.sleep(0)
+        self.assertEqual([], outcomes)
+        answer = Reply(self.running[0].call_id, "late")
+        self.client.on_message(link, answer)
+        wait_until(lambda: outcomes)
+        self.assertEqual([answer], outcomes)
+        self.assertEqual([], self.ended)
+
+    def test_answer_after_a_reported_silence_reaches_the_resumed_request(self):
+        """Guards against dropping an answer that arrives between report and resume."""
+        link, outcomes = self.send_and_wait_until_silent(reports_silence=True)
+        (error,) = outcomes
+        self.assertIsInstance(error, PeerSilentError)
+        answer = Reply(self.running[0].call_id, "late")
+        self.client.on_message(link, answer)
+        deadline = self.clock.now() + 1
+        self.assertEqual(answer, self.client.resume(error.pending, deadline=deadline))
+        self.assertEqual([], self.ended)
+
+    def test_silence_is_reported_once(self):
+        """Guards against a second report that ends the wait of a resumed request."""
+        _, outcomes = self.send_and_wait_until_silent(reports_silence=True)
+        pending = outcomes[0].pending
+        deadline = self.clock.now() + 0.3
+        thread = eventlet.spawn(self.client.resume, pending, deadline=deadline)
+        eventlet.sleep(0.05)
+        self.assertEqual([], self.check())
+        self.assertRaises(AnswerLostError, thread.wait)
+        self.assertGreaterEqual(self.clock.now(), deadline)
+
+    def test_abandoned_request_is_cancelled_at_the_peer(self):
+        """Guards against runs that continue after another answer was taken."""
+        link, outcomes = self.send_and_wait_until_silent(reports_silence=True)
+        pending = outcomes[0].pending
+        self.client.abandon(pending)
+        self.client.abandon(pending)
+        wait_until(lambda: self.ended)
+        self.assertEqual({}, self.client._pending_by_call_id)
 
     def test_silent_link_is_replaced_once_no_request_is_pending(self):
         """A link can become silent permanently while new links to the node work."""
@@ -268,11 +314,11 @@
         wait_until(lambda: self.running)
         while not self.client.is_silent(self.peer.peer_address):
             eventlet.sleep(0.05)
-            self.check(may_abandon=False)
-        self.check(may_abandon=False)
+            self.check()
+        self.check()
         self.assertTrue(link.is_open)
         self.assertRaises(AnswerLostError, thread.wait)
-        self.check(may_abandon=False)
+        self.check()
         self.assertFalse(link.is_open)
         self.answer_with(lambda peer, message, at: Reply(message.call_id))
         self.request()
@@ -289,11 +335,11 @@
         with eventlet.Timeout(5):
             while not changes:
                 eventlet.sleep(0.05)
-                changes += self.check(may_abandon=False)
+                changes += self.check()
             link.ping = ping
             while len(changes) < 2:
                 eventlet.sleep(0.05)
-                changes += self.check(may_abandon=False)
+                changes += self.check()
         began, ended = changes
         self.assertEqual((True, 1, 0), (began.is_silent, *self.extent(began)))
         self.assertEqual((False, 1, 0), (ended.is_silent, *self.extent(ended)))
--- a/tests/test_mesh_silent_peer.py
+++ b/tests/test_mesh_silent_peer.py
@@ -73,3 +73,91 @@
         self.wait_silent()
         thread.wait()
         self.assertEqual([200], [status for status, _ in results])
+
+    def test_answer_of_another_upstream_is_taken_and_the_run_cancelled(self):
+        """Guards against waiting for a frozen gateway while others are idle."""
+        self.allow_retries(1)
+        thread, results = self.start_call()
+        other = self.add_idle_gateway()
+        thread.wait()
+        self.assertEqual([200], [status for status, _ in results])
+        self.assertEqual(1, other.upstream.completed_runs["q"])
+        gateway = self.silent.server.node.gateway
+        wait_until(lambda: not gateway.in_flight, 0.5)
+        entry = self.entry.server.node
+        self.assertEqual({}, entry.links._pending_by_call_id)
+        starts = [e.starts_by_call for e in entry.endpoints.all()]
+        self.assertEqual([{}] * 3, starts)
+
+    def test_silent_gateway_answers_first_while_another_offer_runs(self):
+        """Guards against ignoring the first answer because a retry is in progress."""
+        self.allow_retries(1)
+        thread, results = self.start_call()
+        other = self.add_idle_gateway()
+        other.upstream.service_time_s = 1.3
+        thread.wait()
+        self.assertEqual([200], [status for status, _ in results])
+        self.assertEqual(1, self.silent.upstream.completed_runs["q"])
+        self.assertEqual(1, other.upstream.runs_by_request["q"])
+        wait_until(lambda: not other.server.node.gateway.in_flight, 0.5)
+
+    def test_refused_retry_leaves_the_silent_offer_in_progress(self):
+        """Guards against a refusal of a call that is running elsewhere."""
+        self.allow_retries(1)
+        thread, results = self.start_call()
+        other = self.add_idle_gateway()
+        other.upstream.sheds = True
+        thread.wait()
+        self.assertEqual([200], [status for status, _ in results])
+        self.assertEqual(1, self.silent.upstream.completed_runs["q"])
+
+    def test_non_idempotent_call_runs_once_at_a_silent_gateway(self):
+        """Guards against a booking that runs twice because its gateway is silent."""
+        self.cluster.configure(
+            route("r-a", "/archive/", service="archive", kind="unsafe"),
+            service("archive"),
+        )
+        node = self.entry.server.node
+        wait_until(lambda: node.entry.configuration.version == 2, 2)
+        self.allow_retries(1)
+        other = self.add_idle_gateway()
+        other.upstream.sheds = True
+        thread, results = self.start_call(method="POST")
+        other.upstream.sheds = False
+        thread.wait()
+        self.assertEqual([200], [status for status, _ in results])
+        self.assertEqual(1, self.silent.upstream.completed_runs["q"])
+        self.assertEqual(0, other.upstream.runs_by_request["q"])
+
+    def test_caller_that_disconnects_ends_all_offers(self):
+        """Guards against runs and statistics that outlive their caller."""
+        self.allow_retries(1)
+        thread, _ = self.start_call()
+        other = self.add_idle_gateway()
+        other.upstream.service_time_s = SERVICE_TIME_S
+        wait_until(lambda: other.upstream.runs_by_request["q"])
+        thread.kill()
+        gateways = [n.server.node.gateway for n in (self.silent, other)]
+        wait_until(lambda: not any(g.in_flight for g in gateways), 0.5)
+        entry = self.entry.server.node
+        self.assertEqual({}, entry.links._pending_by_call_id)
+        starts = [e.starts_by_call for e in entry.endpoints.all()]
+        self.assertEqual([{}] * 3, starts)
+
+    def test_call_at_a_lost_silent_gateway_ends_with_its_link(self):
+        """Guards against holding a caller whose gateway is known to have ended."""
+        self.allow_retries(0)
+        thread, results = self.start_call()
+        self.wait_silent()
+        self.silent.server.kill()
+        with eventlet.Timeout(0.5):
+            thread.wait()
+        self.assertEqual([502], [status for status, _ in results])
+
+    def test_call_at_a_gateway_that_stays_silent_ends_at_its_deadline(self):
+        """Guards against callers that get no answer from a frozen gateway."""
+        self.allow_retries(0)
+        self.silent.upstream.service_time_s = 5.0
+        thread, results = self.start_call(Deadline_Remaining="1200")
+        thread.wait()
+        self.assertEqual([504], [status for status, _ in results])
