Give the calls of the slot test a deadline that a stalled process cannot miss

Trace: the process of the test stood still for 0.2 s, so the first eight runs of 50 ms lasted 0.2 s; the queue expected the last of 28 calls to take longer than 0.4 of the 1.8 s left, and refused them as it has to. The test is about slots: all calls answered, never more than eight at once. Both checks are unchanged; the deadline is 20 s instead of 2 s.

--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -232,6 +232,16 @@
 
     def test_slots_of_an_upstream_are_never_exceeded(self):
         """Several entries send calls concurrently; only the gateway knows the slots."""
+        # A long deadline: if the test process stalls, its upstreams look slow, and
+        # calls that would miss their deadline are rightly refused.
+        self.cluster.configure(
+            route(
+                "r-b", "/booking/", service="booking", kind="unsafe", timeout_ms=20_000
+            ),
+            service("booking"),
+        )
+        entries = [node.server.node.entry for node in (self.a1, self.a2, self.b1)]
+        wait_until(lambda: all(e.configuration.version == 2 for e in entries))
         self.b1.upstream.service_time_s = 0.05
         pool = eventlet.GreenPool()
         statuses = list(
@@ -241,6 +251,7 @@
                         (self.a1, self.a2, self.b1)[number % 3],
                         "/booking/1",
                         method="POST",
+                        Deadline_Remaining="20000",
                     ).status
                 ),
                 range(40),
