Pass configurations on as deltas and decode only what changed

In a storm of versions calls and pongs waited behind the documents.

The relay now sends the new document compressed with zstandard against the previous one as dictionary, with the digests of both. This needs no knowledge of the content, keeps order and duplicates, and gives exactly the bytes of the whole document; configuration/_delta.py works on the parsed collections of our own format and would give only an equivalent one. A node without the base, or with a delta that is damaged, logs ConfigurationUnusable and fetches the whole document from the sender, as it already does after a lost beacon. The messages keep their fields: a release without deltas fails to decompress one and fetches, too. The decoder keeps the resources of the last document and reuses those with the same bytes.

ConfigurationForwarded records once a version what a leader sent.

--- a/src/verbenawick/mesh/_beacons.py
+++ b/src/verbenawick/mesh/_beacons.py
@@ -10,6 +10,7 @@
 from verbenawick.links._call_messages import next_call_id
 from verbenawick.links._component import NodeIdentity
 from verbenawick.links._links import Link
+from verbenawick.links._messages import encode_message
 from verbenawick.mesh._configuration_relay import (
     BEACON_INTERVAL_S,
     ConfigurationAnswer,
@@ -17,9 +18,10 @@
     ConfigurationQuery,
     RelayState,
 )
+from verbenawick.mesh._document_delta import base_version_of, is_delta
 from verbenawick.mesh._endpoints import Endpoints
 from verbenawick.mesh._followers import ConfigurationFollower
-from verbenawick.mesh._node_events import PeerLost
+from verbenawick.mesh._node_events import ConfigurationForwarded, PeerLost
 from verbenawick.mesh._placement import Distance
 from verbenawick.runtime._clock import Clock
 from verbenawick.runtime._events import emit
@@ -58,6 +60,7 @@
         self._relay = relay
         self._is_stopping = is_stopping
         self._follower: ConfigurationFollower | None = None
+        self._forwarded_version = 0
 
     def set_follower(self, follower: ConfigurationFollower) -> None:
         """Register `follower` for received beacons and for configuration queries."""
@@ -98,10 +101,8 @@
             return
         beacon = follower.beacon
         if with_document:
-            beacon = replace(beacon, document=follower.document_for(0).document)
-        self._send_to_region(beacon)
-        for link in self._links_to_other_leaders():
-            self._links.notify(link, beacon)
+            beacon = replace(beacon, document=follower.encode_update())
+        self._send(beacon, [*self._region_links(), *self._links_to_other_leaders()])
 
     def query(self, node_id: str) -> ConfigurationAnswer | None:
         """Return the configuration of another node, or None if it is unreachable."""
@@ -118,13 +119,31 @@
 
     def _on_beacon(self, peer: NodeIdentity, beacon: ConfigurationBeacon) -> None:
         if peer.region != self._region:
-            self._send_to_region(beacon)
+            self._send(beacon, self._region_links())
         self._follower.on_beacon(peer.node_id, beacon)
 
-    def _send_to_region(self, beacon: ConfigurationBeacon) -> None:
-        for link in self._links.dialled_links():
-            if link.peer.region == self._region:
-                self._links.notify(link, beacon)
+    def _send(self, beacon: ConfigurationBeacon, links: list[Link]) -> None:
+        for link in links:
+            self._links.notify(link, beacon)
+        if not beacon.document or beacon.version <= self._forwarded_version:
+            return
+        self._forwarded_version = beacon.version
+        emit(
+            ConfigurationForwarded(
+                beacon.version,
+                base_version_of(beacon.document),
+                len(links),
+                len(links) * len(encode_message(beacon)),
+                "delta" if is_delta(beacon.document) else "whole",
+            )
+        )
+
+    def _region_links(self) -> list[Link]:
+        return [
+            link
+            for link in self._links.dialled_links()
+            if link.peer.region == self._region
+        ]
 
     def _links_to_other_leaders(self) -> list[Link]:
         leaders_by_region: dict[str, Link] = {}
--- a/src/verbenawick/mesh/_followers.py
+++ b/src/verbenawick/mesh/_followers.py
@@ -7,8 +7,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
-from zlib import compress, decompress
-from zlib import error as zlib_error
 
 import eventlet
 
@@ -20,6 +18,13 @@
     ConfigurationBeacon,
     RelayState,
 )
+from verbenawick.mesh._document_delta import (
+    EMPTY_DOCUMENT,
+    Document,
+    base_version_of,
+    decode_document,
+    encode_delta,
+)
 from verbenawick.mesh._model import MeshConfiguration
 from verbenawick.mesh._state_store import (
     ConfigurationChange,
@@ -37,6 +42,9 @@
 # How often a follower checks whether the beacons of its relay have expired.
 RELAY_CHECK_INTERVAL_S = 0.15
 RECORDS_BATCH_DELAY_S = 0.3
+# A delta up to this share of the plain document is not compared with the whole one,
+# which compresses to a thirtieth.
+MAX_DELTA_SHARE = 0.01
 BASE_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 1.0
 
@@ -85,6 +93,20 @@
     version: int
 
 
+@register_event(744, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class ConfigurationUnusable(Event):
+    """A document received from another node cannot be used; `version` stays in force.
+
+    The node requests the whole document from the sender of the beacon. `base` is the
+    version that a delta is based on, 0 for a whole document.
+    """
+
+    version: int
+    base: int
+    reason: str
+
+
 class _StoreFollower:
     """Reads the full state once, then watches for changes."""
 
@@ -172,7 +194,9 @@
         self._query = query
         self._send_beacon = send_beacon
         self._version = 0
-        self._document = b""
+        self._document = EMPTY_DOCUMENT
+        self._base = EMPTY_DOCUMENT
+        self._base_version = 0
         self._is_querying = False
         self._source = ("", "")
 
@@ -195,9 +219,26 @@
     def document_for(self, call_id: int) -> ConfigurationAnswer:
         """Return the answer to the `ConfigurationQuery` with this call id."""
         return ConfigurationAnswer(
-            call_id, self._version, self._revision, self._document
+            call_id, self._version, self._revision, self._document.compressed
         )
 
+    def encode_update(self) -> bytes:
+        """Return the document of the version in force for the nodes that lack it.
+
+        While `apply` puts the version in force, this is a delta against the previous
+        version, unless the whole document is smaller; later it is the whole document.
+        """
+        if not self._base.data:
+            return self._document.compressed
+        delta = encode_delta(
+            self._base, self._document, base_version=self._base_version
+        )
+        # Compressing the whole document takes longer, and is larger by far for the
+        # usual change of a few routes.
+        if len(delta) <= MAX_DELTA_SHARE * len(self._document.data):
+            return delta
+        return min(delta, self._document.compressed, key=len)
+
     def on_beacon(self, sender_id: str, beacon: ConfigurationBeacon) -> None:
         """Process a beacon of a relay; must not block."""
         if beacon.version > self._version and beacon.document:
@@ -219,29 +260,27 @@
         finally:
             self._is_querying = False
 
-    def _update_from_document(self, document: bytes, revision: int) -> None:
+    def _update_from_document(self, encoded: bytes, revision: int) -> None:
         try:
-            data = decompress(document)
-        except zlib_error as error:
-            emit(
-                StoreLost(
-                    "relay",
-                    self._revision,
-                    f"cannot decompress the configuration document: {error}",
-                )
-            )
+            document = decode_document(self._document, encoded)
+        except VerbenawickError as error:
+            base = base_version_of(encoded)
+            emit(ConfigurationUnusable(self._version, base, str(error)))
             return
-        configuration = self._decode(data, revision)
+        configuration = self._decode(document.data, revision)
         if configuration is not None:
             self._update(configuration, document, revision)
 
     def _update(
-        self, configuration: MeshConfiguration, document: bytes, revision: int
+        self, configuration: MeshConfiguration, document: Document, revision: int
     ) -> None:
         if configuration.version > self._version:
-            self._version = configuration.version
-            self._document = document
-            self._apply(configuration)
+            self._base, self._base_version = self._document, self._version
+            self._document, self._version = document, configuration.version
+            try:
+                self._apply(configuration)
+            finally:
+                self._base = EMPTY_DOCUMENT
         self._revision = max(self._revision, revision)
 
     def _poll(self) -> bool:
@@ -287,7 +326,7 @@
         if change.configuration is None:
             self._revision = max(self._revision, change.revision)
             return False
-        self._update(change.configuration, compress(change.document), change.revision)
+        self._update(change.configuration, Document(change.document), change.revision)
         return True
 
 
--- a/src/verbenawick/mesh/_node_events.py
+++ b/src/verbenawick/mesh/_node_events.py
@@ -99,6 +99,22 @@
     reason: str
 
 
+@register_event(712)
+@dataclass(frozen=True, slots=True)
+class ConfigurationForwarded(Event):
+    """The relay or the leader of a region sent a new version to other nodes.
+
+    `kind` is ``delta`` (against version `base`) or ``whole``; `bytes` is the size of
+    the messages to all `nodes` before framing.
+    """
+
+    version: int
+    base: int
+    nodes: int
+    bytes: int
+    kind: str
+
+
 @register_event(715)
 @dataclass(frozen=True, slots=True)
 class RecordRemoved(Event):
--- a/src/verbenawick/platform/_documents.py
+++ b/src/verbenawick/platform/_documents.py
@@ -13,6 +13,8 @@
 
 _IDEMPOTENT_REQUEST_KIND = "safe"
 
+_Decoded = MeshRoute | ServiceSpec | RequestLimits | None
+
 
 class _ResourceMetadata(msgspec.Struct):
     name: str = ""
@@ -79,36 +81,66 @@
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
-def decode_configuration(data: bytes, revision: int) -> MeshConfiguration:
-    """Return the configuration in an encoded document.
+class ConfigurationDecoder:
+    """Decodes successive documents; only resources that changed are decoded again."""
+
+    def __init__(self):
+        self._decoded_by_resource: dict[tuple[str, str, bytes], _Decoded] = {}
+
+    def decode(self, data: bytes, revision: int) -> MeshConfiguration:
+        """Return the configuration in an encoded document.
+
+        Raises
+        ------
+        msgspec.MsgspecError, ValueError
+            The document is not a valid configuration.
+        """
+        document = _document_decoder.decode(data)
+        known = self._decoded_by_resource
+        decoded_by_resource = {}
+        routes = []
+        services = {}
+        limits = RequestLimits()
+        for resource in document.resources:
+            key = (resource.resource_type, resource.metadata.name, bytes(resource.spec))
+            value = known.get(key)
+            if value is None:
+                value = _decode_resource(resource)
+            decoded_by_resource[key] = value
+            if isinstance(value, MeshRoute):
+                routes.append(value)
+            elif isinstance(value, ServiceSpec):
+                services[value.name] = value
+            elif isinstance(value, RequestLimits):
+                limits = value
+        self._decoded_by_resource = decoded_by_resource
+        return MeshConfiguration(
+            document.version, revision, tuple(routes), services, limits
+        )
 
-    Raises
-    ------
-    msgspec.MsgspecError, ValueError
-        The document is not a valid configuration.
-    """
-    document = _document_decoder.decode(data)
-    routes = []
-    services = {}
-    limits = RequestLimits()
-    for resource in document.resources:
-        if resource.resource_type == "routes":
-            routes.append(_decode_route(resource.metadata.name, resource.spec))
-        elif resource.resource_type == "services":
-            spec = _service_decoder.decode(resource.spec)
-            name = resource.metadata.name
-            services[name] = ServiceSpec(name, spec.health_path, spec.max_connections)
-        elif resource.resource_type == "limits":
-            spec = _limits_decoder.decode(resource.spec)
-            limits = RequestLimits(
-                spec.max_header_bytes,
-                spec.max_body_bytes,
-                spec.header_timeout_ms / 1000,
-                spec.idle_timeout_ms / 1000,
-            )
-    return MeshConfiguration(
-        document.version, revision, tuple(routes), services, limits
-    )
+
+def decode_configuration(data: bytes, revision: int) -> MeshConfiguration:
+    """Return the configuration in a document; see `ConfigurationDecoder.decode`."""
+    return ConfigurationDecoder().decode(data, revision)
+
+
+def _decode_resource(resource: _Resource) -> _Decoded:
+    """Return the decoded resource, None if its type is not known."""
+    name = resource.metadata.name
+    if resource.resource_type == "routes":
+        return _decode_route(name, resource.spec)
+    if resource.resource_type == "services":
+        spec = _service_decoder.decode(resource.spec)
+        return ServiceSpec(name, spec.health_path, spec.max_connections)
+    if resource.resource_type == "limits":
+        spec = _limits_decoder.decode(resource.spec)
+        return RequestLimits(
+            spec.max_header_bytes,
+            spec.max_body_bytes,
+            spec.header_timeout_ms / 1000,
+            spec.idle_timeout_ms / 1000,
+        )
+    return None
 
 
 def _decode_route(name: str, data: msgspec.Raw) -> MeshRoute:
--- a/src/verbenawick/platform/_node_server.py
+++ b/src/verbenawick/platform/_node_server.py
@@ -1,5 +1,7 @@
 """A mesh node together with its HTTP servers on the platform."""
 
+from functools import partial
+
 import eventlet
 from eventlet import wsgi
 
@@ -7,6 +9,7 @@
 from verbenawick.mesh._node import SHUTDOWN_DELAY_S, MeshNode
 from verbenawick.mesh._settings import MeshSettings
 from verbenawick.platform._calls import PlatformUpstreamProtocol
+from verbenawick.platform._documents import ConfigurationDecoder
 from verbenawick.platform._objects import PlatformStore, decode_stored_configuration
 from verbenawick.platform._servers import (
     CallApplication,
@@ -33,11 +36,13 @@
     ):
         self.settings = settings
         self.shutdown_delay_s = shutdown_delay_s
+        # Shared, since a version may come from the store and the next from a node.
+        decode = ConfigurationDecoder().decode
         self.node = MeshNode(
             settings,
-            open_store=lambda: PlatformStore(settings.store_address),
+            open_store=lambda: PlatformStore(settings.store_address, decode=decode),
             protocol=PlatformUpstreamProtocol(),
-            decode=decode_stored_configuration,
+            decode=partial(decode_stored_configuration, decode=decode),
         )
         self.application = CallApplication(
             self.node.entry,
--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -1,5 +1,6 @@
 """HTTP client of the platform's store, which holds objects by kind and name."""
 
+from collections.abc import Callable
 from time import monotonic
 from urllib.parse import quote, urlencode
 
@@ -40,6 +41,8 @@
 # read than for a write.
 CALL_TIMEOUT_S = 1.5
 
+DocumentDecoder = Callable[[bytes, int], MeshConfiguration]
+
 _OMITTED_HEADERS = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
 
 
@@ -104,10 +107,13 @@
     ----------
     address : str
         ``"ip:port"`` of the platform's store.
+    decode : callable
+        Decodes a valid configuration document at the given revision.
     """
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, *, decode: DocumentDecoder = decode_configuration):
         self._address = address
+        self._decode = decode
         self._connection: _StoreConnection | None = None
         self._min_round_trip_s = float("inf")
 
@@ -140,7 +146,7 @@
             if item.metadata.name != CONFIGURATION_NAME:
                 continue
             configuration = decode_stored_configuration(
-                bytes(item.spec), item.metadata.revision
+                bytes(item.spec), item.metadata.revision, decode=self._decode
             )
             if configuration is not None:
                 return ConfigurationChange(current, configuration, bytes(item.spec))
@@ -360,10 +366,12 @@
         return StoreAnswerLostError(reason, step=step, peer=self._address)
 
 
-def decode_stored_configuration(data: bytes, revision: int) -> MeshConfiguration | None:
+def decode_stored_configuration(
+    data: bytes, revision: int, *, decode: DocumentDecoder = decode_configuration
+) -> MeshConfiguration | None:
     """Return the configuration in a document, None if it is invalid."""
     try:
-        return decode_configuration(data, revision)
+        return decode(data, revision)
     except (msgspec.MsgspecError, ValueError) as error:
         emit(ObjectInvalid(CONFIGURATION_KIND, CONFIGURATION_NAME, str(error)))
         return None
