Encode configuration deltas without zstandard, which is not deployed

A delta is now a list of parts of the base to copy and of the bytes between them, found by comparing the chunks of both documents between braces; it is written with cbor2 and zlib, which a node has loaded anyway.

--- a/src/verbenawick/mesh/_document_delta.py
+++ b/src/verbenawick/mesh/_document_delta.py
@@ -1,21 +1,23 @@
 """Deltas between configuration documents, independent of their content.
 
-A delta is the new document compressed with the base document as dictionary, so that
-only the differing bytes take up space, wherever they are. Digests of both documents
-guarantee that a node applies it to the right base and obtains the right document.
+A delta lists parts of the base document to copy and the bytes between them. Digests of
+both documents guarantee that a node applies it to the right base and obtains the right
+document.
 
 A whole document is compressed with zlib. The mark of a delta is no valid start of a
 zlib stream, so a release without deltas rejects one and requests the whole document.
 """
 
 import hashlib
+from collections.abc import Iterator
 from dataclasses import dataclass
 from functools import cached_property
 from struct import Struct
-from zlib import compress, decompress
+from zlib import compress, decompress, decompressobj
 from zlib import error as zlib_error
 
-import zstandard
+import cbor2
+import msgspec
 
 from verbenawick.errors import (
     BaseMismatchError,
@@ -24,18 +26,18 @@
 )
 
 DIGEST_BYTES = 16
-# Level 1 finds too few matches in the dictionary: 9,400 bytes for a change of two
-# routes among 1,139, against 71 at level 3.
-COMPRESSION_LEVEL = 3
-# The window has to contain the base and the new document.
-MIN_WINDOW_LOG = 10
-MAX_WINDOW_LOG = 24
 # Limits the memory needed to apply an invalid delta.
 MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
+# Documents are compared in the chunks between these bytes: each resource of a JSON
+# document has a few.
+_CHUNK_START = b"{"
 
 _MARK = b"\x01vwd"
 _HEADER = Struct(f">4sQ{DIGEST_BYTES}s{DIGEST_BYTES}s")
 
+# A literal, or offset and length of a part of the base.
+_Step = bytes | tuple[int, int]
+
 
 @dataclass(frozen=True)
 class Document:
@@ -65,16 +67,44 @@
     base_version : int
         Version of `base`, for the logs of the receivers.
     """
-    size = len(base.data) + len(new.data)
-    window_log = min(max(size.bit_length(), MIN_WINDOW_LOG), MAX_WINDOW_LOG)
-    parameters = zstandard.ZstdCompressionParameters.from_level(
-        COMPRESSION_LEVEL, window_log=window_log
-    )
-    compressor = zstandard.ZstdCompressor(
-        dict_data=_dictionary_of(base), compression_params=parameters
-    )
     header = _HEADER.pack(_MARK, base_version, base.digest, new.digest)
-    return header + compressor.compress(new.data)
+    steps = list(_find_steps(base.data, new.data))
+    return header + compress(cbor2.dumps(steps))
+
+
+def _find_steps(base: bytes, new: bytes) -> Iterator[_Step]:
+    """Yield the steps that assemble the chunks of `new`, each with a chunk start."""
+    base_chunks = base.split(_CHUNK_START)
+    index_by_chunk = {chunk: index for index, chunk in enumerate(base_chunks)}
+    offsets = [0]
+    for chunk in base_chunks:
+        offsets.append(offsets[-1] + len(chunk) + len(_CHUNK_START))
+    literals: list[bytes] = []
+    # Chunks of the base to copy before `literals`.
+    first = end = 0
+    for chunk in new.split(_CHUNK_START):
+        # After a changed chunk, the next one probably follows its counterpart.
+        index = end + len(literals)
+        if index >= len(base_chunks) or base_chunks[index] != chunk:
+            index = index_by_chunk.get(chunk)
+        if index is None:
+            literals.append(chunk)
+        elif index == end and not literals:
+            end += 1
+        else:
+            yield from _format_steps(offsets, first, end, literals)
+            literals = []
+            first, end = index, index + 1
+    yield from _format_steps(offsets, first, end, literals)
+
+
+def _format_steps(
+    offsets: list[int], first: int, end: int, literals: list[bytes]
+) -> Iterator[_Step]:
+    if end > first:
+        yield offsets[first], offsets[end] - offsets[first]
+    if literals:
+        yield _CHUNK_START.join((*literals, b""))
 
 
 def is_delta(encoded: bytes) -> bool:
@@ -120,7 +150,8 @@
             f"the delta is based on another document (version {base_version})",
             step="delta.base",
         )
-    document = Document(_decompress_delta(base, encoded[_HEADER.size :]))
+    steps = _decode_steps(encoded[_HEADER.size :])
+    document = Document(_assemble(base.data + _CHUNK_START, steps))
     if document.digest != digest:
         raise DigestMismatchError(
             f"the document has digest {document.digest.hex()}, expected {digest.hex()}",
@@ -129,29 +160,36 @@
     return document
 
 
-def _decompress_delta(base: Document, compressed: bytes) -> bytes:
-    decompressor = zstandard.ZstdDecompressor(
-        dict_data=_dictionary_of(base), max_window_size=1 << MAX_WINDOW_LOG
-    )
+def _decode_steps(compressed: bytes) -> list[_Step]:
+    decompressor = decompressobj()
     try:
-        # `decompress` ignores `max_output_size` if the frame header states a size.
-        size = zstandard.frame_content_size(compressed)
-        if not 0 <= size <= MAX_DOCUMENT_BYTES:
-            raise DocumentError(
-                f"stated size {size} is not 0 to {MAX_DOCUMENT_BYTES} bytes",
-                step="delta.size",
-            )
-        return decompressor.decompress(compressed)
-    except zstandard.ZstdError as error:
+        data = decompressor.decompress(compressed, MAX_DOCUMENT_BYTES)
+        if not decompressor.eof:
+            raise ValueError("cut short or too large")
+        return msgspec.convert(cbor2.loads(data), list[_Step])
+    except (zlib_error, cbor2.CBORDecodeError, ValueError) as error:
         raise DocumentError(
-            f"cannot decompress the delta: {error}", step="delta.decompress"
+            f"cannot decode the delta: {error}", step="delta.decode"
         ) from error
 
 
-def _dictionary_of(base: Document) -> zstandard.ZstdCompressionDict | None:
-    # zstandard rejects an empty dictionary.
-    if not base.data:
-        return None
-    return zstandard.ZstdCompressionDict(
-        base.data, dict_type=zstandard.DICT_TYPE_RAWCONTENT
-    )
+def _assemble(base: bytes, steps: list[_Step]) -> bytes:
+    parts = []
+    left = MAX_DOCUMENT_BYTES
+    for step in steps:
+        if isinstance(step, bytes):
+            part = step
+        else:
+            offset, length = step
+            part = base[offset : offset + length] if offset >= 0 else b""
+            if len(part) != length:
+                raise DocumentError(
+                    f"the base has no {length} bytes at {offset}", step="delta.copy"
+                )
+        left -= len(part)
+        if left < 0:
+            raise DocumentError(
+                f"the document exceeds {MAX_DOCUMENT_BYTES} bytes", step="delta.size"
+            )
+        parts.append(part)
+    return b"".join(parts).removesuffix(_CHUNK_START)
--- a/tests/test_configuration_deltas.py
+++ b/tests/test_configuration_deltas.py
@@ -4,19 +4,22 @@
 from dataclasses import replace
 from random import Random
 from unittest import mock
+from zlib import compress
 
+import cbor2
 import eventlet
 import msgspec
 from testtools import TestCase
 
 from tests.call_support import wait_until
 from tests.mesh_cluster import MeshCluster, limits, route, service
+from verbenawick.errors import DocumentError, VerbenawickError
 from verbenawick.links._component import NodeIdentity
 from verbenawick.links._messages import decode_message, encode_message
-from verbenawick.mesh import _beacons, _followers
+from verbenawick.mesh import _beacons, _document_delta, _followers
 from verbenawick.mesh._beacons import Beacons
 from verbenawick.mesh._configuration_relay import ConfigurationAnswer, RelayState
-from verbenawick.mesh._document_delta import Document, encode_delta
+from verbenawick.mesh._document_delta import Document, decode_document, encode_delta
 from verbenawick.mesh._endpoints import Endpoints
 from verbenawick.mesh._followers import ConfigurationFollower
 from verbenawick.mesh._state_store import ConfigurationChange
@@ -125,6 +128,50 @@
         self.assertEqual(first.routes, again.routes)
 
 
+class DocumentDeltaTest(TestCase):
+    """Deltas between documents of any content."""
+
+    def test_delta_gives_exactly_the_new_document(self):
+        """A byte that differs could change how a resource is decoded."""
+        documents = [b"", b"{", b"{{", b"a", b"{a{b{a{", b"\xff\x00{\xfe", b"a{b{a"]
+        for base in documents:
+            for new in documents:
+                self.assert_applied(base, new)
+
+    def test_delta_gives_exactly_the_new_document_after_random_edits(self):
+        """Edits that cross chunks and repeat parts must not confuse the copies."""
+        for seed in range(300):
+            random = Random(seed)
+            base = bytes(random.choices(b"{ab", k=random.randrange(60)))
+            new = bytearray(base)
+            for _ in range(random.randrange(4)):
+                start, end = sorted(random.choices(range(len(new) + 1), k=2))
+                new[start:end] = random.choices(b"{abc", k=random.randrange(9))
+            self.assert_applied(base, bytes(new))
+
+    def test_oversized_deltas_are_rejected(self):
+        """A few bytes must not make a node run out of memory."""
+        base = Document(b"x" * 1_000_000)
+        valid = encode_delta(base, base, base_version=1)
+        header = valid[: _document_delta._HEADER.size]
+        repeated = cbor2.dumps([[0, 1_000_000]] * 1000)
+        for body in (compress(repeated), compress(bytes(20_000_000))):
+            self.assertRaises(DocumentError, decode_document, base, header + body)
+
+    def test_steps_of_wrong_types_are_rejected(self):
+        """A delta of another release must not raise an unexpected exception."""
+        base = Document(b"x{y")
+        valid = encode_delta(base, base, base_version=1)
+        header = valid[: _document_delta._HEADER.size]
+        for steps in ([[1]], ["text"], {}, None, [[-5, 2]], [[0, 99]], [[1.5, 2]], []):
+            body = compress(cbor2.dumps(steps))
+            self.assertRaises(VerbenawickError, decode_document, base, header + body)
+
+    def assert_applied(self, base: bytes, new: bytes):
+        delta = encode_delta(Document(base), Document(new), base_version=1)
+        self.assertEqual(new, decode_document(Document(base), delta).data)
+
+
 class FixedStore:
     """Store whose round-trip time is known; the tests supply the changes."""
 
