--- a/src/verbenawick/mesh/_beacons.py
+++ b/src/verbenawick/mesh/_beacons.py
@@ -125,7 +125,8 @@
     def _send(self, beacon: ConfigurationBeacon, links: list[Link]) -> None:
         for link in links:
             self._links.notify(link, beacon)
-        if not beacon.document or beacon.version <= self._forwarded_version:
+        has_document = bool(beacon.document and links)
+        if not has_document or beacon.version <= self._forwarded_version:
             return
         self._forwarded_version = beacon.version
         emit(
--- a/tests/test_configuration_deltas.py
+++ b/tests/test_configuration_deltas.py
@@ -462,12 +462,17 @@
         """On-call engineers need to see what a version costs the leader's link."""
         region = Region(nodes=3)
         region.store(1, self.resources)
+        links, region.links.links = region.links.links, []
         with mock.patch.object(_beacons, "emit") as emit:
-            region.store(2, self.change_one_route())
+            region.store(2, self.resources)
+        self.assertEqual([], emit.call_args_list)
+        region.links.links = links
+        with mock.patch.object(_beacons, "emit") as emit:
+            region.store(3, self.change_one_route())
             region.beacons.send_if_relay()
             region.beacons.send_if_relay(with_document=True)
         (event,) = [call.args[0] for call in emit.call_args_list]
-        self.assertEqual((2, 1), (event.version, event.base))
+        self.assertEqual((3, 2), (event.version, event.base))
         self.assertEqual((3, "delta"), (event.nodes, event.kind))
         self.assertLess(event.bytes, 3 * MAX_BYTES_PER_NODE)
 
