Link regions through the contacts of their data centres only

Nodes kept a link to every other node.

Now nodes link all nodes of their region, and the two nodes with the lowest ids of each data centre ("contacts") link the contacts of other regions, for beacons and crash notices. Any other node opens a link to another region with the first call that goes there, and keeps it from then on; such a first call is charged two round trips and the bytes of the handshake in the placement. A node that could not be linked counts as unreachable until its connector has linked it. A crash notice is forwarded once by each node to the regions that its sender may not be linked with. The leader of each region removes the records of absent nodes of that region, since the relay has no links to the others.

--- a/src/verbenawick/mesh/_absent_nodes.py
+++ b/src/verbenawick/mesh/_absent_nodes.py
@@ -1,7 +1,7 @@
 """Detection of nodes that have been unreachable long enough to remove their records.
 
 A VM that fails permanently cannot remove its record, and records in the store do not
-expire. The configuration relay therefore removes it. A false positive costs little:
+expire. The leader of its region therefore removes it. A false positive costs little:
 a live node writes its record again as soon as its watch reports the removal.
 """
 
--- a/src/verbenawick/mesh/_beacons.py
+++ b/src/verbenawick/mesh/_beacons.py
@@ -76,7 +76,13 @@
 
     def is_relay(self) -> bool:
         """Return whether this node watches the store on behalf of other nodes."""
-        if self._is_stopping() or self._relay.has_nearer_relay(self._clock.now()):
+        if self._relay.has_nearer_relay(self._clock.now()):
+            return False
+        return self.is_leader()
+
+    def is_leader(self) -> bool:
+        """Return whether this node is the leader of its region."""
+        if self._is_stopping():
             return False
         linked = (
             endpoint.node_id
--- a/src/verbenawick/mesh/_crash_guard.py
+++ b/src/verbenawick/mesh/_crash_guard.py
@@ -30,15 +30,24 @@
 
     def record_crash(
         self, upstream_id: str, fingerprints: tuple[bytes, ...], now: float
-    ) -> None:
-        """Record a crash of `upstream_id` for each request that it was running."""
+    ) -> bool:
+        """Record a crash of `upstream_id` for each request that it was running.
+
+        Returns
+        -------
+        bool
+            Whether this crash was not known for one of the requests.
+        """
+        is_new = False
         for fingerprint in fingerprints:
             suspect = self._suspects_by_fingerprint.setdefault(fingerprint, _Suspect())
+            is_new = is_new or upstream_id not in suspect.upstream_ids
             suspect.upstream_ids.add(upstream_id)
             suspect.expires_at = now + SUSPECT_TTL_S
             self._suspects_by_fingerprint.move_to_end(fingerprint)
         while len(self._suspects_by_fingerprint) > MAX_SUSPECTS:
             self._suspects_by_fingerprint.popitem(last=False)
+        return is_new
 
     def record_completion(self, fingerprint: bytes) -> None:
         """Record that a request completed without a crash."""
--- a/src/verbenawick/mesh/_endpoints.py
+++ b/src/verbenawick/mesh/_endpoints.py
@@ -191,7 +191,9 @@
         if endpoint is not None:
             endpoint.avoided_until = now + AVOIDANCE_S
 
-    def candidate(self, endpoint: Endpoint, route: str, now: float) -> Candidate:
+    def candidate(
+        self, endpoint: Endpoint, route: str, now: float, *, is_linked: bool = True
+    ) -> Candidate:
         """Return the time and failure rate expected at a gateway for `route`."""
         service_s = self._expected_service_s(endpoint, route)
         if endpoint.starts_by_call:
@@ -210,6 +212,7 @@
             endpoint.distance,
             wait_s + service_s,
             endpoint.current_failure_rate(now),
+            is_linked,
         )
 
     def _expected_service_s(self, endpoint: Endpoint, route: str) -> float:
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -49,6 +49,7 @@
 )
 from verbenawick.mesh._retry_budget import RetryBudget
 from verbenawick.mesh._route_index import RouteIndex, TargetRotation
+from verbenawick.mesh._standing_links import StandingLinks
 from verbenawick.runtime._clock import Clock
 from verbenawick.runtime._events import Event as LogEvent
 from verbenawick.runtime._events import emit, register_event
@@ -122,6 +123,7 @@
         node_id: str,
         endpoints: Endpoints,
         links: CallLinks,
+        standing_links: StandingLinks,
         gateway: MeshGateway,
         budget: RetryBudget,
         guard: CrashGuard,
@@ -132,6 +134,7 @@
         self._node_id = node_id
         self._endpoints = endpoints
         self._links = links
+        self._standing_links = standing_links
         self._gateway = gateway
         self._budget = budget
         self._guard = guard
@@ -289,7 +292,12 @@
         ]
         usable = [e for e in ready if e.avoided_until <= now] or ready
         candidates = [
-            self._endpoints.candidate(endpoint, forwarded.route, now)
+            self._endpoints.candidate(
+                endpoint,
+                forwarded.route,
+                now,
+                is_linked=self._is_linked(endpoint),
+            )
             for endpoint in usable
         ]
         chosen = choose(
@@ -304,10 +312,15 @@
         return self._endpoints.get(chosen.node_id) if chosen else None
 
     def _is_reachable(self, endpoint: Endpoint) -> bool:
-        if endpoint.distance is Distance.OWN_NODE:
-            return True
-        address = endpoint.peer_address
-        return self._links.is_connected(address) and not self._links.is_silent(address)
+        if self._is_linked(endpoint):
+            return not self._links.is_silent(endpoint.peer_address)
+        # Unknown until a call opens the link; from then on the link is kept.
+        return not self._standing_links.is_standing(endpoint)
+
+    def _is_linked(self, endpoint: Endpoint) -> bool:
+        return endpoint.distance is Distance.OWN_NODE or self._links.is_connected(
+            endpoint.peer_address
+        )
 
     def _offer(self, endpoint: Endpoint, forwarded: ForwardedCall) -> CallResult:
         call_id = next_call_id()
@@ -330,6 +343,7 @@
     def _send(self, endpoint: Endpoint, forwarded: ForwardedCall) -> CallResult:
         if endpoint.distance is Distance.OWN_NODE:
             return self._send_locally(forwarded)
+        self._standing_links.open(endpoint)
         try:
             answer = self._links.request(
                 endpoint.member, forwarded, deadline=forwarded.deadline
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -39,6 +39,7 @@
 from verbenawick.mesh._record_remover import RecordRemover
 from verbenawick.mesh._retry_budget import RetryBudget
 from verbenawick.mesh._settings import MeshSettings
+from verbenawick.mesh._standing_links import StandingLinks
 from verbenawick.mesh._state_store import RecordChange, StateStore
 from verbenawick.mesh._upstream_channels import UpstreamChannels
 from verbenawick.mesh._upstream_prober import UpstreamProber
@@ -145,10 +146,15 @@
             on_crash=self._on_crash,
             observe=self.metrics_page.observe_upstream,
         )
+        self._connectors = PeerConnectors(self.links, random=self.random)
+        self.standing_links = StandingLinks(
+            self._connectors, node_id=settings.node_id, endpoints=self.endpoints
+        )
         self.entry = MeshEntry(
             node_id=settings.node_id,
             endpoints=self.endpoints,
             links=self.links,
+            standing_links=self.standing_links,
             gateway=self.gateway,
             budget=RetryBudget(
                 ratio=settings.retry_budget.ratio,
@@ -204,13 +210,12 @@
         self._record_follower = RecordFollower(
             open_store(), random=self.random, apply=self._on_records
         )
-        self._connectors = PeerConnectors(self.links, random=self.random)
         self._record_remover = RecordRemover(
             open_store=open_store,
             endpoints=self.endpoints,
             links=self.links,
             clock=self.clock,
-            is_relay=self._beacons.is_relay,
+            is_leader=self._beacons.is_leader,
         )
         self._prober = UpstreamProber(
             self.upstream,
@@ -244,6 +249,7 @@
                 self._detect_silent_peers,
                 self._beacons.run,
                 self._record_remover.run,
+                self.standing_links.run,
             )
         ]
         settings = self.settings
@@ -379,8 +385,8 @@
             or has_new_address
             or not self.links.is_connected(record.peer_address)
         ):
-            self.endpoints.put_record(record)
-        self._connectors.ensure_connector(record)
+            known = self.endpoints.put_record(record)
+        self.standing_links.on_endpoint(known)
 
     def _detect_silent_peers(self) -> None:
         while True:
@@ -401,9 +407,19 @@
         )
 
     def _on_crash_notice(self, peer: NodeIdentity, notice: CrashNotice) -> None:
-        self._guard.record_crash(
+        is_new = self._guard.record_crash(
             notice.upstream_id, notice.fingerprints, self.clock.now()
         )
+        if is_new:
+            self._forward(notice, sender=peer)
+
+    def _forward(self, notice: CrashNotice, *, sender: NodeIdentity) -> None:
+        """Forward a notice to the nodes to which its sender may have no link."""
+        region = self.settings.region
+        is_from_own_region = sender.region == region
+        for link in self.links.dialled_links():
+            if (link.peer.region == region) != is_from_own_region:
+                self.links.notify(link, notice)
 
     def _on_crash(self, fingerprints: tuple[bytes, ...]) -> None:
         notice = CrashNotice(self.upstream.upstream_id, fingerprints)
--- a/src/verbenawick/mesh/_placement.py
+++ b/src/verbenawick/mesh/_placement.py
@@ -45,6 +45,10 @@
     Distance.REGION: 0.05,
     Distance.REMOTE: 0.17,
 }
+# A call to a gateway without a link first opens one: two round trips (connection and
+# handshake) and the headers of the handshake.
+LINK_ROUND_TRIPS = 2
+LINK_KILOBYTES = 0.75
 # Fraction of the value that is lost when a response misses its objective.
 LATE_COST = 0.7
 # Objective from which `LATE_COST` applies in full, seconds. Calls with a shorter
@@ -79,17 +83,21 @@
         Expected queueing plus service time, without the network round trip.
     failure_rate : float
         Expected fraction of failed requests, 0 to 1.
+    is_linked : bool
+        Whether a link to the gateway is open.
     """
 
     node_id: str
     distance: Distance
     expected_s: float
     failure_rate: float = 0.0
+    is_linked: bool = True
 
     @property
     def completion_s(self) -> float:
         """Return the expected time until the entry receives the response."""
-        return self.expected_s + ROUND_TRIP_S[self.distance]
+        round_trips = 1 if self.is_linked else 1 + LINK_ROUND_TRIPS
+        return self.expected_s + round_trips * ROUND_TRIP_S[self.distance]
 
 
 def late_cost_of(objective_s: float) -> float:
@@ -123,6 +131,8 @@
         miss_cost = late_cost * (1 + LATE_COST_SLOPE * completion_s / left_s)
     else:
         miss_cost = late_cost * (completion_s / objective_s) ** MISS_EXPONENT
+    if not candidate.is_linked:
+        kilobytes += LINK_KILOBYTES
     transfer_cost = DISTANCE_COST[candidate.distance]
     transfer_cost += COST_PER_KILOBYTE[candidate.distance] * kilobytes
     return miss_cost + transfer_cost + candidate.failure_rate
--- a/src/verbenawick/mesh/_record_remover.py
+++ b/src/verbenawick/mesh/_record_remover.py
@@ -19,14 +19,14 @@
 
 
 class RecordRemover:
-    """Removes at most one record per check, and only while this node is the relay.
+    """Removes at most one record of the own region per check, while this node leads it.
 
     Parameters
     ----------
     open_store : callable
         Returns a `StateStore` with a separate connection.
-    is_relay : callable
-        Whether this node watches the store on behalf of other nodes.
+    is_leader : callable
+        Whether this node is the leader of its region.
     """
 
     def __init__(
@@ -36,13 +36,13 @@
         endpoints: Endpoints,
         links: CallLinks,
         clock: Clock,
-        is_relay: Callable[[], bool],
+        is_leader: Callable[[], bool],
     ):
         self._open_store = open_store
         self._endpoints = endpoints
         self._links = links
         self._clock = clock
-        self._is_relay = is_relay
+        self._is_leader = is_leader
         self._absent_nodes = AbsentNodes()
 
     def run(self) -> None:
@@ -52,12 +52,12 @@
             is_linked_by_node_id = {
                 endpoint.node_id: self._links.is_connected(endpoint.peer_address)
                 for endpoint in self._endpoints.all()
-                if endpoint.distance is not Distance.OWN_NODE
+                if endpoint.distance in (Distance.DATA_CENTRE, Distance.REGION)
             }
             ids_to_remove = self._absent_nodes.observe(
                 is_linked_by_node_id, self._clock.now()
             )
-            if ids_to_remove and self._is_relay():
+            if ids_to_remove and self._is_leader():
                 self.remove(ids_to_remove[0])
 
     def remove(self, node_id: str) -> None:
