Log the status reports that did not reach a node

Reports are numbered, so a node now logs `ReportsMissed` with the number of reports between the last one and the current one, at most one line a report.

The test fails without the change.

--- a/src/verbenawick/mesh/_local_upstream.py
+++ b/src/verbenawick/mesh/_local_upstream.py
@@ -47,6 +47,22 @@
     born_ms: int
 
 
+@register_event(713, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class ReportsMissed(Event):
+    """Status reports of the local upstream did not reach this process.
+
+    The first report from an upstream process counts all its earlier ones as missed.
+    `interval_s` is the time since the last report of that process, 0 before the first.
+    """
+
+    upstream: str
+    missed: int
+    sequence: int
+    born_ms: int
+    interval_s: float
+
+
 class LocalUpstream:
     """State of the upstream on this VM.
 
@@ -68,6 +84,9 @@
         self._sequence = -1
         self._born_ms = 0
         self._departures_by_id: OrderedDict[str, tuple[int, float]] = OrderedDict()
+        # Upstream id, start, sequence and time of the last report; unlike the fields
+        # above, never reset.
+        self._last_report = ("", 0, 0, 0.0)
 
     @property
     def accepts_work(self) -> bool:
@@ -84,6 +103,7 @@
                 )
             )
             return
+        self._log_missed_reports(report, now)
         is_same = (report.upstream_id, report.born_ms) == (
             self.upstream_id,
             self._born_ms,
@@ -159,6 +179,29 @@
             return "earlier process"
         return ""
 
+    def _log_missed_reports(self, report: StatusReport, now: float) -> None:
+        """Log how many numbers lie between the last report and this one."""
+        upstream_id, born_ms, sequence, received_at = self._last_report
+        is_first = (report.upstream_id, report.born_ms) != (upstream_id, born_ms)
+        missed = report.sequence - 1 - (0 if is_first else sequence)
+        self._last_report = (
+            report.upstream_id,
+            report.born_ms,
+            report.sequence,
+            now,
+        )
+        if missed > 0:
+            interval_s = 0.0 if is_first else now - received_at
+            emit(
+                ReportsMissed(
+                    report.upstream_id,
+                    missed,
+                    report.sequence,
+                    report.born_ms,
+                    round(interval_s, 3),
+                )
+            )
+
     def _update(
         self, state: UpstreamState, upstream_id: str, service: str, slots: int, *, cause
     ) -> None:
--- a/tests/test_mesh_local_upstream.py
+++ b/tests/test_mesh_local_upstream.py
@@ -1,5 +1,6 @@
 """Tests of the state of the local upstream."""
 
+from loguru import logger
 from testtools import TestCase
 
 from verbenawick.mesh._local_upstream import LATE_REPORT_WINDOW_S, LocalUpstream
@@ -164,3 +165,30 @@
         self.upstream.on_leave("u1", 0.0)
         self.send_reports(report(sequence=2), now=LATE_REPORT_WINDOW_S + 1)
         self.assertEqual(READY, self.upstream.state)
+
+    def test_gaps_between_reports_are_logged(self):
+        """Without the line, failed calls of the upstream cannot be found in the log."""
+        records = []
+        sink = logger.add(lambda message: records.append(message.record["extra"]))
+        self.addCleanup(logger.remove, sink)
+        steps = (
+            ("first report is the first of the process", report(sequence=1), 1.0, None),
+            ("no gap", report(sequence=2), 2.0, None),
+            ("gap", report(sequence=5), 4.5, (2, 2.5)),
+            ("late", report(sequence=4), 4.6, None),
+            ("no gap after a late report", report(sequence=6), 5.0, None),
+            ("new process missed at first", report(sequence=4, born=200), 6.0, (3, 0)),
+        )
+        for name, step, now, expected in steps:
+            records.clear()
+            self.upstream.on_report(step, now)
+            gaps = [
+                (extra["missed"], extra["interval_s"])
+                for extra in records
+                if extra["event"] == 713
+            ]
+            self.assertEqual([expected] if expected else [], gaps, name)
+        self.upstream.on_other_upstream("u1")
+        records.clear()
+        self.upstream.on_report(report(sequence=5, born=200), 7.0)
+        self.assertEqual([710], [extra["event"] for extra in records])
