Skip log events below the log's level before formatting

The filter of the log's rate limit also counted events below the log's level: a node that opens its links reported lines with event 102 as omitted, although its log never has them, and formatted up to 40 of them a second.

Both tests failed before the change.

--- a/src/verbenawick/mesh/_log_output.py
+++ b/src/verbenawick/mesh/_log_output.py
@@ -119,7 +119,7 @@
     logger.remove()
     logger.configure(extra={"node": node_id})
     logger.add(output.sink, level=level, format="{message}")
-    set_event_filter(output.allow_line)
+    set_event_filter(output.allow_line, min_level=level)
 
 
 def _event_name(message: str) -> str:
--- a/src/verbenawick/runtime/_events.py
+++ b/src/verbenawick/runtime/_events.py
@@ -56,20 +56,26 @@
 
 
 _event_filter: Callable[[int], bool] | None = None
+_min_severity = 0
 
 
-def set_event_filter(is_enabled: Callable[[int], bool]) -> None:
-    """Log only events for whose number `is_enabled` returns true.
+def set_event_filter(
+    is_enabled: Callable[[int], bool] | None, *, min_level: str = "TRACE"
+) -> None:
+    """Log only events of at least `min_level` for whose number `is_enabled` is true.
 
-    The filter runs before an event is formatted.
+    Other events are not formatted, and those below `min_level` do not reach the filter.
     """
-    global _event_filter
+    global _event_filter, _min_severity
     _event_filter = is_enabled
+    _min_severity = logger.level(min_level).no
 
 
 def emit(event: Event) -> None:
     """Log `event` with its number and fields."""
     number, level = _registration_by_type[type(event)]
+    if logger.level(level).no < _min_severity:
+        return
     if _event_filter is not None and not _event_filter(number):
         return
     values_by_name = {field.name: getattr(event, field.name) for field in fields(event)}
--- a/tests/test_mesh_log_output.py
+++ b/tests/test_mesh_log_output.py
@@ -28,6 +28,14 @@
     attempt: int
 
 
+@register_event(9702, level="DEBUG")
+@dataclass(frozen=True, slots=True)
+class DebugEvent(Event):
+    """Event below the level of the log of these tests."""
+
+    peer: str
+
+
 class LogOutputTest(TestCase):
     """Log output to a pipe, which some tests do not read."""
 
@@ -83,6 +91,23 @@
         omitted = [line["omitted"] for line in lines if line["event"] == 700]
         self.assertEqual(["9701=25"], omitted)
 
+    def test_events_below_the_level_are_not_reported_as_omitted(self):
+        """A node that opened links reported lines that its log never has."""
+        self.patch(_log_output, "REPORT_INTERVAL_S", 0.0)
+        for number in range(MAX_EVENT_LINES_PER_S + 25):
+            emit(DebugEvent(f"n{number}"))
+        emit(SampleEvent("q1", 1))
+        self.assertEqual([9701], [line["event"] for line in self.lines()])
+
+    def test_events_below_the_level_are_not_formatted(self):
+        """Each end of each link emits such events."""
+
+        class Unprintable:
+            def __str__(self):
+                raise AssertionError("formatted")
+
+        emit(DebugEvent(Unprintable()))
+
     def test_stalled_reader_does_not_block_emit(self):
         """A call must not block until the output is read."""
         set_event_filter(lambda number: True)
