--- a/src/verbenawick/links/_links.py
+++ b/src/verbenawick/links/_links.py
@@ -9,7 +9,7 @@
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import astuple, dataclass
+from dataclasses import dataclass, fields
 from typing import Protocol
 
 import eventlet
@@ -103,9 +103,13 @@
         ...
 
 
+_IDENTITY_FIELDS = tuple(field.name for field in fields(NodeIdentity))
+
+
 def format_identity(identity: NodeIdentity) -> str:
     """Return the value of the identity header in the handshake."""
-    return ";".join(str(value) for value in astuple(identity))
+    # `astuple` would copy each value deeply.
+    return ";".join(str(getattr(identity, name)) for name in _IDENTITY_FIELDS)
 
 
 def parse_identity(value: str) -> NodeIdentity:
