Log when a node did not run for 0.2 s or more

Nothing recorded whether a node that others found silent had no processor time, was busy, or had a full link. Event 717 tells the delay of a timer and the processor time used meanwhile, and is among the context events of a request's timeline. It costs one clock read and one process_time() each 0.15 s.

--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -13,6 +13,7 @@
 from verbenawick.mesh._beacons import Beacons
 from verbenawick.mesh._configuration_relay import RelayState
 from verbenawick.mesh._crash_guard import CrashGuard
+from verbenawick.mesh._delay_monitor import DelayMonitor
 from verbenawick.mesh._endpoints import Endpoints
 from verbenawick.mesh._entry import MeshEntry
 from verbenawick.mesh._followers import ConfigurationFollower, RecordFollower
@@ -383,8 +384,11 @@
         self._connectors.ensure_connector(record)
 
     def _detect_silent_peers(self) -> None:
+        delays = DelayMonitor(self.clock)
         while True:
+            delays.expect(SILENCE_CHECK_INTERVAL_S)
             eventlet.sleep(SILENCE_CHECK_INTERVAL_S)
+            delays.check()
             for peer in self.links.check_silence(may_abandon=_may_abandon):
                 emit(PeerLost(peer.node_id, "peer did not respond to pings"))
 
--- a/src/verbenawick/operators/_request_timeline.py
+++ b/src/verbenawick/operators/_request_timeline.py
@@ -10,7 +10,7 @@
 CONTEXT_WINDOW = timedelta(seconds=3)
 # Numbers of events about state changes; see docs/events.md.
 CONTEXT_EVENTS = frozenset(
-    {701, 702, 703, 704, 705, 706, 707, 709, 710, 711, 740, 741, 742, 745, 746}
+    {701, 702, 703, 704, 705, 706, 707, 709, 710, 711, 717, 740, 741, 742, 745, 746}
 )
 
 
