Keep the failures of the planned phase of the demo

The list of the last failures holds 20 lines, all of them from after the kill when the demo ends with failed_when_planned above 0. The lines of the planned phase are now kept apart, with the time of each, and printed if a call failed or a connection was cut while no failure was expected. No check changes.

--- a/demo/_callers.py
+++ b/demo/_callers.py
@@ -16,6 +16,7 @@
 RETRY_DELAY_S = 0.15
 PAUSE_BETWEEN_CALLS_S = 0.02
 RECENT_FAILURES_KEPT = 20
+PLANNED_FAILURES_KEPT = 200
 
 
 @dataclass
@@ -32,9 +33,19 @@
     cut_in_flight: int = 0
     counts_by_code: Counter = field(default_factory=Counter)
     recent_failures: list[str] = field(default_factory=list)
-
-    def add_failure(self, text: str) -> None:
-        """Keep a line for the report, up to `RECENT_FAILURES_KEPT`; drop the oldest."""
+    planned_failures: list[str] = field(default_factory=list)
+
+    def add_failure(self, text: str, *, is_planned: bool) -> None:
+        """Keep a line for the report.
+
+        Parameters
+        ----------
+        is_planned : bool
+            Whether no failure was accepted when it happened. These lines are kept apart
+            from the first on, so that those of a later phase do not displace them.
+        """
+        if is_planned and len(self.planned_failures) < PLANNED_FAILURES_KEPT:
+            self.planned_failures.append(text)
         self.recent_failures.append(text)
         del self.recent_failures[:-RECENT_FAILURES_KEPT]
 
@@ -69,6 +80,7 @@
         self._vms = vms
         self._read_path = read_path
         self._write_paths = write_paths
+        self._started_at = time.monotonic()
         self._stop_requested = threading.Event()
         self._threads = [
             threading.Thread(target=self._run, args=(Random(seed * 1000 + n), n))
@@ -112,6 +124,9 @@
         if outcome == "not-run" and possible_runs:
             outcome = "unknown"
         is_failed = was_checked and not self.allows_failures and outcome != "complete"
+        if is_failed:
+            with self.log.lock:
+                self._add_failure(f"{request_id} {method} ended as {outcome}")
         self._record(request_id, headers, outcome, is_failed)
 
     def _make_request(self, random: Random, request_id: str):
@@ -140,7 +155,7 @@
             code = response.headers.get("Verbenawick-Code", str(response.status))
             with self.log.lock:
                 self.log.counts_by_code[f"{outcome} {code}"] += 1
-                self.log.add_failure(f"{request_id} {outcome} {code} {url}")
+                self._add_failure(f"{request_id} {outcome} {code} {url}")
             return "unknown" if outcome in ("complete", "missing") else outcome
         is_echoed = response.headers.get("Upstream-Request-Id") == request_id
         if not is_echoed or (body and response.data != body):
@@ -150,10 +165,16 @@
 
     def _record_cut(self, text: str) -> None:
         with self.log.lock:
-            self.log.add_failure(text)
+            self._add_failure(text)
             if not self.allows_failures:
                 self.log.cut_in_flight += 1
 
+    def _add_failure(self, text: str) -> None:
+        self.log.add_failure(
+            f"{time.monotonic() - self._started_at:.3f} s {text}",
+            is_planned=not self.allows_failures,
+        )
+
     def _record(self, request_id, headers, outcome: str, is_failed: bool) -> None:
         with self.log.lock:
             self.log.calls += 1
--- a/demo/_scenario.py
+++ b/demo/_scenario.py
@@ -217,6 +217,10 @@
         )
         if report.failures:
             self._print_line("last failures:\n  " + "\n  ".join(log.recent_failures))
+        if report.failed_when_planned or report.cut_in_flight:
+            self._print_line(
+                "failures of the planned phase:\n  " + "\n  ".join(log.planned_failures)
+            )
 
     def _run_ctl(self, *arguments: str) -> subprocess.CompletedProcess:
         command = [sys.executable, "-m", "verbenawick", "ctl"]
