Send a slow read to another upstream without cancelling it

Callers saw 504 call.timeout (unknown) at half of their timeout while the upstream was at work: a repeatable call that was not the last attempt was given half of the time left, and was cancelled then. That is right if its node hangs, and wrong if the request is slow: without another member or without retry budget the call ended there, and otherwise its retry got only the second half, which is too short for the same request.

Attempts of a repeatable call now have the deadline of the call. When half of the time left has passed, the next one is sent beside the first under the same rules (attempts, budget, depth); the first complete answer is returned and the other attempt is cancelled and counted as a failure of its endpoint.

Three tests of tests/test_entry.py failed before with (504, 'unknown') for a read of 0.8 s with 1.2 s of time, and pass now.

--- a/src/verbenawick/calls/_dispatch.py
+++ b/src/verbenawick/calls/_dispatch.py
@@ -11,6 +11,7 @@
 
 import eventlet
 
+from verbenawick.calls._attempts import Attempt, Attempts
 from verbenawick.calls._balancer import Balancer
 from verbenawick.calls._gateway import ClaimPort, Gateway
 from verbenawick.calls._retry import CallTraits, RetryRules
@@ -46,8 +47,8 @@
 # long, which is a normal amount of time for a call.
 MIN_TIMEOUT_AS_FAILURE_S = 0.1
 
-# An attempt gets a deadline before that of its call, to leave time for a retry, only if
-# this is at least this many times the average latency of the service.
+# A further attempt is considered once half of the time left has passed without an
+# answer, if that is at least this many times the average latency of the service.
 MIN_ATTEMPT_LATENCIES = 10.0
 
 REFUSAL_CODES = frozenset({QueueFullError.code, UpstreamShedError.code})
@@ -61,6 +62,10 @@
     }
 )
 
+# Stands for the missing answer of an attempt that takes long, when the retry rules are
+# asked about another one.
+OVERDUE_ANSWER = CallAnswer(0, Outcome.UNKNOWN, CallTimeoutError.code, 0, (), b"", "")
+
 CROSS_REGION_BYTES = register_metric(
     "calls.cross_region_bytes",
     MetricKind.COUNTER,
@@ -163,55 +168,83 @@
         owner = self._claims.owner_of(call.service_id, call.idempotency_key)
         if owner is None:
             raise NoEndpointError("service has no member", step="entry.owner")
-        answer = self._attempt(call, owner, call.attempt, call.deadline)
+        answer = self._attempt(call, Attempt(owner), call.attempt)
         if answer.code == PeerUnreachableError.code and call.attempt > 1:
             # Nothing was sent now, but an earlier attempt with this key may have run.
             return replace(answer, outcome=Outcome.UNKNOWN)
         return answer
 
     def _dispatch_with_retries(self, call: Call) -> CallAnswer:
-        traits = CallTraits(
-            is_repeatable=call.is_repeatable,
-            has_key=False,
-            attempt=call.attempt,
-            depth=call.depth,
+        attempts = Attempts(
+            lambda attempt, number: self._attempt(call, attempt, call.attempt + number)
         )
-        tried_node_ids: list[str] = []
+        try:
+            return self._first_complete_answer(call, attempts)
+        finally:
+            attempts.cancel()
+
+    def _first_complete_answer(self, call: Call, attempts: Attempts) -> CallAnswer:
+        """Return the first complete answer, or the last one if none is complete.
+
+        An attempt that takes long is not cancelled for the next one, since it may be
+        the one that completes.
+        """
+        member = self._balancer.choose(call.service_id, excluded=())
+        if member is None:
+            raise NoEndpointError(
+                f"no usable member of {call.service_id}", step="entry.choose"
+            )
+        attempts.start(member)
+        overdue_at = self._overdue_at(call, attempts)
         may_have_run = False
-        answer = None
         while True:
-            member = self._balancer.choose(call.service_id, excluded=tried_node_ids)
-            if member is None:
-                break
-            deadline = self._attempt_deadline(call, attempts_made=len(tried_node_ids))
-            answer = self._attempt(
-                call, member, call.attempt + len(tried_node_ids), deadline
+            answer = attempts.next_answer(
+                timeout_s=max(overdue_at - self._clock.now(), 0.0)
+                if overdue_at < call.deadline
+                else None
             )
-            tried_node_ids.append(member.node_id)
-            if answer.outcome is Outcome.COMPLETE:
+            if answer is None:
+                attempts.mark_overdue()
+            elif answer.outcome is Outcome.COMPLETE:
                 return answer
-            may_have_run = may_have_run or answer.outcome is Outcome.UNKNOWN
-            if self._is_quarantined(call.fingerprint):
+            else:
+                may_have_run = may_have_run or answer.outcome is Outcome.UNKNOWN
+            is_retried = self._start_retry(call, attempts, answer or OVERDUE_ANSWER)
+            if not attempts.has_unread:
                 break
-            if not self._retry_rules.may_retry(
-                call.service_id,
-                call.policy,
-                traits,
-                answer,
-                attempts_made=len(tried_node_ids),
-                remaining_s=call.deadline - self._clock.now(),
-            ):
-                break
-        if answer is None:
-            raise NoEndpointError(
-                f"no usable member of {call.service_id}", step="entry.choose"
-            )
+            if is_retried or answer is None:
+                overdue_at = self._overdue_at(call, attempts)
         if may_have_run:
             return replace(answer, outcome=Outcome.UNKNOWN)
         return answer
 
-    def _attempt_deadline(self, call: Call, *, attempts_made: int) -> float:
-        """Return the deadline of an attempt, which may leave time for a retry.
+    def _start_retry(self, call: Call, attempts: Attempts, answer: CallAnswer) -> bool:
+        if self._is_quarantined(call.fingerprint):
+            return False
+        member = self._balancer.choose(call.service_id, excluded=attempts.node_ids)
+        if member is None or not self._may_retry(call, attempts, answer):
+            return False
+        attempts.start(member)
+        return True
+
+    def _may_retry(self, call: Call, attempts: Attempts, answer: CallAnswer) -> bool:
+        traits = CallTraits(
+            is_repeatable=call.is_repeatable,
+            has_key=False,
+            attempt=call.attempt,
+            depth=call.depth,
+        )
+        return self._retry_rules.may_retry(
+            call.service_id,
+            call.policy,
+            traits,
+            answer,
+            attempts_made=attempts.count,
+            remaining_s=call.deadline - self._clock.now(),
+        )
+
+    def _overdue_at(self, call: Call, attempts: Attempts) -> float:
+        """Return when another attempt is considered; the deadline for never.
 
         A paused node keeps its links open, so without this limit a call to it would
         wait until the deadline of the call.
@@ -219,7 +252,7 @@
         now = self._clock.now()
         half_remaining_s = (call.deadline - now) / 2
         average_s = self._balancer.average_latency_s(call.service_id)
-        is_last_attempt = attempts_made + 1 >= call.policy.max_attempts
+        is_last_attempt = attempts.count >= call.policy.max_attempts
         if (
             is_last_attempt
             or not call.is_repeatable
@@ -228,17 +261,19 @@
             return call.deadline
         return now + half_remaining_s
 
-    def _attempt(
-        self, call: Call, member: Member, attempt: int, deadline: float
-    ) -> CallAnswer:
-        request = self._request_for(call, attempt, deadline)
+    def _attempt(self, call: Call, attempt: Attempt, number: int) -> CallAnswer:
+        member = attempt.member
+        request = self._request_for(call, number)
         self._metrics.count(ATTEMPTS)
         self._balancer.start_attempt(member)
         started_at = self._clock.now()
         try:
-            answer = self._send(member, request, deadline)
+            answer = self._send(member, request, call.deadline)
         except BaseException:
-            self._balancer.record_inconclusive(member)
+            if attempt.is_overdue:
+                self._balancer.record_failure(member)
+            else:
+                self._balancer.record_inconclusive(member)
             raise
         self._record_answer(call, member, answer, self._clock.now() - started_at)
         if member.region != self._region:
@@ -280,7 +315,7 @@
         if answer.code == UpstreamLostError.code:
             self._on_crash(call.fingerprint, answer.upstream_node_id or member.node_id)
 
-    def _request_for(self, call: Call, attempt: int, deadline: float) -> CallRequest:
+    def _request_for(self, call: Call, attempt: int) -> CallRequest:
         return CallRequest(
             call_id=next_call_id(),
             service_id=call.service_id,
@@ -288,7 +323,7 @@
             target=call.target,
             headers=call.headers,
             body=call.body,
-            remaining_ms=(deadline - self._clock.now()) * 1000,
+            remaining_ms=(call.deadline - self._clock.now()) * 1000,
             criticality=call.criticality,
             attempt=attempt,
             depth=call.depth,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -228,6 +228,35 @@
         self.assertEqual({"complete"}, {response.outcome for response in responses})
         wait_until(lambda: not hanging.running_count)
 
+    def test_a_slow_read_without_another_upstream_gets_its_whole_deadline(self):
+        """Guards against cancelling a run when no other upstream could replace it."""
+        self.start(nodes=1)
+        headers = {"Request-Timeout": "1200"}
+        response = self.caller.call("GET", "/a?delay_ms=800", headers=headers)
+        self.assertEqual((200, "complete"), (response.status, response.outcome))
+        self.assertEqual(0, self.mesh.upstreams[0].cancelled)
+
+    def test_a_slow_read_without_retry_budget_gets_its_whole_deadline(self):
+        """Guards against cancelling a run that no retry replaces."""
+        self.start(policy=ServicePolicy("p", retry_budget=0.0))
+        rules = self.node.dispatcher._retry_rules
+        while rules._budget(SERVICE).try_consume():
+            pass
+        headers = {"Request-Timeout": "1200"}
+        response = self.caller.call("GET", "/a?delay_ms=800", headers=headers)
+        self.assertEqual((200, "complete"), (response.status, response.outcome))
+
+    def test_a_slow_read_is_answered_by_the_first_run_that_ends(self):
+        """Guards against a run that is cancelled although its retry takes as long."""
+        self.start()
+        headers = {"Request-Timeout": "1200"}
+        response = self.caller.call("GET", "/a?delay_ms=800", headers=headers)
+        self.assertEqual((200, "complete"), (response.status, response.outcome))
+        # The other run is cancelled once the answer has arrived.
+        wait_until(lambda: not any(u.running for u in self.mesh.upstreams))
+        wait_until(lambda: not any(n.admission.in_use for n in self.mesh.nodes))
+        self.assertEqual(1, sum(u.cancelled for u in self.mesh.upstreams))
+
     def test_an_unknown_code_of_another_version_is_passed_on(self):
         """Guards against an internal error while versions are mixed in a rollout."""
         self.start()
