Keep the links of a process that resumes after a pause

Callers saw 502 call.peer-lost (unknown) for all calls that a node had pending at other nodes when its process resumed after 6 s (three ping intervals) or more, and the runs of the other nodes' calls on it were cancelled: the timer of the pings runs before the data that arrived meanwhile is read, and compared the time of the last received data with the clock.

The links now count the ping intervals without data. A pause of any length is one interval, and an unresponsive peer is found after the same time as before.

--- a/src/verbenawick/links/_links.py
+++ b/src/verbenawick/links/_links.py
@@ -298,10 +298,17 @@
             self._ping_until_closed()
 
     def _ping_until_closed(self) -> None:
+        # Intervals are counted instead of time: when this process resumes after a
+        # pause, data that the peer sent meanwhile is still unread.
+        silent_intervals = 0
         while self.is_open:
+            received_at = self._last_received_at
             eventlet.sleep(self._ping_interval_s)
-            limit_s = PING_TIMEOUT_INTERVALS * self._ping_interval_s
-            if self._clock.now() - self._last_received_at > limit_s:
+            if self._last_received_at > received_at:
+                silent_intervals = 0
+            else:
+                silent_intervals += 1
+            if silent_intervals >= PING_TIMEOUT_INTERVALS:
                 self.close("peer did not respond to pings")
                 return
             if self.channel == CONTROL_CHANNEL and self._received_recently():
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,5 +1,6 @@
 """Tests of links between nodes over real sockets."""
 
+import time
 from dataclasses import dataclass
 from unittest import mock
 
@@ -10,9 +11,17 @@
 
 from verbenawick.errors import LinkClosedError
 from verbenawick.links._component import NodeIdentity
-from verbenawick.links._links import CONTROL_CHANNEL, Link, LinkServer, dial_link
+from verbenawick.links._links import (
+    CONTROL_CHANNEL,
+    PING_TIMEOUT_INTERVALS,
+    Link,
+    LinkServer,
+    dial_link,
+)
 from verbenawick.links._messages import Message, register_message
 
+PING_INTERVAL_S = 0.05
+
 
 @register_message(9001)
 @dataclass(frozen=True, slots=True)
@@ -177,6 +186,28 @@
         self.assertEqual([Echo(1)], self.server_handler.messages)
         self.assertEqual([], raised)
 
+    def test_pause_of_this_process_does_not_close_its_links(self):
+        """Guards against losing the pending calls of all links when a VM resumes."""
+        self.server._ping_interval_s = PING_INTERVAL_S
+        link = self.dial(RecordingHandler(), ping_interval_s=PING_INTERVAL_S)
+        wait_until(lambda: self.server_handler.opened)
+        for _ in range(3):
+            eventlet.sleep(0.7 * PING_INTERVAL_S)
+            time.sleep(2 * PING_TIMEOUT_INTERVALS * PING_INTERVAL_S)
+        eventlet.sleep(PING_INTERVAL_S)
+        self.assertTrue(link.is_open)
+        self.assertEqual([], self.server_handler.closed)
+
+    def test_link_to_a_peer_that_does_not_answer_pings_is_closed(self):
+        """Guards against links that stay open to a VM that is powered off."""
+        link = self.dial(RecordingHandler(), ping_interval_s=PING_INTERVAL_S)
+        wait_until(lambda: self.server_handler.opened)
+        link.ping = lambda: None
+        started_at = time.monotonic()
+        wait_until(lambda: not link.is_open)
+        elapsed_s = time.monotonic() - started_at
+        self.assertGreaterEqual(elapsed_s, 2 * PING_INTERVAL_S)
+
     def test_dialling_a_closed_port_raises_link_closed_error(self):
         """Guards against a plain `OSError` for a refused connection."""
         self.assertRaises(
