Deliver the last answers of a stopping node before its links close

Callers saw 502 call.peer-lost (unknown) for requests that had completed, or that had never run, at a node that was being stopped. A stop closed all links as soon as no call was running. Answers that waited in the queue of a full link were dropped. A request that another node sent before it had read the notice of the drain found the link closed; the notice has a head start of 0.1 s, and a message waits up to most of a second on a link of 3.5 Mbit/s with 280 kB in its queue.

A stop now pings all links after the gateway refuses calls. The pong follows every request that the peer sent before it read the notice, so these are answered with a refusal, which proves that they did not run. The links then send what is queued, close their sending side, and end when the peer closes. A stop waits at most 1.5 s for this, within its grace period.

test_stop_sends_the_last_answers_before_it_closes_the_links and test_stop_answers_calls_sent_before_the_drain_was_known failed before with 502 instead of 200 and 503 (messages of the node delayed by 0.3 s), and pass now.

--- a/src/verbenawick/links/_call_links.py
+++ b/src/verbenawick/links/_call_links.py
@@ -33,6 +33,8 @@
 
 DIAL_TIMEOUT_S = 1.0
 
+FINISH_POLL_INTERVAL_S = 0.01
+
 # A peer with pending requests that sends nothing for this long is pinged.
 PROBE_AFTER_S = 0.25
 # A peer with pending requests that sends nothing for this long, not even a pong, is
@@ -370,6 +372,33 @@
         if self._pending_by_call_id.pop(pending.message.call_id, None) is not None:
             self._send_cancel(pending.link, pending.message)
 
+    def finish(self, *, timeout_s: float) -> None:
+        """Close all links once the messages of both directions have been handled.
+
+        Call it when this node has told the others that it accepts no more requests.
+        The pong to a ping follows all requests that a peer sent before it read that,
+        so they are still answered.
+        """
+        deadline = self._clock.now() + timeout_s
+        for link in list(self._links):
+            with suppress(LinkClosedError, LinkOverflowError):
+                link.ping()
+        self._wait_until(
+            lambda: (
+                not self._running
+                and not any(link.has_unanswered_ping for link in self._links)
+            ),
+            deadline,
+        )
+        for link in list(self._links):
+            link.finish()
+        self._wait_until(lambda: not self._links, deadline)
+        self.close()
+
+    def _wait_until(self, condition: Callable[[], bool], deadline: float) -> None:
+        while not condition() and self._clock.now() < deadline:
+            eventlet.sleep(FINISH_POLL_INTERVAL_S)
+
     def close(self) -> None:
         """Close all links, dialled or accepted."""
         for link in list(self._links):
--- a/src/verbenawick/links/_links.py
+++ b/src/verbenawick/links/_links.py
@@ -169,8 +169,11 @@
         self._send_queue: deque[tuple[float, bytes]] = deque()
         self._send_queue_bytes = 0
         self._is_writing = False
+        self._is_finishing = False
         self._close_reason = ""
         self._ping_sent_at = 0.0
+        self._pings_sent = 0
+        self._pongs_received = 0
         self._last_received_at = self._clock.now()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -184,7 +187,7 @@
         LinkOverflowError
             The peer reads too slowly; the send queue is full and the link was closed.
         """
-        if not self.is_open:
+        if not self.is_open or self._is_finishing:
             raise LinkClosedError(
                 "link is closed", step="link.post", peer=self.peer.node_id
             )
@@ -213,9 +216,35 @@
         """
         if self.is_open and self._protocol.state is State.OPEN:
             self._ping_sent_at = self._clock.now()
+            self._pings_sent += 1
             self._protocol.send_ping(b"")
             self._flush()
 
+    @property
+    def has_unanswered_ping(self) -> bool:
+        """Whether a ping has no pong yet; pings are answered in order.
+
+        A pong shows that the peer has handled everything sent before the ping.
+        """
+        return self._pongs_received < self._pings_sent
+
+    def finish(self) -> None:
+        """Send what is queued, then close; the peer closes once it has read all.
+
+        Closing at once would discard queued messages, and those that the peer has not
+        received yet if it sends anything meanwhile.
+        """
+        if self._is_finishing or not self.is_open:
+            return
+        self._is_finishing = True
+        self._close_reason = self._close_reason or "closed by this node"
+        if not self._is_writing:
+            self._end_sending()
+
+    def _end_sending(self) -> None:
+        with suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+
     def close(self, reason: str = "closed by this node") -> None:
         """Close the connection; the reader then calls `LinkHandler.on_close`."""
         if not self.is_open:
@@ -281,6 +310,7 @@
     def _dispatch_frame(self, frame: Frame) -> None:
         if frame.opcode is Opcode.PONG:
             self.round_trip_s = self._clock.now() - self._ping_sent_at
+            self._pongs_received += 1
             return
         if frame.opcode in (Opcode.PING, Opcode.CLOSE):
             return
@@ -322,7 +352,7 @@
 
     def _flush(self) -> None:
         data = b"".join(self._protocol.data_to_send())
-        if not data or not self.is_open:
+        if not data or not self.is_open or self._is_finishing:
             return
         if not self._send_queue and not self._delay_s and not self._is_writing:
             # Common case: the kernel accepts the data without queueing it or switching
@@ -367,6 +397,8 @@
                 self._send_queue_bytes -= len(data)
                 self._sock.sendall(data)
                 self.bytes_sent += len(data)
+            if self._is_finishing:
+                self._end_sending()
         except OSError as error:
             self.close(str(error))
         finally:
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -59,6 +59,9 @@
 IDLE_PING_INTERVAL_S = 15.0
 # Timeout of the final write to the store during shutdown.
 FINAL_WRITE_TIMEOUT_S = 0.5
+# Timeout for answering and delivering the last messages of the links during shutdown.
+# A message can wait for most of a second in the queue of a full link.
+LINK_FINISH_TIMEOUT_S = 1.5
 # Part of the stop grace period that is reserved for closing sockets before the platform
 # kills the process.
 STOP_MARGIN_S = 0.5
@@ -308,6 +311,11 @@
         left_s = max(min(deadline - self.clock.now(), FINAL_WRITE_TIMEOUT_S), 0.0)
         if self.upstream.state is UpstreamState.GONE:
             self._publisher.flush(timeout_s=left_s)
+        # Otherwise other nodes would open new links while the last ones are closed.
+        self._link_server.stop()
+        self._connectors.close()
+        left_s = max(min(deadline - self.clock.now(), LINK_FINISH_TIMEOUT_S), 0.0)
+        self.links.finish(timeout_s=left_s)
         self.close()
         all_calls_ended = all_calls_ended and not self.gateway.in_flight
         emit(MeshNodeStopped(all_calls_ended))
--- a/tests/test_call_links.py
+++ b/tests/test_call_links.py
@@ -82,6 +82,7 @@
         server.listen()
         eventlet.spawn_n(server.run)
         self.addCleanup(server.stop)
+        self.server_listener = server
         return links
 
     def answer_with(self, handler, message_type=Question):
@@ -205,6 +206,48 @@
         self.assertLess(sent[0], 0.09)
         self.assertGreaterEqual(sent[1], 0.1)
 
+    def finish_server(self):
+        self.server_listener.stop()
+        started_at = self.clock.now()
+        self.server.finish(timeout_s=2.0)
+        return self.clock.now() - started_at
+
+    def test_finish_answers_requests_that_are_still_on_the_way(self):
+        """Guards against unknown outcomes of requests sent before a stop was known."""
+        self.answer_with(lambda peer, message, at: Reply(message.call_id, "refused"))
+        self.request()
+        self.client.dialled_links()[0]._delay_s = 0.2
+        thread = eventlet.spawn(self.request)
+        eventlet.sleep(0.05)
+        self.finish_server()
+        self.assertEqual("refused", thread.wait().text)
+
+    def test_finish_delivers_the_answers_in_its_queue(self):
+        """Guards against losing answers that wait for a full link."""
+        self.answer_with(lambda peer, message, at: Reply(message.call_id, "last"))
+        self.request()
+        next(iter(self.server._links))._delay_s = 0.2
+        thread = eventlet.spawn(self.request)
+        eventlet.sleep(0.05)
+        self.finish_server()
+        self.assertEqual("last", thread.wait().text)
+
+    def test_finish_ends_early_unless_a_peer_does_not_respond(self):
+        """Guards against a stop that always takes its whole timeout."""
+        self.answer_with(lambda peer, message, at: Reply(message.call_id))
+        self.request()
+        self.assertLess(self.finish_server(), 1.0)
+        self.assertEqual(set(), self.server._links)
+        wait_until(lambda: not self.client.dialled_links())
+
+    def test_finish_closes_the_link_to_a_peer_that_does_not_respond(self):
+        """Guards against a stop that waits forever for a node that hangs."""
+        self.answer_with(lambda peer, message, at: Reply(message.call_id))
+        self.request()
+        self.client.dialled_links()[0]._is_finishing = True
+        self.assertGreaterEqual(self.finish_server(), 2.0)
+        wait_until(lambda: not self.server._links)
+
 
 class SilenceTest(CallLinksTestCase):
     """Detection of silent peers, as opposed to idle or busy ones."""
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -168,6 +168,44 @@
             thread.wait()
         self.assertEqual([200] * 6, answers)
 
+    def delay_links(self, node, delay_s):
+        """Delay all messages that `node` sends on its open links, as a full link."""
+        for link in node.server.node.links._links:
+            link._delay_s = delay_s
+
+    def test_stop_sends_the_last_answers_before_it_closes_the_links(self):
+        """Guards against bookings with unknown outcome when a link is full."""
+        self.b1.upstream.service_time_s = 0.5
+        self.delay_links(self.b1, 0.3)
+        answers = []
+        thread = eventlet.spawn(
+            lambda: answers.append(
+                self.cluster.call(self.a1, "/booking/1", method="POST").status
+            )
+        )
+        wait_until(lambda: self.b1.upstream.running)
+        self.b1.server.stop()
+        thread.wait()
+        self.assertEqual([200], answers)
+
+    def test_stop_answers_calls_sent_before_the_drain_was_known(self):
+        """Guards against bookings with unknown outcome at a node that is stopping."""
+        self.delay_links(self.b1, 0.3)
+        answers = []
+
+        def call_until_refused():
+            while not answers or answers[-1] == 200:
+                answers.append(
+                    self.cluster.call(self.a1, "/booking/1", method="POST").status
+                )
+
+        thread = eventlet.spawn(call_until_refused)
+        eventlet.sleep(0.1)
+        self.b1.server.stop()
+        thread.wait()
+        # 503 states that the booking did not run.
+        self.assertEqual(503, answers[-1])
+
     def test_stopping_node_is_not_ready_and_closes_caller_connections(self):
         """Callers on persistent connections would be cut off when the node exits."""
         # The listener closes after this delay, which leaves time for a call on a busy
