Keep a silent link open for the calls pending on it

Callers saw 502 call.peer-lost (unknown) for calls to a node that was paused or cut off for three ping intervals (6 s; 45 s on the platform), although it would answer after it resumed: the link was closed, which failed the requests that were pending on it, and at the other end cancelled the runs of calls that no one else could answer.

A link whose peer answers no pings now stays open while a request of either end waits on it, at most until the deadline of that request. Further requests use another link, and whoever waits for the end of the link is woken when it is replaced. Links without requests are closed after the same time as before.

The first three tests of UnansweredPingTest failed before with 'link closed before the answer arrived'.

--- a/src/verbenawick/links/_call_links.py
+++ b/src/verbenawick/links/_call_links.py
@@ -110,6 +110,10 @@
     return not message.idempotency_key or bool(message.claimed_by)
 
 
+def _is_usable(link: Link | None) -> bool:
+    return link is not None and link.is_open and not link.is_silent
+
+
 class CallLinks:
     """Pool of call links; implements `RequestPort` and `LinkHandler`.
 
@@ -406,6 +410,7 @@
 
     def on_open(self, link: Link) -> None:
         """Register a link and report it to `on_link_open`."""
+        link.is_in_use = lambda: self._is_in_use(link)
         self._links.add(link)
         self._on_link_open(link)
 
@@ -442,6 +447,12 @@
                     )
                 )
 
+    def _is_in_use(self, link: Link) -> bool:
+        """Return whether a request of either end waits for its answer on `link`."""
+        return any(
+            pending.link is link for pending in self._pending_by_call_id.values()
+        ) or any(running_link is link for running_link, _ in self._running)
+
     def _deliver_answer(self, link: Link, message: Message) -> None:
         pending = self._pending_by_call_id.get(message.call_id)
         if pending is None or pending.link is not link or pending.answered.ready():
@@ -489,7 +500,7 @@
 
     def _link_to(self, member: Member, deadline: float) -> Link:
         peer = self._peers_by_address.get(member.peer_address)
-        if peer is not None and peer.link is not None and peer.link.is_open:
+        if peer is not None and _is_usable(peer.link):
             return peer.link
         if peer is None:
             peer = self._peers_by_address[member.peer_address] = _Peer()
@@ -501,7 +512,7 @@
                 peer=member.node_id,
             )
         try:
-            if peer.link is not None and peer.link.is_open:
+            if _is_usable(peer.link):
                 return peer.link
             return self._dial(peer, member, deadline)
         finally:
@@ -515,6 +526,10 @@
                 step="calls.dial",
                 peer=member.node_id,
             )
+        if peer.link is not None and not peer.closed.ready():
+            # A silent link may stay open for its pending requests; to everyone else it
+            # has ended.
+            peer.closed.send(True)
         peer.link = None
         timeout_s = min(self._dial_timeout_s, deadline - now)
         if timeout_s <= 0:
--- a/src/verbenawick/links/_links.py
+++ b/src/verbenawick/links/_links.py
@@ -133,6 +133,11 @@
         `CONTROL_CHANNEL` or `CALL_CHANNEL`.
     is_dialled : bool
         Whether this node opened the connection.
+    is_silent : bool
+        Whether the peer has sent nothing for several ping intervals.
+    is_in_use : callable
+        Set by the handler; a silent link stays open for as long as it returns True,
+        since a paused peer may resume.
     round_trip_s : float
         Last measured round-trip time, 0 before the first measurement.
     bytes_sent, bytes_received : int
@@ -160,6 +165,8 @@
         self.bytes_sent = 0
         self.bytes_received = 0
         self.is_open = True
+        self.is_silent = False
+        self.is_in_use: Callable[[], bool] = lambda: False
         self._sock = sock
         self._waiter = ReadWaiter(sock.fileno())
         self._protocol = protocol
@@ -338,7 +345,8 @@
                 silent_intervals = 0
             else:
                 silent_intervals += 1
-            if silent_intervals >= PING_TIMEOUT_INTERVALS:
+            self.is_silent = silent_intervals >= PING_TIMEOUT_INTERVALS
+            if self.is_silent and not self.is_in_use():
                 self.close("peer did not respond to pings")
                 return
             if self.channel == CONTROL_CHANNEL and self._received_recently():
--- a/tests/test_call_links.py
+++ b/tests/test_call_links.py
@@ -15,6 +15,8 @@
 from verbenawick.runtime._clock import MonotonicClock
 from verbenawick.runtime._metrics import MetricSet
 
+SHORT_PING_INTERVAL_S = 0.05
+
 
 @register_message(9101)
 @dataclass(frozen=True, slots=True)
@@ -69,9 +71,9 @@
         self.running = []
         self.ended = []
 
-    def links(self, node_id, port):
+    def links(self, node_id, port, **options):
         identity = NodeIdentity(node_id, 1, "s", "d", "r", f"127.0.0.1:{port}")
-        links = CallLinks(identity, clock=self.clock, metrics=self.metrics)
+        links = CallLinks(identity, clock=self.clock, metrics=self.metrics, **options)
         self.addCleanup(links.close)
         return links
 
@@ -249,6 +251,70 @@
         wait_until(lambda: not self.server._links)
 
 
+class UnansweredPingTest(CallLinksTestCase):
+    """Links whose peer answers no pings for several intervals, as when it is paused."""
+
+    def answer_slowly(self, peer, message, sent_at):
+        try:
+            eventlet.sleep(8 * SHORT_PING_INTERVAL_S)
+        finally:
+            self.ended.append(message)
+        return Reply(message.call_id, "late")
+
+    def open_link(self):
+        """Open a link whose ends ping each other often and get no pong."""
+        self.answer_with(lambda peer, message, at: Reply(message.call_id))
+        self.request()
+        links = [self.client.dialled_links()[0], next(iter(self.server._links))]
+        for link in links:
+            link.ping = lambda: None
+        self.answer_with(self.answer_slowly)
+        return links
+
+    def setUp(self):
+        super().setUp()
+        self.client = self.links("client", 1, ping_interval_s=SHORT_PING_INTERVAL_S)
+        self.server_listener._ping_interval_s = SHORT_PING_INTERVAL_S
+
+    def test_pending_request_gets_its_answer(self):
+        """Guards against unknown outcomes of calls to a node that was paused."""
+        self.open_link()
+        self.assertEqual("late", self.request().text)
+
+    def test_running_request_is_not_cancelled(self):
+        """Guards against cancelling the runs of a caller's node that was paused."""
+        ends = self.open_link()
+        self.answer_with(self.answer_slowly, CallRequest)
+        thread = eventlet.spawn(self.request, call_request())
+        self.assertEqual("late", thread.wait().text)
+        self.assertEqual(1, len(self.ended))
+        wait_until(lambda: not any(link.is_open for link in ends))
+
+    def test_further_requests_use_another_link(self):
+        """Guards against calls that wait on a link which no longer works."""
+        first, _ = self.open_link()
+        thread = eventlet.spawn(self.request)
+        eventlet.sleep(6 * SHORT_PING_INTERVAL_S)
+        self.answer_with(lambda peer, message, at: Reply(message.call_id, "new"))
+        self.assertEqual("new", self.request().text)
+        self.assertTrue(first.is_open)
+        self.assertEqual("late", thread.wait().text)
+        wait_until(lambda: not first.is_open)
+
+    def test_waiters_for_the_end_of_a_replaced_link_are_woken(self):
+        """Guards against a connector that misses the end of the new link."""
+        self.open_link()
+        address = self.peer.peer_address
+        waiter = eventlet.spawn(self.client.wait_until_closed, address)
+        thread = eventlet.spawn(self.request)
+        eventlet.sleep(6 * SHORT_PING_INTERVAL_S)
+        self.client.connect(self.peer)
+        with eventlet.Timeout(2):
+            waiter.wait()
+        self.assertTrue(self.client.is_connected(address))
+        thread.wait()
+
+
 class SilenceTest(CallLinksTestCase):
     """Detection of silent peers, as opposed to idle or busy ones."""
 
