Wait for the owner of a key that may not claim it yet

Callers saw 503 claim.authority-ended (not-run) for calls with a key in the first seconds of a node: it is listed in the member tables, and is the owner of keys, before its first heartbeats have given it the authority to claim. The same holds for a moment for claim.not-owner and claim.stopping when a node joins or stops. The entry passed the refusal on at once, although each of the three states that nothing was claimed, so asking again is safe.

The entry now asks again every 0.1 s, for at most 4 s and half of the time of the call.

--- a/src/verbenawick/calls/_dispatch.py
+++ b/src/verbenawick/calls/_dispatch.py
@@ -18,12 +18,15 @@
 from verbenawick.calls._table import Criticality, ServicePolicy
 from verbenawick.errors import (
     AnswerLostError,
+    AuthorityEndedError,
     BadResponseError,
     CallError,
     CallTimeoutError,
+    ClaimStoppingError,
     DrainingError,
     LinkClosedError,
     NoEndpointError,
+    NotOwnerError,
     PeerLostError,
     PeerUnreachableError,
     QueueFullError,
@@ -51,6 +54,16 @@
 # answer, if that is at least this many times the average latency of the service.
 MIN_ATTEMPT_LATENCIES = 10.0
 
+# Codes with which an owner states that it did not claim the key, and which end by
+# themselves when the node has joined or stopped and the member tables agree again.
+OWNER_NOT_READY_CODES = frozenset(
+    {AuthorityEndedError.code, ClaimStoppingError.code, NotOwnerError.code}
+)
+OWNER_RETRY_DELAY_S = 0.1
+# A node that joined may claim keys after its first heartbeats, which are sent once a
+# second. A node that is cut off for longer does not keep the callers waiting.
+MAX_OWNER_WAIT_S = 4.0
+
 REFUSAL_CODES = frozenset({QueueFullError.code, UpstreamShedError.code})
 FAILURE_CODES = frozenset(
     {
@@ -165,6 +178,17 @@
         return self._dispatch_with_retries(call)
 
     def _dispatch_keyed(self, call: Call) -> CallAnswer:
+        now = self._clock.now()
+        wait_until = now + min((call.deadline - now) / 2, MAX_OWNER_WAIT_S)
+        while True:
+            answer = self._attempt_at_owner(call)
+            if answer.code not in OWNER_NOT_READY_CODES:
+                return answer
+            if self._clock.now() + OWNER_RETRY_DELAY_S >= wait_until:
+                return answer
+            eventlet.sleep(OWNER_RETRY_DELAY_S)
+
+    def _attempt_at_owner(self, call: Call) -> CallAnswer:
         owner = self._claims.owner_of(call.service_id, call.idempotency_key)
         if owner is None:
             raise NoEndpointError("service has no member", step="entry.owner")
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -8,6 +8,7 @@
 
 from tests.call_support import SERVICE, Caller, CallMesh, wait_until
 from verbenawick.calls._entry import CALLS_ABANDONED
+from verbenawick.calls._gateway import ClaimDecision, ClaimVerdict
 from verbenawick.calls._table import Criticality, Route, ServicePolicy
 from verbenawick.links._call_messages import CallAnswer, CallRequest, Outcome
 
@@ -314,6 +315,51 @@
             self.assertEqual((200, b"x"), (response.status, response.body))
         self.assertEqual(2, sum(state == "started" for _, state in self.mesh.runs()))
 
+    def refuse_claims(self, code, *, until):
+        begin = self.mesh.claims.begin
+
+        def begin_or_refuse(key, *, fingerprint, attempt, deadline):
+            if self.node.clock.now() >= until:
+                options = {"fingerprint": fingerprint, "attempt": attempt}
+                return begin(key, **options, deadline=deadline)
+            verdict = ClaimVerdict.REFUSED if attempt <= 1 else ClaimVerdict.UNKNOWN
+            return ClaimDecision(verdict, code=code)
+
+        self.mesh.claims.begin = begin_or_refuse
+
+    def test_a_keyed_call_waits_for_an_owner_that_may_not_claim_yet(self):
+        """Guards against refused calls while nodes join, stop or change an owner."""
+        self.start()
+        for number, code in enumerate(
+            ("claim.authority-ended", "claim.not-owner", "claim.stopping")
+        ):
+            for attempt in ("1", "2"):
+                self.refuse_claims(code, until=self.node.clock.now() + 0.4)
+                response = self.caller.call(
+                    "POST",
+                    "/a",
+                    body=b"x",
+                    headers={
+                        "Idempotency-Key": f"{number}-{attempt}",
+                        "Attempt": attempt,
+                    },
+                )
+                self.assertEqual(("complete", b"x"), (response.outcome, response.body))
+        self.assertEqual(6, sum(state == "started" for _, state in self.mesh.runs()))
+
+    def test_a_keyed_call_does_not_wait_beyond_half_of_its_time(self):
+        """Guards against holding a call of which the owner is cut off for long."""
+        self.start()
+        self.refuse_claims("claim.authority-ended", until=float("inf"))
+        headers = {"Idempotency-Key": "k", "Attempt": "1", "Request-Timeout": "600"}
+        started_at = self.node.clock.now()
+        response = self.caller.call("POST", "/a", body=b"x", headers=headers)
+        self.assertEqual(
+            ("not-run", "claim.authority-ended"), (response.outcome, response.code)
+        )
+        self.assertLess(self.node.clock.now() - started_at, 0.5)
+        self.assertEqual([], self.mesh.runs())
+
     def test_a_stop_interrupts_no_call(self):
         """Calls in flight finish, and new ones are served in the grace period only."""
         self.start()
