Answer a request that arrives while a stopping entry closes

Callers of a node that was being stopped found their kept connection closed without an answer although their request was run. When the server stops, eventlet shuts down every connection that is between two requests, in both directions. A request that had arrived but was not read yet, at most one pass of the loop earlier, was still read from the socket, passed on to an upstream and run; its response could not be sent any more. The busier the process, the longer this window.

Before the server stops, a connection that is idle but readable is now marked as busy, so that its request is read, answered with Connection: close, and the connection closed. A request that is read from a connection that was shut down is dropped without being passed on.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -11,6 +11,8 @@
 from eventlet import wsgi
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
+from verbenawick.runtime._polling import is_readable
+
 _HEAD_TERMINATORS = (b"\r\n", b"\n", b"")
 
 
@@ -30,7 +32,53 @@
 
 
 class CallerProtocol(wsgi.HttpProtocol):
-    """HTTP protocol of one connection of a caller."""
+    """HTTP protocol of one connection of a caller.
+
+    Parameters
+    ----------
+    connections : set of CallerProtocol
+        Open connections of the server, to which this one adds itself.
+    """
+
+    def __init__(
+        self, conn_state, server, *, connections: set["CallerProtocol"] | None = None
+    ):
+        self._connections = set() if connections is None else connections
+        self._is_last_request = False
+        super().__init__(conn_state, server)
+
+    def handle(self) -> None:
+        """Serve the requests of the connection until it is closed."""
+        self._connections.add(self)
+        try:
+            super().handle()
+        finally:
+            self._connections.discard(self)
+
+    def handle_one_request(self) -> None:
+        """Serve one request, the last one if the server is stopping."""
+        super().handle_one_request()
+        if self._is_last_request:
+            self.close_connection = True
+
+    def serve_arrived_request(self) -> None:
+        """Let a request that arrived but was not read yet be the last one.
+
+        Called immediately before the server stops, which shuts down all connections
+        that it takes for idle.
+        """
+        if self.conn_state[2] != wsgi.STATE_IDLE:
+            return
+        if is_readable(self.connection.fileno()):
+            self._is_last_request = True
+            self.conn_state[2] = wsgi.STATE_REQUEST
+
+    def _read_request_line(self):
+        line = super()._read_request_line()
+        if self.conn_state[2] == wsgi.STATE_CLOSE and not self._is_last_request:
+            # The connection has been shut down, so the response would be lost.
+            return ""
+        return line
 
     def parse_request(self) -> bool:
         """Parse the request head that begins with ``raw_requestline``.
--- a/src/verbenawick/calls/_entry_server.py
+++ b/src/verbenawick/calls/_entry_server.py
@@ -1,6 +1,7 @@
 """HTTP server of the entry role, based on eventlet's WSGI server."""
 
 from contextlib import suppress
+from functools import partial
 from typing import Protocol
 
 import eventlet
@@ -45,6 +46,7 @@
         self._max_connections = max_connections or MAX_CONNECTIONS
         self._listener = None
         self._thread = None
+        self._connections: set[CallerProtocol] = set()
 
     def listen(self, address: str) -> None:
         """Bind the listening socket to ``"ip:port"``."""
@@ -58,7 +60,7 @@
         wsgi.server(
             self._listener,
             self._application,
-            protocol=CallerProtocol,
+            protocol=partial(CallerProtocol, connections=self._connections),
             log_output=False,
             debug=False,
             max_size=self._max_connections,
@@ -81,6 +83,8 @@
         """
         self._application.stop_accepting()
         eventlet.sleep(grace_s)
+        for connection in self._connections:
+            connection.serve_arrived_request()
         # Ends the accept loop. eventlet then closes idle connections and waits for the
         # active ones.
         self._thread.kill()
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,6 +1,8 @@
 """Entry and gateway from the caller's side, over real sockets."""
 
+import time
 from dataclasses import replace
+from http.client import HTTPException
 
 import eventlet
 from eventlet.green import socket
@@ -360,6 +362,32 @@
         self.assertLess(self.node.clock.now() - started_at, 0.5)
         self.assertEqual([], self.mesh.runs())
 
+    def test_a_request_that_arrives_at_the_close_is_answered_if_it_runs(self):
+        """Guards against running a request whose connection is already shut down."""
+        self.start(nodes=1)
+        for connection in ("kept", "new"):
+            caller = self.new_caller()
+            if connection == "kept":
+                caller.call("GET", "/a")
+            before = len(self.mesh.runs())
+            server = self.node.entry_server
+            stop = eventlet.spawn(server.stop, grace_s=0.05, timeout_s=5)
+            eventlet.spawn_after(0.04, caller.send, "GET", "/a")
+            eventlet.sleep(0)
+            # Both timers are due now, and the request is not read between them.
+            time.sleep(0.1)
+            stop.wait()
+            try:
+                status = caller.receive().status
+            except (HTTPException, OSError):
+                status = None
+            has_run = len(self.mesh.runs()) > before
+            self.assertEqual(200 if has_run else None, status)
+            if connection == "kept":
+                self.assertEqual(200, status)
+            server.listen(self.node.call_address)
+            server.start()
+
     def test_a_stop_interrupts_no_call(self):
         """Calls in flight finish, and new ones are served in the grace period only."""
         self.start()
