Pass a node that has no configuration yet

Callers saw 503 call.not-ready (not-run) at entries that were ready: a node that was restarted is listed as a member before it has a configuration in force, its gateway refuses the calls that it gets, and the entry took the refusal for final although other members could run the call.

The refusal costs the gateway nothing and proves that nothing was sent, so the entry now tries another upstream, or asks the owner of a key again. test_calls_pass_a_node_that_has_no_configuration_yet failed before.

--- a/src/verbenawick/calls/_dispatch.py
+++ b/src/verbenawick/calls/_dispatch.py
@@ -27,6 +27,7 @@
     LinkClosedError,
     NoEndpointError,
     NotOwnerError,
+    NotReadyError,
     PeerLostError,
     PeerUnreachableError,
     QueueFullError,
@@ -57,7 +58,12 @@
 # Codes with which an owner states that it did not claim the key, and which end by
 # themselves when the node has joined or stopped and the member tables agree again.
 OWNER_NOT_READY_CODES = frozenset(
-    {AuthorityEndedError.code, ClaimStoppingError.code, NotOwnerError.code}
+    {
+        AuthorityEndedError.code,
+        ClaimStoppingError.code,
+        NotOwnerError.code,
+        NotReadyError.code,
+    }
 )
 OWNER_RETRY_DELAY_S = 0.1
 # A node that joined may claim keys after its first heartbeats, which are sent once a
--- a/src/verbenawick/calls/_retry.py
+++ b/src/verbenawick/calls/_retry.py
@@ -7,6 +7,7 @@
     BadResponseError,
     CallTimeoutError,
     DrainingError,
+    NotReadyError,
     PeerLostError,
     PeerUnreachableError,
     QueueFullError,
@@ -27,6 +28,7 @@
 UNBUDGETED_RETRY_CODES = frozenset(
     {
         DrainingError.code,
+        NotReadyError.code,
         PeerUnreachableError.code,
         UpstreamUnreachableError.code,
         WrongServiceError.code,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -221,6 +221,20 @@
         self.assertEqual("unknown", response.outcome)
         self.assertEqual(before + 2, len(self.mesh.runs()))
 
+    def test_calls_pass_a_node_that_has_no_configuration_yet(self):
+        """Guards against refused calls while a restarted node catches up."""
+        self.start()
+        other = self.mesh.nodes[1].gateway
+        table, other._table = other._table, lambda: None
+        outcomes = [self.caller.call("GET", "/a").outcome for _ in range(12)]
+        self.assertEqual({"complete"}, set(outcomes))
+        # The owner of the key is that node; the call waits until it is ready.
+        eventlet.spawn_after(0.3, setattr, other, "_table", table)
+        response = self.caller.call(
+            "POST", "/a", body=b"x", headers={"Idempotency-Key": "k", "Attempt": "1"}
+        )
+        self.assertEqual("complete", response.outcome)
+
     def test_a_paused_node_does_not_use_up_the_whole_deadline(self):
         """Guards against a hanging node that keeps its links open and delays reads."""
         self.start()
