Reserve the ports of tests outside the ephemeral range

Ports are now drawn from 10000 to the first ephemeral port and checked, and a process returns none twice.

--- a/tests/call_support.py
+++ b/tests/call_support.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http.client import HTTPConnection
+from pathlib import Path
 from random import Random
 
 import eventlet
@@ -30,11 +31,33 @@
 SERVICE = "archivo"
 
 
+def _read_first_ephemeral_port() -> int:
+    path = Path("/proc/sys/net/ipv4/ip_local_port_range")
+    return int(path.read_text().split()[0])
+
+
+# Ports below this one are not assigned to outgoing connections by the kernel, so a free
+# one stays free until a test binds it.
+FIRST_EPHEMERAL_PORT = _read_first_ephemeral_port()
+FIRST_TEST_PORT = 10_000
+# Seeded by the system, so that concurrent test processes use different ports.
+_port_random = Random()
+_used_ports: set[int] = set()
+
+
 def free_port() -> int:
-    """Return a currently unused port."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return an unused port that this process has not returned before."""
+    while True:
+        port = _port_random.randrange(FIRST_TEST_PORT, FIRST_EPHEMERAL_PORT)
+        if port in _used_ports:
+            continue
+        _used_ports.add(port)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 def wait_until(condition: Callable[[], object], timeout_s: float = 5.0) -> None:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -9,6 +9,7 @@
 from eventlet.green import socket
 from testtools import TestCase
 
+from tests.call_support import free_port
 from verbenawick.errors import LinkClosedError
 from verbenawick.links._component import NodeIdentity
 from verbenawick.links._links import (
@@ -37,13 +38,6 @@
     return NodeIdentity(name, 1, "svc", "dc", "reg", f"127.0.0.1:{port}")
 
 
-def free_port() -> int:
-    """Return a currently unused port."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class RecordingHandler:
     """Handler that records events and optionally echoes messages."""
 
