Print why the demo counts a connection as cut

The report named only the type of the error. It now shows the error and how often the request ran, which tells a connection that closed while a request crossed its close from a request that ran without an answer.

--- a/demo/_callers.py
+++ b/demo/_callers.py
@@ -31,6 +31,7 @@
     failed_when_planned: int = 0
     wrong_answers: int = 0
     cut_in_flight: int = 0
+    cut_ids: list[str] = field(default_factory=list)
     counts_by_code: Counter = field(default_factory=Counter)
     recent_failures: list[str] = field(default_factory=list)
     planned_failures: list[str] = field(default_factory=list)
@@ -148,7 +149,7 @@
         except NewConnectionError:
             return "not-run"
         except HTTPError as error:
-            self._record_cut(f"{request_id} {type(error).__name__} {url}")
+            self._record_cut(request_id, f"{error!r} {url}")
             return "unknown"
         outcome = response.headers.get("Verbenawick-Outcome", "missing")
         if outcome != "complete" or response.status != 200:
@@ -163,11 +164,12 @@
                 self.log.wrong_answers += 1
         return outcome
 
-    def _record_cut(self, text: str) -> None:
+    def _record_cut(self, request_id: str, text: str) -> None:
         with self.log.lock:
-            self._add_failure(text)
+            self._add_failure(f"{request_id} {text}")
             if not self.allows_failures:
                 self.log.cut_in_flight += 1
+                self.log.cut_ids.append(request_id)
 
     def _add_failure(self, text: str) -> None:
         self.log.add_failure(
--- a/demo/_scenario.py
+++ b/demo/_scenario.py
@@ -221,6 +221,9 @@
             self._print_line(
                 "failures of the planned phase:\n  " + "\n  ".join(log.planned_failures)
             )
+            # Runs of all attempts, on the connection that was cut or another one.
+            runs = {name: runs_by_id[name] for name in log.cut_ids}
+            self._print_line(f"runs of the calls whose connection was cut: {runs}")
 
     def _run_ctl(self, *arguments: str) -> subprocess.CompletedProcess:
         command = [sys.executable, "-m", "verbenawick", "ctl"]
