--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,6 +1,8 @@
 """Entry and gateway from the caller's side, over real sockets."""
 
+import time
 from dataclasses import replace
+from http.client import HTTPException
 
 import eventlet
 from eventlet.green import socket
@@ -8,6 +10,7 @@
 
 from tests.call_support import SERVICE, Caller, CallMesh, wait_until
 from verbenawick.calls._entry import CALLS_ABANDONED
+from verbenawick.calls._gateway import ClaimDecision, ClaimVerdict
 from verbenawick.calls._table import Criticality, Route, ServicePolicy
 from verbenawick.links._call_messages import CallAnswer, CallRequest, Outcome
 
@@ -218,6 +221,20 @@
         self.assertEqual("unknown", response.outcome)
         self.assertEqual(before + 2, len(self.mesh.runs()))
 
+    def test_calls_pass_a_node_that_has_no_configuration_yet(self):
+        """Guards against refused calls while a restarted node catches up."""
+        self.start()
+        other = self.mesh.nodes[1].gateway
+        table, other._table = other._table, lambda: None
+        outcomes = [self.caller.call("GET", "/a").outcome for _ in range(12)]
+        self.assertEqual({"complete"}, set(outcomes))
+        # The owner of the key is that node; the call waits until it is ready.
+        eventlet.spawn_after(0.3, setattr, other, "_table", table)
+        response = self.caller.call(
+            "POST", "/a", body=b"x", headers={"Idempotency-Key": "k", "Attempt": "1"}
+        )
+        self.assertEqual("complete", response.outcome)
+
     def test_a_paused_node_does_not_use_up_the_whole_deadline(self):
         """Guards against a hanging node that keeps its links open and delays reads."""
         self.start()
@@ -228,6 +245,35 @@
         self.assertEqual({"complete"}, {response.outcome for response in responses})
         wait_until(lambda: not hanging.running_count)
 
+    def test_a_slow_read_without_another_upstream_gets_its_whole_deadline(self):
+        """Guards against cancelling a run when no other upstream could replace it."""
+        self.start(nodes=1)
+        headers = {"Request-Timeout": "1200"}
+        response = self.caller.call("GET", "/a?delay_ms=800", headers=headers)
+        self.assertEqual((200, "complete"), (response.status, response.outcome))
+        self.assertEqual(0, self.mesh.upstreams[0].cancelled)
+
+    def test_a_slow_read_without_retry_budget_gets_its_whole_deadline(self):
+        """Guards against cancelling a run that no retry replaces."""
+        self.start(policy=ServicePolicy("p", retry_budget=0.0))
+        rules = self.node.dispatcher._retry_rules
+        while rules._budget(SERVICE).try_consume():
+            pass
+        headers = {"Request-Timeout": "1200"}
+        response = self.caller.call("GET", "/a?delay_ms=800", headers=headers)
+        self.assertEqual((200, "complete"), (response.status, response.outcome))
+
+    def test_a_slow_read_is_answered_by_the_first_run_that_ends(self):
+        """Guards against a run that is cancelled although its retry takes as long."""
+        self.start()
+        headers = {"Request-Timeout": "1200"}
+        response = self.caller.call("GET", "/a?delay_ms=800", headers=headers)
+        self.assertEqual((200, "complete"), (response.status, response.outcome))
+        # The other run is cancelled once the answer has arrived.
+        wait_until(lambda: not any(u.running for u in self.mesh.upstreams))
+        wait_until(lambda: not any(n.admission.in_use for n in self.mesh.nodes))
+        self.assertEqual(1, sum(u.cancelled for u in self.mesh.upstreams))
+
     def test_an_unknown_code_of_another_version_is_passed_on(self):
         """Guards against an internal error while versions are mixed in a rollout."""
         self.start()
@@ -285,6 +331,77 @@
             self.assertEqual((200, b"x"), (response.status, response.body))
         self.assertEqual(2, sum(state == "started" for _, state in self.mesh.runs()))
 
+    def refuse_claims(self, code, *, until):
+        begin = self.mesh.claims.begin
+
+        def begin_or_refuse(key, *, fingerprint, attempt, deadline):
+            if self.node.clock.now() >= until:
+                options = {"fingerprint": fingerprint, "attempt": attempt}
+                return begin(key, **options, deadline=deadline)
+            verdict = ClaimVerdict.REFUSED if attempt <= 1 else ClaimVerdict.UNKNOWN
+            return ClaimDecision(verdict, code=code)
+
+        self.mesh.claims.begin = begin_or_refuse
+
+    def test_a_keyed_call_waits_for_an_owner_that_may_not_claim_yet(self):
+        """Guards against refused calls while nodes join, stop or change an owner."""
+        self.start()
+        for number, code in enumerate(
+            ("claim.authority-ended", "claim.not-owner", "claim.stopping")
+        ):
+            for attempt in ("1", "2"):
+                self.refuse_claims(code, until=self.node.clock.now() + 0.4)
+                response = self.caller.call(
+                    "POST",
+                    "/a",
+                    body=b"x",
+                    headers={
+                        "Idempotency-Key": f"{number}-{attempt}",
+                        "Attempt": attempt,
+                    },
+                )
+                self.assertEqual(("complete", b"x"), (response.outcome, response.body))
+        self.assertEqual(6, sum(state == "started" for _, state in self.mesh.runs()))
+
+    def test_a_keyed_call_does_not_wait_beyond_half_of_its_time(self):
+        """Guards against holding a call of which the owner is cut off for long."""
+        self.start()
+        self.refuse_claims("claim.authority-ended", until=float("inf"))
+        headers = {"Idempotency-Key": "k", "Attempt": "1", "Request-Timeout": "600"}
+        started_at = self.node.clock.now()
+        response = self.caller.call("POST", "/a", body=b"x", headers=headers)
+        self.assertEqual(
+            ("not-run", "claim.authority-ended"), (response.outcome, response.code)
+        )
+        self.assertLess(self.node.clock.now() - started_at, 0.5)
+        self.assertEqual([], self.mesh.runs())
+
+    def test_a_request_that_arrives_at_the_close_is_answered_if_it_runs(self):
+        """Guards against running a request whose connection is already shut down."""
+        self.start(nodes=1)
+        for connection in ("kept", "new"):
+            caller = self.new_caller()
+            if connection == "kept":
+                caller.call("GET", "/a")
+            before = len(self.mesh.runs())
+            server = self.node.entry_server
+            stop = eventlet.spawn(server.stop, grace_s=0.05, timeout_s=5)
+            eventlet.spawn_after(0.04, caller.send, "GET", "/a")
+            eventlet.sleep(0)
+            # Both timers are due now, and the request is not read between them.
+            time.sleep(0.1)
+            stop.wait()
+            try:
+                status = caller.receive().status
+            except (HTTPException, OSError):
+                status = None
+            has_run = len(self.mesh.runs()) > before
+            self.assertEqual(200 if has_run else None, status)
+            if connection == "kept":
+                self.assertEqual(200, status)
+            server.listen(self.node.call_address)
+            server.start()
+
     def test_a_stop_interrupts_no_call(self):
         """Calls in flight finish, and new ones are served in the grace period only."""
         self.start()
