Test configuration deltas around a restart of the relay

Five versions over sockets, one of them before and one immediately after the restart, are in force on four nodes of two regions within 2 s each.

--- a/tests/test_configuration_deltas.py
+++ b/tests/test_configuration_deltas.py
@@ -480,33 +480,53 @@
 class ClusterDeltaTest(TestCase):
     """Nodes in two regions on the stand-in platform."""
 
-    def test_deltas_reach_all_regions_without_queries(self):
-        """A leader forwards the delta before it has applied it itself."""
-        cluster = MeshCluster()
-        self.addCleanup(cluster.close)
-        random = Random(3)
-        resources = grown_resources(random, 200)[:-1]
-        cluster.configure(*resources)
-        nodes = [
-            cluster.add_node("service-1", region=region)
+    def setUp(self):
+        super().setUp()
+        self.cluster = MeshCluster()
+        self.addCleanup(self.cluster.close)
+        self.random = Random(3)
+        self.resources = grown_resources(self.random, 200)[:-1]
+        self.cluster.configure(*self.resources)
+        self.nodes = [
+            self.cluster.add_node("service-1", region=region)
             for region in ("south", "north", "south", "north")
         ]
-        cluster.wait_ready()
+        self.cluster.wait_ready()
         eventlet.sleep(2.6)  # until the initial store watches have returned
+
+    def change_and_wait(self):
+        self.resources[self.random.randrange(200)]["spec"]["timeout_ms"] += 1
+        version = self.cluster.configure(*self.resources)
+        # A node that has just started has no configuration yet.
+        wait_until(
+            lambda: all(
+                getattr(n.server.node.entry.configuration, "version", 0) == version
+                for n in self.nodes
+            ),
+            2.0,
+        )
+
+    def test_deltas_reach_all_regions_without_queries(self):
+        """A leader forwards the delta before it has applied it itself."""
         with (
             mock.patch.object(Beacons, "query", autospec=True) as query,
             mock.patch.object(_beacons, "emit") as emit,
         ):
             for _ in range(3):
-                resources[random.randrange(200)]["spec"]["timeout_ms"] += 1
-                version = cluster.configure(*resources)
-                wait_until(
-                    lambda v=version: all(
-                        n.server.node.entry.configuration.version == v for n in nodes
-                    ),
-                    2.0,
-                )
+                self.change_and_wait()
         self.assertEqual(0, query.call_count)
         kinds = [call.args[0].kind for call in emit.call_args_list]
         self.assertEqual({"delta"}, set(kinds))
         self.assertEqual(6, len(kinds))
+
+    def test_versions_are_in_force_in_time_around_a_restart_of_the_relay(self):
+        """The new relay and the restarted one have other bases than their nodes."""
+        (relay,) = [n for n in self.nodes if n.server.node._beacons.is_relay()]
+        self.change_and_wait()
+        self.cluster.restart_node(relay)
+        for _ in range(4):
+            self.change_and_wait()
+        expected = self.nodes[0].server.node.entry.configuration
+        for node in self.nodes:
+            configuration = node.server.node.entry.configuration
+            self.assertEqual(expected.routes, configuration.routes)
