Start a platform node without the modules of the own call interface

The node needs two parts of them, the hop-by-hop headers and read_body(), and imported the routing tables, the request parser and the upstream connections of the project's own call interface for these. Both are now in a module of their own.

The test failed before the change.

--- a/src/verbenawick/calls/_entry.py
+++ b/src/verbenawick/calls/_entry.py
@@ -15,8 +15,8 @@
     parse_criticality,
     parse_integer,
     parse_timeout,
-    read_body,
 )
+from verbenawick.calls._http_messages import read_body
 from verbenawick.calls._routing import Router
 from verbenawick.calls._table import RoutingTable
 from verbenawick.calls._tracing import TraceContext, Tracer
--- a/src/verbenawick/calls/_entry_request.py
+++ b/src/verbenawick/calls/_entry_request.py
@@ -1,13 +1,13 @@
-"""Parsing of a caller's request by the entry: headers, body, fingerprint.
+"""Parsing of a caller's request by the entry: headers, fingerprint.
 
 Invalid requests raise a `CallError`, which proves that the request did not run.
 """
 
 from xxhash import xxh3_128_digest
 
+from verbenawick.calls._http_messages import HOP_BY_HOP_HEADERS
 from verbenawick.calls._table import Criticality, ServicePolicy
-from verbenawick.calls._upstream import HOP_BY_HOP_HEADERS
-from verbenawick.errors import BadCallError, RequestTooLargeError
+from verbenawick.errors import BadCallError
 from verbenawick.links._call_messages import Headers
 
 # Headers that the entry interprets. They are not forwarded; the gateway writes its own.
@@ -78,27 +78,6 @@
     return number
 
 
-def read_body(environ, max_bytes: int) -> bytes:
-    """Return the complete request body."""
-    length = environ.get("CONTENT_LENGTH")
-    if length is None and "HTTP_TRANSFER_ENCODING" not in environ:
-        return b""
-    too_large = RequestTooLargeError(
-        f"request body exceeds {max_bytes} bytes", step="entry.body"
-    )
-    if length is not None and int(length) > max_bytes:
-        raise too_large
-    try:
-        body = environ["wsgi.input"].read(max_bytes + 1)
-    except (OSError, ValueError) as error:
-        raise BadCallError(f"body is incomplete: {error}", step="entry.body") from error
-    if len(body) > max_bytes:
-        raise too_large
-    if length is not None and len(body) != int(length):
-        raise BadCallError("body is shorter than its length", step="entry.body")
-    return body
-
-
 def compute_fingerprint(method: str, target: str, body: bytes) -> bytes:
     """Return the hash that equal requests share."""
     return xxh3_128_digest(f"{method} {target}\n".encode("latin-1") + body)
--- a/src/verbenawick/calls/_upstream.py
+++ b/src/verbenawick/calls/_upstream.py
@@ -14,6 +14,7 @@
 from eventlet.green import socket
 from urllib3.connection import HTTPConnection
 
+from verbenawick.calls._http_messages import HOP_BY_HOP_HEADERS
 from verbenawick.errors import (
     BadCallError,
     BadResponseError,
@@ -42,20 +43,6 @@
 # this time counts as unreachable.
 CONNECT_TIMEOUT_S = 1.0
 
-HOP_BY_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-
 CONNECTIONS_OPENED = register_metric(
     "upstream.connections_opened",
     MetricKind.COUNTER,
--- a/src/verbenawick/platform/_calls.py
+++ b/src/verbenawick/platform/_calls.py
@@ -3,7 +3,7 @@
 import math
 from http.client import responses
 
-from verbenawick.calls._upstream import HOP_BY_HOP_HEADERS
+from verbenawick.calls._http_messages import HOP_BY_HOP_HEADERS
 from verbenawick.errors import errors_by_code
 from verbenawick.mesh._model import CallOutcome, CallResult, Headers, IncomingCall
 from verbenawick.mesh._upstream_channels import AnswerKind, RawAnswer
--- a/src/verbenawick/platform/_servers.py
+++ b/src/verbenawick/platform/_servers.py
@@ -5,7 +5,7 @@
 import msgspec
 from greenlet import GreenletExit
 
-from verbenawick.calls._entry_request import read_body
+from verbenawick.calls._http_messages import read_body
 from verbenawick.errors import CallError
 from verbenawick.mesh._entry import MeshEntry
 from verbenawick.mesh._local_upstream import LocalUpstream
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -9,6 +9,7 @@
 # The daemon patches the standard library on import, so it must not be imported here.
 SCRIPT = """
 import json
+import sys
 import verbenawick.platform._daemon
 import eventlet
 from eventlet.patcher import is_monkey_patched
@@ -27,6 +28,7 @@
 for thread in threads:
     thread.wait()
 names = ("socket", "time", "thread")
+print(json.dumps(sorted(name for name in sys.modules if "verbenawick" in name)))
 print(json.dumps({name: is_monkey_patched(name) for name in names}))
 output.flush()
 """
@@ -77,8 +79,8 @@
     assert json.loads(run.stderr) == {"early": [], "is_enabled": True}
 
 
-def run_script() -> tuple[dict, list[dict]]:
-    """Return which modules are patched, and the log lines of the process."""
+def run_script() -> tuple[dict, list[str], list[dict]]:
+    """Return which modules are patched, the project's modules and the log lines."""
     run = subprocess.run(
         [sys.executable, "-W", "ignore", "-c", SCRIPT],
         capture_output=True,
@@ -89,16 +91,28 @@
     assert run.stderr == ""
     lines = [json.loads(line) for line in run.stdout.splitlines()]
     patched = next(line for line in lines if "socket" in line)
-    return patched, [line for line in lines if "message" in line]
+    modules = next(line for line in lines if isinstance(line, list))
+    return patched, modules, [line for line in lines if "message" in line]
 
 
 def test_start_replaces_no_locks_which_would_traverse_all_objects():
     """Replacing the locks took a fifth of the processor time of a start."""
-    patched, _ = run_script()
+    patched, _, _ = run_script()
     assert patched == {"socket": True, "time": True, "thread": False}
 
 
 def test_green_threads_log_without_losing_lines_to_lock_errors():
     """The log must work from many green threads without green locks."""
-    _, lines = run_script()
+    _, _, lines = run_script()
     assert len(lines) == 200
+
+
+def test_start_imports_no_modules_of_the_own_call_interface():
+    """The tables of that interface took some milliseconds of each start."""
+    _, modules, _ = run_script()
+    calls = {name for name in modules if name.startswith("verbenawick.calls._")}
+    assert calls == {
+        "verbenawick.calls._caller_protocol",
+        "verbenawick.calls._entry_server",
+        "verbenawick.calls._http_messages",
+    }
