Read current records after their history was discarded

A read that allows a stale answer can return a revision older than the history that the store has kept, and the watch from it fails with 410 again.

The read after a 410 now asks for the current state. The test counts several reads a node without the change and one with it.

--- a/src/verbenawick/mesh/_followers.py
+++ b/src/verbenawick/mesh/_followers.py
@@ -117,6 +117,7 @@
         self._store = store
         self._random = random
         self._revision = 0
+        self._is_history_gone = False
         self._failures = 0
 
     @property
@@ -132,6 +133,7 @@
             except StoreHistoryGoneError:
                 emit(HistoryGone(self.subject, self._revision))
                 self._revision = 0
+                self._is_history_gone = True
                 continue
             except VerbenawickError as error:
                 self._on_failure(error)
@@ -348,7 +350,10 @@
 
     def _poll(self) -> bool:
         if not self._revision:
-            change = self._store.read_records()
+            # A stale answer may be older than the history that the store has kept, so
+            # that the watch from its revision would fail again.
+            change = self._store.read_records(allow_stale=not self._is_history_gone)
+            self._is_history_gone = False
         else:
             change = self._store.watch_records(self._revision, wait_s=WATCH_WAIT_S)
         if change.revision < self._revision:
--- a/src/verbenawick/mesh/_state_store.py
+++ b/src/verbenawick/mesh/_state_store.py
@@ -66,8 +66,14 @@
         """Wait up to `wait_s` for a change after `revision` and return it."""
         ...
 
-    def read_records(self) -> RecordChange:
-        """Return all records; the result may be seconds old."""
+    def read_records(self, *, allow_stale: bool) -> RecordChange:
+        """Return all records.
+
+        Parameters
+        ----------
+        allow_stale : bool
+            Whether the result may be seconds old, which makes the call cheaper.
+        """
         ...
 
     def watch_records(self, revision: int, *, wait_s: float) -> RecordChange:
--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -152,9 +152,9 @@
                 return ConfigurationChange(current, configuration, bytes(item.spec))
         return ConfigurationChange(current, None)
 
-    def read_records(self) -> RecordChange:
-        """Return all records, which may be seconds out of date."""
-        items, current = self._list(RECORD_KIND, allow_stale=True)
+    def read_records(self, *, allow_stale: bool) -> RecordChange:
+        """Return all records, possibly seconds out of date if `allow_stale`."""
+        items, current = self._list(RECORD_KIND, allow_stale=allow_stale)
         records = {item.metadata.name: self._decode_record(item) for item in items}
         records = {name: record for name, record in records.items() if record}
         return RecordChange(current, records, is_complete=True)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -23,11 +23,15 @@
         Calls get no response while it is set.
     withholds_write_responses : bool
         Writes take effect, but get no response while it is set.
+    stale_revision : int
+        Revision as of which lists that may be stale are answered; 0 for the current
+        one.
     """
 
     status: int = 0
     is_unresponsive: bool = False
     withholds_write_responses: bool = False
+    stale_revision: int = 0
 
 
 @dataclass(slots=True)
@@ -37,6 +41,7 @@
     revision: int = 1
     faults: StoreFaults = field(default_factory=StoreFaults)
     calls: list[tuple[str, str]] = field(default_factory=list)
+    queries: list[dict[str, str]] = field(default_factory=list)
     oldest_revision: int = 0
     _objects: dict[tuple[str, str], dict] = field(default_factory=dict)
     _history: list[tuple[int, str, dict, bool]] = field(default_factory=list)
@@ -88,6 +93,7 @@
         parts = [unquote(p) for p in environ["PATH_INFO"].split("/") if p]
         query = {k: v[0] for k, v in parse_qs(environ.get("QUERY_STRING", "")).items()}
         self.calls.append((method, environ["PATH_INFO"]))
+        self.queries.append(query)
         while self.faults.is_unresponsive:
             eventlet.sleep(0.05)
         if self.faults.status:
@@ -117,7 +123,11 @@
             for (item_kind, name), item in sorted(self._objects.items())
             if item_kind == kind and name > after
         ]
-        return 200, {"items": items, "more": False, "current_rev": self.revision}
+        revision = self.revision
+        if "allow_stale" in query and self.faults.stale_revision:
+            revision = self.faults.stale_revision
+            items = [i for i in items if i["metadata"]["revision"] <= revision]
+        return 200, {"items": items, "more": False, "current_rev": revision}
 
     def _watch(self, kind: str, revision: int, wait_s: float):
         with eventlet.Timeout(wait_s, False):
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -121,6 +121,23 @@
         self.configure(route("r-n", "/new/", service="booking"))
         wait_until(lambda: self.cluster.call(self.a1, "/new/1").status == 200, 4)
 
+    def test_records_are_read_once_after_their_history_was_discarded(self):
+        """A stale read is older than the kept history, so its watch fails at once."""
+        store = self.cluster.store
+        store.faults.stale_revision = store.revision
+        before = len(store.calls)
+        store.compact_history()
+        eventlet.sleep(2.0)
+        reads = [
+            query
+            for (method, path), query in zip(
+                store.calls[before:], store.queries[before:], strict=True
+            )
+            if path == f"/objects/{RECORD_KIND}" and "watch" not in query
+        ]
+        self.assertEqual([{}] * len(self.cluster.nodes), reads)
+        self.assertEqual(200, self.cluster.call(self.b1, "/archive/1").status)
+
     def test_metrics_are_served_as_text(self):
         """On-call engineers rely on logs and metrics alone."""
         self.cluster.call(self.a1, "/archive/1")
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -84,7 +84,7 @@
         for number, spec in enumerate((None, 7, [], {"service": 1}, {"slots": "x"})):
             self.standin.put(RECORD_KIND, f"foreign-{number}", spec)
         self.client.create_record(record())
-        change = self.client.read_records()
+        change = self.client.read_records(allow_stale=True)
         self.assertEqual(["n1"], list(change.records_by_node_id))
         watched = self.client.watch_records(0, wait_s=0.1)
         self.assertEqual(["n1"], list(watched.records_by_node_id))
@@ -107,7 +107,9 @@
         """Requests answered with 429 or 503 are safe to retry."""
         for status in (429, 503):
             self.standin.faults.status = status
-            self.assertRaises(StoreUnavailableError, self.client.read_records)
+            self.assertRaises(
+                StoreUnavailableError, self.client.read_records, allow_stale=True
+            )
             self.assertRaises(
                 StoreUnavailableError, self.client.create_record, record()
             )
