Serve the connections that wait when an entry stops

Callers of a node that was being stopped got their new connection reset: the kernel had accepted it, the busy process had not, and closing the listener resets what waits there. The accept loop now takes these connections first, for at most 0.2 s, and their requests are served as the last ones.

test_a_connection_that_waits_at_the_close_is_served failed before (connection reset by peer) and passes now.

--- a/src/verbenawick/calls/_entry_server.py
+++ b/src/verbenawick/calls/_entry_server.py
@@ -9,6 +9,7 @@
 from greenlet import GreenletExit
 
 from verbenawick.calls._caller_protocol import CallerProtocol
+from verbenawick.runtime._polling import is_readable
 from verbenawick.runtime._sockets import listen
 
 MAX_CONNECTIONS = 1024
@@ -18,6 +19,10 @@
 # is closed.
 SOCKET_TIMEOUT_S = 30.0
 
+# Longest wait for the accept loop during a stop; it does not accept more connections
+# than the limit.
+ACCEPT_TIMEOUT_S = 0.2
+
 
 class StoppableApplication(Protocol):
     """WSGI application that can finish its calls before the server stops."""
@@ -83,6 +88,7 @@
         """
         self._application.stop_accepting()
         eventlet.sleep(grace_s)
+        self._accept_waiting()
         for connection in self._connections:
             connection.serve_arrived_request()
         # Ends the accept loop. eventlet then closes idle connections and waits for the
@@ -95,6 +101,17 @@
             self._thread.wait()
         return is_idle
 
+    def _accept_waiting(self) -> None:
+        """Let the accept loop take the connections that wait at the listener.
+
+        Closing the listener resets them, although their callers are connected.
+        """
+        with eventlet.Timeout(ACCEPT_TIMEOUT_S, False):
+            while is_readable(self._listener.fileno()):
+                eventlet.sleep(0)
+            # The green threads of the last ones start in the next pass of the hub.
+            eventlet.sleep(0)
+
     def close(self) -> None:
         """Stop immediately; calls in flight lose their connection to the caller."""
         self._thread.kill()
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,6 +5,7 @@
 from http.client import HTTPException
 
 import eventlet
+from eventlet import patcher
 from eventlet.green import socket
 from testtools import TestCase
 
@@ -402,6 +403,28 @@
             server.listen(self.node.call_address)
             server.start()
 
+    def test_a_connection_that_waits_at_the_close_is_served(self):
+        """Guards against resetting connections that the kernel has accepted."""
+        self.start(nodes=1)
+        host, _, port = self.node.call_address.rpartition(":")
+        native_socket = patcher.original("socket")
+        socks = []
+
+        def connect_and_send():
+            sock = native_socket.create_connection((host, int(port)), 5)
+            sock.sendall(b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
+            socks.append(sock)
+
+        server = self.node.entry_server
+        stop = eventlet.spawn(server.stop, grace_s=0.05, timeout_s=5)
+        eventlet.spawn_after(0.04, connect_and_send)
+        eventlet.sleep(0)
+        # Both timers are due now, and no connection is accepted between them.
+        time.sleep(0.1)
+        stop.wait()
+        with socks[0]:
+            self.assertIn(b" 200 ", socks[0].recv(65536))
+
     def test_a_stop_interrupts_no_call(self):
         """Calls in flight finish, and new ones are served in the grace period only."""
         self.start()
