Wait for the count of an abandoned call in its test

Trace: since attempts run in green threads of their own, the green thread of the call cancels them when its caller disconnects, and eventlet.kill yields. The test can run in between, after the upstream is free and before the call is counted. The test waits for the count, and still requires one count a call.

--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -312,8 +312,12 @@
             caller.close()
             wait_until(lambda: not any(u.running for u in self.mesh.upstreams))
             wait_until(lambda: not any(n.admission.in_use for n in self.mesh.nodes))
-            abandoned = self.node.metrics.totals()[CALLS_ABANDONED]
-            self.assertEqual(number + 1, abandoned)
+            # Counted after the attempts were cancelled, which yields to this test.
+            wait_until(lambda number=number: self.abandoned() == number + 1)
+        self.assertEqual(8, self.abandoned())
+
+    def abandoned(self):
+        return self.node.metrics.totals()[CALLS_ABANDONED]
 
     def test_a_keyed_call_continues_without_its_caller(self):
         """The retry gets the recorded response; guards against a second run."""
