End a stop within its time despite incomplete requests

EntryServer.stop waited up to timeout_s for the calls in flight and then up to timeout_s again for the connections, so a caller that had sent only a part of a request head could extend a stop beyond the grace period, after which the platform kills the process. Both waits now share one deadline.

test_a_stop_with_an_incomplete_request_ends_within_its_time failed before (1.606 s with grace_s=0.05 and timeout_s=1.0) and passes now.

--- a/src/verbenawick/calls/_entry_server.py
+++ b/src/verbenawick/calls/_entry_server.py
@@ -9,6 +9,7 @@
 from greenlet import GreenletExit
 
 from verbenawick.calls._caller_protocol import CallerProtocol
+from verbenawick.runtime._clock import MonotonicClock
 from verbenawick.runtime._sockets import listen
 
 MAX_CONNECTIONS = 1024
@@ -47,6 +48,7 @@
         self._listener = None
         self._thread = None
         self._connections: set[CallerProtocol] = set()
+        self._clock = MonotonicClock()
 
     def listen(self, address: str) -> None:
         """Bind the listening socket to ``"ip:port"``."""
@@ -79,7 +81,8 @@
             Time during which new connections are still served, with
             ``Connection: close`` in each response.
         timeout_s : float
-            Longest wait for calls in flight after the grace period.
+            Longest wait for calls in flight, and for the connections that have none,
+            after the grace period.
         """
         self._application.stop_accepting()
         eventlet.sleep(grace_s)
@@ -89,9 +92,11 @@
         # active ones.
         self._thread.kill()
         self._listener.close()
+        deadline = self._clock.now() + timeout_s
         is_idle = self._application.wait_idle(timeout_s=timeout_s)
         # If no connection is open, the kill already ended the server thread.
-        with eventlet.Timeout(timeout_s, False), suppress(GreenletExit):
+        left_s = max(deadline - self._clock.now(), 0.0)
+        with eventlet.Timeout(left_s, False), suppress(GreenletExit):
             self._thread.wait()
         return is_idle
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -402,6 +402,20 @@
             server.listen(self.node.call_address)
             server.start()
 
+    def test_a_stop_with_an_incomplete_request_ends_within_its_time(self):
+        """Guards against a wait for the connections after the wait for the calls."""
+        self.start(nodes=1)
+        host, _, port = self.node.call_address.rpartition(":")
+        incomplete = socket.create_connection((host, int(port)))
+        self.addCleanup(incomplete.close)
+        incomplete.sendall(b"GET /a HTTP/1.1\r\nHost: a")
+        self.caller.send("GET", "/a?delay_ms=600")
+        wait_until(lambda: any(u.running for u in self.mesh.upstreams))
+        started_at = self.node.clock.now()
+        self.node.entry_server.stop(grace_s=0.05, timeout_s=1.0)
+        self.assertLess(self.node.clock.now() - started_at, 1.3)
+        self.assertEqual(200, self.caller.receive().status)
+
     def test_a_stop_interrupts_no_call(self):
         """Calls in flight finish, and new ones are served in the grace period only."""
         self.start()
