--- a/tests/test_mesh_standing_links.py
+++ b/tests/test_mesh_standing_links.py
@@ -1,5 +1,6 @@
 """Tests of the links that nodes keep open, and of calls and notices without one."""
 
+import eventlet
 from testtools import TestCase
 
 from tests.call_support import wait_until
@@ -99,6 +100,14 @@
         # The open link is cheaper than further ones.
         self.assertEqual(1, len(self.remote_links(entry)))
 
+    def test_calls_that_arrive_while_the_first_link_opens_are_served(self):
+        """Guards against refusals of a burst of first calls to another region."""
+        entry = self.north[-1]
+        calls = [
+            eventlet.spawn(self.cluster.call, entry, "/dispatch/1") for _ in range(12)
+        ]
+        self.assertEqual([200] * 12, [call.wait().status for call in calls])
+
     def test_call_is_served_when_nodes_of_the_other_region_are_gone(self):
         """The entry cannot know beforehand which nodes without a link are down."""
         for node in self.south[:-1]:
