Cancel all offers of a call even if its caller leaves meanwhile

OfferRace.cancel killed the offers one by one, and each kill switched green threads. If the check for disconnected callers was due in that moment, its GreenletExit ended the cancellation: the other offers stayed pending and their runs continued without a caller. In the same gap an offer that was not started yet could still be sent, after the call had its answer, and a gateway that became silent could register an offer that was never abandoned.

cancel now abandons the pending requests first, which does not switch, and lets the hub end the green threads; an offer that begins or becomes silent after that is dropped.

The three new tests failed before and pass now: test_caller_that_leaves_during_the_cancellation_leaves_no_offer ([] abandoned), test_cancellation_starts_no_further_offer (the offer was started) and test_gateway_that_becomes_silent_during_the_cancellation_is_abandoned.

--- a/src/verbenawick/mesh/_offer_race.py
+++ b/src/verbenawick/mesh/_offer_race.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 import eventlet
+from eventlet.hubs import get_hub
 from eventlet.queue import LightQueue
 
 from verbenawick.mesh._model import CallResult
@@ -34,7 +35,14 @@
 class OfferRace:
     """Runs the offers of one call; `cancel` must be called at the end."""
 
-    __slots__ = ("_abandons", "_events", "_next_offer", "_silent_count", "_threads")
+    __slots__ = (
+        "_abandons",
+        "_events",
+        "_is_cancelled",
+        "_next_offer",
+        "_silent_count",
+        "_threads",
+    )
 
     def __init__(self):
         self._next_offer: Callable[[], OfferEvent] | None = None
@@ -43,6 +51,7 @@
         self._events: LightQueue | None = None
         self._threads: list = []
         self._abandons: list[Callable[[], None]] = []
+        self._is_cancelled = False
 
     @property
     def has_silent(self) -> bool:
@@ -69,6 +78,9 @@
             Cancels the offer; called by `cancel`, also if `wait` has returned or was
             never called.
         """
+        if self._is_cancelled:
+            abandon()
+            return
         if self._events is None:
             self._events = LightQueue()
         self._silent_count += 1
@@ -87,16 +99,22 @@
         return event
 
     def cancel(self) -> None:
-        """Cancel the offers in progress."""
-        for thread in self._threads:
-            thread.kill()
+        """Cancel the offers in progress and wait until they have ended."""
+        self._is_cancelled = True
         for abandon in self._abandons:
             abandon()
+        for thread in self._threads:
+            get_hub().schedule_call_global(0, thread.kill)
+        if self._threads:
+            # The caller may leave meanwhile; its `GreenletExit` finds all scheduled.
+            eventlet.sleep(0)
 
     def _spawn(self, offer: Callable[[], OfferEvent]) -> None:
         self._threads.append(eventlet.spawn(self._run, offer))
 
     def _run(self, offer: Callable[[], OfferEvent]) -> None:
+        if self._is_cancelled:
+            return
         try:
             self._events.put(offer())
         except Exception as error:
--- a/tests/test_mesh_offer_race.py
+++ b/tests/test_mesh_offer_race.py
@@ -1,5 +1,6 @@
 """Tests of the offers of one call."""
 
+import time
 from functools import partial
 
 import eventlet
@@ -101,3 +102,38 @@
         self.race.start(fail)
         with eventlet.Timeout(1):
             self.assertRaises(ValueError, self.race.next_event)
+
+    def test_caller_that_leaves_during_the_cancellation_leaves_no_offer(self):
+        """Guards against runs that outlive a caller which left as its call ended."""
+
+        def call():
+            self.start_silent("a", 5)
+            self.start_silent("b", 5)
+            eventlet.sleep(0.04)
+            self.race.cancel()
+
+        caller = eventlet.spawn(call)
+        eventlet.spawn_after(0.06, caller.kill)
+        eventlet.sleep(0.02)
+        # Both timers are due in one pass of the loop.
+        time.sleep(0.08)
+        eventlet.sleep(0.05)
+        self.assertEqual(["a", "b"], self.abandoned)
+        self.assertEqual(["a", "b"], self.ended)
+
+    def test_cancellation_starts_no_further_offer(self):
+        """Guards against arrivals after the call has its answer."""
+        self.start_silent("a", 5)
+        started = []
+        self.race.start(lambda: started.append("b"))
+        self.race.cancel()
+        eventlet.sleep(0.01)
+        self.assertEqual([], started)
+
+    def test_gateway_that_becomes_silent_during_the_cancellation_is_abandoned(self):
+        """Guards against a request that stays pending after its call has ended."""
+        self.start_silent("a", 5)
+        self.race.cancel()
+        self.become_silent("b", 5)
+        eventlet.sleep(0.01)
+        self.assertEqual(["a", "b"], self.abandoned)
