--- a/src/verbenawick/links/_call_links.py
+++ b/src/verbenawick/links/_call_links.py
@@ -201,17 +201,6 @@
         peer = self._peers_by_address.get(peer_address)
         return peer is not None and peer.link is not None and peer.link.is_open
 
-    def is_opening(self, peer_address: str) -> bool:
-        """Return whether the first link to an address is being opened.
-
-        False for further dials, since the node is then probably down.
-        """
-        peer = self._peers_by_address.get(peer_address)
-        if peer is None or peer.link is not None:
-            return False
-        was_dialled = bool(peer.next_dial_at) or peer.closed.ready()
-        return peer.dial_lock.locked() and not was_dialled
-
     def wait_until_closed(self, peer_address: str) -> None:
         """Block until the dialled link to the node at an address has closed."""
         peer = self._peers_by_address.get(peer_address)
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -386,11 +386,7 @@
         if self._is_linked(endpoint):
             return not self._links.is_silent(endpoint.peer_address)
         # Unknown until a call opens the link; from then on the link is kept.
-        if not self._standing_links.is_standing(endpoint):
-            return True
-        return endpoint.distance is Distance.REMOTE and self._links.is_opening(
-            endpoint.peer_address
-        )
+        return self._standing_links.may_open(endpoint)
 
     def _is_linked(self, endpoint: Endpoint) -> bool:
         return endpoint.distance is Distance.OWN_NODE or self._links.is_connected(
--- a/src/verbenawick/mesh/_peer_connectors.py
+++ b/src/verbenawick/mesh/_peer_connectors.py
@@ -45,6 +45,14 @@
         if first_dial is not None:
             first_dial.wait(timeout=timeout_s)
 
+    def is_opening(self, node_id: str) -> bool:
+        """Return whether the first dial of a connector is in progress.
+
+        False during further dials, since the node is then probably down.
+        """
+        first_dial = self._first_dials_by_node_id.get(node_id)
+        return first_dial is not None and not first_dial.ready()
+
     def stop_connector(self, node_id: str) -> None:
         """Stop dialling a node; an open link stays until the peer closes it."""
         _, task = self._tasks_by_node_id.pop(node_id, ("", None))
--- a/src/verbenawick/mesh/_standing_links.py
+++ b/src/verbenawick/mesh/_standing_links.py
@@ -80,11 +80,20 @@
             endpoint.node_id
         )
 
+    def may_open(self, endpoint: Endpoint) -> bool:
+        """Return whether a call may open the link to a node, or wait for its opening.
+
+        False while a lost link is dialled again, since the node is then probably down.
+        """
+        return not self.is_standing(endpoint) or (
+            endpoint.distance is Distance.REMOTE
+            and self._connectors.is_opening(endpoint.node_id)
+        )
+
     def open(self, endpoint: Endpoint) -> None:
         """Keep a link to a node open from now on; wait briefly for a new one."""
-        if self.is_standing(endpoint):
-            return
-        self._connectors.ensure_connector(endpoint.member)
+        if not self.is_standing(endpoint):
+            self._connectors.ensure_connector(endpoint.member)
         self._connectors.wait_for_first_dial(
             endpoint.node_id, timeout_s=FIRST_DIAL_TIMEOUT_S
         )
