Offer no call to another node after its deadline

An idempotent call whose silent gateway did not answer was offered to another gateway after its deadline, at the moment its caller was told of the timeout: the retry had been charged for an offer that was refused, so the next one passed without the checks of a retry, and a call with an unknown outcome has no bound of cost. The gateway refuses such a call only as far as its estimate of the entry's clock is right.

test_call_is_not_offered_again_after_its_deadline failed before (the late gateway got the call) and passes now.

--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -304,6 +304,8 @@
         """Return the gateway for the next offer, None if there is to be none."""
         if len(progress.tried) >= MAX_OFFERS:
             return None
+        if progress.tried and self._clock.now() >= forwarded.deadline:
+            return None
         if progress.unknown is not None and not route.is_idempotent:
             return None
         arrivals = progress.arrivals
--- a/tests/test_mesh_silent_peer.py
+++ b/tests/test_mesh_silent_peer.py
@@ -6,6 +6,7 @@
 from tests.call_support import wait_until
 from tests.mesh_cluster import MeshCluster, route, service
 from verbenawick.links._call_links import SILENCE_TIMEOUT_S
+from verbenawick.mesh._model import UpstreamState
 
 SERVICE_TIME_S = SILENCE_TIMEOUT_S + 0.7
 
@@ -111,6 +112,25 @@
         self.assertEqual([200], [status for status, _ in results])
         self.assertEqual(1, self.silent.upstream.completed_runs["q"])
 
+    def test_call_is_not_offered_again_after_its_deadline(self):
+        """Guards against runs for a caller that is being told of the timeout."""
+        self.allow_retries(1)
+        refusing, late = self.add_idle_gateway(), self.add_idle_gateway()
+        endpoints = self.entry.server.node.endpoints
+        for node in (refusing, late):
+            endpoints.get(node.node_id).state = UpstreamState.DRAINING
+        thread, results = self.start_call(Deadline_Remaining="1100")
+        refusing.server.node.gateway.stop_accepting()
+        endpoints.get(refusing.node_id).state = UpstreamState.READY
+        wait_until(lambda: endpoints.get(refusing.node_id).avoided_until, 1)
+        endpoints.get(late.node_id).state = UpstreamState.READY
+        offered = []
+        late.server.node.gateway.handle = lambda call, **options: offered.append(call)
+        thread.wait()
+        eventlet.sleep(0.1)
+        self.assertEqual([504], [status for status, _ in results])
+        self.assertEqual([], offered)
+
     def test_non_idempotent_call_runs_once_at_a_silent_gateway(self):
         """Guards against a booking that runs twice because its gateway is silent."""
         self.cluster.configure(
