Prefer the failed response of an upstream to the loss of another offer

With a silent gateway an offer can end after another upstream has answered with a 5xx status. The later unknown outcome replaced that response, so the caller got 504 (or 502) although an upstream had answered.

The new test got 504 before and gets the 500 now.

--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -158,9 +158,14 @@
         if result.outcome is CallOutcome.NOT_RUN:
             self.retry_after_s = max(self.retry_after_s, result.retry_after_s)
             self.refusal_code = result.code
-        else:
+        elif result.outcome is CallOutcome.COMPLETE or not self.has_response:
             self.unknown = result
 
+    @property
+    def has_response(self) -> bool:
+        """Return whether an upstream responded, although with a failure."""
+        return self.unknown is not None and self.unknown.outcome is CallOutcome.COMPLETE
+
 
 class MeshEntry:
     """Handles the calls from callers on this VM.
--- a/tests/test_mesh_silent_peer.py
+++ b/tests/test_mesh_silent_peer.py
@@ -181,3 +181,15 @@
         thread, results = self.start_call(Deadline_Remaining="1200")
         thread.wait()
         self.assertEqual([504], [status for status, _ in results])
+
+    def test_failed_response_of_an_upstream_outlasts_a_silent_offer(self):
+        """Guards against a 504 in place of a response that an upstream gave."""
+        self.allow_retries(2)
+        self.silent.upstream.service_time_s = 5.0
+        thread, results = self.start_call(Deadline_Remaining="1500")
+        other = self.add_idle_gateway()
+        other.upstream.status = 500
+        third = self.add_idle_gateway()
+        third.upstream.sheds = True
+        thread.wait()
+        self.assertEqual([500], [status for status, _ in results])
