Wait only briefly for the first link to another region

A call that goes to a node of another region without a link dialled it for up to 0.5 s. That the dials are the cause is not shown by a log line.

The connector of the node now dials alone, and the call waits 0.1 s for it, about five round trips. After that it is offered elsewhere, as not run; the node counts as unreachable until the connector has linked it.

--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -343,7 +343,10 @@
     def _send(self, endpoint: Endpoint, forwarded: ForwardedCall) -> CallResult:
         if endpoint.distance is Distance.OWN_NODE:
             return self._send_locally(forwarded)
-        self._standing_links.open(endpoint)
+        if not self._is_linked(endpoint):
+            self._standing_links.open(endpoint)
+            if not self._is_linked(endpoint):
+                return CallResult(CallOutcome.NOT_RUN, PeerUnreachableError.code)
         try:
             answer = self._links.request(
                 endpoint.member, forwarded, deadline=forwarded.deadline
--- a/src/verbenawick/mesh/_peer_connectors.py
+++ b/src/verbenawick/mesh/_peer_connectors.py
@@ -3,6 +3,7 @@
 from random import Random
 
 import eventlet
+from eventlet.event import Event
 
 from verbenawick.errors import LinkClosedError
 from verbenawick.links._call_links import CallLinks
@@ -21,6 +22,7 @@
         self._links = links
         self._random = random
         self._tasks_by_node_id: dict[str, tuple[str, object]] = {}
+        self._first_dials_by_node_id: dict[str, Event] = {}
 
     def has(self, node_id: str) -> bool:
         """Return whether a task keeps a link to a node open."""
@@ -33,12 +35,20 @@
             return
         if task is not None:
             task.kill()
-        task = eventlet.spawn(self._maintain_link, member)
+        first_dial = self._first_dials_by_node_id[member.node_id] = Event()
+        task = eventlet.spawn(self._maintain_link, member, first_dial)
         self._tasks_by_node_id[member.node_id] = (member.peer_address, task)
 
+    def wait_for_first_dial(self, node_id: str, *, timeout_s: float) -> None:
+        """Wait until the first dial of a connector has succeeded or failed."""
+        first_dial = self._first_dials_by_node_id.get(node_id)
+        if first_dial is not None:
+            first_dial.wait(timeout=timeout_s)
+
     def stop_connector(self, node_id: str) -> None:
         """Stop dialling a node; an open link stays until the peer closes it."""
         _, task = self._tasks_by_node_id.pop(node_id, ("", None))
+        self._first_dials_by_node_id.pop(node_id, None)
         if task is not None:
             task.kill()
 
@@ -47,19 +57,26 @@
         for node_id in list(self._tasks_by_node_id):
             self.stop_connector(node_id)
 
-    def _maintain_link(self, member: Member) -> None:
+    def _maintain_link(self, member: Member, first_dial: Event) -> None:
         failures = 0
         while True:
             try:
                 self._links.connect(member)
                 emit(PeerReached(member.node_id))
                 failures = 0
+                _set(first_dial)
                 self._links.wait_until_closed(member.peer_address)
                 emit(PeerLost(member.node_id, "link closed"))
                 eventlet.sleep(BASE_REDIAL_DELAY_S * self._random.random())
             except LinkClosedError as error:
                 failures += 1
+                _set(first_dial)
                 if failures == 1:
                     emit(PeerLost(member.node_id, str(error)))
                 wait_s = min(BASE_REDIAL_DELAY_S * 2**failures, MAX_REDIAL_DELAY_S)
                 eventlet.sleep(wait_s * (0.5 + 0.5 * self._random.random()))
+
+
+def _set(event: Event) -> None:
+    if not event.ready():
+        event.send(True)
--- a/src/verbenawick/mesh/_standing_links.py
+++ b/src/verbenawick/mesh/_standing_links.py
@@ -21,6 +21,10 @@
 # At a common start the records of the nodes arrive within a second. An earlier choice
 # from a part of them would make most nodes contacts.
 CONTACT_CHECK_INTERVAL_S = 1.0
+# Time for which a call waits for a link to another region, seconds: about five round
+# trips. A VM that is powered off never answers; the call then goes elsewhere, and the
+# connector goes on alone.
+FIRST_DIAL_TIMEOUT_S = 0.1
 
 
 def contact_ids(endpoints: Iterable[Endpoint]) -> set[str]:
@@ -77,5 +81,10 @@
         )
 
     def open(self, endpoint: Endpoint) -> None:
-        """Keep a link to a node open from now on."""
+        """Keep a link to a node open from now on; wait briefly for a new one."""
+        if self.is_standing(endpoint):
+            return
         self._connectors.ensure_connector(endpoint.member)
+        self._connectors.wait_for_first_dial(
+            endpoint.node_id, timeout_s=FIRST_DIAL_TIMEOUT_S
+        )
