Make the test of a failed response beside a silent offer deterministic

It passed without the fix when the entry offered the call to the refusing gateway first, since max_attempts was used up then, and failed with it (504) in that order. The refusing gateway is now offered last, and the route allows four attempts.

--- a/tests/test_mesh_silent_peer.py
+++ b/tests/test_mesh_silent_peer.py
@@ -1,5 +1,7 @@
 """Tests of calls at a gateway that answers no pings while its upstream works."""
 
+import math
+
 import eventlet
 from testtools import TestCase
 
@@ -184,12 +186,21 @@
 
     def test_failed_response_of_an_upstream_outlasts_a_silent_offer(self):
         """Guards against a 504 in place of a response that an upstream gave."""
+        self.cluster.configure(
+            route("r-a", "/archive/", service="archive", max_attempts=4),
+            service("archive"),
+        )
+        node = self.entry.server.node
+        wait_until(lambda: node.entry.configuration.version == 2, 2)
         self.allow_retries(2)
         self.silent.upstream.service_time_s = 5.0
         thread, results = self.start_call(Deadline_Remaining="1500")
-        other = self.add_idle_gateway()
-        other.upstream.status = 500
-        third = self.add_idle_gateway()
-        third.upstream.sheds = True
+        failing = self.add_idle_gateway()
+        failing.upstream.status = 500
+        last = self.add_idle_gateway()
+        last.upstream.sheds = True
+        # Offered last: an avoided gateway is used only if there is no other.
+        node.endpoints.get(last.node_id).avoided_until = math.inf
         thread.wait()
         self.assertEqual([500], [status for status, _ in results])
+        self.assertEqual(1, failing.upstream.runs_by_request["q"])
