--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -274,7 +274,7 @@
         is_offering = False
         while True:
             if not is_offering:
-                endpoint = self._next_endpoint(route, forwarded, progress, race)
+                endpoint = self._next_endpoint(route, forwarded, progress)
                 if endpoint is not None:
                     progress.tried.add(endpoint.node_id)
                     race.start(partial(self._offer, endpoint, forwarded, race))
@@ -305,7 +305,7 @@
             return self._completed(call, route, forwarded, unknown, progress.offers)
         return self._unknown(call, route, forwarded, unknown, progress.offers)
 
-    def _next_endpoint(self, route, forwarded, progress, race) -> Endpoint | None:
+    def _next_endpoint(self, route, forwarded, progress) -> Endpoint | None:
         """Return the gateway for the next offer, None if there is to be none."""
         if len(progress.tried) >= MAX_OFFERS:
             return None
