Keep an acknowledged leave across a restart of the node

Cause: the acknowledgement was given before anything was stored, a leave deleted the node's record, and the new process took a healthy probe, or a report sent before the leave, for a ready upstream.

A leave is now written to the record (state draining, with the start time of the upstream's process) before it is acknowledged, for at most 0.6 s if the store is away. A new process writes its record before it uses its upstream. A conflict shows an earlier record, which is read and decides. While the store is away only a status report makes an upstream ready. No call to the store is added to a start; a leave without a drain costs one more write.

--- a/src/verbenawick/mesh/_local_upstream.py
+++ b/src/verbenawick/mesh/_local_upstream.py
@@ -2,14 +2,15 @@
 
 Only the node on the same VM sends requests to an upstream, so this state alone decides
 whether new work reaches it: after a leave is acknowledged nothing more is sent,
-whatever the other nodes know.
+whatever the other nodes know. A restarted node learns from its record in the store
+which leaves its previous process acknowledged.
 """
 
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from verbenawick.mesh._model import StatusReport, UpstreamState
+from verbenawick.mesh._model import StatusReport, UpstreamRecord, UpstreamState
 from verbenawick.runtime._events import Event, emit, register_event
 
 # Number of slots assumed until a report or a probe contains it.
@@ -63,6 +64,18 @@
     interval_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ReadyUpstream:
+    """An upstream that is ready according to a report or a probe (`cause`)."""
+
+    upstream_id: str
+    service: str
+    slots: int
+    born_ms: int
+    sequence: int
+    cause: str
+
+
 class LocalUpstream:
     """State of the upstream on this VM.
 
@@ -71,10 +84,20 @@
     address : str
         Address at which the upstream listens.
     on_change : callable
-        Called after each change of state, id, service or slots.
+        Called after each change of state, id, service or slots, and when an upstream is
+        found that waits for `restore`.
+    awaits_record : bool
+        Whether an upstream becomes ready only after `restore` or `skip_restore`.
     """
 
-    def __init__(self, *, address: str, service: str, on_change: Callable[[], None]):
+    def __init__(
+        self,
+        *,
+        address: str,
+        service: str,
+        on_change: Callable[[], None],
+        awaits_record: bool = False,
+    ):
         self.address = address
         self.service = service
         self.upstream_id = ""
@@ -84,6 +107,8 @@
         self._sequence = -1
         self._born_ms = 0
         self._departures_by_id: OrderedDict[str, tuple[int, float]] = OrderedDict()
+        self._awaits_record = awaits_record
+        self._candidate: ReadyUpstream | None = None
         # Upstream id, start, sequence and time of the last report; unlike the fields
         # above, never reset.
         self._last_report = ("", 0, 0, 0.0)
@@ -93,6 +118,56 @@
         """Return whether requests may be sent to the upstream."""
         return self.state is UpstreamState.READY
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the upstream announced that it drains or leaves."""
+        return self.state in (UpstreamState.DRAINING, UpstreamState.GONE)
+
+    @property
+    def born_ms(self) -> int:
+        """Return the start time of the upstream's process, 0 if unknown."""
+        return self._born_ms
+
+    @property
+    def candidate(self) -> ReadyUpstream | None:
+        """Return the upstream that becomes ready unless `restore` forbids it."""
+        return self._candidate
+
+    def restore(self, record: UpstreamRecord | None) -> None:
+        """Apply the record that the previous process of this node left in the store.
+
+        Parameters
+        ----------
+        record : UpstreamRecord or None
+            None if the store has no record of this node.
+        """
+        if not self._awaits_record:
+            return
+        self._awaits_record = False
+        found, self._candidate = self._candidate, None
+        if found is None:
+            return
+        if record is not None and _has_left(record, found):
+            self._born_ms = max(record.born_ms, found.born_ms)
+            self._update(
+                UpstreamState.DRAINING,
+                found.upstream_id,
+                found.service,
+                found.slots,
+                cause="record",
+            )
+        else:
+            self._set_ready(found)
+
+    def skip_restore(self) -> None:
+        """Use an upstream that reported itself ready although the store is away.
+
+        A health probe is no sufficient reason, since an upstream that is leaving may be
+        healthy.
+        """
+        if self._candidate is not None and self._candidate.cause == "report":
+            self.restore(None)
+
     def on_report(self, report: StatusReport, now: float) -> None:
         """Apply a status report; late reports and those of others are ignored."""
         reason = self._reason_to_ignore(report, now)
@@ -104,17 +179,31 @@
             )
             return
         self._log_missed_reports(report, now)
-        is_same = (report.upstream_id, report.born_ms) == (
-            self.upstream_id,
-            self._born_ms,
+        is_same = report.upstream_id == self.upstream_id and self._born_ms in (
+            0,
+            report.born_ms,
         )
-        state = UpstreamState.DRAINING if report.is_draining else UpstreamState.READY
-        if is_same and self.state is UpstreamState.DRAINING:
-            state = UpstreamState.DRAINING
-        self._sequence = report.sequence
-        self._born_ms = report.born_ms
-        self._update(
-            state, report.upstream_id, report.service, report.slots, cause="report"
+        if report.is_draining or (is_same and self.state is UpstreamState.DRAINING):
+            self._candidate = None
+            self._sequence = report.sequence
+            self._born_ms = report.born_ms
+            self._update(
+                UpstreamState.DRAINING,
+                report.upstream_id,
+                report.service,
+                report.slots,
+                cause="report",
+            )
+            return
+        self._find_ready(
+            ReadyUpstream(
+                report.upstream_id,
+                report.service,
+                report.slots,
+                report.born_ms,
+                report.sequence,
+                "report",
+            )
         )
 
     def on_leave(self, upstream_id: str, now: float) -> None:
@@ -124,6 +213,7 @@
         while len(self._departures_by_id) > MAX_DEPARTURES:
             self._departures_by_id.popitem(last=False)
         if upstream_id == self.upstream_id or not self.upstream_id:
+            self._candidate = None
             self._update(
                 UpstreamState.GONE,
                 upstream_id,
@@ -136,14 +226,17 @@
         """Apply a successful health probe; ignored unless the state is unknown."""
         if self.state is not UpstreamState.UNKNOWN:
             return
-        if upstream_id in self._departures_by_id:
+        if upstream_id in self._departures_by_id or self._candidate is not None:
             return
-        self._update(
-            UpstreamState.READY,
-            upstream_id,
-            self.service,
-            slots or self.slots,
-            cause="probe",
+        self._find_ready(
+            ReadyUpstream(
+                upstream_id,
+                self.service,
+                slots or self.slots,
+                self._born_ms,
+                self._sequence,
+                "probe",
+            )
         )
 
     def on_other_upstream(self, upstream_id: str) -> None:
@@ -162,6 +255,26 @@
         self._sequence = -1
         self._update(UpstreamState.UNKNOWN, "", service, self.slots, cause="settings")
 
+    def _find_ready(self, found: ReadyUpstream) -> None:
+        if not self._awaits_record:
+            self._set_ready(found)
+            return
+        is_first = self._candidate is None
+        self._candidate = found
+        if is_first:
+            self._on_change()
+
+    def _set_ready(self, found: ReadyUpstream) -> None:
+        self._sequence = found.sequence
+        self._born_ms = found.born_ms
+        self._update(
+            UpstreamState.READY,
+            found.upstream_id,
+            found.service,
+            found.slots,
+            cause=found.cause,
+        )
+
     def _reason_to_ignore(self, report: StatusReport, now: float) -> str:
         if report.address != self.address:
             return "address"
@@ -225,3 +338,12 @@
             )
         )
         self._on_change()
+
+
+def _has_left(record: UpstreamRecord, found: ReadyUpstream) -> bool:
+    """Return whether `record` says that the process of `found` is leaving."""
+    return (
+        record.state is UpstreamState.DRAINING
+        and record.upstream_id == found.upstream_id
+        and (not record.born_ms or found.born_ms <= record.born_ms)
+    )
--- a/src/verbenawick/mesh/_model.py
+++ b/src/verbenawick/mesh/_model.py
@@ -122,6 +122,8 @@
 
     Attributes
     ----------
+    born_ms : int
+        Start time of the upstream's process as in `StatusReport`, 0 if unknown.
     revision : int
         Revision of the object in the store.
     """
@@ -134,6 +136,7 @@
     upstream_id: str
     state: UpstreamState
     slots: int
+    born_ms: int = 0
     revision: int = 0
 
 
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -17,7 +17,7 @@
 from verbenawick.mesh._entry import MeshEntry
 from verbenawick.mesh._followers import ConfigurationFollower, RecordFollower
 from verbenawick.mesh._gateway import MeshGateway, UpstreamProtocol
-from verbenawick.mesh._local_upstream import LocalUpstream
+from verbenawick.mesh._local_upstream import LocalUpstream, ReadyUpstream
 from verbenawick.mesh._messages import CrashNotice, ForwardedCall, GatewayNotice
 from verbenawick.mesh._metrics_page import MetricsPage
 from verbenawick.mesh._model import (
@@ -60,6 +60,9 @@
 IDLE_PING_INTERVAL_S = 15.0
 # Timeout of the final write to the store during shutdown.
 FINAL_WRITE_TIMEOUT_S = 0.5
+# Longest wait for the record of a leave before it is acknowledged. An upstream expects
+# the acknowledgement within 1 s.
+LEAVE_STORED_TIMEOUT_S = 0.6
 # Timeout for answering and delivering the last messages of the links during shutdown.
 # A message can wait for most of a second in the queue of a full link.
 LINK_FINISH_TIMEOUT_S = 1.5
@@ -122,6 +125,7 @@
             address=settings.upstream.address,
             service=settings.upstream.service,
             on_change=self._on_upstream_change,
+            awaits_record=True,
         )
         self.links = CallLinks(
             self.identity,
@@ -201,6 +205,8 @@
             node_id=settings.node_id,
             desired=self._desired_record,
             random=self.random,
+            on_first_answer=self.upstream.restore,
+            on_failure=self.upstream.skip_restore,
         )
         self._configuration_follower = ConfigurationFollower(
             open_store(),
@@ -335,6 +341,16 @@
         self._connectors.close()
         self.links.close()
 
+    def store_leave(self) -> None:
+        """Wait until the record says that the upstream is leaving, if it is.
+
+        Without the record, a process that is started after this one was killed would
+        send requests to the upstream again. If the store is unavailable, the wait ends
+        after `LEAVE_STORED_TIMEOUT_S`.
+        """
+        if self.upstream.is_leaving:
+            self._publisher.flush(timeout_s=LEAVE_STORED_TIMEOUT_S)
+
     def reload(self, settings: MeshSettings, *, cause: str) -> None:
         """Apply the changed settings that do not require a restart."""
         self.caller_service = settings.upstream.service
@@ -469,26 +485,26 @@
         )
 
     def _put_own_endpoint(self) -> None:
-        settings = self.settings
-        self.endpoints.put_record(
-            UpstreamRecord(
-                settings.node_id,
-                self.upstream.service,
-                settings.data_centre,
-                settings.region,
-                settings.peer_address,
-                self.upstream.upstream_id,
-                self.upstream.state,
-                self.upstream.slots,
-            )
-        )
+        self.endpoints.put_record(self._record(self.upstream, self.upstream.state))
 
     def _desired_record(self) -> UpstreamRecord | None:
         upstream = self.upstream
-        if upstream.state is UpstreamState.GONE:
-            return None
         if upstream.state is UpstreamState.UNKNOWN:
-            return None
+            if upstream.candidate is None:
+                return None
+            return self._record(upstream.candidate, UpstreamState.READY)
+        if upstream.state is UpstreamState.GONE:
+            # The record of the leave is kept for the next process of this node.
+            return (
+                None
+                if self.is_stopping
+                else self._record(upstream, UpstreamState.DRAINING)
+            )
+        return self._record(upstream, upstream.state)
+
+    def _record(
+        self, upstream: LocalUpstream | ReadyUpstream, state: UpstreamState
+    ) -> UpstreamRecord:
         settings = self.settings
         return UpstreamRecord(
             settings.node_id,
@@ -497,8 +513,9 @@
             settings.region,
             settings.peer_address,
             upstream.upstream_id,
-            upstream.state,
+            state,
             upstream.slots,
+            upstream.born_ms,
         )
 
 
--- a/src/verbenawick/mesh/_publisher.py
+++ b/src/verbenawick/mesh/_publisher.py
@@ -49,6 +49,11 @@
     ----------
     desired : callable
         Returns the record that the store should hold, or None for no record.
+    on_first_answer : callable
+        Called once, when the store has been found to hold no record of this node, or
+        with the record that it held before this process wrote one.
+    on_failure : callable
+        Called after each attempt that got no answer of the store.
     """
 
     def __init__(
@@ -58,7 +63,12 @@
         node_id: str,
         desired: Callable[[], UpstreamRecord | None],
         random: Random,
+        on_first_answer: Callable[[UpstreamRecord | None], None] = lambda record: None,
+        on_failure: Callable[[], None] = lambda: None,
     ):
+        self._on_first_answer = on_first_answer
+        self._on_failure = on_failure
+        self._has_answer = False
         self._store = store
         self._node_id = node_id
         self._desired = desired
@@ -95,12 +105,15 @@
                 try:
                     self._write_once()
                     failures = 0
-                except (StoreConditionError, StoreAnswerLostError) as error:
+                except StoreConditionError as error:
                     self._is_stored_known = False
                     failures += 1
                     self._back_off(failures, error)
-                except StoreUnavailableError as error:
+                except (StoreAnswerLostError, StoreUnavailableError) as error:
+                    if isinstance(error, StoreAnswerLostError):
+                        self._is_stored_known = False
                     failures += 1
+                    self._on_failure()
                     self._back_off(failures, error)
                 continue
             self._changed.wait()
@@ -160,9 +173,16 @@
                 pass
             else:
                 self._set_stored(desired, revision)
+                self._note_first_answer(None)
                 return
         self._stored = self._store.read_record(self._node_id)
         self._is_stored_known = True
+        self._note_first_answer(self._stored)
+
+    def _note_first_answer(self, record: UpstreamRecord | None) -> None:
+        if not self._has_answer:
+            self._has_answer = True
+            self._on_first_answer(record)
 
     def _set_stored(self, record: UpstreamRecord, revision: int) -> None:
         self._stored = replace(record, revision=revision)
--- a/src/verbenawick/platform/_node_server.py
+++ b/src/verbenawick/platform/_node_server.py
@@ -64,7 +64,9 @@
         )
         self._start_auxiliary_server(
             self.settings.report_address,
-            report_application(node.upstream, clock=node.clock),
+            report_application(
+                node.upstream, clock=node.clock, store_leave=node.store_leave
+            ),
         )
         self._start_auxiliary_server(
             self.settings.metrics_address,
--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -86,6 +86,7 @@
     upstream_id: str
     state: UpstreamState
     slots: int
+    born_ms: int = 0
 
 
 class _StoreConnection(HTTPConnection):
@@ -203,7 +204,7 @@
                 "",
                 UpstreamState.UNKNOWN,
                 0,
-                item.metadata.revision,
+                revision=item.metadata.revision,
             )
         return record
 
@@ -233,6 +234,7 @@
             spec.upstream_id,
             spec.state,
             spec.slots,
+            spec.born_ms,
             item.metadata.revision,
         )
 
@@ -386,6 +388,7 @@
         record.upstream_id,
         record.state,
         record.slots,
+        record.born_ms,
     )
 
 
--- a/src/verbenawick/platform/_servers.py
+++ b/src/verbenawick/platform/_servers.py
@@ -110,8 +110,20 @@
             return self._entry.serve(call)
 
 
-def report_application(upstream: LocalUpstream, *, clock: Clock):
-    """Return the WSGI application that receives the local upstream's reports."""
+def report_application(
+    upstream: LocalUpstream,
+    *,
+    clock: Clock,
+    store_leave: Callable[[], None] = lambda: None,
+):
+    """Return the WSGI application that receives the local upstream's reports.
+
+    Parameters
+    ----------
+    store_leave : callable
+        Called before a report of the upstream is acknowledged; waits until a leave is
+        stored.
+    """
 
     def application(environ, start_response):
         path = environ["PATH_INFO"]
@@ -123,6 +135,7 @@
         method = environ["REQUEST_METHOD"]
         if method == "DELETE":
             upstream.on_leave(upstream_id, clock.now())
+            store_leave()
             return _json_response(start_response, "200 OK", {})
         if method != "PUT":
             return _json_response(
@@ -137,6 +150,7 @@
                 start_response, "400 Bad Request", {"error": str(error)}
             )
         upstream.on_report(report, clock.now())
+        store_leave()
         return _json_response(start_response, "200 OK", {})
 
     return application
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -19,6 +19,8 @@
     ----------
     status : int
         HTTP status returned to every call; 0 disables the fault.
+    delay_s : float
+        Time that passes before a call takes effect.
     is_unresponsive : bool
         Calls get no response while it is set.
     withholds_write_responses : bool
@@ -29,6 +31,7 @@
     """
 
     status: int = 0
+    delay_s: float = 0.0
     is_unresponsive: bool = False
     withholds_write_responses: bool = False
     stale_revision: int = 0
@@ -96,6 +99,7 @@
         self.queries.append(query)
         while self.faults.is_unresponsive:
             eventlet.sleep(0.05)
+        eventlet.sleep(self.faults.delay_s)
         if self.faults.status:
             return _make_response(
                 start_response, self.faults.status, {"error": "fault"}
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -10,6 +10,7 @@
 from tests.mesh_cluster import RECORD_KIND, MeshCluster, route, service
 from verbenawick.mesh._node import SILENCE_CHECK_INTERVAL_S, STALL_LOGGED_S
 from verbenawick.mesh._node_events import ProcessStalled
+from verbenawick.mesh._upstream_prober import PROBE_INTERVAL_S
 from verbenawick.runtime._events import number_of
 
 
@@ -67,13 +68,76 @@
         self.assertIn("Retry-After", answer.headers)
         self.assertEqual(0, sum(self.b1.upstream.runs_by_request.values()))
 
-    def test_record_of_a_deregistered_upstream_is_deleted(self):
+    def stored_state(self, node):
+        record = self.cluster.store.get(RECORD_KIND, node.node_id)
+        return record and record["spec"]["state"]
+
+    def test_record_of_a_deregistered_upstream_attracts_no_calls(self):
         """A remaining record would attract calls that no upstream can run."""
-        self.assertIsNotNone(self.cluster.store.get(RECORD_KIND, self.b1.node_id))
+        self.assertEqual("ready", self.stored_state(self.b1))
         self.b1.is_reporting = False
         self.b1.upstream.leave(self.b1.report_address)
+        self.assertEqual("draining", self.stored_state(self.b1))
+        answer = self.cluster.call(self.a1, "/booking/1", method="POST", body=b"x")
+        self.assertEqual(503, answer.status)
+        self.b1.server.stop()
+        self.assertIsNone(self.stored_state(self.b1))
+
+    def acknowledge_leave(self, announce):
+        self.b1.is_reporting = False
+        self.assertEqual(200, announce())
+
+    def assert_nothing_is_sent_after_a_restart(self):
+        self.cluster.restart_node(self.b1)
+        wait_until(lambda: self.b1.server.node.is_ready, 3)
+        late_report = self.b1.upstream.report(
+            self.b1.report_address, self.b1.upstream_address, sequence=1
+        )
+        self.assertEqual(200, late_report)
+        eventlet.sleep(3 * PROBE_INTERVAL_S)
+        answer = self.cluster.call(self.b1, "/booking/1", method="POST", body=b"x")
+        self.assertEqual(503, answer.status)
+        self.assertEqual(0, sum(self.b1.upstream.runs_by_request.values()))
+
+    def test_restarted_node_keeps_the_acknowledged_leave_of_a_healthy_upstream(self):
+        """Guards against calls after a leave that only the previous process knew."""
+        self.acknowledge_leave(lambda: self.b1.upstream.leave(self.b1.report_address))
+        self.assert_nothing_is_sent_after_a_restart()
+
+    def test_restarted_node_keeps_the_acknowledged_drain_of_a_healthy_upstream(self):
+        """Guards against calls after a drain that only the previous process knew."""
+        self.acknowledge_leave(
+            lambda: self.b1.upstream.report(
+                self.b1.report_address, self.b1.upstream_address, state="draining"
+            )
+        )
+        self.assert_nothing_is_sent_after_a_restart()
+
+    def test_leave_is_stored_before_its_acknowledgement(self):
+        """Guards against a leave that is lost when the node is killed after it."""
+        self.cluster.store.faults.delay_s = 0.2
+        self.acknowledge_leave(lambda: self.b1.upstream.leave(self.b1.report_address))
+        self.assertEqual("draining", self.stored_state(self.b1))
+
+    def test_leave_is_acknowledged_in_time_while_the_store_is_down(self):
+        """An upstream that gets no acknowledgement within 1 s asks another node."""
+        self.cluster.store.faults.status = 503
+        started_at = monotonic()
+        self.acknowledge_leave(lambda: self.b1.upstream.leave(self.b1.report_address))
+        self.assertLess(monotonic() - started_at, 1.0)
+
+    def test_restarted_node_serves_a_new_process_with_the_id_of_a_departed_one(self):
+        """Guards against an upstream that stays unused because its id had left."""
+        self.acknowledge_leave(lambda: self.b1.upstream.leave(self.b1.report_address))
+        self.cluster.restart_node(self.b1)
+        wait_until(lambda: self.b1.server.node.is_ready, 3)
+        self.b1.upstream.born_ms += 1
+        self.b1.is_reporting = True
         wait_until(
-            lambda: self.cluster.store.get(RECORD_KIND, self.b1.node_id) is None, 3
+            lambda: (
+                self.cluster.call(self.a1, "/booking/1", method="POST").status == 200
+            ),
+            3,
         )
 
     def test_invalid_records_do_not_hide_valid_ones(self):
--- a/tests/test_mesh_local_upstream.py
+++ b/tests/test_mesh_local_upstream.py
@@ -4,7 +4,7 @@
 from testtools import TestCase
 
 from verbenawick.mesh._local_upstream import LATE_REPORT_WINDOW_S, LocalUpstream
-from verbenawick.mesh._model import StatusReport, UpstreamState
+from verbenawick.mesh._model import StatusReport, UpstreamRecord, UpstreamState
 
 ADDRESS = "10.0.0.1:80"
 READY, DRAINING = UpstreamState.READY, UpstreamState.DRAINING
@@ -192,3 +192,63 @@
         records.clear()
         self.upstream.on_report(report(sequence=5, born=200), 7.0)
         self.assertEqual([710], [extra["event"] for extra in records])
+
+
+class RestoredUpstreamTest(TestCase):
+    """A node that was restarted reads its record before it uses its upstream."""
+
+    def setUp(self):
+        super().setUp()
+        self.restart()
+
+    def restart(self):
+        self.upstream = LocalUpstream(
+            address=ADDRESS, service="s", on_change=lambda: None, awaits_record=True
+        )
+
+    def record(self, state, *, upstream_id="u1", born=100):
+        return UpstreamRecord("n", "s", "d", "r", "p", upstream_id, state, 4, born)
+
+    def test_stored_leave_forbids_only_the_process_that_left(self):
+        """Guards against calls to a leaving upstream and against an unused new one."""
+        rows = (
+            ("no record", None, 100, READY),
+            ("ready", self.record(READY), 100, READY),
+            ("leaving", self.record(DRAINING), 100, DRAINING),
+            ("leaving, start unknown", self.record(DRAINING, born=0), 100, DRAINING),
+            ("an earlier process left", self.record(DRAINING, born=99), 100, READY),
+            ("another one left", self.record(DRAINING, upstream_id="u0"), 100, READY),
+        )
+        for name, record, born, expected in rows:
+            self.restart()
+            self.upstream.on_report(report(born=born), 0.0)
+            self.assertEqual((UNKNOWN, "u1"), self.state(), name)
+            self.upstream.restore(record)
+            self.assertEqual(expected, self.upstream.state, name)
+            self.upstream.on_report(report(sequence=2, born=born), 1.0)
+            self.assertEqual(expected, self.upstream.state, name)
+
+    def state(self):
+        candidate = self.upstream.candidate
+        return self.upstream.state, candidate and candidate.upstream_id
+
+    def test_healthy_upstream_is_not_used_while_the_store_is_away(self):
+        """Guards against calls to an upstream that is healthy and leaving."""
+        self.upstream.on_probe("u1", 4)
+        self.upstream.skip_restore()
+        self.assertEqual(UNKNOWN, self.upstream.state)
+        self.upstream.on_report(report(), 0.0)
+        self.upstream.skip_restore()
+        self.assertEqual(READY, self.upstream.state)
+
+    def test_leave_before_the_record_is_read_wins(self):
+        """Guards against a ready candidate that replaces a later leave."""
+        for leave in (
+            lambda: self.upstream.on_leave("u1", 1.0),
+            lambda: self.upstream.on_report(report(sequence=2, draining=True), 1.0),
+        ):
+            self.restart()
+            self.upstream.on_report(report(), 0.0)
+            leave()
+            self.upstream.restore(None)
+            self.assertTrue(self.upstream.is_leaving)
