Tell a repeated refusal from the answer to a running request; limit answers

Callers could be told 'not run, try again' for a request that was running, or it ran twice: a faulty upstream wrote an earlier refusal once more on a kept channel. Cause: a refusal without a request id, or with the id of a request that was sent again on the same channel, was taken for the answer to the request in progress. The same held for health probes, which took any answer for theirs.

A channel is now reused only after an answer that names its request, and carries no request twice; a health probe skips answers with an id.

An answer without end filled the memory (724 MB in 3 s in the issue). A body is limited to what fits into a message between nodes; before, a larger one could only be returned to a caller on the same VM. Trailers are no headers any more.

Tests: with the former rules in the new code (trial on a scratch copy), test_refusal_that_is_repeated_while_the_next_request_runs, ..._the_same_request_ runs, test_health_probe_uses_no_answer_to_another_request and test_trailers_are_ not_taken_for_headers fail. A head cut at any byte was handled correctly before; the tests now show it for each byte. The scripted upstream of the tests goes on to its next connection if the node closes one early.

--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -92,6 +92,11 @@
 class UpstreamProtocol(Protocol):
     """Protocol of the upstream; implemented by `verbenawick.platform`."""
 
+    @property
+    def id_header(self) -> str:
+        """Return the lower-case name of the header with the id of a request."""
+        ...
+
     def request_headers(
         self, headers: Headers, *, upstream_id: str, left_s: float
     ) -> Headers:
@@ -353,6 +358,7 @@
 
         try:
             return self._channels.exchange(
+                request_id=call.request_id,
                 method=call.method,
                 target=call.target,
                 headers=headers,
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -143,6 +143,7 @@
             settings.upstream.address,
             # Replaced by `max_connections` of the service in each configuration.
             max_channels=64,
+            id_header=protocol.id_header,
             clock=self.clock,
             metrics=self.metrics,
         )
--- a/src/verbenawick/mesh/_upstream_channels.py
+++ b/src/verbenawick/mesh/_upstream_channels.py
@@ -1,8 +1,13 @@
 """Pool of persistent HTTP connections ("channels") to the local upstream.
 
-A channel is reused only after a complete answer was read and no bytes followed it.
-Unsolicited bytes, such as a duplicate answer, are detected by the parser or by the
-request id in the answer, and are never forwarded.
+A channel is reused only after a complete answer that names its request was read and no
+bytes followed it. Unsolicited bytes, such as a duplicate answer, are detected by the
+parser or by the request id in the answer, and are never forwarded.
+
+A faulty upstream may repeat an earlier answer at any time. A repeated answer with a
+request id is recognised, since no channel carries the same request twice. After an
+answer without one, such as some refusals, the channel is closed, so that its repetition
+cannot be taken for the answer to a later request.
 """
 
 from collections import deque
@@ -22,6 +27,7 @@
     UpstreamLostError,
     UpstreamUnreachableError,
 )
+from verbenawick.links._call_messages import MAX_MESSAGE_BODY_BYTES
 from verbenawick.mesh._model import Headers
 from verbenawick.runtime._clock import Clock
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
@@ -38,7 +44,20 @@
 # Subtracted from the announced keep-alive timeout, to allow for the transit time of the
 # request.
 IDLE_MARGIN_S = 0.5
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Limits on what one exchange may receive, so that no upstream can fill the memory. A
+# body has to fit into a message between nodes.
+MAX_BODY_BYTES = MAX_MESSAGE_BODY_BYTES
+# Bodies being received on all channels together.
+MAX_BUFFERED_BYTES = 4 * MAX_BODY_BYTES
+# Heads, interim responses and trailers.
+MAX_HEAD_BYTES = 128 * 1024
+MAX_HEADER_FIELDS = 256
+# Chunk sizes and extensions, in bytes per byte of body.
+MAX_FRAMING_RATIO = 8
+# Answers to other requests that are skipped while waiting for the matching one.
+MAX_SKIPPED_ANSWERS = 8
+# Requests after which a channel is closed, which bounds the ids kept for it.
+MAX_REQUESTS_PER_CHANNEL = 1000
 
 CHANNELS_OPENED = register_metric(
     "mesh.upstream_channels_opened",
@@ -82,16 +101,54 @@
         return None
 
 
+@dataclass(slots=True)
+class _BufferedBytes:
+    """Bytes of the bodies being received on all channels of an upstream."""
+
+    total: int = 0
+
+
 class _AnswerReader:
-    """Parses the answers received on one channel; implements the parser callbacks."""
+    """Parses the answers received on one channel; implements the parser callbacks.
 
-    def __init__(self):
+    The parser's callbacks raise `ValueError` beyond a limit.
+    """
+
+    def __init__(self, buffered: _BufferedBytes):
         self.complete: deque[RawAnswer] = deque()
         self.current: RawAnswer | None = None
+        self._buffered = buffered
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._skipped = 0
         self._parser = HttpResponseParser(self)
 
+    def start_exchange(self) -> None:
+        """Reset the counts that are limited for each exchange."""
+        self._received_bytes = self._skipped = 0
+        self.free_body()
+
+    def free_body(self) -> None:
+        """Subtract the bodies of this channel from the bytes of all channels."""
+        self._buffered.total -= self._body_bytes
+        self._body_bytes = 0
+
+    def skip(self) -> None:
+        """Count an answer that was taken from `complete` and belongs elsewhere."""
+        self._skipped += 1
+        if self._skipped > MAX_SKIPPED_ANSWERS:
+            raise ValueError(
+                f"more than {MAX_SKIPPED_ANSWERS} answers to other requests"
+            )
+
     def feed(self, data: bytes) -> None:
+        self._received_bytes += len(data)
         self._parser.feed_data(data)
+        overhead = self._received_bytes - self._body_bytes
+        if overhead > MAX_HEAD_BYTES + MAX_FRAMING_RATIO * self._body_bytes:
+            raise ValueError(
+                f"head, trailers or chunk extensions exceed {MAX_HEAD_BYTES} bytes"
+            )
 
     def end(self) -> None:
         """Handle end of stream, which completes an answer without a declared length."""
@@ -106,7 +163,13 @@
         self.current = RawAnswer()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.current.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+        answer = self.current
+        if answer.status:
+            # A trailer; its sender may not know the headers it would replace.
+            return
+        if len(answer.headers) >= MAX_HEADER_FIELDS:
+            raise ValueError(f"more than {MAX_HEADER_FIELDS} header fields")
+        answer.headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         answer = self.current
@@ -121,9 +184,15 @@
         )
 
     def on_body(self, data: bytes) -> None:
+        self._body_bytes += len(data)
+        self._buffered.total += len(data)
+        if self._body_bytes > MAX_BODY_BYTES:
+            raise ValueError(f"answer body exceeds {MAX_BODY_BYTES} bytes")
+        if self._buffered.total > MAX_BUFFERED_BYTES:
+            raise ValueError(
+                f"bodies on all channels exceed {MAX_BUFFERED_BYTES} bytes"
+            )
         self.current.body += data
-        if len(self.current.body) > MAX_ANSWER_BYTES:
-            raise ValueError("answer body exceeds the size limit")
 
     def on_message_complete(self) -> None:
         answer, self.current = self.current, None
@@ -133,11 +202,12 @@
 
 
 class _Channel:
-    def __init__(self, sock, generation: int):
+    def __init__(self, sock, generation: int, buffered: _BufferedBytes):
         self.sock = sock
         self.generation = generation
         self.waiter = ReadWaiter(sock.fileno())
-        self.reader = _AnswerReader()
+        self.reader = _AnswerReader(buffered)
+        self.request_ids: set[str] = set()
         self.idle_until = 0.0
 
     def receive(self) -> bytes:
@@ -161,12 +231,22 @@
     ----------
     address : str
         ``"ip:port"`` of the upstream.
+    id_header : str
+        Lower-case name of the header in which an answer repeats the id of its request.
     """
 
     def __init__(
-        self, address: str, *, max_channels: int, clock: Clock, metrics: MetricSet
+        self,
+        address: str,
+        *,
+        max_channels: int,
+        id_header: str,
+        clock: Clock,
+        metrics: MetricSet,
     ):
         self._set_target(address)
+        self._id_header = id_header
+        self._buffered = _BufferedBytes()
         self.max_channels = max_channels
         self._clock = clock
         self._metrics = metrics
@@ -184,6 +264,7 @@
     def exchange(
         self,
         *,
+        request_id: str,
         method: str,
         target: str,
         headers: Headers,
@@ -196,6 +277,9 @@
 
         Parameters
         ----------
+        request_id : str
+            Id that the upstream repeats in its answer; empty for a request without one,
+            whose channel is not reused.
         classify : callable
             Returns the `AnswerKind` of an answer in relation to this request.
         before_send : callable
@@ -210,14 +294,14 @@
             The request was sent; it may have run.
         """
         data = _encode_request(method, target, headers, body)
-        channel = self._acquire(deadline)
+        channel = self._acquire(request_id, deadline)
         is_reusable = False
         try:
             before_send()
             with Timeout(max(deadline - self._clock.now(), 0.0), _DeadlinePassed()):
                 channel.sock.sendall(data)
                 kind, answer = self._read_matching(channel, classify)
-            is_reusable = answer.keeps_channel and not _has_unread_data(channel.reader)
+            is_reusable = self._is_reusable(channel, answer, request_id)
         except _DeadlinePassed:
             raise CallTimeoutError(
                 "deadline passed while the upstream ran the request",
@@ -231,8 +315,10 @@
                 peer=self._address,
             ) from error
         except (HttpParserError, ValueError) as error:
+            # The parser wraps the errors of its callbacks.
+            reason = error.__context__ or error
             raise BadResponseError(
-                str(error) or type(error).__name__,
+                str(reason) or type(reason).__name__,
                 step="upstream.exchange",
                 peer=self._address,
             ) from error
@@ -277,6 +363,7 @@
                 if kind is not AnswerKind.MISMATCHED:
                     return kind, answer
                 self._metrics.count(ANSWERS_SKIPPED)
+                reader.skip()
             data = channel.receive()
             if not data:
                 reader.end()
@@ -291,7 +378,18 @@
                     raise
                 reader.current = RawAnswer()
 
-    def _acquire(self, deadline: float) -> _Channel:
+    def _is_reusable(
+        self, channel: _Channel, answer: RawAnswer, request_id: str
+    ) -> bool:
+        return (
+            answer.keeps_channel
+            and not _has_unread_data(channel.reader)
+            and bool(request_id)
+            and answer.header(self._id_header) == request_id
+            and len(channel.request_ids) < MAX_REQUESTS_PER_CHANNEL
+        )
+
+    def _acquire(self, request_id: str, deadline: float) -> _Channel:
         now = self._clock.now()
         if deadline <= now:
             raise DeadlineUnreachableError(
@@ -301,9 +399,15 @@
             )
         while self._idle:
             channel = self._idle.pop()
-            # Readable while idle: closed by the upstream, or unsolicited bytes.
-            if now < channel.idle_until and not is_readable(channel.sock.fileno()):
-                return channel
+            # Readable while idle: closed by the upstream, or unsolicited bytes. A
+            # repetition of the answer to an earlier request with the same id could not
+            # be told from the answer to this one.
+            if (
+                now < channel.idle_until
+                and request_id not in channel.request_ids
+                and not is_readable(channel.sock.fileno())
+            ):
+                return self._start(channel, request_id)
             self._discard(channel)
         if self._open_count >= self.max_channels:
             raise UpstreamUnreachableError(
@@ -311,7 +415,12 @@
                 step="upstream.connect",
                 peer=self._address,
             )
-        return self._open()
+        return self._start(self._open(), request_id)
+
+    def _start(self, channel: _Channel, request_id: str) -> _Channel:
+        channel.request_ids.add(request_id)
+        channel.reader.start_exchange()
+        return channel
 
     def _open(self) -> _Channel:
         self._open_count += 1
@@ -329,9 +438,10 @@
                 ) from error
             raise
         self._metrics.count(CHANNELS_OPENED)
-        return _Channel(sock, self._generation)
+        return _Channel(sock, self._generation, self._buffered)
 
     def _release(self, channel: _Channel, answer: RawAnswer | None) -> None:
+        channel.reader.free_body()
         if answer is None or channel.generation != self._generation:
             self._discard(channel)
             return
--- a/src/verbenawick/mesh/_upstream_prober.py
+++ b/src/verbenawick/mesh/_upstream_prober.py
@@ -9,7 +9,7 @@
 from verbenawick.mesh._local_upstream import LocalUpstream
 from verbenawick.mesh._model import MeshConfiguration, ServiceSpec, UpstreamState
 from verbenawick.mesh._node_events import UpstreamProbeFailed
-from verbenawick.mesh._upstream_channels import AnswerKind, UpstreamChannels
+from verbenawick.mesh._upstream_channels import AnswerKind, RawAnswer, UpstreamChannels
 from verbenawick.runtime._clock import Clock
 from verbenawick.runtime._events import emit
 
@@ -68,12 +68,13 @@
     def _probe(self, service: ServiceSpec) -> None:
         try:
             _, answer = self._channels.exchange(
+                request_id="",
                 method="GET",
                 target=service.health_path,
                 headers=self._protocol.health_headers(self._upstream.address),
                 body=b"",
                 deadline=self._clock.now() + PROBE_TIMEOUT_S,
-                classify=lambda answer: AnswerKind.MATCHING,
+                classify=self._classify,
             )
         except CallError as error:
             emit(UpstreamProbeFailed(str(error)))
@@ -83,3 +84,8 @@
             self._upstream.on_probe(upstream_id, slots)
         else:
             emit(UpstreamProbeFailed(f"answered {answer.status}"))
+
+    def _classify(self, answer: RawAnswer) -> AnswerKind:
+        # A health probe has no id, so an answer with one belongs to an earlier request.
+        has_id = answer.header(self._protocol.id_header) is not None
+        return AnswerKind.MISMATCHED if has_id else AnswerKind.MATCHING
--- a/src/verbenawick/platform/_calls.py
+++ b/src/verbenawick/platform/_calls.py
@@ -138,6 +138,8 @@
 class PlatformUpstreamProtocol:
     """Protocol between a node and the upstreams of the platform."""
 
+    id_header = REQUEST_ID_HEADER.lower()
+
     def request_headers(
         self, headers: Headers, *, upstream_id: str, left_s: float
     ) -> Headers:
@@ -150,7 +152,7 @@
 
     def classify(self, answer: RawAnswer, *, request_id: str) -> AnswerKind:
         """Return how an answer relates to the request with `request_id`."""
-        answered_id = answer.header(REQUEST_ID_HEADER.lower())
+        answered_id = answer.header(self.id_header)
         if answered_id is not None and answered_id != request_id:
             return AnswerKind.MISMATCHED
         if answer.status == _MISDIRECTED_STATUS:
--- a/tests/test_mesh_upstream_channels.py
+++ b/tests/test_mesh_upstream_channels.py
@@ -1,5 +1,8 @@
 """Tests of upstream answers that are late, duplicate, truncated or malformed."""
 
+from contextlib import suppress
+from functools import partial
+
 import eventlet
 from eventlet.green import socket
 from testtools import TestCase
@@ -12,7 +15,19 @@
     UpstreamLostError,
     UpstreamUnreachableError,
 )
-from verbenawick.mesh._upstream_channels import AnswerKind, UpstreamChannels
+from verbenawick.mesh._local_upstream import LocalUpstream
+from verbenawick.mesh._model import ServiceSpec
+from verbenawick.mesh._upstream_channels import (
+    MAX_BODY_BYTES,
+    MAX_BUFFERED_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_HEADER_FIELDS,
+    MAX_SKIPPED_ANSWERS,
+    AnswerKind,
+    UpstreamChannels,
+)
+from verbenawick.mesh._upstream_prober import UpstreamProber
+from verbenawick.platform._calls import PlatformUpstreamProtocol
 from verbenawick.runtime._clock import MonotonicClock
 from verbenawick.runtime._metrics import MetricSet
 
@@ -24,14 +39,15 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-def classify_for(request_id: str):
-    """Return a classifier that compares the id in the answer with `request_id`."""
+def refusal(*headers: str, status=503) -> bytes:
+    """Return an answer that states that its request did not run."""
+    lines = [f"HTTP/1.1 {status} S", "Not-Executed: 1", "Content-Length: 0", *headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
-    def classify(raw):
-        is_match = raw.header("attempt-id") == request_id
-        return AnswerKind.MATCHING if is_match else AnswerKind.MISMATCHED
 
-    return classify
+def classify_for(request_id: str):
+    """Return the platform's classifier of answers to `request_id`."""
+    return partial(PlatformUpstreamProtocol().classify, request_id=request_id)
 
 
 class UpstreamChannelsTest(TestCase):
@@ -50,6 +66,7 @@
         return UpstreamChannels(
             address,
             max_channels=max_channels,
+            id_header="attempt-id",
             clock=self.clock,
             metrics=MetricSet(),
         )
@@ -64,24 +81,33 @@
         def serve():
             for steps in channels:
                 sock, _ = self.listener.accept()
-                for step in steps:
-                    if step == "request":
-                        self.requests.append(sock.recv(65536))
-                    elif isinstance(step, float):
-                        eventlet.sleep(step)
-                    elif step == "reset":
-                        sock.setsockopt(
-                            socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
-                        )
-                    else:
-                        sock.sendall(step)
+                # The node may close a channel before the last step.
+                with suppress(BrokenPipeError, ConnectionResetError):
+                    self.take_steps(sock, steps)
                 sock.close()
 
         thread = eventlet.spawn(serve)
         self.addCleanup(thread.kill)
 
-    def exchange(self, request_id="q1", *, timeout_s=2.0, **changes):
+    def take_steps(self, sock, steps):
+        for step in steps:
+            if step == "request":
+                self.requests.append(sock.recv(65536))
+            elif isinstance(step, float):
+                eventlet.sleep(step)
+            elif step == "reset":
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
+                )
+            else:
+                sock.sendall(step)
+
+    def exchange(self, request_id="q1", **changes):
+        return self.exchange_kind(request_id, **changes)[1]
+
+    def exchange_kind(self, request_id="q1", *, timeout_s=2.0, **changes):
         options = {
+            "request_id": request_id,
             "method": "GET",
             "target": "/x",
             "headers": (("Host", "h"),),
@@ -89,7 +115,7 @@
             "deadline": self.clock.now() + timeout_s,
             "classify": classify_for(request_id),
         }
-        return self.channels.exchange(**{**options, **changes})[1]
+        return self.channels.exchange(**{**options, **changes})
 
     def test_channel_is_reused_after_a_complete_answer(self):
         """A new connection per request would occupy slots at the upstream."""
@@ -260,3 +286,172 @@
             b"POST /x%20y?z=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
             self.requests[0],
         )
+
+    def test_refusal_that_is_repeated_while_the_next_request_runs(self):
+        """Guards against telling a caller that a running request did not run."""
+        cases = {
+            "without an id": refusal(),
+            "with an id": refusal("Attempt-Id: q1"),
+            "misdirected, without an id": refusal(status=421),
+            "misdirected, with an id": refusal("Attempt-Id: q1", status=421),
+        }
+        for name, refused in cases.items():
+            self.channels = self.channels_to(self.address)
+            kept = ["request", refused, "request", refused, 0.05, answer("q2", b"ran")]
+            self.script(kept, ["request", answer("q2", b"ran"), 1.0])
+            kind, _ = self.exchange_kind("q1")
+            self.assertIn(kind, (AnswerKind.NOT_RUN, AnswerKind.OTHER_UPSTREAM), name)
+            kind, raw = self.exchange_kind("q2")
+            self.assertEqual((AnswerKind.MATCHING, b"ran"), (kind, raw.body), name)
+
+    def test_refusal_that_is_repeated_while_the_same_request_runs(self):
+        """Guards against two runs of a request that was refused at first."""
+        refused = refusal("Attempt-Id: q1")
+        self.script(
+            ["request", refused, "request", refused, 0.05, answer("q1", b"ran")],
+            ["request", answer("q1", b"ran"), 1.0],
+        )
+        self.assertEqual(AnswerKind.NOT_RUN, self.exchange_kind("q1")[0])
+        self.assertEqual(AnswerKind.MATCHING, self.exchange_kind("q1")[0])
+
+    def test_channel_is_reused_after_a_refusal_with_the_id_of_its_request(self):
+        """Each new channel costs an upstream that refuses requests more work."""
+        self.script(
+            ["request", refusal("Attempt-Id: q1"), "request", answer("q2", b"")]
+        )
+        self.exchange("q1")
+        self.exchange("q2")
+        self.assertEqual(2, len(self.requests))
+
+    def test_health_probe_uses_no_answer_to_another_request(self):
+        """Guards against a repeated answer that tells an outdated state."""
+        healthy = b"HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nContent-Length: 0\r\n\r\n"
+        failing = healthy.replace(b"200 OK", b"503 Not Ready")
+        self.script(
+            ["request", answer("q1", b""), "request", answer("q1", b"") + failing],
+            ["request", failing, "request", failing],
+            ["request", healthy, 0.1],
+        )
+        upstream = LocalUpstream(
+            address=self.address, service="s", on_change=lambda: None
+        )
+        prober = UpstreamProber(
+            upstream,
+            channels=self.channels,
+            protocol=PlatformUpstreamProtocol(),
+            clock=self.clock,
+            configuration=lambda: None,
+        )
+        self.exchange("q1")
+        for expected in ("", "", "i-1"):
+            prober._probe(ServiceSpec("s"))
+            self.assertEqual(expected, upstream.upstream_id)
+            self.assertEqual(0, self.channels.open_count)
+
+    def endless(self, head: bytes, part: bytes):
+        """Serve one connection with an answer that does not end."""
+
+        def serve():
+            sock, _ = self.listener.accept()
+            sock.recv(65536)
+            try:
+                sock.sendall(head)
+                while True:
+                    sock.sendall(part)
+                    self.sent_bytes += len(part)
+            except OSError:
+                sock.close()
+
+        self.sent_bytes = 0
+        thread = eventlet.spawn(serve)
+        self.addCleanup(thread.kill)
+
+    def test_answers_without_end_are_rejected_early(self):
+        """Guards against an upstream that fills the memory of its node."""
+        ok = b"HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\n"
+        chunked = ok + b"Transfer-Encoding: chunked\r\n\r\n"
+        line = b"x" * 16_384
+        interim = b"HTTP/1.1 100 Continue\r\nX: " + line + b"\r\n\r\n"
+        other = answer("q0", b"x" * 16_384)
+        # Bytes that may arrive before the limit is noticed: the buffers of the sockets.
+        slack = 8 * 1024 * 1024
+        cases = {
+            "header line": (ok + b"X: ", line, MAX_HEAD_BYTES),
+            "header lines": (ok, b"X: " + line + b"\r\n", MAX_HEAD_BYTES),
+            "header fields": (ok, b"a:b\r\n" * 1000, MAX_HEADER_FIELDS * 5000),
+            "status line": (b"HTTP/1.1 200 ", line, MAX_HEAD_BYTES),
+            "interim responses": (b"", interim, MAX_HEAD_BYTES),
+            "chunk extension": (chunked + b"1;", line, MAX_HEAD_BYTES),
+            "trailers": (chunked + b"0\r\n", b"X: " + line + b"\r\n", MAX_HEAD_BYTES),
+            "chunks": (chunked, b"4000\r\n" + line + b"\r\n", MAX_BODY_BYTES),
+            "body without length": (ok + b"\r\n", line, MAX_BODY_BYTES),
+            "body": (ok + b"Content-Length: 99999999999\r\n\r\n", line, MAX_BODY_BYTES),
+            "answers to others": (b"", other, MAX_SKIPPED_ANSWERS * len(other)),
+        }
+        for name, (head, part, limit) in cases.items():
+            self.endless(head, part)
+            error = self.assertRaises(BadResponseError, self.exchange, timeout_s=20)
+            self.assertRegex(error.message, "exceed|more than", name)
+            self.assertLess(self.sent_bytes, limit + slack, name)
+            self.assertEqual(0, self.channels.open_count, name)
+
+    def test_bodies_on_all_channels_together_are_limited(self):
+        """Guards against filling the memory with one large answer for each slot."""
+        count = MAX_BUFFERED_BYTES // MAX_BODY_BYTES + 1
+        self.channels = self.channels_to(self.address, max_channels=count)
+        body = b"x" * (MAX_BODY_BYTES - 1)
+        steps = ["request", answer("q1", body)[:-1], 1.0, b"x", 1.0]
+        self.serve_at_once(steps)
+        threads = [eventlet.spawn(self.outcome_of_exchange) for _ in range(count)]
+        outcomes = sorted(thread.wait() for thread in threads)
+        self.assertEqual(["BadResponseError"] + ["complete"] * (count - 1), outcomes)
+        self.assertEqual(b"x", self.exchange("q1", timeout_s=20).body[-1:])
+
+    def serve_at_once(self, steps):
+        """Serve all connections by the same steps at the same time."""
+
+        def serve():
+            while True:
+                sock, _ = self.listener.accept()
+                eventlet.spawn(self.take_steps, sock, steps)
+
+        thread = eventlet.spawn(serve)
+        self.addCleanup(thread.kill)
+
+    def outcome_of_exchange(self):
+        try:
+            self.exchange(timeout_s=20)
+        except BadResponseError as error:
+            return type(error).__name__
+        return "complete"
+
+    def test_trailers_are_not_taken_for_headers(self):
+        """Guards against a status of the request that its head does not contain."""
+        head = b"HTTP/1.1 503 S\r\nAttempt-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        trailer = b"0\r\nNot-Executed: 1\r\n\r\n"
+        self.script(["request", head + b"1\r\na\r\n" + trailer, 1.0])
+        self.assertEqual(AnswerKind.MATCHING, self.exchange_kind("q1")[0])
+
+    def test_answers_that_end_at_any_byte_are_not_whole(self):
+        """Guards against an incomplete answer that is forwarded as a whole one."""
+        ok = b"HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\n"
+        answers = {
+            "length": ok + b"Content-Length: 10\r\n\r\n0123456789",
+            "no body": ok + b"Content-Length: 0\r\nX: y\r\n\r\n",
+            "chunked": ok + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+            "refusal": refusal("X: y"),
+            "no content": b"HTTP/1.1 204 No Content\r\nAttempt-Id: q1\r\n\r\n",
+        }
+        for name, whole in answers.items():
+            for end in range(len(whole)):
+                self.script(["request", whole[:end]])
+                self.assertRaises(UpstreamLostError, self.exchange, "q1")
+            self.script(["request", whole])
+            self.assertTrue(self.exchange("q1").is_complete, name)
+
+    def test_head_that_ends_at_any_byte_is_not_an_answer_without_length(self):
+        """The end of the channel completes a body without a length, but no head."""
+        head = b"HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nX: y\r\n\r\n"
+        for end in range(len(head)):
+            self.script(["request", head[:end]])
+            self.assertRaises(UpstreamLostError, self.exchange, "q1")
