Reject responses of upstreams whose head or chunk size ends early

On the own interface a caller could get a 200 with an empty or short body, framed as whole, and a refusal that had not been read to its end counted as proof that the request did not run. Cause: http.client takes the end of the stream for the end of a head, of a chunk size ('0' of '0a') and of the trailers, and it limits none of them as a whole.

_ResponseStream requires each of these lines to be whole and limits their sum. A connection is closed after a refusal, so that a faulty upstream that writes it once more cannot have it taken for the response to the next request. Interim responses other than 100 are no final response. The health probe uses the same connections instead of urllib3's pool, which accepted half a head as healthy and read bodies without end.

Removes an unused import of the unpatched select.

--- a/src/verbenawick/calls/_upstream.py
+++ b/src/verbenawick/calls/_upstream.py
@@ -10,7 +10,7 @@
 from http.client import HTTPException, IncompleteRead
 from http.client import HTTPResponse as StandardResponse
 
-from eventlet import Timeout, patcher
+from eventlet import Timeout
 from eventlet.green import socket
 from urllib3.connection import HTTPConnection
 
@@ -29,10 +29,6 @@
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 from verbenawick.runtime._polling import is_readable
 
-# eventlet removes `poll` from its patched module. Polling with a zero timeout never
-# blocks, so the original is safe.
-select = patcher.original("select")
-
 NOT_RUN_HEADER = "upstream-not-run"
 
 # Less than the 5 s after which common HTTP servers close idle connections, so that a
@@ -43,6 +39,11 @@
 # this time counts as unreachable.
 CONNECT_TIMEOUT_S = 1.0
 
+# Limit on the lines of a response: its head, interim responses, chunk sizes and
+# trailers. Each byte of the body allows `MAX_FRAMING_RATIO` bytes more.
+MAX_HEAD_BYTES = 128 * 1024
+MAX_FRAMING_RATIO = 8
+
 CONNECTIONS_OPENED = register_metric(
     "upstream.connections_opened",
     MetricKind.COUNTER,
@@ -66,6 +67,56 @@
     body: bytes
 
 
+class _ResponseStream:
+    """Stream of a response, of which each line has to be whole.
+
+    `http.client` takes the end of the stream for the end of a head, of a chunk size or
+    of the trailers, and limits none of them as a whole.
+
+    Parameters
+    ----------
+    stream : file object
+        Stream to read from.
+    """
+
+    def __init__(self, stream):
+        self._stream = stream
+        self._line_bytes_left = MAX_HEAD_BYTES
+
+    def readline(self, limit: int) -> bytes:
+        """Return the next line, with its line break unless it is longer than `limit`.
+
+        Raises
+        ------
+        IncompleteRead
+            The stream ended before the line did.
+        HTTPException
+            The lines of the response exceed their limit.
+        """
+        line = self._stream.readline(limit)
+        if not line.endswith(b"\n") and len(line) < limit:
+            raise IncompleteRead(line)
+        self._line_bytes_left -= len(line)
+        if self._line_bytes_left < 0:
+            raise HTTPException(
+                f"head, trailers or chunk sizes exceed {MAX_HEAD_BYTES} bytes"
+            )
+        return line
+
+    def read(self, size: int = -1) -> bytes:
+        """Return at most `size` bytes of the body."""
+        data = self._stream.read(size)
+        self._line_bytes_left += MAX_FRAMING_RATIO * len(data)
+        return data
+
+    def flush(self) -> None:
+        """Do nothing; the response is only read."""
+
+    def close(self) -> None:
+        """Close the stream."""
+        self._stream.close()
+
+
 class _Connection(HTTPConnection):
     """urllib3 connection on an eventlet socket, without monkey patching."""
 
@@ -89,6 +140,10 @@
 class UpstreamConnections:
     """Pool of connections to one upstream, reused after a completely read response.
 
+    A connection is not reused after a refusal: responses have no request id, so if a
+    faulty upstream repeated the refusal, it would be taken for the response to the next
+    request.
+
     Parameters
     ----------
     address : str
@@ -156,7 +211,8 @@
             with Timeout(max(deadline - self._clock.now(), 0.0), _DeadlineExceeded()):
                 response = self._send(connection, method, target, headers, body)
                 upstream_response = self._read_response(response, max_body_bytes)
-            is_reusable = not response.will_close
+            is_refusal = _is_refusal(response)
+            is_reusable = not response.will_close and not is_refusal
         except _DeadlineExceeded:
             raise CallTimeoutError(
                 "deadline passed while the upstream ran the request",
@@ -179,10 +235,7 @@
             # Also reached on cancellation (GreenletExit): an unread response must never
             # be mistaken for the response to a later request.
             self._release(connection, is_reusable=is_reusable)
-        if (
-            upstream_response.status == 503
-            and response.getheader(NOT_RUN_HEADER) == "1"
-        ):
+        if is_refusal:
             raise UpstreamShedError(
                 "upstream did not run the request",
                 step="upstream.exchange",
@@ -202,8 +255,11 @@
         # http.client's response raises on a short body. urllib3's wrapper would only
         # add content decoding, which a proxy must not do.
         response = StandardResponse(connection.sock, method=method)
+        response.fp = _ResponseStream(response.fp)
         connection.response = response
         response.begin()
+        if response.status < 200:
+            raise HTTPException(f"unexpected interim response {response.status}")
         return response
 
     def _read_response(
@@ -295,6 +351,10 @@
     """Raised by the timer of an exchange when the deadline passes."""
 
 
+def _is_refusal(response: StandardResponse) -> bool:
+    return response.status == 503 and response.getheader(NOT_RUN_HEADER) == "1"
+
+
 def _encode_head(method: str, target: str, headers: Headers, body: bytes) -> bytes:
     lines = [f"{method} {target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers]
--- a/src/verbenawick/calls/_upstream_probe.py
+++ b/src/verbenawick/calls/_upstream_probe.py
@@ -9,14 +9,17 @@
 from dataclasses import dataclass
 
 import eventlet
-from urllib3 import HTTPConnectionPool, Timeout
-from urllib3.exceptions import HTTPError
 
+from verbenawick.calls._upstream import UpstreamConnections
+from verbenawick.errors import CallError
+from verbenawick.runtime._clock import Clock, MonotonicClock
 from verbenawick.runtime._events import Event, emit, register_event
+from verbenawick.runtime._metrics import MetricSet
 
 HEALTH_PATH = "/health"
 PROBE_INTERVAL_S = 1.0
 PROBE_TIMEOUT_S = 1.0
+MAX_BODY_BYTES = 65_536
 HTTP_OK = 200
 
 
@@ -48,11 +51,17 @@
         Called after each probe with whether the upstream is healthy.
     """
 
-    def __init__(self, address: str, *, on_result: Callable[[bool], None]):
-        host, _, port = address.rpartition(":")
+    def __init__(
+        self,
+        address: str,
+        *,
+        on_result: Callable[[bool], None],
+        clock: Clock | None = None,
+    ):
         self._address = address
-        self._pool = HTTPConnectionPool(
-            host, int(port), maxsize=1, timeout=Timeout(PROBE_TIMEOUT_S), retries=False
+        self._clock = clock or MonotonicClock()
+        self._connections = UpstreamConnections(
+            address, max_connections=1, clock=self._clock, metrics=MetricSet()
         )
         self._on_result = on_result
         self._was_healthy: bool | None = None
@@ -66,7 +75,7 @@
         """Stop probing."""
         if self._thread is not None:
             self._thread.kill()
-        self._pool.close()
+        self._connections.close_idle()
 
     def _run(self) -> None:
         while True:
@@ -78,9 +87,19 @@
     def probe(self) -> str:
         """Return the reason why the upstream is unhealthy; empty if it is healthy."""
         try:
-            status = self._pool.urlopen("GET", HEALTH_PATH).status
-        except HTTPError as error:
-            return type(error).__name__
+            status = self._connections.exchange(
+                method="GET",
+                target=HEALTH_PATH,
+                headers=(("Host", self._address),),
+                body=b"",
+                deadline=self._clock.now() + PROBE_TIMEOUT_S,
+                max_body_bytes=MAX_BODY_BYTES,
+            ).status
+        except CallError as error:
+            return error.message
+        finally:
+            # A repeated response to this probe must not be taken for the next one's.
+            self._connections.close_idle()
         return "" if status == HTTP_OK else f"status {status}"
 
     def _emit_on_change(self, reason: str) -> None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -8,6 +8,7 @@
 from standins.upstream import StandinUpstream
 from tests.call_support import free_port, wait_until
 from verbenawick.calls._upstream import CONNECTIONS_OPENED, UpstreamConnections
+from verbenawick.calls._upstream_probe import UpstreamProbe
 from verbenawick.errors import (
     BadCallError,
     BadResponseError,
@@ -55,17 +56,28 @@
     def opened(self):
         return self.metrics.totals().get(CONNECTIONS_OPENED, 0)
 
-    def serve_once(self, response: bytes):
-        """Serve `response` to one request, then close the connection."""
+    def serve_once(self, response: bytes, *, is_endless=False):
+        """Serve `response` to one request, then close the connection.
+
+        An endless response goes on with its last line until the node closes.
+        """
         listener = eventlet.listen(("127.0.0.1", 0))
+        last_line = response.rpartition(b"\n")[2]
 
         def serve():
             sock, _ = listener.accept()
             sock.recv(65536)
-            sock.sendall(response)
+            try:
+                sock.sendall(response)
+                while is_endless:
+                    sock.sendall(last_line)
+                    self.sent_bytes += len(last_line)
+            except OSError:
+                self.assertTrue(is_endless)
             sock.close()
             listener.close()
 
+        self.sent_bytes = 0
         eventlet.spawn_n(serve)
         self.connect(f"127.0.0.1:{listener.getsockname()[1]}")
 
@@ -172,3 +184,79 @@
         began_at = thread_time()
         self.assertRaises(UpstreamShedError, self.exchange)
         self.assertGreaterEqual(thread_time() - began_at, 0.02)
+
+    def test_a_repeated_refusal_is_not_taken_for_the_next_response(self):
+        """Guards against telling a caller that a running request did not run."""
+        refusal = (
+            b"HTTP/1.1 503 Busy\r\nupstream-not-run: 1\r\nContent-Length: 0\r\n\r\n"
+        )
+        ran = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nran"
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+
+        def serve():
+            for first in (refusal, ran):
+                sock, _ = listener.accept()
+                sock.recv(65536)
+                sock.sendall(first)
+                if sock.recv(65536):
+                    sock.sendall(refusal)
+
+        thread = eventlet.spawn(serve)
+        self.addCleanup(thread.kill)
+        self.connect(f"127.0.0.1:{listener.getsockname()[1]}")
+        self.assertRaises(UpstreamShedError, self.exchange)
+        self.assertEqual(b"ran", self.exchange().body)
+
+    def test_a_response_that_ends_at_any_byte_is_not_whole(self):
+        """Guards against an incomplete response that is forwarded as a whole one."""
+        ok = b"HTTP/1.1 200 OK\r\n"
+        responses = {
+            "length": ok + b"Content-Length: 12\r\n\r\n0123456789ab",
+            "no body": ok + b"Content-Length: 0\r\nX: y\r\n\r\n",
+            "chunked": ok
+            + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0a\r\n0123456789\r\n"
+            + b"0\r\nX: y\r\n\r\n",
+            "no content": b"HTTP/1.1 204 No Content\r\nX: y\r\n\r\n",
+            "refusal": b"HTTP/1.1 503 S\r\nupstream-not-run: 1\r\nContent-Length: 0\r\n"
+            b"X: y\r\n\r\n",
+        }
+        for name, whole in responses.items():
+            accepted = []
+            for end in range(len(whole)):
+                self.serve_once(whole[:end])
+                try:
+                    self.exchange()
+                except (UpstreamLostError, BadResponseError):
+                    continue
+                except UpstreamShedError:
+                    pass
+                accepted.append(whole[:end])
+            self.assertEqual([], accepted, name)
+
+    def test_a_health_probe_that_ends_at_any_byte_is_not_healthy(self):
+        """Guards against offering an upstream that stops in the middle of a head."""
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX: y\r\n\r\n"
+        for end in range(len(whole) + 1):
+            self.serve_once(whole[:end])
+            probe = UpstreamProbe(self.upstream._address, on_result=lambda is_ok: None)
+            self.assertEqual(end == len(whole), not probe.probe(), whole[:end])
+
+    def test_responses_without_end_are_rejected_early(self):
+        """Guards against an upstream that fills the memory of its node."""
+        ok = b"HTTP/1.1 200 OK\r\n"
+        chunked = ok + b"Transfer-Encoding: chunked\r\n\r\n"
+        long = b"x" * 16_384
+        cases = {
+            "header line": ok + b"X: y\r\n" + long,
+            "header fields": ok + b"A: b\r\n" * 200 + b"\r\nC: ",
+            "interim responses": b"HTTP/1.1 100 Continue\r\n\r\n" * 6000 + long,
+            "chunk size": chunked + b"1\r\na\r\n" + long,
+            "trailers": chunked + b"0\r\n" + b"X: yyyyyyyyy\r\n" * 10_000 + long,
+            "another interim response": b"HTTP/1.1 103 Hints\r\n\r\n",
+        }
+        for name, response in cases.items():
+            self.serve_once(response, is_endless=response.endswith(long))
+            self.assertRaises(BadResponseError, self.exchange)
+            self.assertLess(self.sent_bytes, 8 * 1024 * 1024, name)
+            self.assertEqual(0, self.upstream.open_count, name)
