Refuse requests that end in a chunk size; limit framing and store responses

A request whose caller left in the middle of a chunk size ('0' of '0a') or of the trailers ran with a truncated body as if it were whole, since eventlet takes the end of the stream for the end of the line. Chunk sizes and trailers without end filled the memory, and the rest of a refused body was received without limit.

Bodies are read through _BodyStream, which requires whole lines and limits them; up to 1 MiB of a refused body is discarded, then the connection is closed after a second in which the caller can read the response. The servers for reports, readiness and metrics use the same protocol. Responses of the platform's store are limited to 8 MiB.

Tests that failed before: test_chunked_body_that_ends_early_reaches_no_ application, test_framing_without_end_is_refused_early (it did not end), test_caller_of_an_oversized_body_reads_the_refusal. The test application now refuses bodies as the daemons do. test_response_without_end_is_rejected_early was not run on the code before.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -6,13 +6,24 @@
 body.
 """
 
+import socket
 from http.client import HTTPMessage
 
-from eventlet import wsgi
+from eventlet import Timeout, wsgi
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from verbenawick.runtime._polling import is_readable
 
+# Limit on the chunk sizes and trailers of a request. Each byte of the body allows
+# `MAX_FRAMING_RATIO` bytes more.
+MAX_FRAMING_BYTES = 64 * 1024
+MAX_FRAMING_RATIO = 8
+# Unread rest of a refused body up to which its connection is kept open.
+MAX_DISCARDED_BYTES = 1024 * 1024
+# How long a longer rest is received, so that the caller can read the response before
+# the connection is closed.
+LINGER_S = 1.0
+
 _HEAD_TERMINATORS = (b"\r\n", b"\n", b"")
 
 
@@ -31,6 +42,59 @@
         self.headers[name.decode("latin-1")] = text
 
 
+class _BodyStream:
+    """Stream of a request body, of which each line has to be whole.
+
+    eventlet takes the end of the stream for the end of a chunk size or of the trailers,
+    and limits neither.
+    """
+
+    def __init__(self, stream):
+        self._stream = stream
+        self._line_bytes_left = MAX_FRAMING_BYTES
+
+    def read(self, size: int) -> bytes:
+        data = self._stream.read(size)
+        self._line_bytes_left += MAX_FRAMING_RATIO * len(data)
+        return data
+
+    def readline(self) -> bytes:
+        line = self._stream.readline(self._line_bytes_left + 1)
+        self._line_bytes_left -= len(line)
+        if self._line_bytes_left < 0:
+            raise wsgi.ChunkReadError(
+                f"chunk sizes or trailers exceed {MAX_FRAMING_BYTES} bytes"
+            )
+        if not line.endswith(b"\n"):
+            raise wsgi.ChunkReadError("body ends in a chunk size or trailer")
+        return line
+
+
+class _RequestBody(wsgi.Input):
+    """Body of a request, with limits on its framing and on a rest that is discarded."""
+
+    def discard(self, buffer_size: int = 16_384) -> None:
+        """Receive the unread rest of the body.
+
+        Raises
+        ------
+        OSError
+            The rest is too long; the connection has to be closed.
+        """
+        left = MAX_DISCARDED_BYTES
+        while data := self.read(min(buffer_size, left)):
+            left -= len(data)
+            if left <= 0:
+                self._linger()
+                raise OSError(f"unread body exceeds {MAX_DISCARDED_BYTES} bytes")
+
+    def _linger(self) -> None:
+        self._sock.shutdown(socket.SHUT_WR)
+        with Timeout(LINGER_S, False):
+            while self._sock.recv(65_536):
+                pass
+
+
 class CallerProtocol(wsgi.HttpProtocol):
     """HTTP protocol of one connection of a caller.
 
@@ -120,6 +184,20 @@
             return self.handle_expect_100()
         return True
 
+    def get_environ(self):
+        """Return the WSGI environment of the request."""
+        environ = super().get_environ()
+        body = environ["wsgi.input"]
+        environ["wsgi.input"] = environ["eventlet.input"] = _RequestBody(
+            _BodyStream(self.rfile) if body.chunked_input else self.rfile,
+            body.content_length,
+            self.connection,
+            wfile=body.wfile,
+            wfile_line=body.wfile_line,
+            chunked_input=body.chunked_input,
+        )
+        return environ
+
     def _read_lines(self) -> list[bytes]:
         """Return the lines of the head, whose size the server limits."""
         lines = [self.raw_requestline]
--- a/src/verbenawick/platform/_node_server.py
+++ b/src/verbenawick/platform/_node_server.py
@@ -5,6 +5,7 @@
 import eventlet
 from eventlet import wsgi
 
+from verbenawick.calls._caller_protocol import CallerProtocol
 from verbenawick.calls._entry_server import EntryServer
 from verbenawick.mesh._node import SHUTDOWN_DELAY_S, MeshNode
 from verbenawick.mesh._settings import MeshSettings
@@ -98,6 +99,7 @@
                 wsgi.server,
                 listener,
                 application,
+                protocol=CallerProtocol,
                 log_output=False,
                 debug=False,
                 max_size=MAX_AUXILIARY_CONNECTIONS,
--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -40,6 +40,8 @@
 # When it is overloaded, the store takes some 0.3 s for a slow call, and longer for a
 # read than for a write.
 CALL_TIMEOUT_S = 1.5
+# The store limits values and pages of a list to about 1 MB.
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
 DocumentDecoder = Callable[[bytes, int], MeshConfiguration]
 
@@ -321,10 +323,12 @@
             ):
                 connection = self._connect(step)
                 connection.request(
-                    method, path, body=data, headers=headers, preload_content=True
+                    method, path, body=data, headers=headers, preload_content=False
                 )
                 response = connection.getresponse()
-                content = response.data
+                content = response.read(MAX_RESPONSE_BYTES + 1)
+            if len(content) > MAX_RESPONSE_BYTES:
+                raise ValueError(f"response exceeds {MAX_RESPONSE_BYTES} bytes")
         except (OSError, HTTPError, ValueError) as error:
             self.close()
             if method == "GET":
--- a/tests/test_caller_protocol.py
+++ b/tests/test_caller_protocol.py
@@ -5,7 +5,12 @@
 from eventlet.green import socket
 from testtools import TestCase
 
-from verbenawick.calls._caller_protocol import CallerProtocol
+from verbenawick.calls._caller_protocol import MAX_DISCARDED_BYTES, CallerProtocol
+from verbenawick.calls._http_messages import read_body
+from verbenawick.errors import CallError
+
+MAX_BODY_BYTES = 100_000
+CHUNKED = b"PUT /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 GOOD = (
     b"GET /a//b?x=%20 HTTP/1.1\r\nHost: h.example\r\nX-Mixed: v \r\nx-mixed: w\r\n\r\n"
@@ -26,6 +31,7 @@
     def setUp(self):
         super().setUp()
         self.seen = []
+        self.refusals = []
         listener = eventlet.listen(("127.0.0.1", 0))
         self.address = listener.getsockname()
         thread = eventlet.spawn(
@@ -41,7 +47,12 @@
         self.addCleanup(thread.kill)
 
     def application(self, environ, start_response):
-        body = environ["wsgi.input"].read() if "CONTENT_LENGTH" in environ else b""
+        try:
+            body = read_body(environ, MAX_BODY_BYTES)
+        except CallError as error:
+            start_response("413 Refused", [("Content-Length", "0")])
+            self.refusals.append(error.message)
+            return [b""]
         self.seen.append((environ, body))
         start_response("200 OK", [("Content-Length", "2")])
         return [b"ok"]
@@ -120,3 +131,51 @@
         received = sock.recv(65_536)
         self.assertIn(b"HTTP/1.1 200", received)
         self.assertEqual(b"abc", self.seen[0][1])
+
+    def test_chunked_body_that_ends_early_reaches_no_application(self):
+        """Guards against running a request with a truncated body as a whole one."""
+        whole = CHUNKED + b"3\r\nabc\r\n0a\r\n0123456789\r\n0\r\nX: y\r\n\r\n"
+        for length in range(len(CHUNKED), len(whole)):
+            self.status_of(whole[:length])
+            self.assertEqual([], self.seen, whole[:length])
+        self.status_of(whole)
+        self.assertEqual(b"abc0123456789", self.seen[0][1])
+
+    def test_framing_without_end_is_refused_early(self):
+        """Guards against a caller that uses up the memory with one endless line."""
+        line = b"x" * 16_384
+        for start in (CHUNKED + b"1;", CHUNKED + b"0\r\n", CHUNKED + b"0\r\nX: "):
+            sent = self.send_without_end(start, line)
+            self.assertLess(sent, 8 * 1024 * 1024)
+        self.assertEqual([], self.seen)
+        self.assertEqual(3, len(self.refusals))
+
+    def send_without_end(self, start: bytes, part: bytes) -> int:
+        """Return the bytes sent until the server has closed the connection."""
+        sock = self.connect()
+        sent = 0
+        try:
+            sock.sendall(start)
+            while True:
+                sock.sendall(part)
+                sent += len(part)
+        except OSError:
+            return sent
+
+    def test_caller_of_an_oversized_body_reads_the_refusal(self):
+        """The reset of a connection with unread data discards the response."""
+        sock = self.connect()
+        size = 3 * MAX_DISCARDED_BYTES
+        head = f"PUT /c HTTP/1.1\r\nHost: h\r\nContent-Length: {size}\r\n\r\n"
+        sock.sendall(head.encode() + b"x" * size)
+        self.assertIn(b" 413 ", sock.recv(65_536))
+        self.assertEqual(b"", sock.recv(65_536))
+
+    def test_unread_rest_of_a_short_body_keeps_the_connection(self):
+        """Guards against a new connection for each refused body."""
+        sock = self.connect()
+        size = MAX_BODY_BYTES + 1000
+        sock.sendall(CHUNKED + b"%x\r\n" % size + b"x" * size + b"\r\n0\r\n\r\n")
+        self.assertIn(b" 413 ", sock.recv(65_536))
+        sock.sendall(GOOD)
+        self.assertIn(b" 200 ", sock.recv(65_536))
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -16,7 +16,7 @@
 )
 from verbenawick.mesh._model import UpstreamRecord, UpstreamState
 from verbenawick.mesh._publisher import RecordPublisher
-from verbenawick.platform._objects import PlatformStore
+from verbenawick.platform._objects import MAX_RESPONSE_BYTES, PlatformStore
 
 
 def record(state=UpstreamState.READY, **changes) -> UpstreamRecord:
@@ -73,6 +73,31 @@
         change = self.client.watch_configuration(revision, wait_s=0.1)
         self.assertIsNone(change.configuration)
 
+    def test_response_without_end_is_rejected_early(self):
+        """Guards against a faulty store that fills the memory of all nodes."""
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.sent_bytes = 0
+
+        def serve():
+            sock, _ = listener.accept()
+            sock.recv(65536)
+            sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+            part = b" " * 65536
+            try:
+                while True:
+                    sock.sendall(part)
+                    self.sent_bytes += len(part)
+            except OSError:
+                sock.close()
+
+        thread = eventlet.spawn(serve)
+        self.addCleanup(thread.kill)
+        client = PlatformStore(f"127.0.0.1:{listener.getsockname()[1]}")
+        error = self.assertRaises(StoreUnavailableError, client.read_configuration)
+        self.assertIn("exceeds", error.message)
+        eventlet.sleep(0.1)
+        self.assertLess(self.sent_bytes, 2 * MAX_RESPONSE_BYTES)
+
     def test_invalid_configuration_is_ignored(self):
         """A node must never serve part of an invalid configuration."""
         self.standin.put(CONFIG_KIND, "main", {"version": 1, "resources": "none"})
