Refuse calls that cannot end within the grace of a stopping node

In a planned stop in calm, calls that arrived late in the grace were passed on and ended without the answer of their upstream when the node closed: in the new test callers got 502 for bookings that ran. Cause: a call kept the deadline of its route, up to 10 s, although the node that takes it or runs it ends after stop_grace_s.

From SIGTERM on, an entry and a gateway limit the deadline of each new call to the end of the grace, less 0.2 and 0.4 s for the answer's way. The gateway refuses a call as not run, before it is sent, if its expected service time reaches beyond that; the entry then offers it to another gateway or answers 503. An upstream is told the shorter time, so it answers 504 itself instead of being cut.

test_stop_in_calm_cuts_no_call_that_arrives_during_the_grace and test_stopping_gateway_accepts_only_calls_that_end_in_its_grace failed before.

--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -203,6 +203,7 @@
         self._rotation = TargetRotation()
         self._configuration: MeshConfiguration | None = None
         self._index: RouteIndex | None = None
+        self._stop_at = math.inf
 
     @property
     def configuration(self) -> MeshConfiguration | None:
@@ -225,6 +226,14 @@
         self._configuration = configuration
         return True
 
+    def stop_by(self, deadline: float) -> None:
+        """Let calls that arrive from now on end before `deadline`, a local time.
+
+        A call that no gateway is expected to complete by then is refused as not run,
+        instead of being cut when the process ends.
+        """
+        self._stop_at = deadline
+
     def serve(self, call: IncomingCall) -> CallResult:
         """Handle `call` and return its result.
 
@@ -240,6 +249,9 @@
         left_s = route.timeout_s
         if call.caller_timeout_s is not None:
             left_s = min(left_s, call.caller_timeout_s)
+        left_s = min(left_s, self._stop_at - call.arrived_at)
+        if left_s <= 0:
+            return self._refusal(call, route, service, DrainingError.code, [])
         forwarded = ForwardedCall(
             next_call_id(),
             call.call_id,
--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -1,5 +1,6 @@
 """Gateway role: runs calls on the local upstream, within its number of slots."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -163,6 +164,7 @@
         self._queue = SlotQueue(slots=upstream.slots)
         self._failure_rate = MovingAverage(FAILURE_WEIGHT, 0.0)
         self._calls = CallsInFlight()
+        self._stop_at = math.inf
         # `id()` of the non-idempotent calls that were sent to the upstream and are
         # still running.
         self._sent_non_idempotent: set[int] = set()
@@ -175,6 +177,16 @@
         """Return the number of calls that the gateway is handling."""
         return self._calls.count
 
+    def stop_by(self, deadline: float) -> None:
+        """Accept only calls that are expected to end before the node stops.
+
+        Parameters
+        ----------
+        deadline : float
+            Local time by which the last answer has to be sent.
+        """
+        self._stop_at = deadline
+
     def stop_accepting(self) -> None:
         """Refuse new and queued calls; calls sent to the upstream complete."""
         self._calls.stop()
@@ -258,8 +270,15 @@
 
     def _handle(self, call, deadline, objective_at) -> CallResult:
         now = self._clock.now()
+        deadline = min(deadline, self._stop_at)
         fingerprint = fingerprint_of(call)
         self._check_accepts(call, fingerprint, now)
+        if now + self._queue.expected_service_s(call.route, now) > self._stop_at:
+            raise DrainingError(
+                "call is not expected to end before the node stops",
+                step="gateway",
+                peer=self._node_id,
+            )
         request = SlotRequest(
             call.route, call.priority, objective_at, deadline, lambda *verdict: None
         )
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -69,6 +69,9 @@
 # Part of the stop grace period that is reserved for closing sockets before the platform
 # kills the process.
 STOP_MARGIN_S = 0.5
+# Time from the last answer of a gateway to that of an entry, and from there to the end
+# of the grace period.
+LAST_ANSWER_MARGIN_S = 0.2
 # Delay between announcing the drain and refusing calls, so that other nodes receive the
 # announcement first.
 DRAIN_NOTICE_S = 0.1
@@ -303,6 +306,8 @@
         # Readiness checks fail from here on; callers and other nodes are still served.
         self.is_stopping = True
         emit(MeshNodeStopping(calls_in_flight, self.gateway.in_flight))
+        self.entry.stop_by(deadline - LAST_ANSWER_MARGIN_S)
+        self.gateway.stop_by(deadline - 2 * LAST_ANSWER_MARGIN_S)
         eventlet.spawn_after(
             max(shutdown_delay_s - DRAIN_NOTICE_S, 0.0), self._drain_gateway
         )
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -1,9 +1,11 @@
 """End-to-end tests of the mesh on the stand-in platform."""
 
+from http.client import HTTPException
 from time import monotonic
 
 import eventlet
 from loguru import logger
+from msgspec.structs import replace
 from testtools import TestCase
 
 from tests.call_support import wait_until
@@ -287,6 +289,56 @@
         # 503 states that the booking did not run.
         self.assertEqual(503, answers[-1])
 
+    def test_stop_in_calm_cuts_no_call_that_arrives_during_the_grace(self):
+        """Guards against calls that are passed on and end without an answer."""
+        node = self.b1
+        mesh = node.server.node
+        mesh.settings = replace(mesh.settings, stop_grace_s=3.0)
+        node.server.shutdown_delay_s = 2.2
+        for upstream in (self.a1.upstream, self.a2.upstream, node.upstream):
+            upstream.service_time_s = 0.7
+        for path, method in (("/archive/1", "GET"), ("/booking/1", "POST")):
+            self.assertEqual(200, self.cluster.call(node, path, method=method).status)
+        outcomes = []
+
+        def keep_calling(path, method, request_id):
+            number = 0
+            while True:
+                number += 1
+                name = f"{request_id}-{number}"
+                try:
+                    status = self.cluster.call(
+                        node, path, method=method, Attempt_Id=name
+                    ).status
+                except ConnectionRefusedError:
+                    return
+                except (OSError, HTTPException):
+                    status = 0
+                outcomes.append((name, status))
+                eventlet.sleep(0.02)
+
+        threads = [
+            eventlet.spawn(keep_calling, path, method, f"{method}-{number}")
+            for path, method in (("/archive/1", "GET"), ("/booking/1", "POST"))
+            for number in range(6)
+        ]
+        eventlet.sleep(0.1)
+        started_at = monotonic()
+        node.server.stop()
+        self.assertLess(monotonic() - started_at, 3.0)
+        for thread in threads:
+            thread.wait()
+        runs = [n.upstream.runs_by_request for n in (self.a1, self.a2, node)]
+        cut = [
+            name
+            for name, status in outcomes
+            if status == 0 and any(run[name] for run in runs)
+        ]
+        self.assertEqual([], cut)
+        # 0 is a connection that closed before its request was passed on.
+        statuses = {status for _, status in outcomes}
+        self.assertEqual({200, 503}, statuses - {0})
+
     def test_stopping_node_is_not_ready_and_closes_caller_connections(self):
         """Callers on persistent connections would be cut off when the node exits."""
         # The listener closes after this delay, which leaves time for a call on a busy
--- a/tests/test_mesh_gateway.py
+++ b/tests/test_mesh_gateway.py
@@ -183,3 +183,21 @@
         """After an unexpected exception the call may have run."""
         self.channels.error = ValueError("unexpected")
         self.assertEqual(CallOutcome.UNKNOWN, self.handle().outcome)
+
+    def test_stopping_gateway_accepts_only_calls_that_end_in_its_grace(self):
+        """Guards against bookings that are accepted and cut when the node ends."""
+        for _ in range(20):
+            self.channels.while_opening = lambda: self.clock.advance(1.0)
+            self.handle(deadline=self.clock.now() + 60)
+        self.channels.sent.clear()
+        for grace_s, expected in (
+            (0.5, CallOutcome.NOT_RUN),
+            (3, CallOutcome.COMPLETE),
+        ):
+            now = self.clock.now()
+            self.gateway.stop_by(now + grace_s)
+            result = self.handle(deadline=now + 60, is_idempotent=False)
+            self.assertEqual(expected, result.outcome)
+        self.assertEqual(1, len(self.channels.sent))
+        left_ms = int(self.channels.sent[0][1]["Deadline-Remaining"])
+        self.assertLessEqual(left_ms, 3000)
