--- a/src/verbenawick/calls/_entry_server.py
+++ b/src/verbenawick/calls/_entry_server.py
@@ -10,7 +10,7 @@
 
 from verbenawick.calls._caller_protocol import CallerProtocol
 from verbenawick.runtime._clock import MonotonicClock
-from verbenawick.runtime._polling import is_readable
+from verbenawick.runtime._graceful_listener import GracefulListener
 from verbenawick.runtime._sockets import listen
 
 MAX_CONNECTIONS = 1024
@@ -20,9 +20,10 @@
 # is closed.
 SOCKET_TIMEOUT_S = 30.0
 
-# Longest wait for the accept loop during a stop; it does not accept more connections
-# than the limit.
-ACCEPT_TIMEOUT_S = 0.2
+# Time for the first requests on the last connections to arrive and be read; requests on
+# kept connections are served too.
+LAST_REQUESTS_S = 0.5
+LAST_REQUESTS_POLL_S = 0.02
 
 
 class StoppableApplication(Protocol):
@@ -57,7 +58,7 @@
 
     def listen(self, address: str) -> None:
         """Bind the listening socket to ``"ip:port"``."""
-        self._listener = listen(address)
+        self._listener = GracefulListener(listen(address))
 
     def start(self) -> None:
         """Serve in a separate green thread; `listen` must have been called."""
@@ -87,35 +88,38 @@
             ``Connection: close`` in each response.
         timeout_s : float
             Longest wait for calls in flight, and for the connections that have none,
-            after the grace period.
+            after the grace period. New connections are refused meanwhile.
         """
         self._application.stop_accepting()
         eventlet.sleep(grace_s)
-        self._accept_waiting()
+        deadline = self._clock.now() + timeout_s
+        self._listener.close_after_accepting()
+        self._serve_last_requests(min(LAST_REQUESTS_S, timeout_s))
         for connection in self._connections:
             connection.serve_arrived_request()
         # Ends the accept loop. eventlet then closes idle connections and waits for the
         # active ones.
         self._thread.kill()
         self._listener.close()
-        deadline = self._clock.now() + timeout_s
-        is_idle = self._application.wait_idle(timeout_s=timeout_s)
+        left_s = max(deadline - self._clock.now(), 0.0)
+        is_idle = self._application.wait_idle(timeout_s=left_s)
         # If no connection is open, the kill already ended the server thread.
         left_s = max(deadline - self._clock.now(), 0.0)
         with eventlet.Timeout(left_s, False), suppress(GreenletExit):
             self._thread.wait()
         return is_idle
 
-    def _accept_waiting(self) -> None:
-        """Let the accept loop take the connections that wait at the listener.
+    def _serve_last_requests(self, timeout_s: float) -> None:
+        """Wait until all connections are closed, for `timeout_s` at most.
 
-        Closing the listener resets them, although their callers are connected.
+        The response to a request names its connection as closed, so a caller that got
+        one sends no further request.
         """
-        with eventlet.Timeout(ACCEPT_TIMEOUT_S, False):
-            while is_readable(self._listener.fileno()):
-                eventlet.sleep(0)
-            # The green threads of the last ones start in the next pass of the hub.
-            eventlet.sleep(0)
+        deadline = self._clock.now() + timeout_s
+        # The green threads of the last connections start in the next passes of the hub.
+        eventlet.sleep(LAST_REQUESTS_POLL_S)
+        while self._connections and self._clock.now() < deadline:
+            eventlet.sleep(LAST_REQUESTS_POLL_S)
 
     def close(self) -> None:
         """Stop immediately; calls in flight lose their connection to the caller."""
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -14,6 +14,10 @@
 from verbenawick.calls._gateway import ClaimDecision, ClaimVerdict
 from verbenawick.calls._table import Criticality, Route, ServicePolicy
 from verbenawick.links._call_messages import CallAnswer, CallRequest, Outcome
+from verbenawick.runtime._polling import is_readable
+
+# Time during which a stopping entry accepts connections.
+GRACE_S = 0.05
 
 
 class EntryTest(TestCase):
@@ -407,6 +411,24 @@
             server.listen(self.node.call_address)
             server.start()
 
+    def test_a_request_after_the_last_pass_before_the_close_is_answered(self):
+        """Guards against closing a kept connection whose request was not read yet."""
+        self.start(nodes=1)
+        self.caller.call("GET", "/a")
+        server = self.node.entry_server
+        serve_last_requests = server._serve_last_requests
+
+        def serve_and_send(timeout_s):
+            serve_last_requests(timeout_s)
+            self.caller.send("GET", "/a")
+
+        server._serve_last_requests = serve_and_send
+        server.stop(grace_s=GRACE_S, timeout_s=5)
+        response = self.caller.receive()
+        self.assertEqual(
+            (200, "close"), (response.status, response.headers["Connection"])
+        )
+
     def test_a_connection_that_waits_at_the_close_is_served(self):
         """Guards against resetting connections that the kernel has accepted."""
         self.start(nodes=1)
@@ -429,6 +451,81 @@
         with socks[0]:
             self.assertIn(b" 200 ", socks[0].recv(65536))
 
+    def connect_natively(self):
+        """Return a native connection to the entry, or None if it is refused."""
+        host, _, port = self.node.call_address.rpartition(":")
+        try:
+            sock = patcher.original("socket").create_connection((host, int(port)), 5)
+        except ConnectionRefusedError:
+            return None
+        self.addCleanup(sock.close)
+        return sock
+
+    def start_stop(self):
+        server = self.node.entry_server
+        stop = eventlet.spawn(server.stop, grace_s=GRACE_S, timeout_s=5)
+        eventlet.sleep(0.8 * GRACE_S)
+        return stop
+
+    def test_every_connection_before_the_close_of_the_listener_is_served(self):
+        """Guards against resets of connections made in any pass around the close."""
+        self.start(nodes=1, slots=400)
+        stop = self.start_stop()
+        socks = []
+        while sock := self.connect_natively():
+            sock.sendall(b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
+            socks.append(sock)
+            eventlet.sleep(0)
+        stop.wait()
+        lost = []
+        for number, sock in enumerate(socks):
+            try:
+                answer = sock.recv(65536)
+            except OSError as error:
+                answer = repr(error).encode()
+            if not answer.startswith(b"HTTP/1.1 "):
+                lost.append((number - len(socks), answer))
+        self.assertEqual([], lost)
+        self.assertNotEqual([], socks)
+
+    def test_a_request_sent_shortly_after_a_late_connection_is_served(self):
+        """Guards against closing a new connection before its first request arrives."""
+        self.start(nodes=1, slots=400)
+        stop = self.start_stop()
+        socks = []
+        while sock := self.connect_natively():
+            socks.append(sock)
+            eventlet.sleep(0)
+        eventlet.sleep(0.05)
+        socks[-1].sendall(b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
+        for sock in socks[:-1]:
+            sock.close()
+        stop.wait()
+        answer = socks[-1].recv(65536)
+        self.assertIn(b" 200 ", answer)
+        self.assertIn(b"Connection: close", answer)
+
+    def test_every_request_before_the_close_of_its_kept_connection_is_served(self):
+        """Guards against dropping a request sent in any pass before the close."""
+        self.start(nodes=1, slots=400)
+        request = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
+        kept = [self.connect_natively() for _ in range(200)]
+        for sock in kept:
+            sock.sendall(request)
+            wait_until(lambda sock=sock: is_readable(sock.fileno()))
+            self.assertIn(b" 200 ", sock.recv(65536))
+        stop = self.start_stop()
+        sent = []
+        while kept and not is_readable(kept[-1].fileno()):
+            sock = kept.pop(0)
+            sock.sendall(request)
+            sent.append(sock)
+            eventlet.sleep(0.004)
+        self.assertNotEqual([], kept, "not sent until the close")
+        stop.wait()
+        for sock in sent:
+            self.assertIn(b"HTTP/1.1 ", sock.recv(65536))
+
     def test_a_stop_with_an_incomplete_request_ends_within_its_time(self):
         """Guards against a wait for the connections after the wait for the calls."""
         self.start(nodes=1)
