Wait for the run of a booking before its caller disconnects in a test

Its caller left 0.2 s after it sent the booking, whether or not the booking had reached its upstream by then; a call that was not sent yet may be cancelled. It now waits until the upstream runs the booking; what is required of the run is unchanged. The former failure left no log that would show that this was its cause.

--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -371,7 +371,8 @@
             thread = eventlet.spawn(
                 self.cluster.call, entry, "/booking/1", method="POST", Attempt_Id=name
             )
-            eventlet.sleep(0.2)
+            started = self.b1.upstream.runs_by_request
+            wait_until(lambda name=name, started=started: started[name] == 1, 5.0)
             thread.kill()
             ended = self.b1.upstream.completed_runs
             wait_until(lambda name=name, ended=ended: ended[name] == 1, 1.0)
