Add half a head and a head without end to the fault table

The table of outcomes had no upstream that closes its connection in the middle of a response head, and none whose head never ends. Idempotent calls are run by another upstream; all others end as unknown after one run. tests/test_fault_table.py plays both faults against the real programs; docs/faults.md is generated from the table.

--- a/tests/fault_mesh.py
+++ b/tests/fault_mesh.py
@@ -102,6 +102,13 @@
         if action == (Fault.DELAY, Step.RUN):
             eventlet.sleep(SLOW_RUN_S)
         response = b"HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n" + b"x" * 200
+        if action == (Fault.HALF_HEAD, Step.ANSWER):
+            sock.sendall(response[:30])
+            return False
+        if action == (Fault.ENDLESS_HEAD, Step.ANSWER):
+            sock.sendall(response[:17])
+            while True:
+                sock.sendall(b"X-Number: 1\r\n" * 1000)
         if action == (Fault.HALF_ANSWER, Step.ANSWER):
             sock.sendall(response[:120])
             return False
--- a/tests/fault_table.py
+++ b/tests/fault_table.py
@@ -23,6 +23,8 @@
     REFUSE = "refuse"
     RESET = "reset"
     DELAY = "delay"
+    HALF_HEAD = "half a head"
+    ENDLESS_HEAD = "head without end"
     HALF_ANSWER = "half an answer"
     CRASH_BEFORE = "crash before running"
     CRASH_AFTER = "crash after running"
@@ -146,6 +148,22 @@
         not_keyed=("unknown", 1),
     ),
     *_rows_for_all_kinds(Interface.UPSTREAM, Fault.DELAY, Step.RUN),
+    *_rows(
+        Interface.UPSTREAM,
+        Fault.HALF_HEAD,
+        Step.ANSWER,
+        repeatable=("complete", 2),
+        keyed=("unknown", 1, "unknown", 1),
+        not_keyed=("unknown", 1),
+    ),
+    *_rows(
+        Interface.UPSTREAM,
+        Fault.ENDLESS_HEAD,
+        Step.ANSWER,
+        repeatable=("complete", 2),
+        keyed=("unknown", 1, "unknown", 1),
+        not_keyed=("unknown", 1),
+    ),
     *_rows(
         Interface.UPSTREAM,
         Fault.HALF_ANSWER,
