Distribute changes of the upstream records through the relay

Each node kept a watch of the upstream records, so each batch of changes was a call to the store for each node: calls grew as VMs x batches, and again after each return of the store or discarded history.

The relay of the configuration now also watches the records and sends each batch to its region and to the other leaders, as changes since the batch before, with a digest of all records. The connectors no longer kill a task directly, since that ran other green threads in the middle of a change.

--- a/src/verbenawick/mesh/_beacons.py
+++ b/src/verbenawick/mesh/_beacons.py
@@ -1,4 +1,4 @@
-"""Configuration beacons: sent by the relay and forwarded by the region leaders."""
+"""Beacons of configurations and records, from the relay through the region leaders."""
 
 from collections.abc import Callable
 from dataclasses import replace
@@ -23,6 +23,8 @@
 from verbenawick.mesh._followers import ConfigurationFollower
 from verbenawick.mesh._node_events import ConfigurationForwarded, PeerLost
 from verbenawick.mesh._placement import Distance
+from verbenawick.mesh._record_follower import RecordFollower
+from verbenawick.mesh._record_relay import RecordBeacon
 from verbenawick.runtime._clock import Clock
 from verbenawick.runtime._events import emit
 
@@ -60,6 +62,7 @@
         self._relay = relay
         self._is_stopping = is_stopping
         self._follower: ConfigurationFollower | None = None
+        self._record_follower: RecordFollower | None = None
         self._forwarded_version = 0
 
     def set_follower(self, follower: ConfigurationFollower) -> None:
@@ -110,6 +113,16 @@
             beacon = replace(beacon, document=follower.encode_update())
         self._send(beacon, [*self._region_links(), *self._links_to_other_leaders()])
 
+    def set_record_follower(self, follower: RecordFollower) -> None:
+        """Register `follower` for received changes of the records."""
+        self._record_follower = follower
+        self._links.register_notice(RecordBeacon, self._on_record_beacon)
+
+    def send_records(self, beacon: RecordBeacon) -> None:
+        """Send changes of the records as the relay."""
+        for link in (*self._region_links(), *self._links_to_other_leaders()):
+            self._links.notify(link, beacon)
+
     def query(self, node_id: str) -> ConfigurationAnswer | None:
         """Return the configuration of another node, or None if it is unreachable."""
         endpoint = self._endpoints.get(node_id)
@@ -128,6 +141,12 @@
             self._send(beacon, self._region_links())
         self._follower.on_beacon(peer.node_id, beacon)
 
+    def _on_record_beacon(self, peer: NodeIdentity, beacon: RecordBeacon) -> None:
+        if peer.region != self._region:
+            for link in self._region_links():
+                self._links.notify(link, beacon)
+        self._record_follower.on_beacon(beacon)
+
     def _send(self, beacon: ConfigurationBeacon, links: list[Link]) -> None:
         for link in links:
             self._links.notify(link, beacon)
--- a/src/verbenawick/mesh/_configuration_relay.py
+++ b/src/verbenawick/mesh/_configuration_relay.py
@@ -96,6 +96,14 @@
         self._contact_at = now
         self.distance = int(round_trip_s / DISTANCE_STEP_S)
 
+    def on_first_read(self, now: float) -> None:
+        """Let a starting node, which has just read the store, wait for a beacon.
+
+        It is the leader of its region until it has links, so at a common start all
+        nodes would watch the store.
+        """
+        self._beacon_at = self._nearer_beacon_at = now
+
     def on_beacon(self, beacon: ConfigurationBeacon, now: float) -> None:
         """Record a beacon of a relay."""
         self._beacon_at = now
--- a/src/verbenawick/mesh/_followers.py
+++ b/src/verbenawick/mesh/_followers.py
@@ -1,4 +1,4 @@
-"""Tasks that watch the store for configurations and upstream records.
+"""Task that watches the store, and the one for configurations.
 
 Each task has a separate connection. A watch returns after at most `WATCH_WAIT_S` even
 without a change, so that a dead connection is detected soon after that time.
@@ -26,11 +26,7 @@
     encode_delta,
 )
 from verbenawick.mesh._model import MeshConfiguration
-from verbenawick.mesh._state_store import (
-    ConfigurationChange,
-    RecordChange,
-    StateStore,
-)
+from verbenawick.mesh._state_store import ConfigurationChange, StateStore
 from verbenawick.runtime._clock import Clock
 from verbenawick.runtime._events import Event, emit, register_event
 
@@ -41,7 +37,6 @@
 CONFIGURATION_BATCH_DELAY_S = 0.4
 # How often a follower checks whether the beacons of its relay have expired.
 RELAY_CHECK_INTERVAL_S = 0.15
-RECORDS_BATCH_DELAY_S = 0.3
 # A delta up to this share of the plain document is not compared with the whole one,
 # which compresses to a thirtieth.
 MAX_DELTA_SHARE = 0.01
@@ -107,7 +102,7 @@
     reason: str
 
 
-class _StoreFollower:
+class StoreFollower:
     """Reads the full state once, then watches for changes."""
 
     subject = ""
@@ -156,7 +151,7 @@
         raise NotImplementedError
 
 
-class ConfigurationFollower(_StoreFollower):
+class ConfigurationFollower(StoreFollower):
     """Calls `apply` with each accepted configuration, from the store or a relay.
 
     Parameters
@@ -288,6 +283,8 @@
     def _poll(self) -> bool:
         if not self._revision:
             change = self._store.read_configuration()
+            if not self._is_history_gone:
+                self._relay.on_first_read(self._clock.now())
         elif self._is_relay():
             self._set_source("relay", "")
             return self._watch_as_relay()
@@ -330,36 +327,3 @@
             return False
         self._update(change.configuration, Document(change.document), change.revision)
         return True
-
-
-class RecordFollower(_StoreFollower):
-    """Calls `apply` with each change of the upstream records."""
-
-    subject = "records"
-    batch_delay_s = RECORDS_BATCH_DELAY_S
-
-    def __init__(
-        self,
-        store: StateStore,
-        *,
-        random: Random,
-        apply: Callable[[RecordChange], None],
-    ):
-        super().__init__(store, random=random)
-        self._apply = apply
-
-    def _poll(self) -> bool:
-        if not self._revision:
-            # A stale answer may be older than the history that the store has kept, so
-            # that the watch from its revision would fail again.
-            change = self._store.read_records(allow_stale=not self._is_history_gone)
-            self._is_history_gone = False
-        else:
-            change = self._store.watch_records(self._revision, wait_s=WATCH_WAIT_S)
-        if change.revision < self._revision:
-            # Stale answer: older than a revision that was already processed.
-            return bool(change.records_by_node_id)
-        self._revision = change.revision
-        if change.records_by_node_id or change.is_complete:
-            self._apply(change)
-        return bool(change.records_by_node_id)
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -15,7 +15,7 @@
 from verbenawick.mesh._crash_guard import CrashGuard
 from verbenawick.mesh._endpoints import Endpoints
 from verbenawick.mesh._entry import MeshEntry
-from verbenawick.mesh._followers import ConfigurationFollower, RecordFollower
+from verbenawick.mesh._followers import ConfigurationFollower
 from verbenawick.mesh._gateway import MeshGateway, UpstreamProtocol
 from verbenawick.mesh._local_upstream import LocalUpstream, ReadyUpstream
 from verbenawick.mesh._messages import CrashNotice, ForwardedCall, GatewayNotice
@@ -38,6 +38,7 @@
 )
 from verbenawick.mesh._peer_connectors import PeerConnectors
 from verbenawick.mesh._publisher import RecordPublisher
+from verbenawick.mesh._record_follower import RecordFollower
 from verbenawick.mesh._record_remover import RecordRemover
 from verbenawick.mesh._retry_budget import RetryBudget
 from verbenawick.mesh._settings import MeshSettings
@@ -225,8 +226,14 @@
         )
         self._beacons.set_follower(self._configuration_follower)
         self._record_follower = RecordFollower(
-            open_store(), random=self.random, apply=self._on_records
+            open_store(),
+            random=self.random,
+            clock=self.clock,
+            apply=self._on_records,
+            is_relay=self._beacons.is_relay,
+            send=self._beacons.send_records,
         )
+        self._beacons.set_record_follower(self._record_follower)
         self._record_remover = RecordRemover(
             open_store=open_store,
             endpoints=self.endpoints,
@@ -262,6 +269,7 @@
                 self._link_server.run,
                 self._configuration_follower.run,
                 self._record_follower.run,
+                self._record_follower.send_beacons,
                 self._publisher.run,
                 self._detect_silent_peers,
                 self._beacons.run,
--- a/src/verbenawick/mesh/_peer_connectors.py
+++ b/src/verbenawick/mesh/_peer_connectors.py
@@ -34,7 +34,9 @@
         if address == member.peer_address:
             return
         if task is not None:
-            task.kill()
+            # A direct kill would run other green threads between the changes that the
+            # caller makes.
+            eventlet.spawn_n(task.kill)
         first_dial = self._first_dials_by_node_id[member.node_id] = Event()
         task = eventlet.spawn(self._maintain_link, member, first_dial)
         self._tasks_by_node_id[member.node_id] = (member.peer_address, task)
@@ -58,7 +60,7 @@
         _, task = self._tasks_by_node_id.pop(node_id, ("", None))
         self._first_dials_by_node_id.pop(node_id, None)
         if task is not None:
-            task.kill()
+            eventlet.spawn_n(task.kill)
 
     def close(self) -> None:
         """Stop all tasks."""
--- /dev/null
+++ b/src/verbenawick/mesh/_record_follower.py
@@ -0,0 +1,202 @@
+"""Task that follows the upstream records, through the relay or in the store."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+import eventlet
+
+from verbenawick.errors import ProtocolError
+from verbenawick.mesh._followers import (
+    RELAY_CHECK_INTERVAL_S,
+    WATCH_WAIT_S,
+    StoreFollower,
+)
+from verbenawick.mesh._record_relay import (
+    BEACON_INTERVAL_S,
+    BEACON_VALID_S,
+    CONTACT_VALID_S,
+    MAX_UPDATE_BYTES,
+    RELAY_WATCH_WAIT_S,
+    RecordBeacon,
+    RecordDigest,
+    decode_records,
+    encode_records,
+)
+from verbenawick.mesh._state_store import RecordChange, StateStore
+from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event, emit, register_event
+
+# Changes in quick succession are fetched and sent together.
+RECORDS_BATCH_DELAY_S = 0.3
+
+
+@register_event(747, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class RecordsUnusable(Event):
+    """Record changes from another node are invalid; they are read from the store."""
+
+    revision: int
+    received_revision: int
+    reason: str
+
+
+@register_event(748)
+@dataclass(frozen=True, slots=True)
+class RecordSourceChanged(Event):
+    """The source from which the node receives changes of the records changed.
+
+    `source` is ``relay`` (this node watches the store on behalf of others), ``beacons``
+    (it receives changes from the relay) or ``store`` (it watches the store only for
+    itself). `relay_revision` is the last change that a relay is known to have.
+    """
+
+    source: str
+    revision: int
+    relay_revision: int
+
+
+class RecordFollower(StoreFollower):
+    """Calls `apply` with each change of the upstream records.
+
+    Parameters
+    ----------
+    is_relay : callable
+        Whether this node watches the store on behalf of other nodes.
+    send : callable
+        Sends a beacon to the nodes that rely on this one.
+    """
+
+    subject = "records"
+    batch_delay_s = RECORDS_BATCH_DELAY_S
+
+    def __init__(
+        self,
+        store: StateStore,
+        *,
+        random: Random,
+        clock: Clock,
+        apply: Callable[[RecordChange], None],
+        is_relay: Callable[[], bool],
+        send: Callable[[RecordBeacon], None],
+    ):
+        super().__init__(store, random=random)
+        self._clock = clock
+        self._apply = apply
+        self._is_relay = is_relay
+        self._send = send
+        self._digest = RecordDigest()
+        # No record has changed between this revision and `_revision`.
+        self._changed_revision = 0
+        self._relay_revision = 0
+        self._relay_valid_until = float("-inf")
+        self._contact_valid_until = float("-inf")
+        self._source = ""
+
+    def send_beacons(self) -> None:
+        """Send beacons while this node is the relay, until the thread is killed."""
+        while True:
+            eventlet.sleep(BEACON_INTERVAL_S)
+            if self._clock.now() < self._contact_valid_until:
+                self._send_beacon()
+
+    def on_beacon(self, beacon: RecordBeacon) -> None:
+        """Process a beacon of the relay; must not block."""
+        if not self.has_synced:
+            return
+        self._relay_valid_until = self._clock.now() + BEACON_VALID_S
+        self._relay_revision = max(self._relay_revision, beacon.revision)
+        if self._revision < beacon.revision:
+            self._catch_up(beacon)
+        if self._revision >= beacon.revision:
+            self._revision = max(self._revision, beacon.position)
+
+    def _catch_up(self, beacon: RecordBeacon) -> None:
+        if beacon.records and beacon.base <= self._revision:
+            try:
+                records = decode_records(beacon.records)
+            except ProtocolError as error:
+                emit(RecordsUnusable(self._revision, beacon.revision, str(error)))
+                return
+            self._update(RecordChange(beacon.revision, records, is_complete=False))
+        elif beacon.digest == self._digest.value:
+            # The relay has read all records anew; none of them differ.
+            self._revision = beacon.revision
+
+    @property
+    def _is_behind(self) -> bool:
+        return self._revision < self._relay_revision
+
+    def _poll(self) -> bool:
+        if not self.has_synced:
+            # A stale answer may be older than the history that the store has kept, so
+            # that the watch from its revision would fail again.
+            change = self._store.read_records(allow_stale=not self._is_history_gone)
+            self._is_history_gone = False
+            has_changed = self._update(change)
+            if self._is_relay():
+                self._contact_valid_until = self._clock.now() + CONTACT_VALID_S
+                self._send_beacon()
+            return has_changed
+        if self._is_relay():
+            self._set_source("relay")
+            return self._watch_as_relay()
+        if self._clock.now() < self._relay_valid_until and not self._is_behind:
+            self._set_source("beacons")
+            eventlet.sleep(RELAY_CHECK_INTERVAL_S)
+            return False
+        self._set_source("store")
+        if self._is_behind:
+            # Spreads the calls of the nodes that missed the same change.
+            eventlet.sleep(RECORDS_BATCH_DELAY_S * self._random.random())
+            if not self._is_behind:
+                return False
+        change = self._store.watch_records(self._revision, wait_s=WATCH_WAIT_S)
+        return self._update(change)
+
+    def _watch_as_relay(self) -> bool:
+        base = self._changed_revision
+        change = self._store.watch_records(self._revision, wait_s=RELAY_WATCH_WAIT_S)
+        self._contact_valid_until = self._clock.now() + CONTACT_VALID_S
+        if not self._update(change):
+            return False
+        if self._is_relay():
+            records = encode_records(change.records_by_node_id)
+            if len(records) > MAX_UPDATE_BYTES:
+                records = b""
+            self._send(
+                RecordBeacon(
+                    base, change.revision, change.revision, self._digest.value, records
+                )
+            )
+        return True
+
+    def _send_beacon(self) -> None:
+        if self._is_relay():
+            revision = self._changed_revision
+            self._send(
+                RecordBeacon(
+                    revision, revision, self._revision, self._digest.value, b""
+                )
+            )
+
+    def _set_source(self, source: str) -> None:
+        if self._source != source:
+            self._source = source
+            emit(RecordSourceChanged(source, self._revision, self._relay_revision))
+
+    def _update(self, change: RecordChange) -> bool:
+        """Apply a change unless it is outdated; return whether it changed records."""
+        if change.revision < self._revision:
+            # Stale answer: older than a revision that was already processed.
+            return False
+        has_records = bool(change.records_by_node_id)
+        self._revision = change.revision
+        if has_records or change.is_complete:
+            self._changed_revision = change.revision
+            if change.is_complete:
+                self._digest.clear()
+            for node_id, record in change.records_by_node_id.items():
+                self._digest.put(node_id, record)
+            self._apply(change)
+        return has_records
--- /dev/null
+++ b/src/verbenawick/mesh/_record_relay.py
@@ -0,0 +1,121 @@
+"""Distribution of changes of the upstream records through the relay and the leaders.
+
+With a watch in each node, every change of a record is a call to the store for each
+node. Instead, the relay of the configuration also watches the records and sends each
+batch of changes the same way. Its periodic beacons tell how far it has followed the
+store: a node that missed a change, or receives no beacons, watches the store itself.
+"""
+
+from dataclasses import astuple, dataclass, fields
+from zlib import compress, decompressobj
+from zlib import error as zlib_error
+
+import cbor2
+import msgspec
+from xxhash import xxh3_64_intdigest
+
+from verbenawick.errors import ProtocolError
+from verbenawick.links._messages import Message, register_message
+from verbenawick.mesh._model import UpstreamRecord
+
+BEACON_INTERVAL_S = 1.0
+# Two beacons may be lost before all nodes watch the store.
+BEACON_VALID_S = 2.5
+# A relay sends beacons for at most this time after the last answer of the store.
+CONTACT_VALID_S = 1.5
+# Longest watch of the relay, so that it notices a lost store in time.
+RELAY_WATCH_WAIT_S = 0.8
+# Larger updates would fill the link of the leader, which sends one to each node of its
+# region; the nodes then read the changes from the store.
+MAX_UPDATE_BYTES = 4096
+# Limits the memory needed to decode an invalid update.
+MAX_DECODED_BYTES = 4 * 1024 * 1024
+
+
+@register_message(97)
+@dataclass(frozen=True, slots=True)
+class RecordBeacon(Message):
+    """Changes of the records, and how far the relay has followed the store.
+
+    Attributes
+    ----------
+    base : int
+        Revision of the last change before those in `records`.
+    revision : int
+        Revision of the last change that the relay knows.
+    position : int
+        Revision up to which the relay has seen all changes; never below `revision`.
+    digest : int
+        `RecordDigest.value` at the relay.
+    records : bytes
+        Changes after `base`, see `encode_records`; empty if they are too large or were
+        sent before.
+    """
+
+    base: int
+    revision: int
+    position: int
+    digest: int
+    records: bytes
+
+
+class RecordDigest:
+    """Digest of all known records, to compare them with those of another node."""
+
+    def __init__(self):
+        self.value = 0
+        self._hashes_by_node_id: dict[str, int] = {}
+
+    def clear(self) -> None:
+        """Forget all records."""
+        self.value = 0
+        self._hashes_by_node_id.clear()
+
+    def put(self, node_id: str, record: UpstreamRecord | None) -> None:
+        """Replace the record of a node, or remove it if `record` is None."""
+        # The exclusive or of the hashes does not depend on the order of the changes.
+        self.value ^= self._hashes_by_node_id.pop(node_id, 0)
+        if record is not None:
+            record_hash = xxh3_64_intdigest(f"{node_id} {record.revision}".encode())
+            self._hashes_by_node_id[node_id] = record_hash
+            self.value ^= record_hash
+
+
+def encode_records(records_by_node_id: dict[str, UpstreamRecord | None]) -> bytes:
+    """Encode changed records; None stands for a deleted one."""
+    rows = [
+        [node_id, None if record is None else astuple(record)]
+        for node_id, record in records_by_node_id.items()
+    ]
+    return compress(cbor2.dumps(rows))
+
+
+def decode_records(data: bytes) -> dict[str, UpstreamRecord | None]:
+    """Decode the records of a beacon.
+
+    Raises
+    ------
+    ProtocolError
+        `data` is invalid.
+    """
+    try:
+        decoder = decompressobj()
+        rows = cbor2.loads(decoder.decompress(data, MAX_DECODED_BYTES))
+        if not decoder.eof or not rows:
+            raise ValueError("data are incomplete, too large or empty")
+        names = [field.name for field in fields(UpstreamRecord)]
+        return {
+            node_id: None
+            if row is None
+            else msgspec.convert(dict(zip(names, row, strict=True)), UpstreamRecord)
+            for node_id, row in msgspec.convert(rows, list[tuple[str, list | None]])
+        }
+    except (
+        zlib_error,
+        cbor2.CBORDecodeError,
+        msgspec.ValidationError,
+        ValueError,
+    ) as error:
+        raise ProtocolError(
+            f"invalid records: {error}", step="decode.records"
+        ) from error
