Let a node that starts without the store ask its neighbours

Nodes of the region link a restarted node as soon as it listens, since they know its record. While it has no configuration or no records, it now asks two of them each 0.3 s and continues from their store revisions. A node whose change history was discarded no longer counts as one that knows no records.

--- a/src/verbenawick/links/_call_links.py
+++ b/src/verbenawick/links/_call_links.py
@@ -220,6 +220,10 @@
         """Return the open links that this node dialled, one per peer."""
         return [link for link in self._links if link.is_dialled and link.is_open]
 
+    def accepted_peers(self) -> list[NodeIdentity]:
+        """Return the nodes that have dialled this one."""
+        return [link.peer for link in self._links if not link.is_dialled]
+
     def notify_all(self, message: Message) -> None:
         """Send a notice on all open links."""
         for link in list(self._links):
--- a/src/verbenawick/mesh/_followers.py
+++ b/src/verbenawick/mesh/_followers.py
@@ -117,8 +117,8 @@
 
     @property
     def has_synced(self) -> bool:
-        """Return whether the initial read has completed."""
-        return self._revision > 0
+        """Return whether the state has been read once."""
+        return self._revision > 0 or self._is_history_gone
 
     def run(self) -> None:
         """Watch the store until the green thread is killed."""
@@ -252,11 +252,16 @@
     def _fetch(self, node_id: str) -> None:
         try:
             answer = self._query(node_id)
-            if answer is not None and answer.version > self._version:
-                self._update_from_document(answer.document, answer.revision)
+            if answer is not None:
+                self.on_answer(answer)
         finally:
             self._is_querying = False
 
+    def on_answer(self, answer: ConfigurationAnswer) -> None:
+        """Use the configuration of another node if it is newer."""
+        if answer.version > self._version:
+            self._update_from_document(answer.document, answer.revision)
+
     def _update_from_document(self, encoded: bytes, revision: int) -> None:
         try:
             document = decode_document(self._document, encoded)
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -43,6 +43,7 @@
 from verbenawick.mesh._retry_budget import RetryBudget
 from verbenawick.mesh._settings import MeshSettings
 from verbenawick.mesh._standing_links import StandingLinks
+from verbenawick.mesh._state_exchange import StateExchange
 from verbenawick.mesh._state_store import RecordChange, StateStore
 from verbenawick.mesh._upstream_channels import UpstreamChannels
 from verbenawick.mesh._upstream_prober import UpstreamProber
@@ -234,6 +235,12 @@
             send=self._beacons.send_records,
         )
         self._beacons.set_record_follower(self._record_follower)
+        self._state_exchange = StateExchange(
+            self.links,
+            configuration=self._configuration_follower,
+            records=self._record_follower,
+            random=self.random,
+        )
         self._record_remover = RecordRemover(
             open_store=open_store,
             endpoints=self.endpoints,
@@ -270,6 +277,7 @@
                 self._configuration_follower.run,
                 self._record_follower.run,
                 self._record_follower.send_beacons,
+                self._state_exchange.run,
                 self._publisher.run,
                 self._detect_silent_peers,
                 self._beacons.run,
--- a/src/verbenawick/mesh/_record_follower.py
+++ b/src/verbenawick/mesh/_record_follower.py
@@ -18,8 +18,9 @@
     CONTACT_VALID_S,
     MAX_UPDATE_BYTES,
     RELAY_WATCH_WAIT_S,
+    RecordAnswer,
     RecordBeacon,
-    RecordDigest,
+    RecordTable,
     decode_records,
     encode_records,
 )
@@ -85,7 +86,7 @@
         self._apply = apply
         self._is_relay = is_relay
         self._send = send
-        self._digest = RecordDigest()
+        self._table = RecordTable()
         # No record has changed between this revision and `_revision`.
         self._changed_revision = 0
         self._relay_revision = 0
@@ -102,7 +103,7 @@
 
     def on_beacon(self, beacon: RecordBeacon) -> None:
         """Process a beacon of the relay; must not block."""
-        if not self.has_synced:
+        if not self._revision:
             return
         self._relay_valid_until = self._clock.now() + BEACON_VALID_S
         self._relay_revision = max(self._relay_revision, beacon.revision)
@@ -111,6 +112,27 @@
         if self._revision >= beacon.revision:
             self._revision = max(self._revision, beacon.position)
 
+    @property
+    def record_count(self) -> int:
+        """Return the number of known records."""
+        return len(self._table.by_node_id)
+
+    def answer(self, call_id: int) -> RecordAnswer:
+        """Return the answer to the `RecordQuery` with this call id."""
+        records = encode_records(self._table.by_node_id)
+        return RecordAnswer(call_id, self._revision, records)
+
+    def on_answer(self, answer: RecordAnswer) -> None:
+        """Use the records of another node, unless this one has read its own."""
+        if self.has_synced or not answer.revision:
+            return
+        try:
+            records = decode_records(answer.records)
+        except ProtocolError as error:
+            emit(RecordsUnusable(self._revision, answer.revision, str(error)))
+            return
+        self._update(RecordChange(answer.revision, records, is_complete=True))
+
     def _catch_up(self, beacon: RecordBeacon) -> None:
         if beacon.records and beacon.base <= self._revision:
             try:
@@ -119,7 +141,7 @@
                 emit(RecordsUnusable(self._revision, beacon.revision, str(error)))
                 return
             self._update(RecordChange(beacon.revision, records, is_complete=False))
-        elif beacon.digest == self._digest.value:
+        elif beacon.digest == self._table.digest:
             # The relay has read all records anew; none of them differ.
             self._revision = beacon.revision
 
@@ -128,7 +150,7 @@
         return self._revision < self._relay_revision
 
     def _poll(self) -> bool:
-        if not self.has_synced:
+        if not self._revision:
             # A stale answer may be older than the history that the store has kept, so
             # that the watch from its revision would fail again.
             change = self._store.read_records(allow_stale=not self._is_history_gone)
@@ -166,7 +188,7 @@
                 records = b""
             self._send(
                 RecordBeacon(
-                    base, change.revision, change.revision, self._digest.value, records
+                    base, change.revision, change.revision, self._table.digest, records
                 )
             )
         return True
@@ -176,7 +198,7 @@
             revision = self._changed_revision
             self._send(
                 RecordBeacon(
-                    revision, revision, self._revision, self._digest.value, b""
+                    revision, revision, self._revision, self._table.digest, b""
                 )
             )
 
@@ -195,8 +217,8 @@
         if has_records or change.is_complete:
             self._changed_revision = change.revision
             if change.is_complete:
-                self._digest.clear()
+                self._table.clear()
             for node_id, record in change.records_by_node_id.items():
-                self._digest.put(node_id, record)
+                self._table.put(node_id, record)
             self._apply(change)
         return has_records
--- a/src/verbenawick/mesh/_record_relay.py
+++ b/src/verbenawick/mesh/_record_relay.py
@@ -46,7 +46,7 @@
     position : int
         Revision up to which the relay has seen all changes; never below `revision`.
     digest : int
-        `RecordDigest.value` at the relay.
+        `RecordTable.digest` at the relay.
     records : bytes
         Changes after `base`, see `encode_records`; empty if they are too large or were
         sent before.
@@ -59,26 +59,64 @@
     records: bytes
 
 
-class RecordDigest:
-    """Digest of all known records, to compare them with those of another node."""
+@register_message(98)
+@dataclass(frozen=True, slots=True)
+class RecordQuery(Message):
+    """Request for all records that the receiver knows."""
+
+    call_id: int
+
+
+@register_message(99)
+@dataclass(frozen=True, slots=True)
+class RecordAnswer(Message):
+    """All records that the sender knows.
+
+    Attributes
+    ----------
+    revision : int
+        Store revision up to which the sender has seen all changes, 0 if it knows no
+        records.
+    records : bytes
+        See `encode_records`.
+    """
+
+    call_id: int
+    revision: int
+    records: bytes
+
+
+class RecordTable:
+    """All known records, and a digest to compare them with those of another node.
+
+    Attributes
+    ----------
+    digest : int
+        Depends on the records only, not on the order in which they were put.
+    """
 
     def __init__(self):
-        self.value = 0
-        self._hashes_by_node_id: dict[str, int] = {}
+        self.digest = 0
+        self.by_node_id: dict[str, UpstreamRecord] = {}
 
     def clear(self) -> None:
         """Forget all records."""
-        self.value = 0
-        self._hashes_by_node_id.clear()
+        self.digest = 0
+        self.by_node_id.clear()
 
     def put(self, node_id: str, record: UpstreamRecord | None) -> None:
         """Replace the record of a node, or remove it if `record` is None."""
-        # The exclusive or of the hashes does not depend on the order of the changes.
-        self.value ^= self._hashes_by_node_id.pop(node_id, 0)
+        # The exclusive or removes the hash of the previous record.
+        previous = self.by_node_id.pop(node_id, None)
+        if previous is not None:
+            self.digest ^= _hash_of(node_id, previous)
         if record is not None:
-            record_hash = xxh3_64_intdigest(f"{node_id} {record.revision}".encode())
-            self._hashes_by_node_id[node_id] = record_hash
-            self.value ^= record_hash
+            self.by_node_id[node_id] = record
+            self.digest ^= _hash_of(node_id, record)
+
+
+def _hash_of(node_id: str, record: UpstreamRecord) -> int:
+    return xxh3_64_intdigest(f"{node_id} {record.revision}".encode())
 
 
 def encode_records(records_by_node_id: dict[str, UpstreamRecord | None]) -> bytes:
@@ -91,7 +129,7 @@
 
 
 def decode_records(data: bytes) -> dict[str, UpstreamRecord | None]:
-    """Decode the records of a beacon.
+    """Decode the records of a beacon or an answer.
 
     Raises
     ------
--- a/tests/test_mesh_record_follower.py
+++ b/tests/test_mesh_record_follower.py
@@ -18,7 +18,7 @@
     BEACON_VALID_S,
     MAX_UPDATE_BYTES,
     RecordBeacon,
-    RecordDigest,
+    RecordTable,
     decode_records,
     encode_records,
 )
@@ -81,7 +81,7 @@
 class Follower:
     """A follower with the records that it applied and the beacons that it sent."""
 
-    def __init__(self, store, clock, *, is_relay=False):
+    def __init__(self, store, clock, *, is_relay=False, is_read=True):
         self.is_relay = is_relay
         self.sent = []
         self.records = {}
@@ -93,7 +93,8 @@
             is_relay=lambda: self.is_relay,
             send=self.sent.append,
         )
-        self.poll()
+        if is_read:
+            self.poll()
 
     def apply(self, change):
         if change.is_complete:
@@ -285,15 +286,15 @@
 
     def test_digest_depends_on_the_records_only(self):
         """Guards against differences due to the order of the changes."""
-        one, other = RecordDigest(), RecordDigest()
+        one, other = RecordTable(), RecordTable()
         for name, revision in (("a", 1), ("b", 2), ("a", 3)):
             one.put(name, record(name, revision))
         other.put("a", record("a", 3))
-        self.assertNotEqual(one.value, other.value)
+        self.assertNotEqual(one.digest, other.digest)
         other.put("c", record("c", 4))
         other.put("b", record("b", 2))
         other.put("c", None)
-        self.assertEqual(one.value, other.value)
+        self.assertEqual(one.digest, other.digest)
 
 
 class RecordRelayTest(TestCase):
