Ignore the record of a node whose address belongs to another one

Cause: a VM was removed without notice and its address given to a new one. The removed node could also seem to be the leader of its region, which then had none, and its record was never removed.

Of two records with the same address the one written last counts, and a link is used only for the node at its other end. The leader removes the earlier record at its next check.

Tests that fail before: test_calls_avoid_a_node_that_took_over_the_address_of_a_lost_ one, test_link_to_another_node_at_the_same_address_is_not_used.

--- a/src/verbenawick/links/_call_links.py
+++ b/src/verbenawick/links/_call_links.py
@@ -110,6 +110,17 @@
     return not message.idempotency_key or bool(message.claimed_by)
 
 
+def _link_of(link: Link, member: Member) -> Link:
+    """Return `link`; raise `LinkClosedError` if it leads to another node."""
+    if link.peer.node_id != member.node_id:
+        raise LinkClosedError(
+            f"{member.peer_address} belongs to node {link.peer.node_id}",
+            step="calls.dial",
+            peer=member.node_id,
+        )
+    return link
+
+
 def _is_usable(link: Link | None) -> bool:
     return link is not None and link.is_open and not link.is_silent
 
@@ -196,10 +207,18 @@
         """
         self._link_to(member, self._clock.now() + self._dial_timeout_s)
 
-    def is_connected(self, peer_address: str) -> bool:
-        """Return whether a dialled link to the node at an address is open."""
-        peer = self._peers_by_address.get(peer_address)
-        return peer is not None and peer.link is not None and peer.link.is_open
+    def is_connected(self, member: Member) -> bool:
+        """Return whether a dialled link to `member` is open.
+
+        A link to another node at the same address does not count.
+        """
+        peer = self._peers_by_address.get(member.peer_address)
+        return (
+            peer is not None
+            and peer.link is not None
+            and peer.link.is_open
+            and peer.link.peer.node_id == member.node_id
+        )
 
     def wait_until_closed(self, peer_address: str) -> None:
         """Block until the dialled link to the node at an address has closed."""
@@ -505,7 +524,7 @@
     def _link_to(self, member: Member, deadline: float) -> Link:
         peer = self._peers_by_address.get(member.peer_address)
         if peer is not None and _is_usable(peer.link):
-            return peer.link
+            return _link_of(peer.link, member)
         if peer is None:
             peer = self._peers_by_address[member.peer_address] = _Peer()
         wait_s = max(deadline - self._clock.now(), 0.0)
@@ -517,7 +536,7 @@
             )
         try:
             if _is_usable(peer.link):
-                return peer.link
+                return _link_of(peer.link, member)
             return self._dial(peer, member, deadline)
         finally:
             peer.dial_lock.release()
@@ -558,14 +577,12 @@
         except LinkClosedError:
             peer.next_dial_at = self._clock.now() + REDIAL_DELAY_S
             raise
-        if link.peer.node_id != member.node_id:
+        try:
+            _link_of(link, member)
+        except LinkClosedError:
             link.close("peer address belongs to another node")
             peer.next_dial_at = self._clock.now() + REDIAL_DELAY_S
-            raise LinkClosedError(
-                f"{member.peer_address} belongs to node {link.peer.node_id}",
-                step="calls.dial",
-                peer=member.node_id,
-            )
+            raise
         self._links.add(link)
         peer.link = link
         # Silence on an earlier link does not apply to the new one.
--- a/src/verbenawick/mesh/_beacons.py
+++ b/src/verbenawick/mesh/_beacons.py
@@ -94,7 +94,7 @@
             endpoint.node_id
             for endpoint in self._endpoints.all()
             if endpoint.distance in (Distance.DATA_CENTRE, Distance.REGION)
-            and self._links.is_connected(endpoint.peer_address)
+            and self._links.is_connected(endpoint.member)
             and not self._links.is_silent(endpoint.peer_address)
         )
         return self._relay.is_leader(linked)
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -417,7 +417,7 @@
 
     def _is_linked(self, endpoint: Endpoint) -> bool:
         return endpoint.distance is Distance.OWN_NODE or self._links.is_connected(
-            endpoint.peer_address
+            endpoint.member
         )
 
     def _offer(
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -10,6 +10,7 @@
 from verbenawick.links._call_links import CallLinks, PeerSilence
 from verbenawick.links._component import NodeIdentity
 from verbenawick.links._links import CALL_CHANNEL, Link, LinkServer
+from verbenawick.mesh._address_owners import AddressOwners
 from verbenawick.mesh._beacons import Beacons
 from verbenawick.mesh._configuration_relay import RelayState
 from verbenawick.mesh._crash_guard import CrashGuard
@@ -33,6 +34,7 @@
     PeerResponding,
     PeerSilent,
     ProcessStalled,
+    RecordSuperseded,
     SettingsRejected,
     SettingsReloaded,
 )
@@ -126,6 +128,9 @@
             data_centre=settings.data_centre,
             region=settings.region,
         )
+        self._address_owners = AddressOwners(
+            node_id=settings.node_id, peer_address=settings.peer_address
+        )
         self.upstream = LocalUpstream(
             address=settings.upstream.address,
             service=settings.upstream.service,
@@ -247,6 +252,11 @@
             links=self.links,
             clock=self.clock,
             is_leader=self._beacons.is_leader,
+            superseded=lambda: [
+                record.node_id
+                for record in self._address_owners.superseded()
+                if record.region == settings.region
+            ],
         )
         self._prober = UpstreamProber(
             self.upstream,
@@ -422,9 +432,15 @@
             self._publisher.on_stored(record)
             return
         if record is None:
-            self.endpoints.remove(node_id)
-            self._connectors.stop_connector(node_id)
+            self._address_owners.remove(node_id)
+            self._forget(node_id)
             return
+        superseded = self._address_owners.put(record)
+        if superseded is not None:
+            emit(RecordSuperseded(superseded.node_id, record.peer_address))
+            self._forget(superseded.node_id)
+            if superseded is record:
+                return
         known = self.endpoints.get(node_id)
         has_new_address = (
             known is not None and known.peer_address != record.peer_address
@@ -433,11 +449,15 @@
         if (
             known is None
             or has_new_address
-            or not self.links.is_connected(record.peer_address)
+            or not self.links.is_connected(known.member)
         ):
             known = self.endpoints.put_record(record)
         self.standing_links.on_endpoint(known)
 
+    def _forget(self, node_id: str) -> None:
+        self.endpoints.remove(node_id)
+        self._connectors.stop_connector(node_id)
+
     def _detect_silent_peers(self) -> None:
         while True:
             self._sleep_and_log_stall(SILENCE_CHECK_INTERVAL_S)
--- a/src/verbenawick/mesh/_node_events.py
+++ b/src/verbenawick/mesh/_node_events.py
@@ -153,10 +153,22 @@
     kind: str
 
 
+@register_event(714)
+@dataclass(frozen=True, slots=True)
+class RecordSuperseded(Event):
+    """A node's record is ignored, since another node has taken over its address."""
+
+    peer: str
+    peer_address: str
+
+
 @register_event(715)
 @dataclass(frozen=True, slots=True)
 class RecordRemoved(Event):
-    """The record of a node that was unreachable for minutes was removed."""
+    """The record of a node was removed.
+
+    The node was unreachable for minutes, or another node has taken over its address.
+    """
 
     peer: str
     upstream: str
--- a/src/verbenawick/mesh/_record_remover.py
+++ b/src/verbenawick/mesh/_record_remover.py
@@ -27,6 +27,9 @@
         Returns a `StateStore` with a separate connection.
     is_leader : callable
         Whether this node is the leader of its region.
+    superseded : callable
+        Returns the nodes of the region whose address has been taken over by another
+        node.
     """
 
     def __init__(
@@ -37,12 +40,14 @@
         links: CallLinks,
         clock: Clock,
         is_leader: Callable[[], bool],
+        superseded: Callable[[], list[str]] = lambda: [],
     ):
         self._open_store = open_store
         self._endpoints = endpoints
         self._links = links
         self._clock = clock
         self._is_leader = is_leader
+        self._superseded = superseded
         self._absent_nodes = AbsentNodes()
 
     def run(self) -> None:
@@ -50,13 +55,14 @@
         while True:
             eventlet.sleep(ABSENCE_CHECK_INTERVAL_S)
             is_linked_by_node_id = {
-                endpoint.node_id: self._links.is_connected(endpoint.peer_address)
+                endpoint.node_id: self._links.is_connected(endpoint.member)
                 for endpoint in self._endpoints.all()
                 if endpoint.distance in (Distance.DATA_CENTRE, Distance.REGION)
             }
-            ids_to_remove = self._absent_nodes.observe(
+            absent_ids = self._absent_nodes.observe(
                 is_linked_by_node_id, self._clock.now()
             )
+            ids_to_remove = [*self._superseded(), *absent_ids]
             if ids_to_remove and self._is_leader():
                 self.remove(ids_to_remove[0])
 
--- a/tests/mesh_cluster.py
+++ b/tests/mesh_cluster.py
@@ -126,7 +126,13 @@
         return self.version
 
     def add_node(
-        self, service_name: str, *, data_centre="dc1", region="north", **upstream
+        self,
+        service_name: str,
+        *,
+        data_centre="dc1",
+        region="north",
+        peer_address="",
+        **upstream,
     ) -> ClusterNode:
         """Start an upstream and its node."""
         number = len(self.nodes) + 1
@@ -139,7 +145,7 @@
             data_centre=data_centre,
             region=region,
             call_address=f"127.0.0.1:{free_port()}",
-            peer_address=f"127.0.0.1:{free_port()}",
+            peer_address=peer_address or f"127.0.0.1:{free_port()}",
             readiness_address=f"127.0.0.1:{free_port()}",
             report_address=f"127.0.0.1:{free_port()}",
             metrics_address=f"127.0.0.1:{free_port()}",
@@ -185,7 +191,7 @@
             e
             for e in ready
             if e.node_id == node.node_id
-            or mesh.links.is_connected(e.peer_address)
+            or mesh.links.is_connected(e.member)
             or not mesh.standing_links.is_standing(e)
         ]
         return mesh.is_ready and len(linked) == expected
--- a/tests/test_call_links.py
+++ b/tests/test_call_links.py
@@ -1,6 +1,6 @@
 """Tests of requests and answers between nodes over real sockets."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import eventlet
 from testtools import TestCase
@@ -315,7 +315,7 @@
         self.client.connect(self.peer)
         with eventlet.Timeout(2):
             waiter.wait()
-        self.assertTrue(self.client.is_connected(address))
+        self.assertTrue(self.client.is_connected(self.peer))
         thread.wait()
 
 
@@ -497,4 +497,19 @@
         link.close()
         with eventlet.Timeout(2):
             thread.wait()
-        self.assertFalse(self.client.is_connected(self.peer.peer_address))
+        self.assertFalse(self.client.is_connected(self.peer))
+
+    def test_link_to_another_node_at_the_same_address_is_not_used(self):
+        """Guards against calls for a removed node at the successor on its address."""
+        self.open_link()
+        removed = replace(self.peer, node_id="removed")
+        self.assertFalse(self.client.is_connected(removed))
+        question = Question(next_call_id())
+        self.assertRaises(
+            LinkClosedError,
+            self.client.request,
+            removed,
+            question,
+            deadline=self.client.now() + 1,
+        )
+        self.assertTrue(self.client.is_connected(self.peer))
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -469,3 +469,27 @@
         self.a1.upstream.status = 500
         statuses = [self.cluster.call(self.a1, "/archive/1").status for _ in range(8)]
         self.assertEqual([200] * 8, statuses)
+
+    def test_calls_avoid_a_node_that_took_over_the_address_of_a_lost_one(self):
+        """Guards against calls that are refused as the wrong service for minutes."""
+        lost = self.a2
+        lost.is_reporting = False
+        lost.server.kill()
+        lost.upstream_thread.kill()
+        successor = self.cluster.add_node(
+            "booking", peer_address=lost.server.settings.peer_address
+        )
+        entry = self.b1.server.node
+        wait_until(lambda: entry.endpoints.get(successor.node_id) is not None, 3)
+        wait_until(lambda: entry.endpoints.get(lost.node_id) is None, 3)
+        wait_until(
+            lambda: entry.links.is_connected(
+                entry.endpoints.get(successor.node_id).member
+            ),
+            3,
+        )
+        self.assertTrue(self.a1.server.node._beacons.is_leader())
+        remover = self.a1.server.node._record_remover
+        self.assertEqual([lost.node_id], remover._superseded())
+        remover.remove(lost.node_id)
+        self.assertIsNone(self.cluster.store.get(RECORD_KIND, lost.node_id))
--- a/tests/test_mesh_peer_connectors.py
+++ b/tests/test_mesh_peer_connectors.py
@@ -40,11 +40,11 @@
     def test_redial_of_a_lost_link_does_not_count_as_opening(self):
         """Guards against calls that wait for a node that has just gone."""
         self.connectors.ensure_connector(self.peer)
-        wait_until(lambda: self.client.is_connected(self.peer.peer_address))
+        wait_until(lambda: self.client.is_connected(self.peer))
         self.server_listener.stop()
         self.listen_silently(self.peer.peer_address.rpartition(":")[2])
         self.server.close()
-        wait_until(lambda: not self.client.is_connected(self.peer.peer_address))
+        wait_until(lambda: not self.client.is_connected(self.peer))
         dials = self.client._peers_by_address[self.peer.peer_address]
         wait_until(dials.dial_lock.locked, 2)
         self.assertFalse(self.connectors.is_opening("server"))
