Run a request once that another node sends twice

A gateway started a handler for each request frame of a link, so a frame that a faulty peer repeats ran a call that must run once a second time. The links now compare each request with the last 64 of its link, log RequestRepeated (104) and ignore a repeated one. test_a_request_that_a_peer_sends_twice_runs_once covers a request that is running and one that has ended.

--- a/src/verbenawick/links/_call_links.py
+++ b/src/verbenawick/links/_call_links.py
@@ -1,5 +1,6 @@
 """Pool of call links to other nodes, which matches answers with requests."""
 
+from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -22,6 +23,8 @@
 from verbenawick.links._members import Member
 from verbenawick.links._messages import Message
 from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._events import Event as LogEvent
+from verbenawick.runtime._events import emit, register_event
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 
 RequestHandler = Callable[[NodeIdentity, Message, float], Message]
@@ -40,6 +43,8 @@
 # A peer with pending requests that sends nothing for this long, not even a pong, is
 # unreachable or frozen.
 SILENCE_TIMEOUT_S = 0.7
+# Last requests of a link that are compared with a new one.
+MAX_RECENT_REQUESTS = 64
 
 ANSWERS_DROPPED = register_metric(
     "calls.answers_dropped",
@@ -52,6 +57,15 @@
 )
 
 
+@register_event(104, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class RequestRepeated(LogEvent):
+    """A peer sent a request a second time; it was ignored."""
+
+    peer: str
+    call_id: int
+
+
 @dataclass(eq=False, slots=True)
 class _Peer:
     link: Link | None = None
@@ -169,6 +183,7 @@
         self._links: set[Link] = set()
         self._pending_by_call_id: dict[int, PendingRequest] = {}
         self._running: dict[tuple[Link, int], tuple[GreenThread, Message]] = {}
+        self._recent_ids_by_link: dict[Link, deque[int]] = {}
 
     def register_handler(
         self,
@@ -452,6 +467,7 @@
     def on_close(self, link: Link) -> None:
         """Fail pending requests on a dialled link; cancel those of an accepted one."""
         self._links.discard(link)
+        self._recent_ids_by_link.pop(link, None)
         if not link.is_dialled:
             for running_link, call_id in list(self._running):
                 if running_link is link:
@@ -488,6 +504,14 @@
         if handler is None:
             link.close(f"no handler for {type(message).__name__}")
             return
+        recent_ids = self._recent_ids_by_link.get(link)
+        if recent_ids is None:
+            recent_ids = deque(maxlen=MAX_RECENT_REQUESTS)
+            self._recent_ids_by_link[link] = recent_ids
+        if message.call_id in recent_ids:
+            emit(RequestRepeated(link.peer.node_id, message.call_id))
+            return
+        recent_ids.append(message.call_id)
         sent_at = self._clock.now() - link.round_trip_s / 2
         key = (link, message.call_id)
         thread = eventlet.spawn(self._run_handler, handler, link, message, sent_at, key)
--- a/tests/test_call_links.py
+++ b/tests/test_call_links.py
@@ -125,6 +125,27 @@
         ]
         self.assertEqual(texts, [thread.wait().text for thread in threads])
 
+    def test_a_request_that_a_peer_sends_twice_runs_once(self):
+        """Guards against a second run of a call that must run once."""
+        for is_running in (True, False):
+            texts = []
+
+            def handler(peer, message, sent_at, texts=texts, is_running=is_running):
+                texts.append(message.text)
+                eventlet.sleep(0.1 if is_running else 0)
+                return Reply(message.call_id, message.text)
+
+            self.answer_with(handler)
+            question = Question(next_call_id(), "once")
+            thread = eventlet.spawn(self.request, question)
+            wait_until(lambda texts=texts: texts)
+            if not is_running:
+                thread.wait()
+            self.client.dialled_links()[0].post(question)
+            self.assertEqual("once", thread.wait().text)
+            eventlet.sleep(0.15)
+            self.assertEqual(["once"], texts)
+
     def test_late_and_duplicate_answers_are_dropped(self):
         """An answer without a pending request is counted and dropped."""
 
