Handle store responses that end early or come twice

A response of the platform's store that ended inside its status line raised http.client.BadStatusLine, which nothing caught: the green thread that watches the store ended, and the node never followed it again. A response sent twice was taken for the response to the next call, so that a write could count as done.

Such errors now end the call as unavailable or as lost answer, and a connection that has unread data or was closed by the store is not used again. urllib3's pool, which the store of the own interface uses, already converts these errors.

--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -1,6 +1,7 @@
 """HTTP client of the platform's store, which holds objects by kind and name."""
 
 from collections.abc import Callable
+from http.client import HTTPException
 from time import monotonic
 from urllib.parse import quote, urlencode
 
@@ -26,6 +27,7 @@
 from verbenawick.platform._documents import decode_configuration
 from verbenawick.platform._events import ObjectInvalid
 from verbenawick.runtime._events import emit
+from verbenawick.runtime._polling import is_readable
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
@@ -101,6 +103,11 @@
         return sock
 
 
+def _is_reusable(connection: HTTPConnection) -> bool:
+    """Return whether the peer neither closed it nor sent data that answer no call."""
+    return connection.sock is not None and not is_readable(connection.sock.fileno())
+
+
 class PlatformStore:
     """Client of the platform's store that implements `StateStore`.
 
@@ -329,7 +336,7 @@
                 content = response.read(MAX_RESPONSE_BYTES + 1)
             if len(content) > MAX_RESPONSE_BYTES:
                 raise ValueError(f"response exceeds {MAX_RESPONSE_BYTES} bytes")
-        except (OSError, HTTPError, ValueError) as error:
+        except (OSError, HTTPException, HTTPError, ValueError) as error:
             self.close()
             if method == "GET":
                 raise self._unavailable_error(repr(error), step) from error
@@ -342,6 +349,8 @@
         return response.status, content
 
     def _connect(self, step: str) -> _StoreConnection:
+        if self._connection is not None and not _is_reusable(self._connection):
+            self.close()
         if self._connection is None:
             host, _, port = self._address.rpartition(":")
             connection = _StoreConnection(host, int(port))
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -1,5 +1,6 @@
 """Client of the platform's store, and the task that writes the record of a node."""
 
+import json
 from random import Random
 
 import eventlet
@@ -40,6 +41,12 @@
     return {"version": version, "resources": resources}
 
 
+def listing_response(revision: int) -> bytes:
+    """Return a response that lists no objects."""
+    body = json.dumps({"items": [], "more": False, "current_rev": revision}).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
 class PlatformStoreCase(TestCase):
     """Base class of tests with a stand-in store and a client."""
 
@@ -100,6 +107,48 @@
 
     def test_invalid_configuration_is_ignored(self):
         """A node must never serve part of an invalid configuration."""
+    def serve_raw(self, *responses):
+        """Return a client of a store that sends these bytes after each request.
+
+        Each connection starts with the first response that was not sent yet.
+        """
+        listener = eventlet.listen(("127.0.0.1", 0))
+        left = list(responses)
+
+        def serve(sock):
+            while left and sock.recv(65536):
+                data, is_last = left.pop(0)
+                sock.sendall(data)
+                if is_last:
+                    sock.close()
+                    return
+
+        def accept():
+            while True:
+                sock, _ = listener.accept()
+                eventlet.spawn_n(serve, sock)
+
+        thread = eventlet.spawn(accept)
+        self.addCleanup(thread.kill)
+        return PlatformStore(f"127.0.0.1:{listener.getsockname()[1]}")
+
+    def test_response_that_is_sent_twice_answers_one_call(self):
+        """Guards against a response that is taken for that to the next call."""
+        old = listing_response(5)
+        client = self.serve_raw((old + old, False), (listing_response(9), False))
+        self.assertEqual(5, client.read_records(allow_stale=False).revision)
+        eventlet.sleep(0.05)
+        self.assertEqual(9, client.read_records(allow_stale=False).revision)
+
+    def test_response_that_ends_at_any_byte_is_an_error(self):
+        """Guards against part of a response that is taken for the whole."""
+        whole = listing_response(5)
+        client = self.serve_raw(*((whole[:n], True) for n in range(len(whole))))
+        for _ in range(len(whole)):
+            self.assertRaises(
+                StoreUnavailableError, client.read_records, allow_stale=False
+            )
+
         self.standin.put(CONFIG_KIND, "main", {"version": 1, "resources": "none"})
         self.standin.put(CONFIG_KIND, "other", document(9))
         self.assertIsNone(self.client.read_configuration().configuration)
