Add a randomized fault soak with real node processes

`python -m soak` runs real node processes with stand-in store, upstreams and proxies under a seeded schedule and checks seven promises from what callers and upstreams see.

Left for later: the own interface, proxies between nodes, shrinking of schedules, a report page, runs at the limits.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 JOBS ?= 3
 WHY ?= make
 
-.PHONY: setup format lint test demo demo-faults docs calm score hunt seeds
+.PHONY: setup format lint test demo demo-faults soak soak-many docs calm score hunt seeds
 
 setup: .venv/.complete
 
@@ -38,6 +38,16 @@
 demo-faults: setup
 	$(BIN)/python -m demo --faults
 
+# One seed, or COUNT seeds from SEED on; a failed one leaves its folder in soak-runs/.
+SEED ?= 1
+COUNT ?= 50
+
+soak: setup
+	$(BIN)/python -W ignore -m soak --seed $(SEED)
+
+soak-many: setup
+	$(BIN)/python -W ignore -m soak --seed $(SEED) --count $(COUNT)
+
 docs: setup
 	$(BIN)/python -m tools.catalogues
 	$(BIN)/python -m tools.fault_table
--- /dev/null
+++ b/soak/_faults.py
@@ -0,0 +1,182 @@
+"""Registry of faults, and the seeded schedule that draws from it."""
+
+import signal
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from time import monotonic
+
+import eventlet
+
+from soak._proxy import Mode
+from soak._world import World
+
+STORM_CHANGES = 8
+STORM_INTERVAL_S = 0.2
+DRAIN_S = 3.0
+
+Fault = Callable[[World, Random, float], None]
+
+
+@dataclass(frozen=True, slots=True)
+class FaultKind:
+    """A fault; a planned one must not fail any request."""
+
+    run: Fault
+    is_planned: bool
+
+
+faults_by_name: dict[str, FaultKind] = {}
+
+
+def register_fault(*, is_planned: bool = False) -> Callable[[Fault], Fault]:
+    """Return a decorator that registers a fault, called with its duration."""
+
+    def decorate(fault: Fault) -> Fault:
+        faults_by_name[fault.__name__] = FaultKind(fault, is_planned)
+        return fault
+
+    return decorate
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """A fault of a schedule; `seed` draws its details."""
+
+    at_s: float
+    name: str
+    duration_s: float
+    seed: int
+
+
+def draw_schedule(seed: int, *, seconds: float) -> list[Event]:
+    """Return the faults of a run, which may overlap."""
+    random = Random(f"{seed} schedule")
+    names = sorted(faults_by_name)
+    at_s, events = 0.0, []
+    while (at_s := at_s + random.expovariate(0.6)) < seconds:
+        duration_s = random.choice((0.3, 1.0, 2.5))
+        name = random.choice(names)
+        events.append(Event(at_s, name, duration_s, random.getrandbits(32)))
+    return events
+
+
+def play(world: World, events: list[Event]) -> None:
+    """Run the faults of a schedule at their times and wait for their end."""
+    started_at = monotonic()
+    threads = []
+    for event in events:
+        eventlet.sleep(max(started_at + event.at_s - monotonic(), 0.0))
+        threads.append(eventlet.spawn(_run, world, event))
+    for thread in threads:
+        thread.wait()
+
+
+def _run(world: World, event: Event) -> None:
+    kind = faults_by_name[event.name]
+    began_at = monotonic()
+    interval = [began_at, float("inf")]
+    if not kind.is_planned:
+        world.history.disturbed.append(interval)
+    kind.run(world, Random(event.seed), event.duration_s)
+    interval[1] = monotonic()
+
+
+def _choose(world: World, random: Random):
+    """Return a node whose process runs."""
+    return random.choice([node for node in world.nodes if not node.is_down])
+
+
+@register_fault(is_planned=True)
+def stop_and_restart(world, random, duration_s):
+    """Stop a node as planned and start it again."""
+    node = _choose(world, random)
+    world.history.stops.append((node.node_id, monotonic()))
+    node.end(signal.SIGTERM)
+
+
+@register_fault(is_planned=True)
+def reload(world, random, duration_s):
+    """Write the settings again and send SIGHUP."""
+    node = _choose(world, random)
+    node.write_settings()
+    node.signal(signal.SIGHUP)
+
+
+@register_fault(is_planned=True)
+def configuration_storm(world, random, duration_s):
+    """Store versions in quick succession."""
+    for _ in range(STORM_CHANGES):
+        world.configure()
+        eventlet.sleep(STORM_INTERVAL_S)
+
+
+@register_fault()
+def drain_and_replace(world, random, duration_s):
+    """Drain an upstream and replace it by a new process."""
+    node = _choose(world, random)
+    if node.state == "ready":
+        node.state = "draining"
+        eventlet.sleep(DRAIN_S)
+        node.replace_upstream()
+
+
+@register_fault()
+def kill(world, random, duration_s):
+    """Kill a node process."""
+    _choose(world, random).end(signal.SIGKILL)
+
+
+@register_fault()
+def pause(world, random, duration_s):
+    """Pause a node process."""
+    node = _choose(world, random)
+    process = node.process
+    process.send_signal(signal.SIGSTOP)
+    eventlet.sleep(duration_s)
+    process.send_signal(signal.SIGCONT)
+
+
+@register_fault()
+def store_down(world, random, duration_s):
+    """Let the store refuse all calls."""
+    world.store.faults.status = 503
+    eventlet.sleep(duration_s)
+    world.store.faults.status = 0
+
+
+@register_fault()
+def store_slow(world, random, duration_s):
+    """Delay all calls to the store."""
+    world.store.faults.delay_s = 0.4
+    eventlet.sleep(duration_s)
+    world.store.faults.delay_s = 0.0
+
+
+@register_fault()
+def store_forgets(world, random, duration_s):
+    """Discard the history of the store."""
+    world.store.compact_history()
+
+
+@register_fault()
+def store_connection(world, random, duration_s):
+    """Disturb the connections of some nodes to the store."""
+    mode = random.choice([mode for mode in Mode if mode is not Mode.PASS])
+    nodes = random.sample(world.nodes, len(world.nodes) // 2)
+    _disturb([node.store_proxy for node in nodes], mode, duration_s)
+
+
+@register_fault()
+def upstream_connection(world, random, duration_s):
+    """Disturb the connections of a node to its upstream."""
+    mode = random.choice([mode for mode in Mode if mode is not Mode.PASS])
+    _disturb([_choose(world, random).upstream_proxy], mode, duration_s)
+
+
+def _disturb(proxies, mode: Mode, duration_s: float) -> None:
+    for proxy in proxies:
+        proxy.set_mode(mode)
+    eventlet.sleep(duration_s)
+    for proxy in proxies:
+        proxy.set_mode(Mode.PASS)
--- /dev/null
+++ b/soak/_promises.py
@@ -0,0 +1,160 @@
+"""What callers and upstreams may rely on, checked against the history of a run."""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+# A request may reach an upstream this long after its drain was acknowledged.
+DRAIN_S = 2.0
+# Bounds of the grace period within which a stop has to answer all requests.
+STOP_GRACE_S = 6.0
+# A fault disturbs the node for this long after its end.
+SETTLE_S = 3.0
+MAX_NODE_MB = 200.0
+
+
+@dataclass(slots=True)
+class Attempt:
+    """A request as its caller saw it; `status` is 0 if there was no whole answer."""
+
+    request_id: str
+    node_id: str
+    is_safe: bool
+    sent_at: float
+    ended_at: float = 0.0
+    status: int = 0
+    seal: str = ""
+    body: bytes = b""
+    was_sent: bool = False
+
+
+@dataclass(slots=True)
+class Run:
+    """A request that an upstream began to run."""
+
+    request_id: str
+    upstream_id: str
+    at: float
+
+
+@dataclass(slots=True)
+class History:
+    """Everything that was seen during a run.
+
+    Attributes
+    ----------
+    drained_at : dict
+        Time of the acknowledgement, by upstream id.
+    stops : list
+        Node and time of each planned stop.
+    disturbed : list
+        Begin and end of each unplanned fault.
+    versions_by_process : dict
+        Versions that each process put in force, in order.
+    own_exits, unready : list
+        Nodes whose process ended by itself, or that did not serve at the end.
+    peak_mb_by_process : dict
+        Largest memory of each process.
+    """
+
+    attempts: list[Attempt] = field(default_factory=list)
+    runs: list[Run] = field(default_factory=list)
+    drained_at: dict[str, float] = field(default_factory=dict)
+    stops: list[tuple[str, float]] = field(default_factory=list)
+    disturbed: list[tuple[float, float]] = field(default_factory=list)
+    versions_by_process: dict[str, list[int]] = field(default_factory=dict)
+    own_exits: list[str] = field(default_factory=list)
+    unready: list[str] = field(default_factory=list)
+    peak_mb_by_process: dict[str, float] = field(default_factory=dict)
+
+
+Promise = Callable[[History], Iterator[str]]
+promises_by_name: dict[str, Promise] = {}
+
+
+def register_promise(promise: Promise) -> Promise:
+    """Register a check that yields a text for each violation."""
+    promises_by_name[promise.__name__] = promise
+    return promise
+
+
+@register_promise
+def whole_own_answers(history: History) -> Iterator[str]:
+    """Yield successes that are not the whole answer to their request."""
+    for attempt in history.attempts:
+        if attempt.status == 200 and (
+            attempt.seal != f"seal-{attempt.request_id}"
+            or attempt.request_id.encode() not in attempt.body
+        ):
+            yield f"{attempt.request_id} got {attempt.seal} {attempt.body[:60]!r}"
+
+
+@register_promise
+def unsafe_at_most_once(history: History) -> Iterator[str]:
+    """Yield unsafe requests that ran more than once."""
+    counts = Counter(run.request_id for run in history.runs)
+    for attempt in history.attempts:
+        if not attempt.is_safe and counts[attempt.request_id] > 1:
+            yield f"{attempt.request_id} ran {counts[attempt.request_id]} times"
+
+
+@register_promise
+def refused_did_not_run(history: History) -> Iterator[str]:
+    """Yield unsafe requests that were refused as not run and ran."""
+    ran = {run.request_id for run in history.runs}
+    for attempt in history.attempts:
+        is_refused = attempt.status in (408, 421, 429, 503)
+        if not attempt.is_safe and is_refused and attempt.request_id in ran:
+            yield f"{attempt.request_id} got {attempt.status} and ran"
+
+
+@register_promise
+def nothing_after_drain(history: History) -> Iterator[str]:
+    """Yield requests that reached an upstream long after its drain."""
+    for run in history.runs:
+        acknowledged_at = history.drained_at.get(run.upstream_id)
+        if acknowledged_at is not None and run.at > acknowledged_at + DRAIN_S:
+            yield f"{run.request_id} at {run.upstream_id} {run.at - acknowledged_at}"
+
+
+@register_promise
+def stops_cut_nothing(history: History) -> Iterator[str]:
+    """Yield requests that ran and that a planned stop in calm left unanswered."""
+    ran = {run.request_id for run in history.runs}
+    for node_id, stopped_at in history.stops:
+        ends_at = stopped_at + STOP_GRACE_S
+        if any(
+            begin < ends_at + 1 and end > stopped_at - SETTLE_S
+            for begin, end in history.disturbed
+        ):
+            continue
+        for attempt in history.attempts:
+            is_cut = not attempt.status and attempt.was_sent
+            if attempt.node_id != node_id or attempt.request_id not in ran:
+                continue
+            if is_cut and stopped_at - SETTLE_S <= attempt.sent_at <= ends_at:
+                yield f"{attempt.request_id} cut by the stop of {node_id}"
+
+
+@register_promise
+def versions_never_back(history: History) -> Iterator[str]:
+    """Yield processes that went back to an earlier version."""
+    for process, versions in history.versions_by_process.items():
+        if versions != sorted(versions):
+            yield f"{process} served {versions}"
+
+
+@register_promise
+def processes_stay(history: History) -> Iterator[str]:
+    """Yield processes that ended by themselves, did not recover or grew too large."""
+    yield from (f"{node_id} ended by itself" for node_id in history.own_exits)
+    yield from (f"{node_id} does not serve" for node_id in history.unready)
+    for process, peak_mb in history.peak_mb_by_process.items():
+        if peak_mb > MAX_NODE_MB:
+            yield f"{process} used {peak_mb:.0f} MB"
+
+
+def violations_of(history: History) -> dict[str, list[str]]:
+    """Return the texts of all violations, by promise."""
+    found = {name: list(check(history)) for name, check in promises_by_name.items()}
+    return {name: texts for name, texts in found.items() if texts}
