Count the calls to the store by purpose on the metrics page

Calls to the store are priced and were the largest cost that grew with the mesh, but nothing showed which calls a node made. Five counters tell reads, watches, writes, calls that may be stale, and failures apart. test_metrics_count_the_calls_to_the_store_by_purpose checks them after a restart.

--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -95,6 +95,8 @@
         Decodes a configuration document of the store at the given revision.
     protocol : UpstreamProtocol
         Protocol for requests to the upstream.
+    metrics : MetricSet
+        Shared with the store clients.
     """
 
     def __init__(
@@ -104,6 +106,7 @@
         open_store: Callable[[], StateStore],
         protocol: UpstreamProtocol,
         decode: Callable[[bytes, int], MeshConfiguration | None],
+        metrics: MetricSet,
     ):
         self.settings = settings
         self.caller_service = settings.upstream.service
@@ -111,7 +114,7 @@
         # SystemRandom makes a system call per number, so it only seeds the generator
         # for gateway selection and jitter.
         self.random = Random(SystemRandom().getrandbits(64))
-        self.metrics = MetricSet()
+        self.metrics = metrics
         self.metrics_page = MetricsPage(self.metrics)
         self.is_stopping = False
         self.is_gateway_draining = False
--- a/src/verbenawick/platform/_node_server.py
+++ b/src/verbenawick/platform/_node_server.py
@@ -18,6 +18,7 @@
     readiness_application,
     report_application,
 )
+from verbenawick.runtime._metrics import MetricSet
 from verbenawick.runtime._sockets import listen
 
 MAX_AUXILIARY_CONNECTIONS = 64
@@ -39,9 +40,13 @@
         self.shutdown_delay_s = shutdown_delay_s
         # Shared, since a version may come from the store and the next from a node.
         decode = ConfigurationDecoder().decode
+        metrics = MetricSet()
         self.node = MeshNode(
             settings,
-            open_store=lambda: PlatformStore(settings.store_address, decode=decode),
+            open_store=partial(
+                PlatformStore, settings.store_address, decode=decode, metrics=metrics
+            ),
+            metrics=metrics,
             protocol=PlatformUpstreamProtocol(),
             decode=partial(decode_stored_configuration, decode=decode),
         )
--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -27,6 +27,7 @@
 from verbenawick.platform._documents import decode_configuration
 from verbenawick.platform._events import ObjectInvalid
 from verbenawick.runtime._events import emit
+from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 from verbenawick.runtime._polling import is_readable
 
 CONFIGURATION_KIND = "config"
@@ -45,6 +46,31 @@
 # The store limits values and pages of a list to about 1 MB.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
+READS = register_metric(
+    "mesh.store_reads", MetricKind.COUNTER, "calls", "Reads of the store at full price"
+)
+STALE_READS = register_metric(
+    "mesh.store_stale_reads",
+    MetricKind.COUNTER,
+    "calls",
+    "Reads and watches of the store that may be stale, which are cheap",
+)
+WATCHES = register_metric(
+    "mesh.store_watches",
+    MetricKind.COUNTER,
+    "calls",
+    "Watches of the store at full price",
+)
+WRITES = register_metric(
+    "mesh.store_writes", MetricKind.COUNTER, "calls", "Writes to the store"
+)
+FAILURES = register_metric(
+    "mesh.store_failures",
+    MetricKind.COUNTER,
+    "calls",
+    "Calls to the store without a usable response",
+)
+
 DocumentDecoder = Callable[[bytes, int], MeshConfiguration]
 
 _OMITTED_HEADERS = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
@@ -119,9 +145,18 @@
         ``"ip:port"`` of the platform's store.
     decode : callable
         Decodes a valid configuration document at the given revision.
+    metrics : MetricSet
+        Counts the calls by purpose.
     """
 
-    def __init__(self, address: str, *, decode: DocumentDecoder = decode_configuration):
+    def __init__(
+        self,
+        address: str,
+        *,
+        decode: DocumentDecoder = decode_configuration,
+        metrics: MetricSet | None = None,
+    ):
+        self._metrics = metrics or MetricSet()
         self._address = address
         self._decode = decode
         self._connection: _StoreConnection | None = None
@@ -195,6 +230,7 @@
     def read_record(self, node_id: str) -> UpstreamRecord | None:
         """Return the current record of a node."""
         path = f"/objects/{RECORD_KIND}/{quote(node_id)}"
+        self._metrics.count(READS)
         status, data = self._request("GET", path, None, "store.read")
         if status == 404:
             return None
@@ -293,6 +329,9 @@
         return objects
 
     def _read(self, kind, query, item_type, step, *, timeout_s=CALL_TIMEOUT_S):
+        is_stale = "allow_stale" in query
+        name = WATCHES if "watch" in query else READS
+        self._metrics.count(STALE_READS if is_stale else name)
         url = f"/objects/{quote(kind)}"
         if query:
             url += "?" + urlencode(query)
@@ -306,6 +345,7 @@
         return self._decode_response(data, item_type, step)
 
     def _write(self, method, path, body, step, *, missing_ok=False) -> bytes:
+        self._metrics.count(WRITES)
         status, data = self._request(method, path, body, step)
         if status in (200, 201) or (missing_ok and status == 404):
             return data
@@ -375,9 +415,11 @@
             raise self._unavailable_error(f"invalid response: {error}", step) from error
 
     def _unavailable_error(self, reason: str, step: str) -> StoreUnavailableError:
+        self._metrics.count(FAILURES)
         return StoreUnavailableError(reason, step=step, peer=self._address)
 
     def _answer_lost_error(self, reason: str, step: str) -> StoreAnswerLostError:
+        self._metrics.count(FAILURES)
         return StoreAnswerLostError(reason, step=step, peer=self._address)
 
 
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -516,3 +516,19 @@
         self.cluster.restart_node(self.b1)
         wait_until(lambda: self.b1.server.node.is_ready, 3)
         wait_until(lambda: self.cluster.call(self.b1, "/new/1").status == 200, 2)
+
+    def test_metrics_count_the_calls_to_the_store_by_purpose(self):
+        """Guards against calls that grow with the mesh and that nobody sees."""
+        self.cluster.restart_node(self.b1)
+        wait_until(lambda: self.b1.server.node.upstream.accepts_work, 3)
+        page = self.cluster.get(self.b1.server.settings.metrics_address, "/metrics")
+        values = dict(
+            line.rsplit(" ", 1)
+            for line in page.splitlines()
+            if line.startswith("verbenawick_mesh_store")
+        )
+        self.assertEqual("1.0", values["verbenawick_mesh_store_reads_total"])
+        self.assertEqual("0.0", values["verbenawick_mesh_store_writes_total"])
+        self.assertGreaterEqual(
+            float(values["verbenawick_mesh_store_stale_reads_total"]), 2
+        )
