--- a/src/verbenawick/mesh/_followers.py
+++ b/src/verbenawick/mesh/_followers.py
@@ -44,7 +44,7 @@
 MAX_RETRY_DELAY_S = 1.0
 # Longest delay of a node that is no relay. The relay sends it a beacon when the store
 # is back; the node has to be up to date within 3 s even if that is lost.
-FOLLOWER_RETRY_DELAY_S = 2.4
+FOLLOWER_RETRY_DELAY_S = 2.8
 
 
 @register_event(740, level="WARNING")
@@ -156,7 +156,8 @@
             emit(StoreLost(self.subject, self._revision, str(error)))
         self._failures += 1
         wait_s = min(BASE_RETRY_DELAY_S * 2**self._failures, MAX_RETRY_DELAY_S)
-        if self.has_synced and not self._is_relay():
+        # The first failure may be that of the connection only.
+        if self._failures > 1 and self.has_synced and not self._is_relay():
             wait_s = FOLLOWER_RETRY_DELAY_S
         # Jitter spreads the reconnects of nodes that lost the store at the same time.
         eventlet.sleep(wait_s * (0.5 + 0.5 * self._random.random()))
--- a/tests/test_mesh_followers.py
+++ b/tests/test_mesh_followers.py
@@ -66,3 +66,9 @@
         for seed in range(20):
             delays = self.delays(is_relay=False, is_read=True, seed=seed)
             self.assertLess(max(delays), MAX_DELAY_S)
+
+    def test_first_failure_is_followed_by_a_quick_retry(self):
+        """Guards against seconds without the store after one broken connection."""
+        for seed in range(20):
+            delays = self.delays(is_relay=False, is_read=True, seed=seed)
+            self.assertLessEqual(delays[0], 0.2)
