--- a/src/verbenawick/mesh/_address_owners.py
+++ b/src/verbenawick/mesh/_address_owners.py
@@ -1,8 +1,8 @@
 """Nodes by the address of their link listener, of which one node at a time has each.
 
 A platform gives the address of a removed VM to a new one, while the record of the
-removed node may stay in the store for minutes. Calls for the removed node would then
-reach the new one, and its node would seem to be linked.
+removed node may stay in the store for minutes. The removed node would then seem to be
+linked, and calls for it would reach the new one.
 """
 
 from verbenawick.mesh._model import UpstreamRecord
