Log when a node can't know whether its configuration is the latest

ConfigurationUnconfirmed (753) and ConfigurationConfirmed (754) name the age, the source and the relay; the gauge configuration_unconfirmed_s has the age.

--- a/src/verbenawick/mesh/_beacons.py
+++ b/src/verbenawick/mesh/_beacons.py
@@ -79,6 +79,7 @@
         while True:
             eventlet.sleep(BEACON_INTERVAL_S)
             self.send_if_relay()
+            self._follower.check_confirmation()
 
     def is_relay(self) -> bool:
         """Return whether this node watches the store on behalf of other nodes."""
--- a/src/verbenawick/mesh/_followers.py
+++ b/src/verbenawick/mesh/_followers.py
@@ -18,6 +18,7 @@
     ConfigurationBeacon,
     RelayState,
 )
+from verbenawick.mesh._confirmation import Confirmation
 from verbenawick.mesh._document_delta import (
     EMPTY_DOCUMENT,
     Document,
@@ -177,6 +178,8 @@
         Requests the configuration that the node with the given id serves.
     send_beacon : callable
         Called when contact to the store is restored, so that a beacon may be sent.
+    confirmation : Confirmation
+        Told whenever the version in force is known to be the latest.
     """
 
     subject = "configuration"
@@ -193,10 +196,12 @@
         is_relay: Callable[[], bool],
         decode: Callable[[bytes, int], MeshConfiguration | None],
         query: Callable[[str], ConfigurationAnswer | None],
+        confirmation: Confirmation,
         send_beacon: Callable[[], None] = lambda: None,
     ):
         super().__init__(store, random=random, is_relay=is_relay)
         self._clock = clock
+        self._confirmation = confirmation
         self._apply = apply
         self._relay = relay
         self._decode = decode
@@ -259,6 +264,7 @@
             return
         self._relay.on_beacon(beacon, self._clock.now())
         if beacon.version == self._version:
+            self._confirmation.confirm()
             self._revision = max(self._revision, beacon.revision)
 
     def _fetch(self, node_id: str) -> None:
@@ -306,18 +312,16 @@
             self._is_history_gone = False
             if is_first:
                 self._relay.on_first_read(self._clock.now())
-        elif self._is_relay():
+            return self._update_from_change(change, is_stale=is_first)
+        if self._is_relay():
             self._set_source("relay", "")
             return self._watch_as_relay()
-        elif self._relay.has_live_relay(self._clock.now()):
+        if self._relay.has_live_relay(self._clock.now()):
             self._set_source("beacons", self._relay.relay_id)
             eventlet.sleep(RELAY_CHECK_INTERVAL_S)
             return False
-        else:
-            self._set_source("store", "")
-            change = self._store.watch_configuration(
-                self._revision, wait_s=WATCH_WAIT_S
-            )
+        self._set_source("store", "")
+        change = self._store.watch_configuration(self._revision, wait_s=WATCH_WAIT_S)
         return self._update_from_change(change)
 
     def _set_source(self, source: str, relay_id: str) -> None:
@@ -339,7 +343,16 @@
             self._send_beacon()
         return has_changed
 
-    def _update_from_change(self, change: ConfigurationChange) -> bool:
+    def check_confirmation(self) -> None:
+        """Log when the version in force becomes unconfirmed, or confirmed again."""
+        source, relay_id = self._source
+        self._confirmation.check(version=self._version, source=source, relay=relay_id)
+
+    def _update_from_change(
+        self, change: ConfigurationChange, *, is_stale: bool = False
+    ) -> bool:
+        if not is_stale:
+            self._confirmation.confirm()
         self._relay.on_store_answer(
             self._clock.now(), round_trip_s=self._store.round_trip_s
         )
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -13,6 +13,7 @@
 from verbenawick.mesh._address_owners import AddressOwners
 from verbenawick.mesh._beacons import Beacons
 from verbenawick.mesh._configuration_relay import RelayState
+from verbenawick.mesh._confirmation import Confirmation
 from verbenawick.mesh._crash_guard import CrashGuard
 from verbenawick.mesh._endpoints import Endpoints
 from verbenawick.mesh._entry import MeshEntry
@@ -231,6 +232,7 @@
             is_relay=self._beacons.is_relay,
             decode=decode,
             query=self._beacons.query,
+            confirmation=Confirmation(clock=self.clock, metrics=self.metrics),
             send_beacon=self._beacons.send_if_relay,
         )
         self._beacons.set_follower(self._configuration_follower)
--- a/tests/test_configuration_deltas.py
+++ b/tests/test_configuration_deltas.py
@@ -19,6 +19,7 @@
 from verbenawick.mesh import _beacons, _document_delta, _followers
 from verbenawick.mesh._beacons import Beacons
 from verbenawick.mesh._configuration_relay import ConfigurationAnswer, RelayState
+from verbenawick.mesh._confirmation import Confirmation
 from verbenawick.mesh._document_delta import Document, decode_document, encode_delta
 from verbenawick.mesh._endpoints import Endpoints
 from verbenawick.mesh._followers import ConfigurationFollower
@@ -27,6 +28,7 @@
 from verbenawick.platform._documents import ConfigurationDecoder, decode_configuration
 from verbenawick.platform._objects import decode_stored_configuration
 from verbenawick.runtime._clock import MonotonicClock
+from verbenawick.runtime._metrics import MetricSet
 
 ROUTES = 1139
 REGION_NODES = 28
@@ -261,6 +263,7 @@
             is_relay=lambda: send,
             decode=decode_stored_configuration,
             query=self._answer_query,
+            confirmation=Confirmation(clock=MonotonicClock(), metrics=MetricSet()),
         )
 
     def _answer_query(self, node_id: str) -> ConfigurationAnswer:
