Replace idle connections to the store, and give up hanging watches earlier

Cause: a node that gets no beacons watches the store on the connection it opened at its start.

A connection that was idle for 1 s is now replaced, a watch waits 1.2 s, and the time to connect counts only for a new connection. A watch in progress on a connection that goes silent fails after at most 1.8 s, so that another one ends within 3 s.

Tests that fail before: test_configuration_is_applied_in_time_over_silent_connections, test_call_after_a_pause_uses_a_new_connection, test_watch_fails_early_enough_for_another_one.

--- a/src/verbenawick/mesh/_followers.py
+++ b/src/verbenawick/mesh/_followers.py
@@ -31,8 +31,9 @@
 from verbenawick.runtime._clock import Clock
 from verbenawick.runtime._events import Event, emit, register_event
 
-# A node has to be up to date 3 s after a fault ends, so watches are shorter than that.
-WATCH_WAIT_S = 2.4
+# A node has to be up to date 3 s after a fault. A watch on a connection that has gone
+# silent is noticed only after its wait and a time-out, and another one has to follow.
+WATCH_WAIT_S = 1.2
 # Changes in quick succession are fetched together: a call to the store costs more than
 # a second of delay does, and a configuration has to be in force within 2 s.
 CONFIGURATION_BATCH_DELAY_S = 0.4
--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -26,6 +26,7 @@
 from verbenawick.mesh._state_store import ConfigurationChange, RecordChange
 from verbenawick.platform._documents import decode_configuration
 from verbenawick.platform._events import ObjectInvalid
+from verbenawick.runtime._clock import BootClock, Clock
 from verbenawick.runtime._events import emit
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 from verbenawick.runtime._polling import is_readable
@@ -43,6 +44,9 @@
 # When it is overloaded, the store takes some 0.3 s for a slow call, and longer for a
 # read than for a write.
 CALL_TIMEOUT_S = 1.5
+# A connection can stop carrying data without a reset. One that was idle for longer is
+# replaced, which takes one round trip instead of the time-out of a call.
+MAX_IDLE_S = 1.0
 # The store limits values and pages of a list to about 1 MB.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
@@ -147,6 +151,8 @@
         Decodes a valid configuration document at the given revision.
     metrics : MetricSet
         Counts the calls by purpose.
+    clock : Clock
+        Measures how long the connection is idle; `BootClock` if None.
     """
 
     def __init__(
@@ -155,8 +161,11 @@
         *,
         decode: DocumentDecoder = decode_configuration,
         metrics: MetricSet | None = None,
+        clock: Clock | None = None,
     ):
         self._metrics = metrics or MetricSet()
+        self._clock = clock or BootClock()
+        self._idle_until = 0.0
         self._address = address
         self._decode = decode
         self._connection: _StoreConnection | None = None
@@ -365,10 +374,8 @@
         if data is not None:
             headers["Content-Type"] = "application/json"
         try:
-            with Timeout(
-                timeout_s + CONNECT_TIMEOUT_S, TimeoutError("no response in time")
-            ):
-                connection = self._connect(step)
+            connection = self._connect(step)
+            with Timeout(timeout_s, TimeoutError("no response in time")):
                 connection.request(
                     method, path, body=data, headers=headers, preload_content=False
                 )
@@ -384,12 +391,15 @@
         except BaseException:
             self.close()
             raise
+        self._idle_until = self._clock.now() + MAX_IDLE_S
         if (response.headers.get("Connection") or "").lower() == "close":
             self.close()
         return response.status, content
 
     def _connect(self, step: str) -> _StoreConnection:
-        if self._connection is not None and not _is_reusable(self._connection):
+        if self._connection is not None and (
+            self._clock.now() > self._idle_until or not _is_reusable(self._connection)
+        ):
             self.close()
         if self._connection is None:
             host, _, port = self._address.rpartition(":")
--- a/tests/test_configuration_relay.py
+++ b/tests/test_configuration_relay.py
@@ -7,6 +7,7 @@
 
 from tests.call_support import wait_until
 from tests.mesh_cluster import MeshCluster, route, service
+from tests.silent_proxy import SilentProxy
 from verbenawick.mesh import _followers
 from verbenawick.mesh._configuration_relay import (
     BEACON_VALID_S,
@@ -154,6 +155,43 @@
         self.assertEqual({version}, self.versions([follower]))
 
 
+class SilentStoreConnectionsTest(TestCase):
+    """Three nodes whose connections to the store can go silent."""
+
+    def setUp(self):
+        super().setUp()
+        self.cluster = MeshCluster()
+        self.addCleanup(self.cluster.close)
+        self.proxy = SilentProxy(self.cluster.store_address)
+        self.addCleanup(self.proxy.close)
+        self.cluster.store_address = self.proxy.address
+        self.configure()
+        self.nodes = [self.cluster.add_node("archive") for _ in range(3)]
+        self.cluster.wait_ready()
+        eventlet.sleep(2.6)  # until the initial store watches have returned
+
+    def configure(self):
+        return self.cluster.configure(
+            route("r-a", "/archive/", service="archive"), service("archive")
+        )
+
+    def test_configuration_is_applied_in_time_over_silent_connections(self):
+        """Guards against seconds of waiting on a connection of the node's start."""
+        relay, *followers = self.nodes
+        # The links from the relay have gone silent as well.
+        beacons = relay.server.node._beacons
+        self.patch(beacons, "_send", lambda beacon, links: None)
+        self.proxy.silence()
+        version = self.configure()
+        wait_until(
+            lambda: all(
+                node.server.node.entry.configuration.version == version
+                for node in followers
+            ),
+            APPLY_BOUND_S,
+        )
+
+
 class ThreeRegionsTest(TestCase):
     """Two nodes in each of three regions on the stand-in platform."""
 
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -9,15 +9,22 @@
 from standins.platform_store import StandinPlatformStore
 from tests.call_support import wait_until
 from tests.mesh_cluster import CONFIG_KIND, RECORD_KIND, limits, route, service
+from tests.silent_proxy import SilentProxy
 from verbenawick.errors import (
     StoreAnswerLostError,
     StoreConditionError,
     StoreHistoryGoneError,
     StoreUnavailableError,
 )
+from verbenawick.mesh._followers import WATCH_WAIT_S
 from verbenawick.mesh._model import UpstreamRecord, UpstreamState
 from verbenawick.mesh._publisher import RecordPublisher
-from verbenawick.platform._objects import MAX_RESPONSE_BYTES, PlatformStore
+from verbenawick.platform._objects import (
+    MAX_IDLE_S,
+    MAX_RESPONSE_BYTES,
+    PlatformStore,
+)
+from verbenawick.runtime._clock import ManualClock
 
 
 def record(state=UpstreamState.READY, **changes) -> UpstreamRecord:
@@ -218,6 +225,41 @@
         self.assertRaises(StoreUnavailableError, client.create_record, record())
 
 
+class SilentConnectionTest(PlatformStoreCase):
+    """A connection to the store that stops carrying data without a reset."""
+
+    # Time after the fault in which a node has to be up to date, less the time for the
+    # retry over another connection.
+    DETECTION_BOUND_S = 2.0
+
+    def setUp(self):
+        super().setUp()
+        self.proxy = SilentProxy(self.address)
+        self.addCleanup(self.proxy.close)
+        self.clock = ManualClock()
+        self.client = PlatformStore(self.proxy.address, clock=self.clock)
+        self.addCleanup(self.client.close)
+        self.revision = self.client.read_configuration(allow_stale=False).revision
+        self.proxy.silence()
+
+    def test_call_after_a_pause_uses_a_new_connection(self):
+        """Guards against a call that waits on a connection that was idle for long."""
+        self.clock.advance(MAX_IDLE_S + 0.1)
+        with eventlet.Timeout(0.5):
+            self.client.read_configuration(allow_stale=False)
+
+    def test_watch_fails_early_enough_for_another_one(self):
+        """Guards against a node that is out of date because one watch hangs."""
+        with eventlet.Timeout(self.DETECTION_BOUND_S):
+            self.assertRaises(
+                StoreUnavailableError,
+                self.client.watch_configuration,
+                self.revision,
+                wait_s=WATCH_WAIT_S,
+            )
+        self.client.read_configuration(allow_stale=False)
+
+
 class RecordPublisherTest(PlatformStoreCase):
     """The stored record follows the desired record of the node."""
 
