Check the links that carry beacons, and replace silent ones

What callers saw: nothing by itself; the nodes behind such a link watched the store themselves for up to 15 s, and depended on that watch alone to be up to date.

Cause: a link is found to be silent by its pending requests. The links from a relay or leader to nodes it calls rarely carry beacons only, which have no answer, so only the idle ping every 15 s showed that such a link was dead.

Tests that fail before: test_link_that_carries_only_beacons_is_replaced_when_it_goes_ silent, test_silent_link_that_carries_only_notices_is_closed.

--- a/src/verbenawick/links/_call_links.py
+++ b/src/verbenawick/links/_call_links.py
@@ -184,6 +184,8 @@
         self._pending_by_call_id: dict[int, PendingRequest] = {}
         self._running: dict[tuple[Link, int], tuple[GreenThread, Message]] = {}
         self._recent_ids_by_link: dict[Link, deque[int]] = {}
+        # Links without pending requests that have to answer a ping, and since when.
+        self._checked_since_by_link: dict[Link, float] = {}
 
     def register_handler(
         self,
@@ -268,6 +270,14 @@
         with suppress(LinkClosedError, LinkOverflowError):
             link.post(message)
 
+    def check(self, link: Link) -> None:
+        """Have `check_silence` check a link although no request is pending on it.
+
+        Notices have no answer, so nothing else shows that a link which carries only
+        notices has gone silent.
+        """
+        self._checked_since_by_link.setdefault(link, self._clock.now())
+
     def check_silence(self) -> list[PeerSilence]:
         """Ping peers with pending requests; return those whose silence began or ended.
 
@@ -317,8 +327,13 @@
         )
 
     def _peers_to_check(self) -> list[tuple[_Peer, float]]:
-        """Return peers that are silent or have pending requests, and since when."""
-        sent_at_by_link: dict[Link, float] = {}
+        """Return peers that are silent or owe an answer, and since when."""
+        self._checked_since_by_link = {
+            link: since
+            for link, since in self._checked_since_by_link.items()
+            if link.is_open and link.last_received_at <= since
+        }
+        sent_at_by_link = dict(self._checked_since_by_link)
         for pending in self._pending_by_call_id.values():
             sent_at_by_link.setdefault(pending.link, pending.sent_at)
         peers = []
--- a/src/verbenawick/mesh/_beacons.py
+++ b/src/verbenawick/mesh/_beacons.py
@@ -30,6 +30,9 @@
 
 # Nodes of the same region answer in milliseconds.
 QUERY_TIMEOUT_S = 0.5
+# A link that has stopped carrying data has to be replaced within 3 s. Finding its
+# silence takes 0.7 s of these.
+LINK_CHECK_INTERVAL_S = 1.5
 
 
 class Beacons:
@@ -64,6 +67,7 @@
         self._follower: ConfigurationFollower | None = None
         self._record_follower: RecordFollower | None = None
         self._forwarded_version = 0
+        self._next_link_check_at = float("-inf")
 
     def set_follower(self, follower: ConfigurationFollower) -> None:
         """Register `follower` for received beacons and for configuration queries."""
@@ -149,8 +153,13 @@
         self._record_follower.on_beacon(beacon)
 
     def _send(self, beacon: ConfigurationBeacon, links: list[Link]) -> None:
+        is_check_due = self._clock.now() >= self._next_link_check_at
+        if is_check_due:
+            self._next_link_check_at = self._clock.now() + LINK_CHECK_INTERVAL_S
         for link in links:
             self._links.notify(link, beacon)
+            if is_check_due:
+                self._links.check(link)
         has_document = bool(beacon.document and links)
         if not has_document or beacon.version <= self._forwarded_version:
             return
--- a/tests/test_call_links.py
+++ b/tests/test_call_links.py
@@ -458,6 +458,25 @@
         self.request()
         self.assertFalse(self.client.is_silent(self.peer.peer_address))
 
+    def test_silent_link_that_carries_only_notices_is_closed(self):
+        """Guards against beacons into a link that has stopped carrying data."""
+        link = self.open_link()
+        self.freeze(link)
+        self.client.check(link)
+        self.wait_until_silent()
+        self.assertFalse(link.is_open)
+
+    def test_checked_link_that_answers_stays_open(self):
+        """Guards against closing a link because no request is pending on it."""
+        link = self.open_link()
+        self.client.check(link)
+        end = self.clock.now() + 2 * SILENCE_TIMEOUT_S
+        while self.clock.now() < end:
+            self.assertEqual([], self.check())
+            eventlet.sleep(0.05)
+        self.assertTrue(link.is_open)
+        self.assertEqual([], self.client._peers_to_check())
+
     def test_beginning_and_end_of_a_silence_are_reported_with_its_extent(self):
         """Guards against a log that cannot tell a full link from a stalled process."""
         link = self.open_link()
--- a/tests/test_configuration_deltas.py
+++ b/tests/test_configuration_deltas.py
@@ -208,6 +208,9 @@
     def register_handler(self, message_type, handler):
         pass
 
+    def check(self, link):
+        pass
+
     def notify(self, link, message):
         data = encode_message(message)
         node_id = link.peer.node_id
--- a/tests/test_configuration_relay.py
+++ b/tests/test_configuration_relay.py
@@ -128,6 +128,25 @@
         version = self.configure()
         wait_until(lambda: self.versions(followers) == {version}, APPLY_BOUND_S)
 
+    def test_link_that_carries_only_beacons_is_replaced_when_it_goes_silent(self):
+        """Guards against a node that gets no beacons until the next idle ping."""
+        relay, follower, _ = self.nodes
+        links = relay.server.node.links
+
+        def link_to_follower():
+            return next(
+                (
+                    x
+                    for x in links.dialled_links()
+                    if x.peer.node_id == follower.node_id
+                ),
+                None,
+            )
+
+        silent = link_to_follower()
+        silent._flush = lambda: None
+        wait_until(lambda: link_to_follower() not in (None, silent), 3)
+
     def test_configuration_source_changes_are_logged(self):
         """On-call engineers need to see where a node gets its versions from."""
         follower = self.nodes[1].server.node._configuration_follower
