Get later configurations from neighbours while the store refuses a node

What callers saw: nodes that the store refused kept the routes of the time of the refusal, although nodes linked to them had the later version. With 22 of 24 nodes refused, version 6 was in force on two nodes at 5.15 s and on no other at 11.6 s.

Cause: a version reaches a node only through the leaders of the regions or through its own call to the store. When all leaders are refused, a refused node has no source.

A node whose version is unconfirmed for 1.5 s asks two linked nodes each 0.3 s whether they serve a later one; the answer carries a document only if they do. The queries are a constant number a node, and stop when a source confirms the version. The message (kind 100) is sent in outages only; a node of an earlier release closes the link that carries it.

test_nodes_that_the_store_refuses_get_a_version_from_a_neighbour fails before.

--- a/src/verbenawick/mesh/_configuration_relay.py
+++ b/src/verbenawick/mesh/_configuration_relay.py
@@ -80,6 +80,18 @@
     document: bytes
 
 
+@register_message(100)
+@dataclass(frozen=True, slots=True)
+class ConfigurationCheck(Message):
+    """Question whether the receiver serves a later version than `version`.
+
+    The answer is a `ConfigurationAnswer`, without a document if it does not.
+    """
+
+    call_id: int
+    version: int
+
+
 class RelayState:
     """Tracks contact to the store and beacons of relays on one node."""
 
--- a/src/verbenawick/mesh/_confirmation.py
+++ b/src/verbenawick/mesh/_confirmation.py
@@ -57,6 +57,11 @@
         """Record that the version in force is the latest."""
         self._confirmed_at = self._clock.now()
 
+    @property
+    def is_overdue(self) -> bool:
+        """Return whether the version in force is unconfirmed."""
+        return self._clock.now() - self._confirmed_at > UNCONFIRMED_AFTER_S
+
     def check(self, *, version: int, source: str, relay: str) -> None:
         """Log a change since the last check, and update the gauge."""
         age_s = self._clock.now() - self._confirmed_at
--- a/src/verbenawick/mesh/_followers.py
+++ b/src/verbenawick/mesh/_followers.py
@@ -16,6 +16,7 @@
     RELAY_WATCH_WAIT_S,
     ConfigurationAnswer,
     ConfigurationBeacon,
+    ConfigurationCheck,
     RelayState,
 )
 from verbenawick.mesh._confirmation import Confirmation
@@ -220,6 +221,11 @@
         """Return whether a configuration has been applied."""
         return bool(self._version)
 
+    @property
+    def is_unconfirmed(self) -> bool:
+        """Return whether no source has confirmed the version in force for a while."""
+        return self._confirmation.is_overdue
+
     @property
     def beacon(self) -> ConfigurationBeacon:
         """Return a beacon for the configuration in force, without its document."""
@@ -237,6 +243,12 @@
             call_id, self._version, self._revision, self._document.compressed
         )
 
+    def answer_check(self, check: ConfigurationCheck) -> ConfigurationAnswer:
+        """Return the answer to a `ConfigurationCheck`."""
+        if self._version > check.version:
+            return self.document_for(check.call_id)
+        return ConfigurationAnswer(check.call_id, self._version, 0, b"")
+
     def encode_update(self) -> bytes:
         """Return the document of the version in force for the nodes that lack it.
 
--- a/src/verbenawick/mesh/_state_exchange.py
+++ b/src/verbenawick/mesh/_state_exchange.py
@@ -1,9 +1,13 @@
-"""Configuration and records that a starting node requests from other nodes.
+"""Configuration and records that a node requests from other nodes.
 
 A node that starts while the store is unavailable knows neither routes nor upstreams.
 Other nodes know it from its record and open links to it, so it can ask them. What it
 gets may be older than the content of the store, as with any node that has lost the
 store; the node follows the changes from there once the store is back.
+
+The store may also refuse a node while it serves others. A node whose version neither
+the store nor a relay confirms asks its neighbours for a later one: each node that the
+store serves, or that has got a version this way, passes it on.
 """
 
 from collections.abc import Callable
@@ -18,7 +22,11 @@
 from verbenawick.links._component import NodeIdentity
 from verbenawick.links._members import Member
 from verbenawick.links._messages import Message
-from verbenawick.mesh._configuration_relay import ConfigurationQuery
+from verbenawick.mesh._configuration_relay import (
+    ConfigurationAnswer,
+    ConfigurationCheck,
+    ConfigurationQuery,
+)
 from verbenawick.mesh._followers import ConfigurationFollower
 from verbenawick.mesh._node_events import PeerLost
 from verbenawick.mesh._record_follower import RecordFollower
@@ -43,8 +51,18 @@
     records: int
 
 
+@register_event(755)
+@dataclass(frozen=True, slots=True)
+class VersionReceived(Event):
+    """A node that no source kept up to date got a later version from another node."""
+
+    peer: str
+    version: int
+    earlier_version: int
+
+
 class StateExchange:
-    """Answers queries for records, and queries other nodes at the start."""
+    """Answers queries of other nodes, and queries them for what this node lacks."""
 
     def __init__(
         self,
@@ -61,21 +79,53 @@
         links.register_handler(
             RecordQuery, lambda peer, query, sent_at: records.answer(query.call_id)
         )
+        links.register_handler(
+            ConfigurationCheck,
+            lambda peer, check, sent_at: configuration.answer_check(check),
+        )
 
     def run(self) -> None:
-        """Query nodes that have linked this one until it has its state."""
+        """Query other nodes at the start, and while no source confirms the version."""
         eventlet.sleep(FIRST_QUERY_DELAY_S)
-        while not self._is_complete:
-            self.query_peers()
+        while True:
+            if not self._is_complete:
+                self.query_peers()
+            elif self._configuration.is_unconfirmed:
+                self.check_peers()
             eventlet.sleep(QUERY_INTERVAL_S)
 
     def query_peers(self) -> None:
-        """Query a few nodes for what this one lacks."""
-        peers = self._links.accepted_peers()
-        self._random.shuffle(peers)
-        for peer in peers[:MAX_PEERS_PER_QUERY]:
+        """Query a few nodes that have linked this one for what it lacks."""
+        for peer in self._pick(self._links.accepted_peers()):
             self._query(peer)
 
+    def check_peers(self) -> None:
+        """Ask a few linked nodes for a later version."""
+        peers = [
+            link.peer
+            for link in self._links.dialled_links()
+            if not self._links.is_silent(link.peer.peer_address)
+        ]
+        for peer in self._pick(peers):
+            version = self._configuration.beacon.version
+            check = ConfigurationCheck(next_call_id(), version)
+            self._request(peer, check, self._on_check_answer(peer, version))
+
+    def _on_check_answer(
+        self, peer: NodeIdentity, version: int
+    ) -> Callable[[ConfigurationAnswer], None]:
+        def use(answer: ConfigurationAnswer) -> None:
+            self._configuration.on_answer(answer)
+            received = self._configuration.beacon.version
+            if received > version:
+                emit(VersionReceived(peer.node_id, received, version))
+
+        return use
+
+    def _pick(self, peers: list[NodeIdentity]) -> list[NodeIdentity]:
+        self._random.shuffle(peers)
+        return peers[:MAX_PEERS_PER_QUERY]
+
     @property
     def _is_complete(self) -> bool:
         return self._configuration.has_configuration and self._records.has_synced
--- a/tests/test_configuration_relay.py
+++ b/tests/test_configuration_relay.py
@@ -18,6 +18,8 @@
 )
 
 APPLY_BOUND_S = 2.0
+# Extension of the bound for nodes that the store refuses while it serves others.
+REFUSAL_EXTENSION_S = 5.0
 
 
 def beacon(relay_id: str, distance: int = 0) -> ConfigurationBeacon:
@@ -128,6 +130,21 @@
         version = self.configure()
         wait_until(lambda: self.versions(followers) == {version}, APPLY_BOUND_S)
 
+    def test_nodes_that_the_store_refuses_get_a_version_from_a_neighbour(self):
+        """Guards against an old version for as long as the store refuses a node."""
+        *refused, served = self.nodes
+        for node in refused:
+            store = node.server.node._configuration_follower._store
+            store._address = "127.0.0.1:1"
+            store.close()
+        follower = served.server.node._configuration_follower
+        wait_until(lambda: follower._source[0] == "store", 3)
+        version = self.configure()
+        wait_until(
+            lambda: self.versions(self.nodes) == {version},
+            APPLY_BOUND_S + REFUSAL_EXTENSION_S,
+        )
+
     def test_link_that_carries_only_beacons_is_replaced_when_it_goes_silent(self):
         """Guards against a node that gets no beacons until the next idle ping."""
         relay, follower, _ = self.nodes
