Stop sending to an upstream that says in an answer that it leaves

An upstream that leaves names Server-Leaving: 1 in its answers; requests sent through a node later than drain_ms after it has passed on such an answer break DRAIN. The code took a leave from status reports only, so an upstream whose reports are late or missing got requests until it ended.

The gateway applies the header like a report that it drains: the record says so, other nodes are notified, and late reports of the same process don't revert it.

test_upstream_that_says_it_leaves_gets_nothing_more fails before.

--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -136,6 +136,10 @@
         """Return the requests per second that the upstream takes, None if any."""
         ...
 
+    def is_leaving(self, answer: RawAnswer) -> bool:
+        """Return whether the upstream says that it leaves."""
+        ...
+
     def health_headers(self, host: str) -> Headers:
         """Return the headers of a health probe."""
         ...
@@ -468,6 +472,8 @@
         """Apply what the upstream says of itself in an answer."""
         if kind is AnswerKind.OTHER_UPSTREAM:
             return
+        if self._protocol.is_leaving(answer):
+            self._upstream.on_leaving(self._upstream.upstream_id)
         self._set_limit(self._protocol.rate_limit_of(answer), self._clock.now())
         self._grant_free_slots()
 
--- a/src/verbenawick/mesh/_local_upstream.py
+++ b/src/verbenawick/mesh/_local_upstream.py
@@ -239,6 +239,17 @@
             )
         )
 
+    def on_leaving(self, upstream_id: str) -> None:
+        """Handle an answer in which the upstream says that it leaves."""
+        if upstream_id == self.upstream_id and self.state is UpstreamState.READY:
+            self._update(
+                UpstreamState.DRAINING,
+                upstream_id,
+                self.service,
+                self.slots,
+                cause="answer",
+            )
+
     def on_other_upstream(self, upstream_id: str) -> None:
         """Handle evidence that requests for `upstream_id` reach another upstream."""
         if upstream_id == self.upstream_id and self.state is UpstreamState.READY:
--- a/src/verbenawick/platform/_calls.py
+++ b/src/verbenawick/platform/_calls.py
@@ -20,6 +20,8 @@
 UPSTREAM_LOAD_HEADER = "Server-Load"
 # Requests per second that the upstream takes from all nodes together.
 UPSTREAM_RATE_LIMIT_HEADER = "Server-Limit"
+# "1" in all answers of an upstream that leaves.
+UPSTREAM_LEAVING_HEADER = "Server-Leaving"
 
 READINESS_PATH = "/readiness"
 REPORT_PREFIX = "/instances/"
@@ -188,6 +190,11 @@
             return None
         return value if math.isfinite(value) and value >= 0 else None
 
+    def is_leaving(self, answer: RawAnswer) -> bool:
+        """Return whether the upstream says that it leaves."""
+        text = answer.header(UPSTREAM_LEAVING_HEADER.lower())
+        return text is not None and text.strip() == "1"
+
     def health_headers(self, host: str) -> Headers:
         """Return the headers of a health probe."""
         return (("Host", host),)
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -98,6 +98,20 @@
         self.assertIn("Retry-After", answer.headers)
         self.assertEqual(0, sum(self.b1.upstream.runs_by_request.values()))
 
+    def test_upstream_that_says_it_leaves_gets_nothing_more(self):
+        """Guards against requests to an upstream that leaves without a report."""
+        upstream = self.b1.upstream
+        upstream.said_headers = [("Server-Leaving", "1")]
+        answer = self.cluster.call(self.a1, "/booking/1", method="POST", body=b"x")
+        self.assertEqual(200, answer.status)
+        answer = self.cluster.call(self.a1, "/booking/2", method="POST", body=b"x")
+        self.assertEqual(503, answer.status)
+        self.assertEqual(1, sum(upstream.runs_by_request.values()))
+        # Reports of the same process that it is ready are late ones.
+        wait_until(lambda: self.stored_state(self.b1) == "draining")
+        answer = self.cluster.call(self.b1, "/booking/3", method="POST", body=b"x")
+        self.assertEqual(503, answer.status)
+
     def stored_state(self, node):
         record = self.cluster.store.get(RECORD_KIND, node.node_id)
         return record and record["spec"]["state"]
