Decode JSON that another writer has nested without bound

An entry nested 100,000 deep among the records raised RecursionError out of read_records and watch_records, whether the nesting was in its spec, in an unknown field or in place of the object; a status report nested 3,000 deep did the same. StoreFollower.run ended with it, so the node followed the records no more, and a node that restarted ended the same way: one odd entry, all nodes.

decode_json replaces what is nested beyond 64 levels by null, without recursion, when a document can't be decoded otherwise. The odd entry is then invalid, or loses an unknown field; the others hold. Messages between nodes are bounded by the CBOR decoder, which raises a handled error at 400 levels.

--- a/src/verbenawick/platform/_documents.py
+++ b/src/verbenawick/platform/_documents.py
@@ -10,6 +10,7 @@
     ServiceSpec,
     StatusReport,
 )
+from verbenawick.platform._json import decode_json
 
 _IDEMPOTENT_REQUEST_KIND = "safe"
 
@@ -95,7 +96,7 @@
         msgspec.MsgspecError, ValueError
             The document is not a valid configuration.
         """
-        document = _document_decoder.decode(data)
+        document = decode_json(data, _document_decoder)
         known = self._decoded_by_resource
         decoded_by_resource = {}
         routes = []
@@ -130,10 +131,10 @@
     if resource.resource_type == "routes":
         return _decode_route(name, resource.spec)
     if resource.resource_type == "services":
-        spec = _service_decoder.decode(resource.spec)
+        spec = decode_json(resource.spec, _service_decoder)
         return ServiceSpec(name, spec.health_path, spec.max_connections)
     if resource.resource_type == "limits":
-        spec = _limits_decoder.decode(resource.spec)
+        spec = decode_json(resource.spec, _limits_decoder)
         return RequestLimits(
             spec.max_header_bytes,
             spec.max_body_bytes,
@@ -144,7 +145,7 @@
 
 
 def _decode_route(name: str, data: msgspec.Raw) -> MeshRoute:
-    spec = _route_decoder.decode(data)
+    spec = decode_json(data, _route_decoder)
     if spec.weighted_split:
         targets = tuple(RouteTarget(p.service, p.weight) for p in spec.weighted_split)
     elif spec.service:
@@ -174,7 +175,7 @@
     msgspec.MsgspecError, ValueError
         A field is missing or has a wrong type or value.
     """
-    report = _report_decoder.decode(data)
+    report = decode_json(data, _report_decoder)
     is_draining = _DRAINING_BY_STATE.get(report.state)
     if is_draining is None:
         raise ValueError(f"unknown state {report.state!r}")
--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -26,6 +26,7 @@
 from verbenawick.mesh._state_store import ConfigurationChange, RecordChange
 from verbenawick.platform._documents import decode_configuration
 from verbenawick.platform._events import ObjectInvalid
+from verbenawick.platform._json import decode_json
 from verbenawick.runtime._clock import BootClock, Clock
 from verbenawick.runtime._events import emit
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
@@ -123,6 +124,9 @@
     born_ms: int = 0
 
 
+_record_spec_decoder = msgspec.json.Decoder(_RecordSpec)
+
+
 class _StoreConnection(HTTPConnection):
     """urllib3 connection that uses a green socket."""
 
@@ -275,7 +279,7 @@
 
     def _decode_record(self, item: _Object) -> UpstreamRecord | None:
         try:
-            spec = msgspec.json.decode(item.spec, type=_RecordSpec)
+            spec = decode_json(item.spec, _record_spec_decoder)
         except (msgspec.MsgspecError, ValueError) as error:
             emit(ObjectInvalid(RECORD_KIND, item.metadata.name, str(error)))
             return None
@@ -332,7 +336,7 @@
         objects = []
         for item in items:
             try:
-                objects.append(msgspec.json.decode(item, type=item_type))
+                objects.append(decode_json(item, msgspec.json.Decoder(item_type)))
             except (msgspec.MsgspecError, ValueError) as error:
                 emit(ObjectInvalid(kind, "", str(error)))
         return objects
@@ -420,7 +424,7 @@
 
     def _decode_response(self, data: bytes, item_type: type, step: str):
         try:
-            return msgspec.json.decode(data, type=item_type)
+            return decode_json(data, msgspec.json.Decoder(item_type))
         except (msgspec.MsgspecError, ValueError) as error:
             raise self._unavailable_error(f"invalid response: {error}", step) from error
 
@@ -459,6 +463,6 @@
 
 def _decode_revision(data: bytes) -> int:
     try:
-        return msgspec.json.decode(data, type=_Object).metadata.revision
+        return decode_json(data, msgspec.json.Decoder(_Object)).metadata.revision
     except (msgspec.MsgspecError, ValueError) as error:
         raise StoreAnswerLostError(f"invalid response: {error}") from error
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import eventlet
+import msgspec
 from testtools import TestCase
 
 from standins.platform_store import StandinPlatformStore
@@ -23,6 +24,7 @@
     MAX_IDLE_S,
     MAX_RESPONSE_BYTES,
     PlatformStore,
+    _record_spec,
 )
 from verbenawick.runtime._clock import ManualClock
 
@@ -50,7 +52,13 @@
 
 def listing_response(revision: int) -> bytes:
     """Return a response that lists no objects."""
-    body = json.dumps({"items": [], "more": False, "current_rev": revision}).encode()
+    return http_response(
+        json.dumps({"items": [], "more": False, "current_rev": revision}).encode()
+    )
+
+
+def http_response(body: bytes) -> bytes:
+    """Return a response with a body."""
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
 
 
@@ -174,6 +182,29 @@
         watched = self.client.watch_records(0, wait_s=0.1)
         self.assertEqual(["n1"], list(watched.records_by_node_id))
 
+    def test_deeply_nested_objects_do_not_hide_valid_records(self):
+        """Guards against a node that stops following because of one odd entry."""
+        nested = b"[" * 100_000 + b"]" * 100_000
+        good = b'{"metadata":{"name":"n1","revision":7},"spec":%s}' % (
+            msgspec.json.encode(_record_spec(record()))
+        )
+        odd = (
+            nested,
+            b'{"metadata":{"name":"a"},"spec":%s}' % nested,
+            b'{"metadata":{"name":"b"},"other":%s,"spec":null}' % nested,
+        )
+        items = b",".join((odd[0], good, odd[1], odd[2]))
+        listing = b'{"items":[%s],"current_rev":9}' % items
+        events = b",".join(b'{"object":%s}' % item for item in (*odd, good))
+        changes = b'{"events":[%s],"current_rev":9}' % events
+        client = self.serve_raw(
+            *((http_response(body), False) for body in (listing, changes))
+        )
+        change = client.read_records(allow_stale=True)
+        self.assertEqual(["n1"], list(change.records_by_node_id))
+        watched = client.watch_records(1, wait_s=0.1)
+        self.assertEqual(["n1"], list(watched.records_by_node_id))
+
     def test_watch_reports_deleted_records(self):
         """A node whose record was deleted must not be called."""
         revision = self.client.create_record(record())
