Drop records and reports with values that no upstream can have

Records with the ports 99999, 'x' or 5,000 digits, with -4 or 2^63 slots or with 400 digits of slots were taken as records: nodes dialled such addresses and the relay and the neighbours passed them on. check_record bounds them at both borders, the store and the messages of other nodes, and status reports have the same bounds. An odd entry is logged as ObjectInvalid or ReportInvalid; the others hold.

--- a/src/verbenawick/mesh/_record_relay.py
+++ b/src/verbenawick/mesh/_record_relay.py
@@ -17,6 +17,7 @@
 from verbenawick.errors import ProtocolError
 from verbenawick.links._messages import Message, register_message
 from verbenawick.mesh._model import UpstreamRecord
+from verbenawick.mesh._record_check import check_record
 
 BEACON_INTERVAL_S = 1.0
 # Two beacons may be lost before all nodes watch the store.
@@ -141,11 +142,8 @@
         rows = cbor2.loads(decoder.decompress(data, MAX_DECODED_BYTES))
         if not decoder.eof or not rows:
             raise ValueError("data are incomplete, too large or empty")
-        names = [field.name for field in fields(UpstreamRecord)]
         return {
-            node_id: None
-            if row is None
-            else msgspec.convert(dict(zip(names, row, strict=True)), UpstreamRecord)
+            node_id: None if row is None else _decode_row(row)
             for node_id, row in msgspec.convert(rows, list[tuple[str, list | None]])
         }
     except (
@@ -157,3 +155,10 @@
         raise ProtocolError(
             f"invalid records: {error}", step="decode.records"
         ) from error
+
+
+def _decode_row(row: list) -> UpstreamRecord:
+    names = [field.name for field in fields(UpstreamRecord)]
+    record = msgspec.convert(dict(zip(names, row, strict=True)), UpstreamRecord)
+    check_record(record)
+    return record
--- a/src/verbenawick/platform/_documents.py
+++ b/src/verbenawick/platform/_documents.py
@@ -10,6 +10,7 @@
     ServiceSpec,
     StatusReport,
 )
+from verbenawick.mesh._record_check import MAX_INTEGER, MAX_SLOTS
 from verbenawick.platform._json import decode_json
 
 _IDEMPOTENT_REQUEST_KIND = "safe"
@@ -179,8 +180,10 @@
     is_draining = _DRAINING_BY_STATE.get(report.state)
     if is_draining is None:
         raise ValueError(f"unknown state {report.state!r}")
-    if not report.service or report.slots < 1:
-        raise ValueError("service or slots are empty")
+    if not report.service or not 1 <= report.slots <= MAX_SLOTS:
+        raise ValueError(f"service is empty, or slots not between 1 and {MAX_SLOTS}")
+    if max(report.sequence, report.born) > MAX_INTEGER:
+        raise ValueError("sequence or born is out of range")
     return StatusReport(
         upstream_id,
         report.service,
--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -23,6 +23,7 @@
     UpstreamRecord,
     UpstreamState,
 )
+from verbenawick.mesh._record_check import check_record
 from verbenawick.mesh._state_store import ConfigurationChange, RecordChange
 from verbenawick.platform._documents import decode_configuration
 from verbenawick.platform._events import ObjectInvalid
@@ -280,21 +281,23 @@
     def _decode_record(self, item: _Object) -> UpstreamRecord | None:
         try:
             spec = decode_json(item.spec, _record_spec_decoder)
+            record = UpstreamRecord(
+                item.metadata.name,
+                spec.service,
+                spec.data_centre,
+                spec.region,
+                spec.peer_address,
+                spec.upstream_id,
+                spec.state,
+                spec.slots,
+                spec.born_ms,
+                item.metadata.revision,
+            )
+            check_record(record)
         except (msgspec.MsgspecError, ValueError) as error:
             emit(ObjectInvalid(RECORD_KIND, item.metadata.name, str(error)))
             return None
-        return UpstreamRecord(
-            item.metadata.name,
-            spec.service,
-            spec.data_centre,
-            spec.region,
-            spec.peer_address,
-            spec.upstream_id,
-            spec.state,
-            spec.slots,
-            spec.born_ms,
-            item.metadata.revision,
-        )
+        return record
 
     def _list(self, kind: str, *, allow_stale: bool) -> tuple[list[_Object], int]:
         objects: list[_Object] = []
--- a/tests/test_mesh_record_follower.py
+++ b/tests/test_mesh_record_follower.py
@@ -10,7 +10,12 @@
 
 from tests.call_support import wait_until
 from tests.mesh_cluster import MeshCluster, route, service
-from verbenawick.errors import StoreHistoryGoneError, StoreUnavailableError
+from tests.record_fields import RECORD_FIELDS_OUT_OF_RANGE
+from verbenawick.errors import (
+    ProtocolError,
+    StoreHistoryGoneError,
+    StoreUnavailableError,
+)
 from verbenawick.mesh import _record_relay
 from verbenawick.mesh._model import UpstreamRecord, UpstreamState
 from verbenawick.mesh._record_follower import RecordFollower
@@ -279,6 +284,12 @@
         records = {"n1": record("n1", 3), "n2": None}
         self.assertEqual(records, decode_records(encode_records(records)))
 
+    def test_records_out_of_range_from_another_node_are_refused(self):
+        """Guards against an odd entry that a relay or a neighbour passes on."""
+        for changes in RECORD_FIELDS_OUT_OF_RANGE:
+            encoded = encode_records({"n1": record("n1", 3, **changes)})
+            self.assertRaises(ProtocolError, decode_records, encoded)
+
     def test_usual_changes_fit_into_a_beacon(self):
         """A release replaces a few upstreams at a time."""
         records = {f"n{number}": record(f"n{number}", number) for number in range(20)}
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -10,6 +10,7 @@
 from standins.platform_store import StandinPlatformStore
 from tests.call_support import wait_until
 from tests.mesh_cluster import CONFIG_KIND, RECORD_KIND, limits, route, service
+from tests.record_fields import RECORD_FIELDS_OUT_OF_RANGE
 from tests.silent_proxy import SilentProxy
 from verbenawick.errors import (
     StoreAnswerLostError,
@@ -182,6 +183,17 @@
         watched = self.client.watch_records(0, wait_s=0.1)
         self.assertEqual(["n1"], list(watched.records_by_node_id))
 
+    def test_records_out_of_range_are_dropped(self):
+        """Guards against dialling a port, or filling slots, that cannot exist."""
+        self.client.create_record(record())
+        for number, changes in enumerate(RECORD_FIELDS_OUT_OF_RANGE):
+            spec = {**msgspec.to_builtins(_record_spec(record())), **changes}
+            self.standin.put(RECORD_KIND, f"odd-{number}", spec)
+        change = self.client.read_records(allow_stale=True)
+        self.assertEqual(["n1"], list(change.records_by_node_id))
+        watched = self.client.watch_records(0, wait_s=0.1)
+        self.assertEqual(["n1"], list(watched.records_by_node_id))
+
     def test_deeply_nested_objects_do_not_hide_valid_records(self):
         """Guards against a node that stops following because of one odd entry."""
         nested = b"[" * 100_000 + b"]" * 100_000
