Continue a listing behind a page without a valid object

A page in which no object could be decoded ended the listing although more was set, so the upstreams on the pages after it were missing, and a complete read forgot them. The next page now follows the last name on the page, valid or not. If no object has a name, ListingCut (756) is logged and the read doesn't count as complete.

Tests that fail before: test_page_of_invalid_objects_does_not_end_the_listing, test_listing_that_cannot_go_on_is_not_taken_for_complete.

--- a/src/verbenawick/platform/_events.py
+++ b/src/verbenawick/platform/_events.py
@@ -31,3 +31,16 @@
 
     request: str
     error: str
+
+
+@register_event(756, level="ERROR")
+@dataclass(frozen=True, slots=True)
+class ListingCut(Event):
+    """No object of a page has a name, so the pages after it cannot be requested.
+
+    `after` is the name before the page, and `objects` its number of objects.
+    """
+
+    kind: str
+    after: str
+    objects: int
--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -26,7 +26,7 @@
 from verbenawick.mesh._record_check import check_record
 from verbenawick.mesh._state_store import ConfigurationChange, RecordChange
 from verbenawick.platform._documents import decode_configuration
-from verbenawick.platform._events import ObjectInvalid
+from verbenawick.platform._events import ListingCut, ObjectInvalid
 from verbenawick.platform._json import decode_json
 from verbenawick.runtime._clock import BootClock, Clock
 from verbenawick.runtime._events import emit
@@ -94,6 +94,16 @@
     spec: msgspec.Raw = msgspec.Raw(b"null")
 
 
+class _NamedMetadata(msgspec.Struct):
+    name: str
+
+
+class _Named(msgspec.Struct):
+    """The name of an object whose other fields may be invalid."""
+
+    metadata: _NamedMetadata
+
+
 class _Event(msgspec.Struct):
     object: _Object
     deleted: bool = False
@@ -125,6 +135,7 @@
     born_ms: int = 0
 
 
+_named_decoder = msgspec.json.Decoder(_Named)
 _record_spec_decoder = msgspec.json.Decoder(_RecordSpec)
 
 
@@ -183,7 +194,7 @@
 
     def read_configuration(self, *, allow_stale: bool) -> ConfigurationChange:
         """Return the configuration, possibly seconds out of date if `allow_stale`."""
-        items, current = self._list(CONFIGURATION_KIND, allow_stale=allow_stale)
+        items, current, _ = self._list(CONFIGURATION_KIND, allow_stale=allow_stale)
         return self._latest_configuration(items, current)
 
     def watch_configuration(
@@ -213,10 +224,10 @@
 
     def read_records(self, *, allow_stale: bool) -> RecordChange:
         """Return all records, possibly seconds out of date if `allow_stale`."""
-        items, current = self._list(RECORD_KIND, allow_stale=allow_stale)
+        items, current, is_complete = self._list(RECORD_KIND, allow_stale=allow_stale)
         records = {item.metadata.name: self._decode_record(item) for item in items}
         records = {name: record for name, record in records.items() if record}
-        return RecordChange(current, records, is_complete=True)
+        return RecordChange(current, records, is_complete=is_complete)
 
     def watch_records(self, revision: int, *, wait_s: float) -> RecordChange:
         """Return the changes after `revision`, which may be seconds out of date."""
@@ -299,7 +310,11 @@
             return None
         return record
 
-    def _list(self, kind: str, *, allow_stale: bool) -> tuple[list[_Object], int]:
+    def _list(self, kind: str, *, allow_stale: bool) -> tuple[list[_Object], int, bool]:
+        """Return the valid objects of a kind, the revision, and whether all are read.
+
+        Without the name of any object of a page, the next page cannot be requested.
+        """
         objects: list[_Object] = []
         revision = 0
         after = ""
@@ -311,11 +326,13 @@
             # The revision of the first page, so that a watch from it also reports
             # changes made between the pages.
             revision = revision or listing.current_rev
-            page = self._decode_items(kind, listing.items, _Object)
-            objects += page
-            if not listing.more or not page:
-                return objects, revision
-            after = page[-1].metadata.name
+            objects += self._decode_items(kind, listing.items, _Object)
+            if not listing.more:
+                return objects, revision, True
+            previous, after = after, _last_name(listing.items)
+            if after <= previous:
+                emit(ListingCut(kind, previous, len(listing.items)))
+                return objects, revision, False
 
     def _watch(
         self, kind: str, revision: int, wait_s: float, *, allow_stale: bool
@@ -440,6 +457,16 @@
         return StoreAnswerLostError(reason, step=step, peer=self._address)
 
 
+def _last_name(items: list[msgspec.Raw]) -> str:
+    """Return the last name among objects, empty if none has one."""
+    for item in reversed(items):
+        try:
+            return decode_json(item, _named_decoder).metadata.name
+        except (msgspec.MsgspecError, ValueError):
+            continue  # logged as invalid with the other items of its page
+    return ""
+
+
 def decode_stored_configuration(
     data: bytes, revision: int, *, decode: DocumentDecoder = decode_configuration
 ) -> MeshConfiguration | None:
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -45,6 +45,11 @@
     return UpstreamRecord(**{**fields, **changes})
 
 
+ENCODED_OBJECT = b'{"metadata":{"name":"n1","revision":7},"spec":%s}' % (
+    msgspec.json.encode(_record_spec(record()))
+)
+
+
 def document(version: int) -> dict:
     """Return a configuration document with one route."""
     resources = [route("r", "/x/", service="s"), service("s"), limits()]
@@ -194,20 +199,39 @@
         watched = self.client.watch_records(0, wait_s=0.1)
         self.assertEqual(["n1"], list(watched.records_by_node_id))
 
+    def read_pages(self, *pages):
+        """Read records in pages of encoded objects, all but the last with more."""
+        bodies = [
+            b'{"items":[%s],"more":%s,"current_rev":9}'
+            % (b",".join(items), b"true" if number < len(pages) else b"false")
+            for number, items in enumerate(pages, start=1)
+        ]
+        client = self.serve_raw(*((http_response(body), False) for body in bodies))
+        return client.read_records(allow_stale=True)
+
+    def test_page_of_invalid_objects_does_not_end_the_listing(self):
+        """Guards against upstreams that are missing behind a page of odd entries."""
+        invalid = [b'{"metadata":{"name":"a","revision":"x"}}', b"7"]
+        change = self.read_pages(invalid, [ENCODED_OBJECT])
+        self.assertEqual(["n1"], list(change.records_by_node_id))
+        self.assertTrue(change.is_complete)
+
+    def test_listing_that_cannot_go_on_is_not_taken_for_complete(self):
+        """Guards against forgetting the upstreams of the pages that were not read."""
+        change = self.read_pages([b"7", b"[]"], [ENCODED_OBJECT])
+        self.assertFalse(change.is_complete)
+
     def test_deeply_nested_objects_do_not_hide_valid_records(self):
         """Guards against a node that stops following because of one odd entry."""
         nested = b"[" * 100_000 + b"]" * 100_000
-        good = b'{"metadata":{"name":"n1","revision":7},"spec":%s}' % (
-            msgspec.json.encode(_record_spec(record()))
-        )
         odd = (
             nested,
             b'{"metadata":{"name":"a"},"spec":%s}' % nested,
             b'{"metadata":{"name":"b"},"other":%s,"spec":null}' % nested,
         )
-        items = b",".join((odd[0], good, odd[1], odd[2]))
+        items = b",".join((odd[0], ENCODED_OBJECT, odd[1], odd[2]))
         listing = b'{"items":[%s],"current_rev":9}' % items
-        events = b",".join(b'{"object":%s}' % item for item in (*odd, good))
+        events = b",".join(b'{"object":%s}' % item for item in (*odd, ENCODED_OBJECT))
         changes = b'{"events":[%s],"current_rev":9}' % events
         client = self.serve_raw(
             *((http_response(body), False) for body in (listing, changes))
