Go on following the store after an unexpected error

StoreFollower.run handled VerbenawickError only. Any other exception, such as the RecursionError of a nested entry, ended the green thread without a log line, and the node kept its configuration or its upstreams of that moment for good. It is now logged as FollowerFailed (757) and the watch repeated like after a failure of the store.

test_unexpected_error_does_not_end_the_task fails before.

--- a/src/verbenawick/mesh/_followers.py
+++ b/src/verbenawick/mesh/_followers.py
@@ -108,6 +108,16 @@
     reason: str
 
 
+@register_event(757, level="ERROR")
+@dataclass(frozen=True, slots=True)
+class FollowerFailed(Event):
+    """A watch of the store raised an unexpected exception and will be repeated."""
+
+    subject: str
+    revision: int
+    error: str
+
+
 class StoreFollower:
     """Reads the full state once, then watches for changes.
 
@@ -148,13 +158,18 @@
             except VerbenawickError as error:
                 self._on_failure(error)
                 continue
+            except Exception as error:
+                # Without this task, the node would keep its present state for good.
+                emit(FollowerFailed(self.subject, self._revision, repr(error)))
+                self._on_failure(error)
+                continue
             if self._failures:
                 emit(StoreRegained(self.subject, self._revision))
                 self._failures = 0
             if has_changed:
                 eventlet.sleep(self.batch_delay_s)
 
-    def _on_failure(self, error: VerbenawickError) -> None:
+    def _on_failure(self, error: Exception) -> None:
         if not self._failures:
             emit(StoreLost(self.subject, self._revision, str(error)))
         self._failures += 1
--- a/tests/test_mesh_followers.py
+++ b/tests/test_mesh_followers.py
@@ -7,7 +7,7 @@
 from testtools import TestCase
 
 from verbenawick.errors import StoreUnavailableError
-from verbenawick.mesh._followers import StoreFollower
+from verbenawick.mesh._followers import FollowerFailed, StoreFollower
 
 OUTAGE_S = 8.0
 # A node has to be up to date 3 s after the store is back.
@@ -19,22 +19,23 @@
 
     subject = "records"
 
-    def __init__(self, *, is_relay, is_read, random):
+    def __init__(self, *, is_relay, is_read, random, error=None):
         super().__init__(None, random=random, is_relay=lambda: is_relay)
         self._revision = int(is_read)
+        self._error = error or StoreUnavailableError("down", step="store.watch")
         self.calls = 0
 
     def _poll(self):
         self.calls += 1
-        raise StoreUnavailableError("down", step="store.watch")
+        raise self._error
 
 
 class OutageTest(TestCase):
     """An outage of the store of 8 s."""
 
-    def delays(self, *, is_relay, is_read, seed):
+    def delays(self, *, is_relay, is_read, seed, error=None):
         follower = FailingFollower(
-            is_relay=is_relay, is_read=is_read, random=Random(seed)
+            is_relay=is_relay, is_read=is_read, random=Random(seed), error=error
         )
         delays = []
 
@@ -72,3 +73,12 @@
         for seed in range(20):
             delays = self.delays(is_relay=False, is_read=True, seed=seed)
             self.assertLessEqual(delays[0], 0.2)
+
+    def test_unexpected_error_does_not_end_the_task(self):
+        """Guards against a node that follows nothing after one odd response."""
+        error = RecursionError("nested")
+        with mock.patch("verbenawick.mesh._followers.emit") as emit:
+            delays = self.delays(is_relay=True, is_read=True, seed=1, error=error)
+        self.assertGreater(len(delays), 3)
+        logged = [call.args[0] for call in emit.call_args_list]
+        self.assertIn(FollowerFailed("records", 1, repr(error)), logged)
