Notice a silent connection to the store within the bound of the own interface

The watch of a region relay waited 30 s and 2 s more for the response. The watch waits 6 s, which costs one call to the store each 6 s and region instead of each 30 s.

--- a/src/verbenawick/store/_store_workers.py
+++ b/src/verbenawick/store/_store_workers.py
@@ -21,7 +21,9 @@
 
 MAX_CONCURRENT_STORE_CALLS = 4
 MAX_PENDING_STORE_CALLS = 64
-WATCH_WAIT_S = 30.0
+# A watch on a connection that has gone silent is noticed only after its wait and a
+# time-out, and a change has to be in force within 14 s.
+WATCH_WAIT_S = 6.0
 WATCHED_PREFIXES = ("config/head", "members/", "quarantine/")
 
 STORE_CALLS = register_metric(
