--- a/src/verbenawick/platform/_calls.py
+++ b/src/verbenawick/platform/_calls.py
@@ -95,14 +95,19 @@
 
 
 def _parse_remaining_time_s(environ) -> float | None:
-    text = environ.get("HTTP_DEADLINE_REMAINING")
+    value = _parse_number(environ.get("HTTP_DEADLINE_REMAINING"))
+    return value / 1000 if value else None
+
+
+def _parse_number(text: str | None) -> float | None:
+    """Return the finite number of at least 0 in a header, None if there is none."""
     if text is None:
         return None
     try:
         value = float(text)
     except ValueError:
         return None
-    return value / 1000 if math.isfinite(value) and value > 0 else None
+    return value if math.isfinite(value) and value >= 0 else None
 
 
 def encode_result(result: CallResult, request_id: str) -> tuple[str, list, bytes]:
@@ -181,14 +186,7 @@
 
         A value that is no number counts as none, as if the header were missing.
         """
-        text = answer.header(UPSTREAM_RATE_LIMIT_HEADER.lower())
-        if text is None:
-            return None
-        try:
-            value = float(text)
-        except ValueError:
-            return None
-        return value if math.isfinite(value) and value >= 0 else None
+        return _parse_number(answer.header(UPSTREAM_RATE_LIMIT_HEADER.lower()))
 
     def is_leaving(self, answer: RawAnswer) -> bool:
         """Return whether the upstream says that it leaves."""
--- a/tests/test_platform_wire_format.py
+++ b/tests/test_platform_wire_format.py
@@ -258,3 +258,20 @@
             answer = RawAnswer(status, headers)
             kind = protocol.classify(answer, request_id="q1")
             self.assertEqual(expected, kind, (status, headers))
+
+    def test_named_rate_and_leave_are_read_from_answers(self):
+        """Guards against a rate of infinity or an error from a faulty upstream."""
+        protocol = PlatformUpstreamProtocol()
+        for text, rate in (("30.5", 30.5), ("0", 0.0), ("-1", None), ("nan", None)):
+            answer = RawAnswer(200, [("Server-Limit", text)])
+            self.assertEqual(rate, protocol.rate_limit_of(answer), text)
+        for text in ("", "x", "inf", "9" * 5000):
+            answer = RawAnswer(200, [("server-limit", text)])
+            self.assertIsNone(protocol.rate_limit_of(answer), text)
+        for headers, is_leaving in (
+            ([("Server-Leaving", "1")], True),
+            ([("Server-Leaving", "0")], False),
+            ([], False),
+        ):
+            answer = RawAnswer(200, headers)
+            self.assertEqual(is_leaving, protocol.is_leaving(answer), headers)
