--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -330,7 +330,7 @@
             if not listing.more:
                 return objects, revision, True
             previous, after = after, _last_name(listing.items)
-            if after <= previous:
+            if after in ("", previous):
                 emit(ListingCut(kind, previous, len(listing.items)))
                 return objects, revision, False
 
