Let a call wait for links to another region that are still opening

Cause: a call waited FIRST_DIAL_TIMEOUT_S (0.1 s) for each link and then counted the node as tried. When all links took longer, none was left, and the call was refused while its deadline was seconds away and the dials, which may take 0.5 s, were still in progress.

Change: a gateway whose link did not open in time is told from one that cannot be reached (LinkOpeningError). When no other gateway is left, the call waits for the first of these links that opens, until all their dials have ended.

With dials of 0.4 s, all twelve calls were refused before and are served now (test_calls_are_served_by_links_that_open_slowly, failed before). Nodes that are down are still refused when their dials end.

--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -456,6 +456,11 @@
     """No link to the gateway could be opened; nothing was sent."""
 
 
+@register_error("call.link-opening")
+class LinkOpeningError(CallNotRunError):
+    """The link to the gateway was not open yet; nothing was sent."""
+
+
 @register_error("call.upstream-unreachable")
 class UpstreamUnreachableError(CallNotRunError):
     """No connection to the upstream could be opened; nothing was sent."""
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -24,6 +24,7 @@
     CallTimeoutError,
     DrainingError,
     LinkClosedError,
+    LinkOpeningError,
     NoEndpointError,
     NoRouteError,
     NotReadyError,
@@ -82,7 +83,12 @@
 HEALTHY_FAILURE_RATIO = 0.5
 # Error codes after which the gateway is avoided for a short time.
 AVOID_ENDPOINT_CODES = frozenset(
-    {DrainingError.code, WrongServiceError.code, PeerUnreachableError.code}
+    {
+        DrainingError.code,
+        LinkOpeningError.code,
+        PeerUnreachableError.code,
+        WrongServiceError.code,
+    }
 )
 
 CALLS = register_metric("mesh.calls", MetricKind.COUNTER, "calls", "Calls of callers")
@@ -127,6 +133,8 @@
         Gateways and outcomes, for the log.
     tried : set of str
         Gateways to which the call was offered.
+    opening : list of str
+        Gateways whose link did not open in time for the offer, in the order of offers.
     is_retry : bool
         Whether the next offer is a retry, which is charged to the retry budget.
     unknown : CallResult or None
@@ -137,6 +145,7 @@
 
     offers: list[str] = field(default_factory=list)
     tried: set[str] = field(default_factory=set)
+    opening: list[str] = field(default_factory=list)
     arrivals: int = 0
     is_retry: bool = False
     unknown: CallResult | None = None
@@ -159,6 +168,8 @@
         if result.outcome is CallOutcome.NOT_RUN:
             self.retry_after_s = max(self.retry_after_s, result.retry_after_s)
             self.refusal_code = result.code
+            if result.code == LinkOpeningError.code:
+                self.opening.append(event.node_id)
         elif result.outcome is CallOutcome.COMPLETE or not self.has_response:
             self.unknown = result
 
@@ -288,6 +299,8 @@
         while True:
             if not is_offering:
                 endpoint = self._next_endpoint(route, forwarded, progress)
+                if endpoint is None and not race.has_silent:
+                    endpoint = self._next_opened_endpoint(route, forwarded, progress)
                 if endpoint is not None:
                     progress.tried.add(endpoint.node_id)
                     race.start(partial(self._offer, endpoint, forwarded, race))
@@ -322,12 +335,7 @@
         """Return the gateway for the next offer, None if there is to be none."""
         if len(progress.tried) >= MAX_OFFERS:
             return None
-        if progress.tried and self._clock.now() >= forwarded.deadline:
-            return None
-        if progress.unknown is not None and not route.is_idempotent:
-            return None
-        arrivals = progress.arrivals
-        if progress.is_retry and not self._may_retry(route, forwarded, arrivals):
+        if not self._may_offer(route, forwarded, progress):
             return None
         # After a refusal, another gateway is tried only if its expected cost is low
         # enough, and so it is while an offer is still in progress. A call with an
@@ -338,11 +346,49 @@
             progress.tried,
             max_cost=MAX_FURTHER_OFFER_COST if is_refused else math.inf,
         )
-        if endpoint is not None and progress.is_retry:
+        if endpoint is not None:
+            self._count_offer(forwarded, progress)
+        return endpoint
+
+    def _next_opened_endpoint(self, route, forwarded, progress) -> Endpoint | None:
+        """Wait for a link that was opening during an earlier offer to its gateway.
+
+        Returns
+        -------
+        Endpoint or None
+            The gateway, None if no such link opens or there is to be no offer.
+        """
+        while progress.opening and self._may_offer(route, forwarded, progress):
+            for node_id in tuple(progress.opening):
+                endpoint = self._endpoints.get(node_id)
+                if endpoint is not None and self._standing_links.is_opening(endpoint):
+                    continue
+                progress.opening.remove(node_id)
+                if (
+                    endpoint is not None
+                    and endpoint.state is UpstreamState.READY
+                    and self._is_linked(endpoint)
+                ):
+                    self._count_offer(forwarded, progress)
+                    return endpoint
+            if progress.opening:
+                left_s = forwarded.deadline - self._clock.now()
+                self._standing_links.wait_for_any_dial(timeout_s=max(left_s, 0))
+        return None
+
+    def _may_offer(self, route, forwarded, progress) -> bool:
+        if progress.tried and self._clock.now() >= forwarded.deadline:
+            return False
+        if progress.unknown is not None and not route.is_idempotent:
+            return False
+        arrivals = progress.arrivals
+        return not progress.is_retry or self._may_retry(route, forwarded, arrivals)
+
+    def _count_offer(self, forwarded, progress) -> None:
+        if progress.is_retry:
             self._budget.count_retry(forwarded.service, self._clock.now())
             self._metrics.count(RETRIES)
             progress.is_retry = False
-        return endpoint
 
     def _should_retry_response(self, result, route, forwarded, progress) -> bool:
         """Return whether to retry a call that the upstream answered with a 5xx status.
@@ -475,7 +521,9 @@
         if not self._is_linked(endpoint):
             self._standing_links.open(endpoint)
             if not self._is_linked(endpoint):
-                return CallResult(CallOutcome.NOT_RUN, PeerUnreachableError.code)
+                is_opening = self._standing_links.is_opening(endpoint)
+                error = LinkOpeningError if is_opening else PeerUnreachableError
+                return CallResult(CallOutcome.NOT_RUN, error.code)
         request = partial(
             self._links.request,
             endpoint.member,
--- a/src/verbenawick/mesh/_peer_connectors.py
+++ b/src/verbenawick/mesh/_peer_connectors.py
@@ -23,6 +23,7 @@
         self._random = random
         self._tasks_by_node_id: dict[str, tuple[str, object]] = {}
         self._first_dials_by_node_id: dict[str, Event] = {}
+        self._any_first_dial_ended = Event()
 
     def has(self, node_id: str) -> bool:
         """Return whether a task keeps a link to a node open."""
@@ -47,6 +48,10 @@
         if first_dial is not None:
             first_dial.wait(timeout=timeout_s)
 
+    def wait_for_any_first_dial(self, *, timeout_s: float) -> None:
+        """Wait until any first dial that is in progress has ended."""
+        self._any_first_dial_ended.wait(timeout=timeout_s)
+
     def is_opening(self, node_id: str) -> bool:
         """Return whether the first dial of a connector is in progress.
 
@@ -58,7 +63,9 @@
     def stop_connector(self, node_id: str) -> None:
         """Stop dialling a node; an open link stays until the peer closes it."""
         _, task = self._tasks_by_node_id.pop(node_id, ("", None))
-        self._first_dials_by_node_id.pop(node_id, None)
+        first_dial = self._first_dials_by_node_id.pop(node_id, None)
+        if first_dial is not None:
+            self._end_first_dial(first_dial)
         if task is not None:
             eventlet.spawn_n(task.kill)
 
@@ -74,19 +81,21 @@
                 self._links.connect(member)
                 emit(PeerReached(member.node_id))
                 failures = 0
-                _set(first_dial)
+                self._end_first_dial(first_dial)
                 self._links.wait_until_closed(member.peer_address)
                 emit(PeerLost(member.node_id, "link closed"))
                 eventlet.sleep(BASE_REDIAL_DELAY_S * self._random.random())
             except LinkClosedError as error:
                 failures += 1
-                _set(first_dial)
+                self._end_first_dial(first_dial)
                 if failures == 1:
                     emit(PeerLost(member.node_id, str(error)))
                 wait_s = min(BASE_REDIAL_DELAY_S * 2**failures, MAX_REDIAL_DELAY_S)
                 eventlet.sleep(wait_s * (0.5 + 0.5 * self._random.random()))
 
-
-def _set(event: Event) -> None:
-    if not event.ready():
-        event.send(True)
+    def _end_first_dial(self, first_dial: Event) -> None:
+        if first_dial.ready():
+            return
+        first_dial.send(True)
+        any_ended, self._any_first_dial_ended = self._any_first_dial_ended, Event()
+        any_ended.send(True)
--- a/src/verbenawick/mesh/_standing_links.py
+++ b/src/verbenawick/mesh/_standing_links.py
@@ -21,9 +21,8 @@
 # At a common start the records of the nodes arrive within a second. An earlier choice
 # from a part of them would make most nodes contacts.
 CONTACT_CHECK_INTERVAL_S = 1.0
-# Time for which a call waits for a link to another region, seconds: about five round
-# trips. A VM that is powered off never answers; the call then goes elsewhere, and the
-# connector goes on alone.
+# Time for which a call waits for a link to another region before it tries another node,
+# seconds: about five round trips. A VM that is powered off never answers.
 FIRST_DIAL_TIMEOUT_S = 0.1
 
 
@@ -86,10 +85,13 @@
         False while a lost link is dialled again, since the node is then probably down.
         """
         return not self.is_standing(endpoint) or (
-            endpoint.distance is Distance.REMOTE
-            and self._connectors.is_opening(endpoint.node_id)
+            endpoint.distance is Distance.REMOTE and self.is_opening(endpoint)
         )
 
+    def is_opening(self, endpoint: Endpoint) -> bool:
+        """Return whether the first dial of a node is in progress."""
+        return self._connectors.is_opening(endpoint.node_id)
+
     def open(self, endpoint: Endpoint) -> None:
         """Keep a link to a node open from now on; wait briefly for a new one."""
         if not self.is_standing(endpoint):
@@ -97,3 +99,7 @@
         self._connectors.wait_for_first_dial(
             endpoint.node_id, timeout_s=FIRST_DIAL_TIMEOUT_S
         )
+
+    def wait_for_any_dial(self, *, timeout_s: float) -> None:
+        """Wait until the first dial of any node has ended, or for `timeout_s`."""
+        self._connectors.wait_for_any_first_dial(timeout_s=timeout_s)
--- a/tests/test_mesh_peer_connectors.py
+++ b/tests/test_mesh_peer_connectors.py
@@ -48,3 +48,18 @@
         dials = self.client._peers_by_address[self.peer.peer_address]
         wait_until(dials.dial_lock.locked, 2)
         self.assertFalse(self.connectors.is_opening("server"))
+
+    def test_stop_of_a_connector_ends_the_wait_for_its_first_dial(self):
+        """Guards against calls that wait for a node that has left the mesh."""
+        peer = member("down", port=free_port())
+        self.listen_silently(peer.peer_address.rpartition(":")[2])
+        self.connectors.ensure_connector(peer)
+        waits = [
+            eventlet.spawn(self.connectors.wait_for_first_dial, "down", timeout_s=30),
+            eventlet.spawn(self.connectors.wait_for_any_first_dial, timeout_s=30),
+        ]
+        eventlet.sleep(0)
+        self.connectors.stop_connector("down")
+        with eventlet.Timeout(2):
+            for wait in waits:
+                wait.wait()
--- a/tests/test_mesh_standing_links.py
+++ b/tests/test_mesh_standing_links.py
@@ -117,6 +117,38 @@
         ]
         self.assertEqual([200] * 12, [call.wait().status for call in calls])
 
+    def test_calls_are_served_by_links_that_open_slowly(self):
+        """Guards against refusals while all links to another region are opening."""
+        entry = self.north[-1]
+        links = entry.server.node.links
+        connect = links.connect
+
+        def connect_slowly(member):
+            eventlet.sleep(0.8 * DIAL_TIMEOUT_S)
+            connect(member)
+
+        with mock.patch.object(links, "connect", connect_slowly):
+            calls = [
+                eventlet.spawn(self.cluster.call, entry, "/dispatch/1")
+                for _ in range(12)
+            ]
+            self.assertEqual([200] * 12, [call.wait().status for call in calls])
+
+    def test_call_is_refused_when_no_opening_link_opens(self):
+        """Guards against calls that wait for nodes that are down until the deadline."""
+        entry = self.north[-1]
+
+        def dial_powered_off_vm(member):
+            eventlet.sleep(DIAL_TIMEOUT_S)
+            raise LinkClosedError("timed out", step="link.dial", peer=member.node_id)
+
+        with mock.patch.object(entry.server.node.links, "connect", dial_powered_off_vm):
+            started_at = time.monotonic()
+            self.assertEqual(503, self.cluster.call(entry, "/dispatch/1").status)
+        waited_s = time.monotonic() - started_at
+        last_dial_s = (NODES_PER_REGION - 1) * FIRST_DIAL_TIMEOUT_S + DIAL_TIMEOUT_S
+        self.assertLess(waited_s, last_dial_s + DIAL_TIMEOUT_S)
+
     def test_call_is_served_when_nodes_of_the_other_region_are_gone(self):
         """The entry cannot know beforehand which nodes without a link are down."""
         for node in self.south[:-1]:
