Test that a link which delivers notices late is closed

The check of links that carry beacons also covers it where a link carries little else: with 1.5 s of delay in each direction the link is closed at its silence time-out. Without the call of CallLinks.check the test fails.

--- a/tests/silent_proxy.py
+++ b/tests/silent_proxy.py
@@ -1,4 +1,4 @@
-"""TCP proxy whose open connections can stop carrying data without a reset."""
+"""TCP proxy whose connections can go silent without a reset, or carry data late."""
 
 from contextlib import suppress
 
@@ -9,11 +9,18 @@
 
 
 class SilentProxy:
-    """Forwards connections to an address; must be closed at the end of the test."""
+    """Forwards connections to an address; must be closed at the end of the test.
+
+    Attributes
+    ----------
+    delay_s : float
+        Time for which data is held back, in each direction.
+    """
 
     def __init__(self, target: str):
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
+        self.delay_s = 0.0
         self._listener = eventlet.listen(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self._accepting = eventlet.spawn(self._accept)
@@ -46,5 +53,6 @@
     def _forward(self, source, target) -> None:
         with suppress(OSError):
             while data := source.recv(CHUNK_BYTES):
+                eventlet.sleep(self.delay_s)
                 target.sendall(data)
             target.shutdown(socket.SHUT_WR)
--- a/tests/test_call_links.py
+++ b/tests/test_call_links.py
@@ -6,6 +6,7 @@
 from testtools import TestCase
 
 from tests.call_support import free_port, member, wait_until
+from tests.silent_proxy import SilentProxy
 from verbenawick.errors import AnswerLostError, LinkClosedError, PeerSilentError
 from verbenawick.links._call_links import (
     ANSWERS_DROPPED,
@@ -466,6 +467,17 @@
         self.wait_until_silent()
         self.assertFalse(link.is_open)
 
+    def test_link_that_carries_notices_late_is_closed(self):
+        """Guards against beacons that confirm a version which is seconds old."""
+        proxy = SilentProxy(self.peer.peer_address)
+        self.addCleanup(proxy.close)
+        self.peer = member("server", port=proxy.address.rpartition(":")[2])
+        link = self.open_link()
+        proxy.delay_s = 1.5
+        self.client.check(link)
+        self.wait_until_silent()
+        self.assertFalse(link.is_open)
+
     def test_checked_link_that_answers_stays_open(self):
         """Guards against closing a link because no request is pending on it."""
         link = self.open_link()
