Repeat fuzzed requests that the process was paused before sending

The error is true, since nothing was sent, but the test took it for a failure, and a request that is not sent shifts the turns of the scripted upstream.

The request is now repeated, after a check that nothing of it reached the upstream.

--- a/tests/test_upstream_fuzz.py
+++ b/tests/test_upstream_fuzz.py
@@ -17,6 +17,7 @@
 from verbenawick.errors import (
     BadResponseError,
     CallTimeoutError,
+    DeadlineUnreachableError,
     UpstreamLostError,
     UpstreamShedError,
 )
@@ -176,13 +177,14 @@
                 if not (turn.is_same_request and request_id):
                     request_id = f"q{number}"
                 try:
-                    kind, raw = channels.exchange(
+                    kind, raw = self.exchange(
+                        upstream,
+                        channels,
                         request_id=request_id,
                         method="GET",
                         target="/x",
                         headers=(("Attempt-Id", request_id),),
                         body=b"",
-                        deadline=clock.now() + TIMEOUT_S,
                         classify=partial(classify, request_id=request_id),
                     )
                 except UNKNOWN_ERRORS:
@@ -213,12 +215,13 @@
         try:
             for turn in turns:
                 try:
-                    response = connections.exchange(
+                    response = self.exchange(
+                        upstream,
+                        connections,
                         method="GET",
                         target="/x",
                         headers=(("Host", "h"),),
                         body=b"",
-                        deadline=clock.now() + TIMEOUT_S,
                         max_body_bytes=1000,
                     )
                 except UpstreamShedError:
@@ -232,6 +235,20 @@
         finally:
             upstream.close()
 
+    def exchange(self, upstream, channels, **options):
+        """Exchange a request; repeat it if the process was paused until its deadline.
+
+        A request that is said to be unsent must not have reached the upstream.
+        """
+        while True:
+            taken = len(upstream.taken)
+            deadline = MonotonicClock().now() + TIMEOUT_S
+            try:
+                return channels.exchange(deadline=deadline, **options)
+            except DeadlineUnreachableError:
+                eventlet.sleep(0)
+                self.assertEqual(taken, len(upstream.taken))
+
     def check(self, turn: Turn, is_not_run: bool, body: bytes) -> None:
         """Check a conclusion about a request against what the upstream did with it."""
         self.assertEqual(not turn.runs, is_not_run)
