Let a node survive a change of its settings while it starts

What operators saw: a node that got SIGHUP in the first half second of its life ended (exit code -1) and was gone until its next restart.

Cause: the handler of SIGHUP was installed after the imports and after the settings had been read, and until then the signal ends a process. Beside it, a settings file that changed between its reading and the first poll was never read again, since the poll compared with the file as it found it.

SIGHUP is ignored from the first line of the program. It has its handler, and the state of the file is noted, before the settings are read.

test_signal_that_settings_changed_does_not_end_a_starting_node failed before. The missed change of the file is worked out, not shown.

--- a/src/verbenawick/platform/__main__.py
+++ b/src/verbenawick/platform/__main__.py
@@ -2,6 +2,7 @@
 
 import gc
 import os
+import signal
 import sys
 from argparse import ArgumentParser
 from pathlib import Path
@@ -12,6 +13,8 @@
 
 def main() -> int:
     """Run a node until a stop signal arrives; return the exit code."""
+    # The platform sends SIGHUP when the settings change, also while a node starts.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Imports create few objects that become garbage. `run_platform_node` enables the
     # collector again.
     gc.disable()
--- a/src/verbenawick/platform/_daemon.py
+++ b/src/verbenawick/platform/_daemon.py
@@ -38,13 +38,15 @@
     SettingsError
         The settings are invalid; no socket was opened.
     """
+    reload_causes: list[str] = []
+    signal.signal(signal.SIGHUP, lambda number, frame: reload_causes.append("signal"))
+    fingerprint = _file_fingerprint(path)
     settings = load_mesh_settings(path)
     output = LogOutput()
     configure_log_output(output, node_id=settings.node_id, level=settings.log_level)
     eventlet.spawn_n(output.run)
     server = NodeServer(settings)
     stop_requested = Event()
-    reload_causes: list[str] = []
 
     def request_stop(number, frame):
         if not stop_requested.ready():
@@ -52,9 +54,8 @@
 
     signal.signal(signal.SIGTERM, request_stop)
     signal.signal(signal.SIGINT, request_stop)
-    signal.signal(signal.SIGHUP, lambda number, frame: reload_causes.append("signal"))
     server.start()
-    eventlet.spawn_n(_watch_settings, server, path, reload_causes)
+    eventlet.spawn_n(_watch_settings, server, path, reload_causes, fingerprint)
     # A collection first would take a tenth of the processor time of the start, and free
     # 0.3 MB.
     gc.freeze()
@@ -66,9 +67,13 @@
     return 0
 
 
-def _watch_settings(server: NodeServer, path: Path, reload_causes: list[str]) -> None:
+def _watch_settings(
+    server: NodeServer,
+    path: Path,
+    reload_causes: list[str],
+    loaded_fingerprint: tuple[int, int],
+) -> None:
     """Reload the settings after SIGHUP and whenever the file has changed."""
-    loaded_fingerprint = _file_fingerprint(path)
     while True:
         eventlet.sleep(SETTINGS_POLL_INTERVAL_S)
         fingerprint = _file_fingerprint(path)
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -59,22 +59,61 @@
 main()
 """
 
+# Replaces the node by one that gets a signal as soon as its settings are about to be
+# read, while the rest of the program is still the real one.
+START_SCRIPT = """
+import os
+import signal
+import sys
+from types import ModuleType
+from verbenawick.platform.__main__ import main
 
-def test_no_garbage_collection_delays_the_start(tmp_path):
-    """Collections took a sixth of the processor time of a start."""
+daemon = ModuleType("daemon")
+daemon.run_platform_node = lambda path: os.kill(os.getpid(), signal.SIGHUP) or 0
+sys.modules["verbenawick.platform._daemon"] = daemon
+sys.exit(main())
+"""
+
+
+def write_settings(tmp_path):
+    """Write the settings of a node; its store's address refuses connections."""
     names = ("call", "peer", "readiness", "report", "metrics", "store")
     settings = {f"{name}_address": f"127.0.0.1:{free_port()}" for name in names}
     settings |= {"node_id": "n-1", "data_centre": "dc1", "region": "north"}
     settings["upstream"] = {"service": "s", "address": f"127.0.0.1:{free_port()}"}
     path = tmp_path / "node.json5"
     path.write_text(json.dumps(settings))
-    run = subprocess.run(
-        [sys.executable, "-W", "ignore", "-c", NODE_SCRIPT, "--settings", str(path)],
+    return str(path)
+
+
+def run_node_script(script, tmp_path):
+    """Run a script with the settings of a node, and return the ended process."""
+    return subprocess.run(
+        [
+            sys.executable,
+            "-W",
+            "ignore",
+            "-c",
+            script,
+            "--settings",
+            write_settings(tmp_path),
+        ],
         capture_output=True,
-        check=True,
         text=True,
         timeout=30,
     )
+
+
+def test_signal_that_settings_changed_does_not_end_a_starting_node(tmp_path):
+    """Guards against nodes that end when a change of their settings meets a start."""
+    run = run_node_script(START_SCRIPT, tmp_path)
+    assert run.returncode == 0, run.stderr
+
+
+def test_no_garbage_collection_delays_the_start(tmp_path):
+    """Collections took a sixth of the processor time of a start."""
+    run = run_node_script(NODE_SCRIPT, tmp_path)
+    assert run.returncode == 0, run.stderr
     assert "MeshNodeStarted" in run.stdout
     assert json.loads(run.stderr) == {"early": [], "is_enabled": True}
 
