Keep the exit code of a stop when further signals arrive at its end

What operators saw: a node that had stopped cleanly ended with -15, as if it had been killed, when SIGTERM was sent again at its very end.

Cause: the interpreter restores the default action of all handled signals when it ends; for some milliseconds after that a signal kills the process.

--- a/src/verbenawick/node/_daemon.py
+++ b/src/verbenawick/node/_daemon.py
@@ -12,11 +12,13 @@
 
 from verbenawick.node._node import Node
 from verbenawick.runtime._logging import configure_logging
+from verbenawick.runtime._signals import ignore_signals
 from verbenawick.settings._settings import load_settings
 
 # A full collection traverses all long-lived objects, few of which become garbage after
 # start-up, so it runs rarely. The younger generations are collected more often.
 GC_THRESHOLDS = (5_000, 20, 100)
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def run_node(path: Path) -> int:
@@ -41,12 +43,13 @@
         if not stop_signal.ready():
             stop_signal.send(number)
 
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
+    for number in STOP_SIGNALS:
+        signal.signal(number, on_signal)
     node.start()
     gc.collect()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
     stop_signal.wait()
     node.stop()
+    ignore_signals(STOP_SIGNALS)
     return 0
--- a/src/verbenawick/platform/_daemon.py
+++ b/src/verbenawick/platform/_daemon.py
@@ -23,11 +23,13 @@
 from verbenawick.mesh._log_output import LogOutput, configure_log_output
 from verbenawick.mesh._settings import load_mesh_settings
 from verbenawick.platform._node_server import NodeServer
+from verbenawick.runtime._signals import ignore_signals
 
 # After start-up few long-lived objects become garbage, so full collections are made
 # rare.
 GC_THRESHOLDS = (20_000, 20, 100)
 SETTINGS_POLL_INTERVAL_S = 1.0
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def run_platform_node(path: Path) -> int:
@@ -52,8 +54,8 @@
         if not stop_requested.ready():
             stop_requested.send(number)
 
-    signal.signal(signal.SIGTERM, request_stop)
-    signal.signal(signal.SIGINT, request_stop)
+    for number in STOP_SIGNALS:
+        signal.signal(number, request_stop)
     server.start()
     eventlet.spawn_n(_watch_settings, server, path, reload_causes, fingerprint)
     # A collection first would take a tenth of the processor time of the start, and free
@@ -64,6 +66,7 @@
     stop_requested.wait()
     server.stop()
     output.flush()
+    ignore_signals((*STOP_SIGNALS, signal.SIGHUP))
     return 0
 
 
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -3,6 +3,7 @@
 import json
 import subprocess
 import sys
+from contextlib import suppress
 
 from tests.call_support import free_port
 
@@ -110,6 +111,26 @@
     assert run.returncode == 0, run.stderr
 
 
+def test_further_stop_signals_do_not_change_the_exit_code(tmp_path):
+    """Guards against a clean stop that looks like a crash."""
+    node = subprocess.Popen(
+        [sys.executable, "-W", "ignore", "-m", "verbenawick.platform"]
+        + ["--settings", write_settings(tmp_path)],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    with node:
+        while "MeshNodeStarted" not in node.stdout.readline():
+            assert node.poll() is None
+        # The end of the interpreter takes some milliseconds.
+        while node.returncode is None:
+            node.terminate()
+            with suppress(subprocess.TimeoutExpired):
+                node.wait(timeout=0.0005)
+        assert "MeshNodeStopped" in node.stdout.read()
+    assert node.returncode == 0
+
+
 def test_no_garbage_collection_delays_the_start(tmp_path):
     """Collections took a sixth of the processor time of a start."""
     run = run_node_script(NODE_SCRIPT, tmp_path)
