--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -347,7 +347,7 @@
             max_cost=MAX_FURTHER_OFFER_COST if is_refused else math.inf,
         )
         if endpoint is not None:
-            self._count_offer(forwarded, progress)
+            self._charge_retry(forwarded, progress)
         return endpoint
 
     def _next_opened_endpoint(self, route, forwarded, progress) -> Endpoint | None:
@@ -369,7 +369,7 @@
                     and endpoint.state is UpstreamState.READY
                     and self._is_linked(endpoint)
                 ):
-                    self._count_offer(forwarded, progress)
+                    self._charge_retry(forwarded, progress)
                     return endpoint
             if progress.opening:
                 left_s = forwarded.deadline - self._clock.now()
@@ -384,7 +384,7 @@
         arrivals = progress.arrivals
         return not progress.is_retry or self._may_retry(route, forwarded, arrivals)
 
-    def _count_offer(self, forwarded, progress) -> None:
+    def _charge_retry(self, forwarded, progress) -> None:
         if progress.is_retry:
             self._budget.count_retry(forwarded.service, self._clock.now())
             self._metrics.count(RETRIES)
