Tighten two tests after the read-through; plainer names

The repeat of fuzzed requests would have hung if the channels always claimed that a deadline had passed; it now repeats only after the deadline has really passed, and fails otherwise. The test of further stop signals kills a node that does not stop, instead of waiting for good. The promise about unknown outcomes, an option of the soak, and two docstrings get plainer wording.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -103,10 +103,10 @@
             events = draw_schedule(
                 seed, seconds=options.seconds, planned_only=options.planned
             )
-        place = {"nodes": options.nodes, "folder": options.folder / str(seed)}
-        figures = run_seed(seed, events, **place)
+        run_options = {"nodes": options.nodes, "folder": options.folder / str(seed)}
+        figures = run_seed(seed, events, **run_options)
         if figures["violations"] and options.shrink:
-            needed = shrink_seed(seed, events, **place)
+            needed = shrink_seed(seed, events, **run_options)
             figures["needed"] = [asdict(event) for event in needed]
         print(json.dumps(figures), flush=True)
         is_kept = is_kept and not figures["violations"]
--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -137,7 +137,7 @@
 
 
 @register_promise
-def planned_faults_leave_no_doubt(history: History) -> Iterator[str]:
+def planned_faults_leave_outcomes_known(history: History) -> Iterator[str]:
     """Yield requests with an unknown outcome although no unplanned fault was near."""
     for attempt in history.attempts:
         if attempt.status in (500, 502, 504) and not any(
--- a/src/verbenawick/mesh/_peer_connectors.py
+++ b/src/verbenawick/mesh/_peer_connectors.py
@@ -49,7 +49,7 @@
             first_dial.wait(timeout=timeout_s)
 
     def wait_for_any_first_dial(self, *, timeout_s: float) -> None:
-        """Wait until any first dial that is in progress has ended."""
+        """Wait until one of the first dials has ended, or for `timeout_s`."""
         self._any_first_dial_ended.wait(timeout=timeout_s)
 
     def is_opening(self, node_id: str) -> bool:
--- a/src/verbenawick/mesh/_standing_links.py
+++ b/src/verbenawick/mesh/_standing_links.py
@@ -101,5 +101,5 @@
         )
 
     def wait_for_any_dial(self, *, timeout_s: float) -> None:
-        """Wait until the first dial of any node has ended, or for `timeout_s`."""
+        """Wait until one of the first dials has ended, or for `timeout_s`."""
         self._connectors.wait_for_any_first_dial(timeout_s=timeout_s)
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -4,9 +4,11 @@
 import subprocess
 import sys
 from contextlib import suppress
+from threading import Timer
 
 from tests.call_support import free_port
 
+STOP_TIMEOUT_S = 30
 # The daemon patches the standard library on import, so it must not be imported here.
 SCRIPT = """
 import json
@@ -60,8 +62,7 @@
 main()
 """
 
-# Replaces the node by one that gets a signal as soon as its settings are about to be
-# read, while the rest of the program is still the real one.
+# Sends SIGHUP to the program at the place where it would run the node.
 START_SCRIPT = """
 import os
 import signal
@@ -122,11 +123,14 @@
     with node:
         while "MeshNodeStarted" not in node.stdout.readline():
             assert node.poll() is None
+        watchdog = Timer(STOP_TIMEOUT_S, node.kill)
+        watchdog.start()
         # The end of the interpreter takes some milliseconds.
         while node.returncode is None:
             node.terminate()
             with suppress(subprocess.TimeoutExpired):
                 node.wait(timeout=0.0005)
+        watchdog.cancel()
         assert "MeshNodeStopped" in node.stdout.read()
     assert node.returncode == 0
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -44,7 +44,7 @@
         History([attempt(status=0)], [RUN], stops=[("node-1", 9.0)]),
         History([attempt(status=0)], [RUN], stops=[("node-1", 11.0)]),
     ],
-    "planned_faults_leave_no_doubt": [
+    "planned_faults_leave_outcomes_known": [
         History([attempt(status=502)], [RUN], disturbed=[(6.0, 6.5)]),
         History([attempt(status=504)], []),
     ],
--- a/tests/test_upstream_fuzz.py
+++ b/tests/test_upstream_fuzz.py
@@ -238,14 +238,17 @@
     def exchange(self, upstream, channels, **options):
         """Exchange a request; repeat it if the process was paused until its deadline.
 
-        A request that is said to be unsent must not have reached the upstream.
+        A request that is said to be unsent must not have reached the upstream, and its
+        deadline must have passed.
         """
+        clock = MonotonicClock()
         while True:
             taken = len(upstream.taken)
-            deadline = MonotonicClock().now() + TIMEOUT_S
+            deadline = clock.now() + TIMEOUT_S
             try:
                 return channels.exchange(deadline=deadline, **options)
             except DeadlineUnreachableError:
+                self.assertGreaterEqual(clock.now(), deadline)
                 eventlet.sleep(0)
                 self.assertEqual(taken, len(upstream.taken))
 
