--- a/review/standin/case.py
+++ b/review/standin/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import traceback
@@ -24,12 +25,17 @@
     with tempfile.TemporaryDirectory() as temporary:
         try:
             is_broken = asyncio.run(
-                asyncio.wait_for(
-                    play(record, Path(temporary), has_trouble), TIME_LIMIT_S
-                )
+                _play_in_time(play(record, Path(temporary), has_trouble))
             )
-        except Exception:
+        except (Exception, asyncio.CancelledError):
             record.say("the case could not run:", traceback.format_exc())
             sys.exit(NOT_RUN)
     record.say("rule broken" if is_broken else "rule held")
     sys.exit(BROKEN if is_broken else HELD)
+
+
+async def _play_in_time(play: Awaitable[bool]) -> bool:
+    """Run a case, which ends its processes also if this one is told to end."""
+    task = asyncio.ensure_future(play)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await asyncio.wait_for(task, TIME_LIMIT_S)
