--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -373,9 +373,12 @@
             await self.wait_until_ready()
             yield
         finally:
-            for task in self._tasks:
-                task.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+            pending = set(self._tasks)
+            while pending:
+                # Repeated, since `wait_for` of Python 3.11 can swallow a cancellation.
+                for task in pending:
+                    task.cancel()
+                _, pending = await asyncio.wait(pending, timeout=0.2)
             for machine in self.machines:
                 if machine.process is not None and machine.process.poll() is None:
                     machine.process.send_signal(signal.SIGCONT)
