--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -373,24 +373,32 @@
             await self.wait_until_ready()
             yield
         finally:
-            pending = set(self._tasks)
-            while pending:
-                # Repeated, since `wait_for` of Python 3.11 can swallow a cancellation.
-                for task in pending:
-                    task.cancel()
-                _, pending = await asyncio.wait(pending, timeout=0.2)
-            for machine in self.machines:
-                if machine.process is not None and machine.process.poll() is None:
-                    machine.process.send_signal(signal.SIGCONT)
-                    machine.process.kill()
-                    machine.process.wait()
-                with suppress(AttributeError):
-                    machine.backend.crash()
-            self.store.crash()
+            try:
+                await self._end_tasks()
+            finally:
+                self._end_processes()
             close_channels()
             # Lets the transports close before the event loop ends.
             await asyncio.sleep(0.1)
 
+    async def _end_tasks(self) -> None:
+        pending = set(self._tasks)
+        while pending:
+            # Repeated, since `wait_for` of Python 3.11 can swallow a cancellation.
+            for task in pending:
+                task.cancel()
+            _, pending = await asyncio.wait(pending, timeout=0.2)
+
+    def _end_processes(self) -> None:
+        for machine in self.machines:
+            if machine.process is not None and machine.process.poll() is None:
+                machine.process.send_signal(signal.SIGCONT)
+                machine.process.kill()
+                machine.process.wait()
+            with suppress(AttributeError):
+                machine.backend.crash()
+        self.store.crash()
+
     async def wait_until_ready(self) -> None:
         """Wait until all nodes are ready; raise `RuntimeError` if they are not."""
         deadline = monotonic() + READY_TIMEOUT_S
