Let a leave with an unknown start cover all late reports

Cause: a departure whose process start was unknown was kept with start 0, or with the start of the previous process at the address, so that each late report counted as one of a later process and made the upstream ready again.

Change: an unknown start covers every report of that id within the window for late reports. The start that is known of the previous process is reset with it, and the start of a candidate that waits for the record counts as known.

Result: `test_leave_before_the_first_report_forbids_late_reports`, `test_late_reports_are_ignored_if_the_start_of_the_departed_is_unknown` and `test_leave_before_the_record_is_read_keeps_the_start` failed before and pass.

--- a/src/verbenawick/mesh/_local_upstream.py
+++ b/src/verbenawick/mesh/_local_upstream.py
@@ -208,12 +208,13 @@
 
     def on_leave(self, upstream_id: str, now: float) -> None:
         """Handle an upstream's announcement that it leaves permanently."""
-        born_ms = self._born_ms if upstream_id == self.upstream_id else 0
+        born_ms = self._birth_of(upstream_id)
         self._departures_by_id[upstream_id] = (born_ms, now + LATE_REPORT_WINDOW_S)
         while len(self._departures_by_id) > MAX_DEPARTURES:
             self._departures_by_id.popitem(last=False)
         if upstream_id == self.upstream_id or not self.upstream_id:
             self._candidate = None
+            self._born_ms = born_ms
             self._update(
                 UpstreamState.GONE,
                 upstream_id,
@@ -253,7 +254,7 @@
     def on_other_upstream(self, upstream_id: str) -> None:
         """Handle evidence that requests for `upstream_id` reach another upstream."""
         if upstream_id == self.upstream_id and self.state is UpstreamState.READY:
-            self._sequence = -1
+            self._forget_process()
             self._update(
                 UpstreamState.UNKNOWN, "", self.service, self.slots, cause="other"
             )
@@ -263,9 +264,23 @@
         if address == self.address:
             return
         self.address = address
-        self._sequence = -1
+        self._forget_process()
         self._update(UpstreamState.UNKNOWN, "", service, self.slots, cause="settings")
 
+    def _forget_process(self) -> None:
+        """Reset what is known of the upstream's process; the next one is another."""
+        self._sequence = -1
+        self._born_ms = 0
+
+    def _birth_of(self, upstream_id: str) -> int:
+        """Return the start time of the process of `upstream_id`, 0 if unknown."""
+        if upstream_id == self.upstream_id:
+            return self._born_ms
+        candidate = self._candidate
+        if candidate is not None and upstream_id == candidate.upstream_id:
+            return candidate.born_ms
+        return 0
+
     def _find_ready(self, found: ReadyUpstream) -> None:
         if not self._awaits_record:
             self._set_ready(found)
@@ -292,7 +307,8 @@
         departed = self._departures_by_id.get(report.upstream_id)
         if departed is not None:
             born_ms, until = departed
-            if now < until and report.born_ms <= born_ms:
+            # If the start of the process that left is unknown, the report may be its.
+            if now < until and (not born_ms or report.born_ms <= born_ms):
                 return "departed"
         if report.upstream_id == self.upstream_id:
             if report.born_ms < self._born_ms:
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -162,6 +162,20 @@
         self.acknowledge_leave(lambda: self.b1.upstream.leave(self.b1.report_address))
         self.assertEqual("draining", self.stored_state(self.b1))
 
+    def test_leave_before_the_first_report_forbids_late_reports(self):
+        """Guards against calls after a leave that a restarted node got too early."""
+        self.b1.is_reporting = False
+        self.cluster.restart_node(self.b1)
+        self.acknowledge_leave(lambda: self.b1.upstream.leave(self.b1.report_address))
+        wait_until(lambda: self.b1.server.node.is_ready, 3)
+        late_report = self.b1.upstream.report(
+            self.b1.report_address, self.b1.upstream_address
+        )
+        self.assertEqual(200, late_report)
+        answer = self.cluster.call(self.b1, "/booking/1", method="POST", body=b"x")
+        self.assertEqual(503, answer.status)
+        self.assertEqual(0, sum(self.b1.upstream.runs_by_request.values()))
+
     def test_restarted_node_keeps_the_acknowledged_drain_of_a_healthy_upstream(self):
         """Guards against calls after a drain that only the previous process knew."""
         self.acknowledge_leave(
--- a/tests/test_mesh_local_upstream.py
+++ b/tests/test_mesh_local_upstream.py
@@ -166,6 +166,47 @@
         self.send_reports(report(sequence=2), now=LATE_REPORT_WINDOW_S + 1)
         self.assertEqual(READY, self.upstream.state)
 
+    def test_late_reports_are_ignored_if_the_start_of_the_departed_is_unknown(self):
+        """Guards against calls to an upstream that left before its first report."""
+        other = self.upstream.on_other_upstream
+        rows = (
+            ("unknown upstream", []),
+            ("known from a probe", [lambda: self.upstream.on_probe("u1", 4)]),
+            (
+                "another one is known",
+                [lambda: self.send_reports(report("u0", born=50))],
+            ),
+            (
+                "known from a probe after another one",
+                [
+                    lambda: self.send_reports(report("u0", born=50)),
+                    lambda: other("u0"),
+                    lambda: self.upstream.on_probe("u1", 4),
+                ],
+            ),
+            (
+                "unknown after another one",
+                [lambda: self.send_reports(report("u0", born=50)), lambda: other("u0")],
+            ),
+        )
+        for name, steps in rows:
+            self.upstream = LocalUpstream(
+                address=ADDRESS, service="s", on_change=lambda: None
+            )
+            other = self.upstream.on_other_upstream
+            for step in steps:
+                step()
+            self.upstream.on_leave("u1", 1.0)
+            self.send_reports(report(sequence=9), now=2.0)
+            self.assertNotEqual(
+                (READY, "u1"), (self.upstream.state, self.upstream.upstream_id), name
+            )
+            # The record is compared with reports that arrive after a restart.
+            if self.upstream.upstream_id == "u1":
+                self.assertEqual(0, self.upstream.born_ms, name)
+            self.send_reports(report(sequence=9), now=1.0 + LATE_REPORT_WINDOW_S)
+            self.assertEqual(READY, self.upstream.state, name)
+
     def test_gaps_between_reports_are_logged(self):
         """Without the line, failed calls of the upstream cannot be found in the log."""
         records = []
@@ -252,3 +293,13 @@
             leave()
             self.upstream.restore(None)
             self.assertTrue(self.upstream.is_leaving)
+
+    def test_leave_before_the_record_is_read_keeps_the_start(self):
+        """Guards against a successor with the same id that is taken for late."""
+        self.upstream.on_report(report(), 0.0)
+        self.upstream.on_leave("u1", 1.0)
+        self.assertEqual(100, self.upstream.born_ms)
+        self.upstream.on_report(report(born=200), 2.0)
+        self.assertEqual((GONE, "u1"), self.state())
+        self.upstream.restore(self.record(DRAINING))
+        self.assertEqual(READY, self.upstream.state)
