Apply the stored leave when the store answers after an outage

Callers would see requests reach a leaving upstream for as long as it runs, if its node was restarted while the store was away.

Cause: `LocalUpstream.skip_restore` uses an upstream that reports itself ready while the store is away, and from then on `restore` ignored the record, which the node then replaced.

Change: `restore` applies the leave of the process that is in use also after `skip_restore`.

Result: `test_leave_read_after_the_outage_applies` and `test_stored_leave_applies_once_the_store_answers` failed before and pass.

--- a/src/verbenawick/mesh/_local_upstream.py
+++ b/src/verbenawick/mesh/_local_upstream.py
@@ -142,20 +142,16 @@
             None if the store has no record of this node.
         """
         if not self._awaits_record:
+            # `skip_restore` allowed requests before the store answered.
+            if self.state is UpstreamState.READY and _has_left(record, self):
+                self._set_draining(self, record)
             return
         self._awaits_record = False
         found, self._candidate = self._candidate, None
         if found is None:
             return
-        if record is not None and _has_left(record, found):
-            self._born_ms = max(record.born_ms, found.born_ms)
-            self._update(
-                UpstreamState.DRAINING,
-                found.upstream_id,
-                found.service,
-                found.slots,
-                cause="record",
-            )
+        if _has_left(record, found):
+            self._set_draining(found, record)
         else:
             self._set_ready(found)
 
@@ -301,6 +297,19 @@
             cause=found.cause,
         )
 
+    def _set_draining(
+        self, found: "ReadyUpstream | LocalUpstream", record: UpstreamRecord
+    ) -> None:
+        """Apply the stored leave of an upstream that seemed to be ready."""
+        self._born_ms = max(record.born_ms, found.born_ms)
+        self._update(
+            UpstreamState.DRAINING,
+            found.upstream_id,
+            found.service,
+            found.slots,
+            cause="record",
+        )
+
     def _reason_to_ignore(self, report: StatusReport, now: float) -> str:
         if report.address != self.address:
             return "address"
@@ -367,10 +376,13 @@
         self._on_change()
 
 
-def _has_left(record: UpstreamRecord, found: ReadyUpstream) -> bool:
+def _has_left(
+    record: UpstreamRecord | None, found: ReadyUpstream | LocalUpstream
+) -> bool:
     """Return whether `record` says that the process of `found` is leaving."""
     return (
-        record.state is UpstreamState.DRAINING
+        record is not None
+        and record.state is UpstreamState.DRAINING
         and record.upstream_id == found.upstream_id
         and (not record.born_ms or found.born_ms <= record.born_ms)
     )
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -176,6 +176,17 @@
         self.assertEqual(503, answer.status)
         self.assertEqual(0, sum(self.b1.upstream.runs_by_request.values()))
 
+    def test_stored_leave_applies_once_the_store_answers(self):
+        """Guards against a leave that a node started in an outage never learns."""
+        self.acknowledge_leave(lambda: self.b1.upstream.leave(self.b1.report_address))
+        self.cluster.store.faults.status = 503
+        self.cluster.restart_node(self.b1)
+        self.b1.upstream.report(self.b1.report_address, self.b1.upstream_address)
+        wait_until(lambda: self.b1.server.node.upstream.state == "ready", 3)
+        self.cluster.store.faults.status = 0
+        wait_until(lambda: self.b1.server.node.upstream.state == "draining", 3)
+        self.assertEqual("draining", self.stored_state(self.b1))
+
     def test_restarted_node_keeps_the_acknowledged_drain_of_a_healthy_upstream(self):
         """Guards against calls after a drain that only the previous process knew."""
         self.acknowledge_leave(
--- a/tests/test_mesh_local_upstream.py
+++ b/tests/test_mesh_local_upstream.py
@@ -282,6 +282,21 @@
         self.upstream.skip_restore()
         self.assertEqual(READY, self.upstream.state)
 
+    def test_leave_read_after_the_outage_applies(self):
+        """Guards against a stored leave that is ignored once the store answers."""
+        rows = (
+            ("leaving", self.record(DRAINING), DRAINING),
+            ("an earlier process left", self.record(DRAINING, born=99), READY),
+            ("ready", self.record(READY), READY),
+            ("no record", None, READY),
+        )
+        for name, record, expected in rows:
+            self.restart()
+            self.upstream.on_report(report(), 0.0)
+            self.upstream.skip_restore()
+            self.upstream.restore(record)
+            self.assertEqual(expected, self.upstream.state, name)
+
     def test_leave_before_the_record_is_read_wins(self):
         """Guards against a ready candidate that replaces a later leave."""
         for leave in (
