Tell a crashing request from equal requests of other callers

Cause: a request's fingerprint left the caller out, so that completed reads of other callers counted for the crashing request. Completions were counted only at the gateway whose upstream ran the request and crashes at all nodes: gateways let the crashing request pass and the entries of other services refused the reads.

Change: the fingerprint includes the service of the caller, which a call now carries as a field in place of a header. A completion at any upstream shows that a request is harmless; entries note those of their own calls, and a gateway tells the other nodes from the second crash on, before they would refuse it.

--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -267,6 +267,7 @@
         forwarded = ForwardedCall(
             next_call_id(),
             call.call_id,
+            call.caller_service,
             service,
             route.name,
             call.method,
@@ -280,9 +281,13 @@
             call.arrived_at + min(route.objective_s, left_s),
         )
         self._budget.count_request(service, self._clock.now())
-        if self._guard.is_refused(fingerprint_of(forwarded), self._clock.now()):
+        fingerprint = fingerprint_of(forwarded)
+        if self._guard.is_refused(fingerprint, self._clock.now()):
             return self._refusal(call, route, service, QuarantinedError.code, [])
-        return self._dispatch(call, route, forwarded)
+        result = self._dispatch(call, route, forwarded)
+        if result.outcome is CallOutcome.COMPLETE:
+            self._guard.record_completion(fingerprint)
+        return result
 
     def _dispatch(
         self, call: IncomingCall, route: MeshRoute, forwarded: ForwardedCall
--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -88,6 +88,18 @@
     reason: str
 
 
+@register_event(724, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class UpstreamCrashed(LogEvent):
+    """The upstream closed the channel of a call and accepts no connections.
+
+    `requests` is the number of different requests that it was running.
+    """
+
+    upstream: str
+    requests: int
+
+
 @register_event(722, level="ERROR")
 @dataclass(frozen=True, slots=True)
 class GatewayError(LogEvent):
@@ -119,7 +131,7 @@
         ...
 
     def request_headers(
-        self, headers: Headers, *, upstream_id: str, left_s: float
+        self, headers: Headers, *, caller_service: str, upstream_id: str, left_s: float
     ) -> Headers:
         """Return request headers that allow only `upstream_id` to run the request."""
         ...
@@ -150,9 +162,12 @@
 
 
 def fingerprint_of(call: ForwardedCall) -> bytes:
-    """Return a hash of method, target and body, the same for equal requests."""
-    head = f"{call.method} {call.target}\n".encode("latin-1", "replace")
-    return xxh3_128_digest(head + call.body)
+    """Return a hash of caller, method, target and body, the same for equal requests.
+
+    Upstreams may treat equal requests of different callers differently.
+    """
+    head = f"{call.caller_service} {call.method} {call.target}\n"
+    return xxh3_128_digest(head.encode("latin-1", "replace") + call.body)
 
 
 class MeshGateway:
@@ -432,6 +447,7 @@
         upstream_id = self._upstream.upstream_id
         headers = self._protocol.request_headers(
             call.headers,
+            caller_service=call.caller_service,
             upstream_id=upstream_id,
             left_s=max(deadline - self._clock.now(), 0.001),
         )
@@ -484,6 +500,7 @@
         def confirm() -> None:
             if self._channels.is_reachable():
                 return
+            emit(UpstreamCrashed(upstream_id, len(fingerprints)))
             self._on_crash(fingerprints)
 
         eventlet.spawn_n(confirm)
--- a/src/verbenawick/mesh/_messages.py
+++ b/src/verbenawick/mesh/_messages.py
@@ -17,12 +17,15 @@
         Number chosen by the sender; the answer carries the same one.
     request_id : str
         The caller's id of this attempt.
+    caller_service : str
+        Service of the upstream on the VM where the call began.
     sent_at, deadline, objective_at : float
         Times on the sender's clock.
     """
 
     call_id: int
     request_id: str
+    caller_service: str
     service: str
     route: str
     method: str
@@ -74,3 +77,11 @@
 
     upstream_id: str
     fingerprints: tuple[bytes, ...]
+
+
+@register_message(101)
+@dataclass(frozen=True, slots=True)
+class HarmlessNotice(Message):
+    """A request completed although upstreams crashed while running equal ones."""
+
+    fingerprint: bytes
--- a/src/verbenawick/mesh/_model.py
+++ b/src/verbenawick/mesh/_model.py
@@ -148,6 +148,8 @@
     ----------
     call_id : str
         The caller's id of this attempt.
+    caller_service : str
+        Service of the upstream on this VM, where the call began.
     target : str
         Path and query as sent.
     host : str
@@ -161,6 +163,7 @@
     """
 
     call_id: str
+    caller_service: str
     method: str
     target: str
     path: str
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -20,7 +20,12 @@
 from verbenawick.mesh._followers import ConfigurationFollower
 from verbenawick.mesh._gateway import MeshGateway, UpstreamProtocol
 from verbenawick.mesh._local_upstream import LocalUpstream, ReadyUpstream
-from verbenawick.mesh._messages import CrashNotice, ForwardedCall, GatewayNotice
+from verbenawick.mesh._messages import (
+    CrashNotice,
+    ForwardedCall,
+    GatewayNotice,
+    HarmlessNotice,
+)
 from verbenawick.mesh._metrics_page import MetricsPage
 from verbenawick.mesh._model import (
     MeshConfiguration,
@@ -154,7 +159,7 @@
             # Traffic inside a data centre is free, so it is not compressed.
             is_compressed_to=lambda m: m.data_centre != settings.data_centre,
         )
-        guard = CrashGuard()
+        guard = CrashGuard(on_harmless=self._on_harmless)
         self._guard = guard
         self.channels = UpstreamChannels(
             settings.upstream.address,
@@ -203,6 +208,7 @@
         )
         self.links.register_notice(GatewayNotice, self._on_gateway_notice)
         self.links.register_notice(CrashNotice, self._on_crash_notice)
+        self.links.register_notice(HarmlessNotice, self._on_harmless_notice)
         relay = RelayState(node_id=settings.node_id)
         self._beacons = Beacons(
             region=settings.region,
@@ -502,7 +508,13 @@
         if is_new:
             self._forward(notice, sender=peer)
 
-    def _forward(self, notice: CrashNotice, *, sender: NodeIdentity) -> None:
+    def _on_harmless_notice(self, peer: NodeIdentity, notice: HarmlessNotice) -> None:
+        if self._guard.discard(notice.fingerprint):
+            self._forward(notice, sender=peer)
+
+    def _forward(
+        self, notice: CrashNotice | HarmlessNotice, *, sender: NodeIdentity
+    ) -> None:
         """Forward a notice to the nodes to which its sender may have no link."""
         region = self.settings.region
         is_from_own_region = sender.region == region
@@ -515,6 +527,9 @@
         self._guard.record_crash(notice.upstream_id, fingerprints, self.clock.now())
         self.links.notify_all(notice)
 
+    def _on_harmless(self, fingerprint: bytes) -> None:
+        self.links.notify_all(HarmlessNotice(fingerprint))
+
     def _on_upstream_change(self) -> None:
         self.gateway.on_upstream_change()
         self._prober.start_if_unknown()
--- a/src/verbenawick/platform/_calls.py
+++ b/src/verbenawick/platform/_calls.py
@@ -69,29 +69,29 @@
     query = environ.get("QUERY_STRING")
     return IncomingCall(
         request_id,
+        caller_service,
         environ["REQUEST_METHOD"],
         f"{path}?{query}" if query else path,
         path,
         environ.get("HTTP_HOST", "").partition(":")[0],
-        _forwarded_headers(environ, caller_service),
+        _forwarded_headers(environ),
         body,
         _parse_remaining_time_s(environ),
         now,
     )
 
 
-def _forwarded_headers(environ, caller_service: str) -> Headers:
+def _forwarded_headers(environ) -> Headers:
     dropped = _DROPPED_REQUEST_HEADERS
     connection = environ.get("HTTP_CONNECTION")
     if connection and connection.lower() not in ("keep-alive", "close"):
         # Connection names further hop-by-hop headers, which must not be forwarded.
         dropped = dropped | {name.strip().lower() for name in connection.split(",")}
-    headers = tuple(
+    return tuple(
         (name, value)
         for name, value in environ["headers_raw"]
         if name.lower() not in dropped
     )
-    return (*headers, (CALLER_SERVICE_HEADER, caller_service))
 
 
 def _parse_remaining_time_s(environ) -> float | None:
@@ -150,11 +150,12 @@
     id_header = REQUEST_ID_HEADER.lower()
 
     def request_headers(
-        self, headers: Headers, *, upstream_id: str, left_s: float
+        self, headers: Headers, *, caller_service: str, upstream_id: str, left_s: float
     ) -> Headers:
         """Return the headers of a request that only `upstream_id` may run."""
         return (
             *headers,
+            (CALLER_SERVICE_HEADER, caller_service),
             (REMAINING_TIME_HEADER, str(max(int(left_s * 1000), 1))),
             (EXPECTED_UPSTREAM_HEADER, upstream_id),
         )
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -2,6 +2,7 @@
 
 import json
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from http.client import HTTPConnection
 
@@ -22,6 +23,10 @@
         Whether requests are refused as not run.
     said_headers : list
         Further headers of all answers, in which the upstream tells of itself.
+    crashes_on : callable
+        Whether a request, given its WSGI environment, crashes the upstream.
+    on_crash : callable
+        Called when a request crashes the upstream; ends its listener.
     """
 
     upstream_id: str
@@ -38,6 +43,8 @@
     peak_running: int = 0
     sequence: int = 0
     born_ms: int = 1
+    crashes_on: Callable[[dict], bool] = lambda environ: False
+    on_crash: Callable[[], None] = lambda: None
 
     def serve(self, listener) -> None:
         """Serve on a listening socket until the green thread is killed."""
@@ -96,6 +103,10 @@
             key: value for key, value in environ.items() if key.startswith("HTTP_")
         }
         body = environ["wsgi.input"].read()
+        if self.crashes_on(environ):
+            self.on_crash()
+            environ["eventlet.input"].get_socket().shutdown(socket.SHUT_RDWR)
+            raise ConnectionAbortedError("the upstream crashed")
         self.running += 1
         self.peak_running = max(self.peak_running, self.running)
         try:
--- a/tests/mesh_cluster.py
+++ b/tests/mesh_cluster.py
@@ -182,6 +182,17 @@
         node.upstream_thread.kill()
         node.listener.close()
 
+    def revive_upstream(self, node: ClusterNode) -> None:
+        """Start a crashed upstream at its address, as a new process with a new id."""
+        host, _, port = node.upstream_address.rpartition(":")
+        upstream = node.upstream
+        upstream.upstream_id += "-next"
+        upstream.born_ms += 1
+        upstream.sequence = 0
+        node.listener = eventlet.listen((host, int(port)))
+        node.upstream_thread = eventlet.spawn(upstream.serve, node.listener)
+        node.is_reporting = True
+
     def wait_ready(self) -> None:
         """Wait until all nodes know the ready upstreams and have standing links."""
         expected = sum(node.state == "ready" for node in self.nodes)
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -10,6 +10,7 @@
 
 from tests.call_support import wait_until
 from tests.mesh_cluster import RECORD_KIND, MeshCluster, route, service
+from verbenawick.mesh._crash_guard import CRASH_THRESHOLD
 from verbenawick.mesh._node import SILENCE_CHECK_INTERVAL_S, STALL_LOGGED_S
 from verbenawick.mesh._node_events import ProcessStalled
 from verbenawick.mesh._request_rate import BURST_S
@@ -518,6 +519,49 @@
         statuses = [self.cluster.call(self.a1, "/archive/1").status for _ in range(6)]
         self.assertEqual([200] * 6, statuses)
 
+    def test_crashing_request_is_told_from_equal_requests_of_other_callers(self):
+        """Guards against a crashing request that passes, and reads that are refused."""
+        archive = [self.a1, self.a2, self.cluster.add_node("archive")]
+        version = self.configure(max_attempts=1)
+        self.cluster.wait_ready()
+        wait_until(lambda: self.lowest_version() == version, 3)
+        crashed = []
+        for node in archive:
+            node.upstream.crashes_on = lambda environ: (
+                environ["HTTP_CALLER_SERVICE"] == "archive"
+            )
+
+            def on_crash(node=node):
+                crashed.append(node)
+                self.cluster.crash_upstream(node)
+
+            node.upstream.on_crash = on_crash
+        for attempt in range(2 * CRASH_THRESHOLD):
+            sender = archive[attempt % len(archive)]
+            status = self.cluster.call(sender, "/archive/ducts/7").status
+            if attempt < CRASH_THRESHOLD:
+                self.assertEqual(502, status)
+                self.cluster.revive_upstream(crashed[-1])
+                self.cluster.wait_ready()
+                upstream_id = crashed[-1].upstream.upstream_id
+                wait_until(lambda id=upstream_id: self.is_known(id), 3)
+            else:
+                self.assertEqual(503, status)
+            for _ in range(3):
+                answer = self.cluster.call(self.b1, "/archive/ducts/7")
+                self.assertEqual(200, answer.status, f"after {len(crashed)} crashes")
+        self.assertEqual(CRASH_THRESHOLD, len(crashed))
+
+    def lowest_version(self):
+        entries = [node.server.node.entry for node in self.cluster.nodes]
+        return min(entry.configuration.version for entry in entries)
+
+    def is_known(self, upstream_id):
+        return all(
+            any(e.upstream_id == upstream_id for e in node.server.node.endpoints.all())
+            for node in self.cluster.nodes
+        )
+
     def test_request_past_its_deadline_is_answered_504(self):
         """Every request is answered by its deadline."""
         self.b1.upstream.service_time_s = 1.0
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -342,6 +342,28 @@
             guard.record_completion(b"f")
         self.assertFalse(guard.is_refused(b"f", 1.0))
 
+    def test_completion_is_shared_before_the_last_crash(self):
+        """Guards against harmless requests refused by nodes that run none of them."""
+        told = []
+        guard = CrashGuard(on_harmless=told.append)
+        guard.record_crash("u1", (b"f",), 1.0)
+        guard.record_completion(b"f")
+        self.assertEqual([], told)
+        guard.record_crash("u2", (b"f",), 1.0)
+        guard.record_completion(b"f")
+        guard.record_completion(b"f")
+        self.assertEqual([b"f"], told)
+
+    def test_request_that_completed_elsewhere_starts_anew(self):
+        """Guards against a refusal after crashes before a completion elsewhere."""
+        guard = CrashGuard()
+        for number in range(3):
+            guard.record_crash(f"u{number}", (b"f",), 1.0)
+        self.assertTrue(guard.discard(b"f"))
+        self.assertFalse(guard.discard(b"f"))
+        guard.record_crash("u4", (b"f",), 1.0)
+        self.assertFalse(guard.is_refused(b"f", 1.0))
+
     def test_refusal_expires(self):
         """The request is sent again after the upstreams may have been fixed."""
         guard = CrashGuard()
--- a/tests/test_mesh_gateway.py
+++ b/tests/test_mesh_gateway.py
@@ -34,6 +34,7 @@
     values = {
         "call_id": 1,
         "request_id": "q1",
+        "caller_service": "c",
         "service": "s",
         "route": "r",
         "method": "GET",
@@ -141,6 +142,15 @@
             self.assertFalse(result.has_arrived, code)
         self.assertEqual([], self.channels.sent)
 
+    def test_equal_requests_of_other_callers_are_told_apart(self):
+        """Guards against completions of others that let a crashing request pass."""
+        fingerprint = fingerprint_of(call(target="/crash"))
+        for number in range(CRASH_THRESHOLD):
+            self.guard.record_crash(f"u{number}", (fingerprint,), self.clock.now())
+            other = self.handle(target="/crash", caller_service="other")
+            self.assertEqual(CallOutcome.COMPLETE, other.outcome)
+        self.assertEqual(QuarantinedError.code, self.handle(target="/crash").code)
+
     def test_call_that_may_have_run_is_unknown(self):
         """If it were reported as not run, the caller would send it again."""
         for error_type in (UpstreamLostError, CallTimeoutError):
--- a/tests/test_platform_wire_format.py
+++ b/tests/test_platform_wire_format.py
@@ -189,9 +189,16 @@
                 HTTP_CONNECTION="X-Hop",
             )
         )
-        names = [name for name, _ in call.headers]
+        sent = PlatformUpstreamProtocol().request_headers(
+            call.headers,
+            caller_service=call.caller_service,
+            upstream_id="u1",
+            left_s=0.5,
+        )
+        names = [name for name, _ in sent]
         self.assertEqual(1, names.count("Caller-Service"))
-        self.assertIn(("Caller-Service", "own"), call.headers)
+        self.assertIn(("Caller-Service", "own"), sent)
+        names = [name for name, _ in call.headers]
         for name in ("Target-Instance", "Deadline-Remaining", "X-Hop", "Connection"):
             self.assertNotIn(name, names)
 
