Tell callers apart in the quarantine of the own interface

Callers of the own interface could see harmless requests refused, or a crashing request pass, where two services send equal requests.

Change: the fingerprint includes the service of the entry's VM.

Result: `test_equal_requests_of_another_service_are_served` failed before (no such argument) and passes; tests of the quarantine, the entry and the node pass.

--- a/bench/call_node.py
+++ b/bench/call_node.py
@@ -184,6 +184,7 @@
     )
     entry = EntryApplication(
         node_id=own.node_id,
+        service_id=SERVICE,
         table=lambda: table,
         dispatcher=dispatcher,
         tracer=tracer,
--- a/src/verbenawick/calls/_entry.py
+++ b/src/verbenawick/calls/_entry.py
@@ -89,6 +89,8 @@
 
     Parameters
     ----------
+    service_id : str
+        Service of the upstream on this VM, which is that of the callers.
     table : callable
         Returns the `RoutingTable` in force, None before the first one. A call is served
         with the table that was in force when it arrived.
@@ -98,6 +100,7 @@
         self,
         *,
         node_id: str,
+        service_id: str,
         table: Callable[[], RoutingTable | None],
         dispatcher: Dispatcher,
         tracer: Tracer,
@@ -106,6 +109,7 @@
         is_quarantined: Callable[[bytes], bool] = lambda fingerprint: False,
     ):
         self._node_id = node_id
+        self._service_id = service_id
         self._table = table
         self._dispatcher = dispatcher
         self._tracer = tracer
@@ -192,7 +196,7 @@
             )
         timeout_s = parse_timeout(environ, policy)
         body = read_body(environ, min(policy.max_body_bytes, MAX_MESSAGE_BODY_BYTES))
-        fingerprint = compute_fingerprint(method, target, body)
+        fingerprint = compute_fingerprint(self._service_id, method, target, body)
         if self._is_quarantined(fingerprint):
             raise QuarantinedError(
                 "equal requests crashed upstreams", step="entry.quarantine"
--- a/src/verbenawick/calls/_entry_request.py
+++ b/src/verbenawick/calls/_entry_request.py
@@ -78,9 +78,15 @@
     return number
 
 
-def compute_fingerprint(method: str, target: str, body: bytes) -> bytes:
-    """Return the hash that equal requests share."""
-    return xxh3_128_digest(f"{method} {target}\n".encode("latin-1") + body)
+def compute_fingerprint(
+    caller_service_id: str, method: str, target: str, body: bytes
+) -> bytes:
+    """Return the hash that equal requests of one service share.
+
+    Upstreams may treat equal requests of different callers differently.
+    """
+    head = f"{caller_service_id} {method} {target}\n"
+    return xxh3_128_digest(head.encode("latin-1", "replace") + body)
 
 
 def forwarded_headers(environ, *, default_host: str) -> Headers:
--- a/src/verbenawick/node/_node.py
+++ b/src/verbenawick/node/_node.py
@@ -272,6 +272,7 @@
         self.balancer = balancer
         self.entry_application = EntryApplication(
             node_id=settings.node_id,
+            service_id=settings.upstream.service,
             table=lambda: self.distribution.table,
             dispatcher=dispatcher,
             tracer=self.tracer,
--- a/tests/call_support.py
+++ b/tests/call_support.py
@@ -216,6 +216,7 @@
         )
         self.entry = EntryApplication(
             node_id=node_id,
+            service_id=SERVICE,
             table=lambda: table,
             dispatcher=self.dispatcher,
             tracer=tracer,
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 
 from tests.call_support import SERVICE, Caller, CallMesh, wait_until
+from verbenawick.calls._entry_request import compute_fingerprint
 from verbenawick.calls._quarantine import (
     MAX_SUSPECTS,
     QUARANTINE_S,
@@ -284,3 +285,19 @@
         wait_until(lambda: len(mesh.runs()) == 8)
         crashed = [u for u in mesh.upstreams if len(u.runs)]
         self.assertLessEqual(len(crashed), 4)
+
+    def test_equal_requests_of_another_service_are_served(self):
+        """Guards against harmless requests refused for crashes of another caller."""
+        mesh = CallMesh(nodes=1)
+        self.addCleanup(mesh.close)
+        node = mesh.nodes[0]
+        caller = Caller(node.call_address)
+        self.addCleanup(caller.close)
+        refused = []
+        node.entry._is_quarantined = refused.__contains__
+        self.assertEqual(200, caller.call("GET", "/a?other=1").status)
+        refused.append(compute_fingerprint("other", "GET", "/a?other=1", b""))
+        self.assertEqual(200, caller.call("GET", "/a?other=1").status)
+        refused.append(compute_fingerprint(SERVICE, "GET", "/a?other=1", b""))
+        response = caller.call("GET", "/a?other=1")
+        self.assertEqual("call.quarantined", response.code)
