Count the crashes of an upstream that keeps its id

Callers would see a request crash the only upstream of a service over and over.

Cause: the crash guard counts different upstreams by their id, and an upstream may start again under the id that it had, so that its crashes counted once.

Change: crashes are counted by process, which is the id and the start of the upstream.

Result: `test_crashes_of_an_upstream_that_keeps_its_id_are_counted` failed before (502 in place of 503 after the third crash) and passes.

--- a/src/verbenawick/calls/_quarantine.py
+++ b/src/verbenawick/calls/_quarantine.py
@@ -2,12 +2,12 @@
 
 Equal requests (same service of the caller, method, target and body) have the same
 fingerprint. When an upstream is lost while it runs a request, the entry reports a crash
-of the fingerprint, which is then a suspect. Reports go to the region relay through the relays. The region
-relays exchange suspects through ``quarantine/<region>`` in the store, and the suspects
-are distributed to all nodes. A fingerprint with at least `CRASH_THRESHOLD` crashes, and
-more crashes than completed runs, is refused until `QUARANTINE_S` after its last crash.
-Completed runs are counted because a frequent read is in flight whenever an upstream
-crashes for another reason.
+of the fingerprint, which is then a suspect. Reports go to the region relay through the
+relays. The region relays exchange suspects through ``quarantine/<region>`` in the
+store, and the suspects are distributed to all nodes. A fingerprint with at least
+`CRASH_THRESHOLD` crashes, and more crashes than completed runs, is refused until
+`QUARANTINE_S` after its last crash. Completed runs are counted because a frequent read
+is in flight whenever an upstream crashes for another reason.
 """
 
 from collections import OrderedDict
--- a/src/verbenawick/mesh/_crash_guard.py
+++ b/src/verbenawick/mesh/_crash_guard.py
@@ -1,7 +1,7 @@
 """Quarantine of requests that crash upstreams.
 
 A request that was running when an upstream crashed becomes a suspect. Equal requests
-(same caller, method, target and body) are refused once `CRASH_THRESHOLD` different
+(same caller, method, target and body) are refused once `CRASH_THRESHOLD` processes of
 upstreams crashed while running one. A frequent read is running during almost any crash,
 so a request that completes at any upstream is no suspect: a request that crashes
 upstreams crashes each one that runs it.
@@ -28,12 +28,12 @@
     """Equal requests crashed several upstreams and are refused from now on."""
 
     fingerprint: str
-    upstreams: str
+    processes: str
 
 
 @dataclass(slots=True)
 class _Suspect:
-    upstream_ids: set[str] = field(default_factory=set)
+    process_ids: set[str] = field(default_factory=set)
     has_completed: bool = False
     expires_at: float = 0.0
 
@@ -55,9 +55,9 @@
         self._suspects_by_fingerprint: OrderedDict[bytes, _Suspect] = OrderedDict()
 
     def record_crash(
-        self, upstream_id: str, fingerprints: tuple[bytes, ...], now: float
+        self, process_id: str, fingerprints: tuple[bytes, ...], now: float
     ) -> bool:
-        """Record a crash of `upstream_id` for each request that it was running.
+        """Record a crash of a process for each request that it was running.
 
         Returns
         -------
@@ -67,9 +67,9 @@
         is_new = False
         for fingerprint in fingerprints:
             suspect = self._suspects_by_fingerprint.setdefault(fingerprint, _Suspect())
-            if upstream_id not in suspect.upstream_ids:
+            if process_id not in suspect.process_ids:
                 is_new = True
-                suspect.upstream_ids.add(upstream_id)
+                suspect.process_ids.add(process_id)
                 _log_refusal(fingerprint, suspect)
             suspect.expires_at = now + SUSPECT_TTL_S
             self._suspects_by_fingerprint.move_to_end(fingerprint)
@@ -83,7 +83,7 @@
         if suspect is None:
             return
         suspect.has_completed = True
-        if len(suspect.upstream_ids) >= SHARED_THRESHOLD:
+        if len(suspect.process_ids) >= SHARED_THRESHOLD:
             self.discard(fingerprint)
             self._on_harmless(fingerprint)
 
@@ -99,13 +99,11 @@
         if now >= suspect.expires_at:
             del self._suspects_by_fingerprint[fingerprint]
             return False
-        return (
-            len(suspect.upstream_ids) >= CRASH_THRESHOLD and not suspect.has_completed
-        )
+        return len(suspect.process_ids) >= CRASH_THRESHOLD and not suspect.has_completed
 
 
 def _log_refusal(fingerprint: bytes, suspect: _Suspect) -> None:
     """Log that the latest crash makes equal requests be refused, if it does."""
-    if len(suspect.upstream_ids) == CRASH_THRESHOLD and not suspect.has_completed:
-        upstreams = ",".join(sorted(suspect.upstream_ids))
-        emit(CrashingRequestRefused(fingerprint.hex(), upstreams))
+    if len(suspect.process_ids) == CRASH_THRESHOLD and not suspect.has_completed:
+        processes = ",".join(sorted(suspect.process_ids))
+        emit(CrashingRequestRefused(fingerprint.hex(), processes))
--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -93,10 +93,11 @@
 class UpstreamCrashed(LogEvent):
     """The upstream closed the channel of a call and accepts no connections.
 
-    `requests` is the number of different requests that it was running.
+    `process` is the id and the start of the upstream; `requests` is the number of
+    different requests that it was running.
     """
 
-    upstream: str
+    process: str
     requests: int
 
 
@@ -176,8 +177,8 @@
     Parameters
     ----------
     on_crash : callable
-        Called with the fingerprints of the calls that were running when the upstream
-        crashed.
+        Called with the process of the upstream that crashed and the fingerprints of the
+        calls that it was running.
     observe : callable
         Called with the time that the upstream took for a call, in seconds.
     """
@@ -192,7 +193,9 @@
         guard: CrashGuard,
         clock: Clock,
         metrics: MetricSet,
-        on_crash: Callable[[tuple[bytes, ...]], None] = lambda fingerprints: None,
+        on_crash: Callable[
+            [str, tuple[bytes, ...]], None
+        ] = lambda process_id, fingerprints: None,
         observe: Callable[[float], None] = lambda seconds: None,
     ):
         self._observe = observe
@@ -478,7 +481,7 @@
                 self._on_answer(kind, answer)
             return kind, answer
         except UpstreamLostError:
-            self._report_crash(upstream_id)
+            self._report_crash()
             raise
         finally:
             self._running_fingerprints.pop(id(call), None)
@@ -493,15 +496,16 @@
         self._set_limit(self._protocol.rate_limit_of(answer), self._clock.now())
         self._grant_free_slots()
 
-    def _report_crash(self, upstream_id: str) -> None:
+    def _report_crash(self) -> None:
         """Report a crash if the upstream no longer accepts connections."""
+        process_id = self._upstream.process_id
         fingerprints = tuple(set(self._running_fingerprints.values()))
 
         def confirm() -> None:
             if self._channels.is_reachable():
                 return
-            emit(UpstreamCrashed(upstream_id, len(fingerprints)))
-            self._on_crash(fingerprints)
+            emit(UpstreamCrashed(process_id, len(fingerprints)))
+            self._on_crash(process_id, fingerprints)
 
         eventlet.spawn_n(confirm)
 
--- a/src/verbenawick/mesh/_local_upstream.py
+++ b/src/verbenawick/mesh/_local_upstream.py
@@ -128,6 +128,11 @@
         """Return the start time of the upstream's process, 0 if unknown."""
         return self._born_ms
 
+    @property
+    def process_id(self) -> str:
+        """Return what tells this process from others, also from those with its id."""
+        return f"{self.upstream_id}/{self._born_ms}"
+
     @property
     def candidate(self) -> ReadyUpstream | None:
         """Return the upstream that becomes ready unless `restore` forbids it."""
--- a/src/verbenawick/mesh/_messages.py
+++ b/src/verbenawick/mesh/_messages.py
@@ -73,9 +73,15 @@
 @register_message(93)
 @dataclass(frozen=True, slots=True)
 class CrashNotice(Message):
-    """Requests that were running when the sender's upstream crashed."""
+    """Requests that were running when the sender's upstream crashed.
 
-    upstream_id: str
+    Attributes
+    ----------
+    process_id : str
+        The process that crashed; another one may have the same upstream id.
+    """
+
+    process_id: str
     fingerprints: tuple[bytes, ...]
 
 
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -503,7 +503,7 @@
 
     def _on_crash_notice(self, peer: NodeIdentity, notice: CrashNotice) -> None:
         is_new = self._guard.record_crash(
-            notice.upstream_id, notice.fingerprints, self.clock.now()
+            notice.process_id, notice.fingerprints, self.clock.now()
         )
         if is_new:
             self._forward(notice, sender=peer)
@@ -522,9 +522,9 @@
             if (link.peer.region == region) != is_from_own_region:
                 self.links.notify(link, notice)
 
-    def _on_crash(self, fingerprints: tuple[bytes, ...]) -> None:
-        notice = CrashNotice(self.upstream.upstream_id, fingerprints)
-        self._guard.record_crash(notice.upstream_id, fingerprints, self.clock.now())
+    def _on_crash(self, process_id: str, fingerprints: tuple[bytes, ...]) -> None:
+        notice = CrashNotice(process_id, fingerprints)
+        self._guard.record_crash(process_id, fingerprints, self.clock.now())
         self.links.notify_all(notice)
 
     def _on_harmless(self, fingerprint: bytes) -> None:
--- a/tests/mesh_cluster.py
+++ b/tests/mesh_cluster.py
@@ -182,11 +182,12 @@
         node.upstream_thread.kill()
         node.listener.close()
 
-    def revive_upstream(self, node: ClusterNode) -> None:
-        """Start a crashed upstream at its address, as a new process with a new id."""
+    def revive_upstream(self, node: ClusterNode, *, keeps_id: bool = False) -> None:
+        """Start a crashed upstream at its address, as a new process."""
         host, _, port = node.upstream_address.rpartition(":")
         upstream = node.upstream
-        upstream.upstream_id += "-next"
+        if not keeps_id:
+            upstream.upstream_id += "-next"
         upstream.born_ms += 1
         upstream.sequence = 0
         node.listener = eventlet.listen((host, int(port)))
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -552,6 +552,27 @@
                 self.assertEqual(200, answer.status, f"after {len(crashed)} crashes")
         self.assertEqual(CRASH_THRESHOLD, len(crashed))
 
+    def test_crashes_of_an_upstream_that_keeps_its_id_are_counted(self):
+        """Guards against a request that crashes one upstream over and over."""
+        upstream = self.b1.upstream
+        crashes = []
+
+        def on_crash():
+            crashes.append(upstream.born_ms)
+            self.cluster.crash_upstream(self.b1)
+
+        upstream.crashes_on = lambda environ: True
+        upstream.on_crash = on_crash
+        for attempt in range(CRASH_THRESHOLD + 1):
+            answer = self.cluster.call(self.a1, "/booking/1", method="POST", body=b"x")
+            if attempt < CRASH_THRESHOLD:
+                self.assertEqual(502, answer.status)
+                self.cluster.revive_upstream(self.b1, keeps_id=True)
+                born_ms, mesh = upstream.born_ms, self.b1.server.node
+                wait_until(lambda b=born_ms, m=mesh: m.upstream.born_ms == b, 3)
+        self.assertEqual(503, answer.status)
+        self.assertEqual(CRASH_THRESHOLD, len(crashes))
+
     def lowest_version(self):
         entries = [node.server.node.entry for node in self.cluster.nodes]
         return min(entry.configuration.version for entry in entries)
