Free the bytes of an answer without end at once

Callers would lose the requests of a whole node: an upstream whose answers do not end, in their bodies, made its node run out of memory, and the platform killed it.

Cause: `exchange` kept the parser's error in a variable, which formed a reference cycle with its traceback, and a reader and its parser refer to each other. So each rejected answer, up to 7.75 MB, stayed in memory until the next garbage collection, which the daemon makes rare. The limits counted these bytes as freed. Answers lost or late half-way were kept in the same way.

Change: a closed channel frees what its reader holds, and the reason of an error is found in a function of its own.

Result: `test_incomplete_answers_are_freed_at_once` (34.8 MB held after four rejected answers, 2.0 MB allowed) and `test_many_answers_without_end_fit_into_the_memory` (103 MB for 32 answers at once, 65 MB allowed) failed before and pass.

--- a/src/verbenawick/mesh/_upstream_channels.py
+++ b/src/verbenawick/mesh/_upstream_channels.py
@@ -133,6 +133,12 @@
         self._buffered.total -= self._body_bytes
         self._body_bytes = 0
 
+    def close(self) -> None:
+        """Free what was received; the reader and its parser refer to each other."""
+        self.free_body()
+        self.complete.clear()
+        self.current = self._parser = None
+
     def skip(self) -> None:
         """Count an answer that was taken from `complete` and belongs elsewhere."""
         self._skipped += 1
@@ -222,6 +228,7 @@
     def close(self) -> None:
         self.waiter.close()
         self.sock.close()
+        self.reader.close()
 
 
 class UpstreamChannels:
@@ -315,10 +322,8 @@
                 peer=self._address,
             ) from error
         except (HttpParserError, ValueError) as error:
-            # The parser wraps the errors of its callbacks.
-            reason = error.__context__ or error
             raise BadResponseError(
-                str(reason) or type(reason).__name__,
+                _reason_of(error),
                 step="upstream.exchange",
                 peer=self._address,
             ) from error
@@ -470,6 +475,16 @@
     """Raised by the timer of an exchange."""
 
 
+def _reason_of(error: Exception) -> str:
+    """Return why an answer is invalid; the parser wraps the errors of its callbacks.
+
+    A caller that kept the error in a variable would form a reference cycle with its
+    traceback, which keeps the answer until the next garbage collection.
+    """
+    reason = error.__context__ or error
+    return str(reason) or type(reason).__name__
+
+
 def _has_unread_data(reader: _AnswerReader) -> bool:
     return bool(reader.complete) or reader.current is not None
 
--- a/tests/test_mesh_upstream_channels.py
+++ b/tests/test_mesh_upstream_channels.py
@@ -1,15 +1,20 @@
 """Tests of upstream answers that are late, duplicate, truncated or malformed."""
 
+import gc
+import tracemalloc
 from contextlib import suppress
 from functools import partial
 
 import eventlet
 from eventlet.green import socket
+from greenlet import GreenletExit
 from testtools import TestCase
 
+from tests.call_support import wait_until
 from verbenawick.errors import (
     BadCallError,
     BadResponseError,
+    CallError,
     CallTimeoutError,
     DeadlineUnreachableError,
     UpstreamLostError,
@@ -74,8 +79,9 @@
     def script(self, *channels):
         """Serve connections one after the other, each by a list of steps.
 
-        A step is ``"request"`` (read one), bytes to send, a pause in seconds, or
-        ``"reset"`` (close with a TCP reset).
+        A step is ``"request"`` (read one), bytes to send, a pause in seconds,
+        ``"reset"`` (close with a TCP reset), or further steps by a part of the request,
+        which is read first.
         """
 
         def serve():
@@ -95,6 +101,9 @@
                 self.requests.append(sock.recv(65536))
             elif isinstance(step, float):
                 eventlet.sleep(step)
+            elif isinstance(step, dict):
+                request = sock.recv(65536)
+                self.take_steps(sock, next(step[i] for i in step if i in request))
             elif step == "reset":
                 sock.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
@@ -366,16 +375,14 @@
         thread = eventlet.spawn(serve)
         self.addCleanup(thread.kill)
 
-    def test_answers_without_end_are_rejected_early(self):
-        """Guards against an upstream that fills the memory of its node."""
+    def endless_answers(self):
+        """Return head, repeated part and limit of answers that do not end, by name."""
         ok = b"HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\n"
         chunked = ok + b"Transfer-Encoding: chunked\r\n\r\n"
         line = b"x" * 16_384
         interim = b"HTTP/1.1 100 Continue\r\nX: " + line + b"\r\n\r\n"
         other = answer("q0", b"x" * 16_384)
-        # Bytes that may arrive before the limit is noticed: the buffers of the sockets.
-        slack = 8 * 1024 * 1024
-        cases = {
+        return {
             "header line": (ok + b"X: ", line, MAX_HEAD_BYTES),
             "header lines": (ok, b"X: " + line + b"\r\n", MAX_HEAD_BYTES),
             "header fields": (ok, b"a:b\r\n" * 1000, MAX_HEADER_FIELDS * 5000),
@@ -388,13 +395,84 @@
             "body": (ok + b"Content-Length: 99999999999\r\n\r\n", line, MAX_BODY_BYTES),
             "answers to others": (b"", other, MAX_SKIPPED_ANSWERS * len(other)),
         }
-        for name, (head, part, limit) in cases.items():
+
+    def test_answers_without_end_are_rejected_early(self):
+        """Guards against an upstream that fills the memory of its node."""
+        # Bytes that may arrive before the limit is noticed: the buffers of the sockets.
+        slack = 8 * 1024 * 1024
+        for name, (head, part, limit) in self.endless_answers().items():
             self.endless(head, part)
             error = self.assertRaises(BadResponseError, self.exchange, timeout_s=20)
             self.assertRegex(error.message, "exceed|more than", name)
             self.assertLess(self.sent_bytes, limit + slack, name)
             self.assertEqual(0, self.channels.open_count, name)
 
+    def test_many_answers_without_end_fit_into_the_memory(self):
+        """Guards against an upstream that fills the memory on all channels at once."""
+        count = 32
+        self.channels = self.channels_to(self.address, max_channels=count)
+        for name, (head, part, _) in self.endless_answers().items():
+            self.serve_endless(head, part, count)
+            tracemalloc.start()
+            threads = [eventlet.spawn(self.outcome_of_exchange) for _ in range(count)]
+            outcomes = {thread.wait() for thread in threads}
+            _, peak_bytes = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            self.assertEqual({"BadResponseError"}, outcomes, name)
+            self.assertLess(peak_bytes, 2 * MAX_BUFFERED_BYTES, name)
+            self.assertEqual(0, self.channels.open_count, name)
+
+    def serve_endless(self, head: bytes, part: bytes, count: int):
+        """Serve `count` connections at the same time with answers that do not end."""
+
+        def answer_without_end(sock):
+            sock.recv(65536)
+            with suppress(OSError):
+                sock.sendall(head)
+                while True:
+                    sock.sendall(part)
+            sock.close()
+
+        def serve():
+            socks = [self.listener.accept()[0] for _ in range(count)]
+            for sock in socks:
+                eventlet.spawn(answer_without_end, sock)
+
+        thread = eventlet.spawn(serve)
+        self.addCleanup(thread.kill)
+
+    def test_incomplete_answers_are_freed_at_once(self):
+        """Guards against bodies that fill the memory until a garbage collection."""
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"
+        # Small pieces, since `sendall` copies the rest of what it sends.
+        half = [b"x" * 16_384] * (MAX_BODY_BYTES // 2 // 16_384)
+        steps_by_outcome = {
+            "BadResponseError": [head, *half, *half, *half],
+            "UpstreamLostError": [head, *half],
+            "CallTimeoutError": [head, *half, 20.0],
+            "cancelled": [head, *half, 20.0],
+        }
+        self.serve_at_once(
+            [{name.encode(): steps for name, steps in steps_by_outcome.items()}]
+        )
+        gc.disable()
+        self.addCleanup(gc.enable)
+        for name in steps_by_outcome:
+            exchange = partial(self.outcome_of_exchange, name, timeout_s=0.3)
+            tracemalloc.start()
+            for _ in range(4):
+                thread = eventlet.spawn(exchange)
+                if name == "cancelled":
+                    eventlet.sleep(0.1)
+                    thread.kill()
+                    self.assertRaises(GreenletExit, thread.wait)
+                else:
+                    self.assertEqual(name, thread.wait())
+            del thread
+            held_bytes, _ = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            self.assertLess(held_bytes, MAX_BODY_BYTES // 4, name)
+
     def test_bodies_on_all_channels_together_are_limited(self):
         """Guards against filling the memory with one large answer for each slot."""
         count = MAX_BUFFERED_BYTES // MAX_BODY_BYTES + 1
@@ -410,18 +488,24 @@
     def serve_at_once(self, steps):
         """Serve all connections by the same steps at the same time."""
 
+        def take_and_close(sock):
+            with suppress(BrokenPipeError, ConnectionResetError):
+                self.take_steps(sock, steps)
+            sock.close()
+
         def serve():
             while True:
                 sock, _ = self.listener.accept()
-                eventlet.spawn(self.take_steps, sock, steps)
+                eventlet.spawn(take_and_close, sock)
 
         thread = eventlet.spawn(serve)
         self.addCleanup(thread.kill)
 
-    def outcome_of_exchange(self):
+    def outcome_of_exchange(self, request_id="q1", *, timeout_s=20):
+        headers = (("Attempt-Id", request_id),)
         try:
-            self.exchange(timeout_s=20)
-        except BadResponseError as error:
+            self.exchange(request_id, headers=headers, timeout_s=timeout_s)
+        except CallError as error:
             return type(error).__name__
         return "complete"
 
