Keep small answers when faulty ones fill the space for bodies

Callers got 502 for sound answers while the same upstream sent large ones on other channels.

Cause: beyond the limit for the bodies on all channels, the answer whose bytes arrived next was rejected, whatever its own size.

Change: an answer of which at most 64 KiB have arrived is not rejected for the size of others.

Result: `test_sound_answers_arrive_beside_answers_without_end` failed before and passes.

--- a/src/verbenawick/mesh/_upstream_channels.py
+++ b/src/verbenawick/mesh/_upstream_channels.py
@@ -49,6 +49,8 @@
 MAX_BODY_BYTES = MAX_MESSAGE_BODY_BYTES
 # Bodies being received on all channels together.
 MAX_BUFFERED_BYTES = 4 * MAX_BODY_BYTES
+# Received part of a body up to which it is not rejected for the size of the others.
+SMALL_BODY_BYTES = 64 * 1024
 # Heads, interim responses and trailers.
 MAX_HEAD_BYTES = 128 * 1024
 MAX_HEADER_FIELDS = 256
@@ -194,7 +196,10 @@
         self._buffered.total += len(data)
         if self._body_bytes > MAX_BODY_BYTES:
             raise ValueError(f"answer body exceeds {MAX_BODY_BYTES} bytes")
-        if self._buffered.total > MAX_BUFFERED_BYTES:
+        if (
+            self._buffered.total > MAX_BUFFERED_BYTES
+            and self._body_bytes > SMALL_BODY_BYTES
+        ):
             raise ValueError(
                 f"bodies on all channels exceed {MAX_BUFFERED_BYTES} bytes"
             )
--- a/tests/test_mesh_upstream_channels.py
+++ b/tests/test_mesh_upstream_channels.py
@@ -473,6 +473,24 @@
             tracemalloc.stop()
             self.assertLess(held_bytes, MAX_BODY_BYTES // 4, name)
 
+    def test_sound_answers_arrive_beside_answers_without_end(self):
+        """Guards against sound answers rejected for the size of faulty ones."""
+        count = MAX_BUFFERED_BYTES // MAX_BODY_BYTES + 1
+        self.channels = self.channels_to(self.address, max_channels=count + 1)
+        steps_by_id = {
+            b"large": [answer("large", b"x" * (MAX_BODY_BYTES - 1))[:-1], 20.0],
+            b"small": [answer("small", b"x" * 1000)],
+        }
+        self.serve_at_once([steps_by_id])
+        outcomes = [
+            eventlet.spawn(self.outcome_of_exchange, "large") for _ in range(count)
+        ]
+        wait_until(lambda: sum(outcome.dead for outcome in outcomes) == 1, 10)
+        others_bytes = (count - 1) * (MAX_BODY_BYTES - 2)
+        wait_until(lambda: self.channels._buffered.total == others_bytes, 10)
+        headers = (("Attempt-Id", "small"),)
+        self.assertEqual(1000, len(self.exchange("small", headers=headers).body))
+
     def test_bodies_on_all_channels_together_are_limited(self):
         """Guards against filling the memory with one large answer for each slot."""
         count = MAX_BUFFERED_BYTES // MAX_BODY_BYTES + 1
