Close idle connections of callers after the configured time

Cause: `idle_timeout_ms` was decoded and used nowhere. Idle connections were kept for 75 s, so that 1,024 of them, the most that a node serves, kept all others out.

Change: the configuration names the time, which is asked for each time a connection becomes idle. The own interface keeps its 75 s.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -7,6 +7,7 @@
 """
 
 import socket
+from collections.abc import Callable
 from http.client import HTTPMessage
 
 from eventlet import Timeout, wsgi
@@ -102,12 +103,21 @@
     ----------
     connections : set of CallerProtocol
         Open connections of the server, to which this one adds itself.
+    idle_timeout_s : callable
+        Returns the time after which the connection is closed if it is idle, in seconds.
+        By default the time set for the server applies.
     """
 
     def __init__(
-        self, conn_state, server, *, connections: set["CallerProtocol"] | None = None
+        self,
+        conn_state,
+        server,
+        *,
+        connections: set["CallerProtocol"] | None = None,
+        idle_timeout_s: Callable[[], float] | None = None,
     ):
         self._connections = set() if connections is None else connections
+        self._idle_timeout_s = idle_timeout_s
         self._is_last_request = False
         super().__init__(conn_state, server)
 
@@ -138,6 +148,9 @@
             self.conn_state[2] = wsgi.STATE_REQUEST
 
     def _read_request_line(self):
+        if self._idle_timeout_s is not None:
+            # Also the time that responses announce in `Keep-Alive`.
+            self.server.keepalive = self._idle_timeout_s()
         line = super()._read_request_line()
         if self.conn_state[2] == wsgi.STATE_CLOSE and not self._is_last_request:
             # The connection has been shut down, so the response would be lost.
--- a/src/verbenawick/calls/_entry_server.py
+++ b/src/verbenawick/calls/_entry_server.py
@@ -1,5 +1,6 @@
 """HTTP server of the entry role, based on eventlet's WSGI server."""
 
+from collections.abc import Callable
 from contextlib import suppress
 from functools import partial
 from typing import Protocol
@@ -14,7 +15,8 @@
 from verbenawick.runtime._sockets import listen
 
 MAX_CONNECTIONS = 1024
-# Idle connections of callers are closed after this time.
+# Idle connections of callers are closed after this time unless the configuration names
+# another one.
 KEEP_ALIVE_TIMEOUT_S = 75.0
 # The connection of a caller that neither sends nor reads for this long within a request
 # is closed.
@@ -46,11 +48,24 @@
     """HTTP server of the entry role.
 
     Serves from `start` until `stop`, which finishes the calls in flight first.
+
+    Parameters
+    ----------
+    idle_timeout_s : callable
+        Returns the time after which an idle connection is closed, in seconds. It is
+        asked whenever a connection becomes idle.
     """
 
-    def __init__(self, application: StoppableApplication, *, max_connections: int = 0):
+    def __init__(
+        self,
+        application: StoppableApplication,
+        *,
+        max_connections: int = 0,
+        idle_timeout_s: Callable[[], float] = lambda: KEEP_ALIVE_TIMEOUT_S,
+    ):
         self._application = application
         self._max_connections = max_connections or MAX_CONNECTIONS
+        self._idle_timeout_s = idle_timeout_s
         self._listener = None
         self._thread = None
         self._connections: set[CallerProtocol] = set()
@@ -68,7 +83,11 @@
         wsgi.server(
             self._listener,
             self._application,
-            protocol=partial(CallerProtocol, connections=self._connections),
+            protocol=partial(
+                CallerProtocol,
+                connections=self._connections,
+                idle_timeout_s=self._idle_timeout_s,
+            ),
             log_output=False,
             debug=False,
             max_size=self._max_connections,
--- a/src/verbenawick/platform/_node_server.py
+++ b/src/verbenawick/platform/_node_server.py
@@ -7,6 +7,7 @@
 
 from verbenawick.calls._caller_protocol import CallerProtocol
 from verbenawick.calls._entry_server import EntryServer
+from verbenawick.mesh._model import RequestLimits
 from verbenawick.mesh._node import SHUTDOWN_DELAY_S, MeshNode
 from verbenawick.mesh._settings import MeshSettings
 from verbenawick.platform._calls import PlatformUpstreamProtocol
@@ -56,7 +57,9 @@
             caller_service=lambda: self.node.caller_service,
             observe=self.node.metrics_page.observe_call,
         )
-        self._entry_server = EntryServer(self.application)
+        self._entry_server = EntryServer(
+            self.application, idle_timeout_s=self._idle_timeout_s
+        )
         self._auxiliary_threads = []
         self._auxiliary_listeners = []
 
@@ -90,6 +93,11 @@
         )
         self._close_auxiliary_servers()
 
+    def _idle_timeout_s(self) -> float:
+        configuration = self.node.entry.configuration
+        limits = configuration.limits if configuration else RequestLimits()
+        return limits.idle_timeout_s
+
     def kill(self) -> None:
         """Close all sockets immediately, as a crash of the process would."""
         self._entry_server.close()
--- a/tests/mesh_cluster.py
+++ b/tests/mesh_cluster.py
@@ -48,13 +48,14 @@
     return {"resource_type": "services", "metadata": {"name": name}, "spec": spec}
 
 
-def limits() -> dict:
+def limits(**spec) -> dict:
     """Return the limits resource of the platform's configuration."""
     spec = {
         "max_header_bytes": 16384,
         "max_body_bytes": 1048576,
         "header_timeout_ms": 3000,
         "idle_timeout_ms": 15000,
+        **spec,
     }
     return {"resource_type": "limits", "metadata": {}, "spec": spec}
 
@@ -110,6 +111,7 @@
     store: StandinPlatformStore = field(default_factory=StandinPlatformStore)
     nodes: list[ClusterNode] = field(default_factory=list)
     resources: list[dict] = field(default_factory=list)
+    limits_spec: dict = field(default_factory=dict)
     version: int = 0
     _threads: list = field(default_factory=list)
 
@@ -121,7 +123,10 @@
     def configure(self, *resources: dict) -> int:
         """Store a configuration of these resources and return its version."""
         self.version += 1
-        content = {"version": self.version, "resources": [*resources, limits()]}
+        content = {
+            "version": self.version,
+            "resources": [*resources, limits(**self.limits_spec)],
+        }
         self.store.put(CONFIG_KIND, "main", content)
         return self.version
 
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -4,6 +4,7 @@
 from time import monotonic
 
 import eventlet
+from eventlet.green import socket
 from loguru import logger
 from msgspec.structs import replace
 from testtools import TestCase
@@ -433,6 +434,46 @@
         self.assertEqual((200, "close"), (answer.status, answer.headers["Connection"]))
         stopping.wait()
 
+    def test_body_that_no_message_takes_is_refused_before_it_is_read(self):
+        """Guards against an allowed body that ends the process of its node."""
+        self.cluster.limits_spec = {"max_body_bytes": 64 * 1024 * 1024}
+        version = self.configure()
+        wait_until(lambda: self.lowest_version() == version, 3)
+        body = b"x" * (MAX_MESSAGE_BODY_BYTES + 1)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for sent in (body, iter([body])):
+            tracemalloc.reset_peak()
+            held_bytes, _ = tracemalloc.get_traced_memory()
+            answer = self.cluster.call(self.a1, "/booking/1", method="POST", body=sent)
+            _, peak_bytes = tracemalloc.get_traced_memory()
+            self.assertEqual(503, answer.status)
+            self.assertEqual(b"call.body-not-carried\n", answer.body)
+            self.assertLess(peak_bytes - held_bytes, 3 * len(body))
+        self.assertEqual(0, sum(self.b1.upstream.runs_by_request.values()))
+        self.cluster.call(self.a1, "/booking/1", method="POST", body=body[:-1])
+        self.assertEqual(1, sum(self.b1.upstream.runs_by_request.values()))
+
+    def test_idle_connections_are_closed_after_the_configured_time(self):
+        """Guards against idle callers that take all connections of a node."""
+        self.cluster.limits_spec = {"idle_timeout_ms": 400}
+        version = self.configure()
+        wait_until(lambda: self.lowest_version() == version, 3)
+        host, _, port = self.a1.call_address.rpartition(":")
+        sock = socket.create_connection((host, int(port)), 5)
+        self.addCleanup(sock.close)
+        for number in range(2):
+            sock.sendall(
+                b"GET /archive/1 HTTP/1.1\r\nHost: mesh.example\r\n"
+                b"Attempt-Id: idle-%d\r\nConnection: keep-alive\r\n\r\n" % number
+            )
+            answer = sock.recv(65536)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+            answered_at = monotonic()
+            eventlet.sleep(0.2)
+        self.assertEqual(b"", sock.recv(65536))
+        self.assertGreater(monotonic() - answered_at, 0.35)
+
     def test_caller_disconnect_frees_the_upstream_slot(self):
         """A request without a caller would occupy a slot that others need."""
         self.a1.upstream.service_time_s = self.a2.upstream.service_time_s = 1.5
