Replace a watch whose changes are too large by a full read

Cause: a node that starts from a stale list watches from its revision. In a series of large configurations the changes exceed the 8 MiB that a response may have, which was taken for a store that is away, and the same watch was repeated until the store dropped that history.

Change: a watch whose response is too large counts as one whose history is gone, so that a full read follows.

--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -49,7 +49,8 @@
 # A connection can stop carrying data without a reset. One that was idle for longer is
 # replaced, which takes one round trip instead of the time-out of a call.
 MAX_IDLE_S = 1.0
-# The store limits values and pages of a list to about 1 MB.
+# The store limits values and pages of a list to about 1 MB, but not the changes of a
+# watch: those of a series of configurations have any size.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
 READS = register_metric(
@@ -368,7 +369,15 @@
         url = f"/objects/{quote(kind)}"
         if query:
             url += "?" + urlencode(query)
-        status, data = self._request("GET", url, None, step, timeout_s=timeout_s)
+        try:
+            status, data = self._request("GET", url, None, step, timeout_s=timeout_s)
+        except StoreUnavailableError as error:
+            if name == WATCHES and isinstance(error.__cause__, _ResponseTooLargeError):
+                # A repetition would be as large; a full read has only the latest state.
+                raise StoreHistoryGoneError(
+                    f"changes exceed {MAX_RESPONSE_BYTES} bytes", step=step
+                ) from error
+            raise
         if status == 410:
             raise StoreHistoryGoneError(
                 "the store discarded the changes after this revision", step=step
@@ -406,7 +415,9 @@
                 response = connection.getresponse()
                 content = response.read(MAX_RESPONSE_BYTES + 1)
             if len(content) > MAX_RESPONSE_BYTES:
-                raise ValueError(f"response exceeds {MAX_RESPONSE_BYTES} bytes")
+                raise _ResponseTooLargeError(
+                    f"response exceeds {MAX_RESPONSE_BYTES} bytes"
+                )
         except (OSError, HTTPException, HTTPError, ValueError) as error:
             self.close()
             if method == "GET":
@@ -457,6 +468,10 @@
         return StoreAnswerLostError(reason, step=step, peer=self._address)
 
 
+class _ResponseTooLargeError(ValueError):
+    """A response has more than `MAX_RESPONSE_BYTES`."""
+
+
 def _last_name(items: list[msgspec.Raw]) -> str:
     """Return the last name among objects, empty if none has one."""
     for item in reversed(items):
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -128,6 +128,17 @@
         eventlet.sleep(0.1)
         self.assertLess(self.sent_bytes, 2 * MAX_RESPONSE_BYTES)
 
+    def test_changes_that_are_too_large_are_replaced_by_a_full_read(self):
+        """Guards against the same watch repeated until the store drops its history."""
+        changes = b'{"events":[],"current_rev":9,"x":"%s"}' % (
+            b"x" * MAX_RESPONSE_BYTES
+        )
+        for watch in ("watch_configuration", "watch_records"):
+            client = self.serve_raw((http_response(changes), False))
+            self.assertRaises(
+                StoreHistoryGoneError, getattr(client, watch), 1, wait_s=0.1
+            )
+
     def serve_raw(self, *responses):
         """Return a client of a store that sends these bytes after each request.
 
