Bound the memory that request bodies take in a node

Cause: a body was read whole up to `max_body_bytes`, copied and compressed into a message that no link takes, and offered to the next gateway again. Nothing bounded the bodies of several callers together. A chunked body was kept as an object for each chunk: 63 MB for 1 MB in chunks of two bytes.

Change: a body that exceeds a message between nodes is refused with 503 before it is read, or as soon as its chunks exceed it. It is no 413, since the configuration allows it. Bodies are read in pieces.

Bodies over 7.75 MiB are still not served.

--- a/src/verbenawick/calls/_http_messages.py
+++ b/src/verbenawick/calls/_http_messages.py
@@ -3,8 +3,13 @@
 A daemon imports this module without those of the project's own call interface.
 """
 
+from collections.abc import Callable
+
 from verbenawick.errors import BadCallError, RequestTooLargeError
 
+# Bytes of a body that are read at once.
+PIECE_BYTES = 64 * 1024
+
 HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
@@ -20,8 +25,16 @@
 )
 
 
-def read_body(environ, max_bytes: int) -> bytes:
-    """Return the complete request body."""
+def read_body(
+    environ, max_bytes: int, *, reserve: Callable[[int], None] = lambda count: None
+) -> bytes:
+    """Return the complete request body.
+
+    Parameters
+    ----------
+    reserve : callable
+        Called before bytes of the body are kept; may raise a `CallError`.
+    """
     length = environ.get("CONTENT_LENGTH")
     if length is None and "HTTP_TRANSFER_ENCODING" not in environ:
         return b""
@@ -30,12 +43,23 @@
     )
     if length is not None and int(length) > max_bytes:
         raise too_large
+    if length is not None:
+        reserve(int(length))
+    body = bytearray()
+    # Pieces, since the server keeps each chunk as an object until a read returns.
+    while piece := _read_piece(environ, max_bytes + 1 - len(body)):
+        if length is None:
+            reserve(len(piece))
+        body += piece
+        if len(body) > max_bytes:
+            raise too_large
+    if length is not None and len(body) != int(length):
+        raise BadCallError("body is shorter than its length", step="entry.body")
+    return bytes(body)
+
+
+def _read_piece(environ, max_bytes: int) -> bytes:
     try:
-        body = environ["wsgi.input"].read(max_bytes + 1)
+        return environ["wsgi.input"].read(min(PIECE_BYTES, max_bytes))
     except (OSError, ValueError) as error:
         raise BadCallError(f"body is incomplete: {error}", step="entry.body") from error
-    if len(body) > max_bytes:
-        raise too_large
-    if length is not None and len(body) != int(length):
-        raise BadCallError("body is shorter than its length", step="entry.body")
-    return body
--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -388,6 +388,16 @@
     http_status = 413
 
 
+@register_error("call.body-not-carried")
+class BodyNotCarriedError(CallNotRunError):
+    """The request body is allowed, but exceeds what a message between nodes takes."""
+
+
+@register_error("call.bodies-full")
+class BodiesFullError(CallNotRunError):
+    """The node holds too many large request bodies at the moment."""
+
+
 @register_error("call.key-required")
 class KeyRequiredError(CallNotRunError):
     """A non-repeatable request has no idempotency key."""
--- a/tests/test_caller_protocol.py
+++ b/tests/test_caller_protocol.py
@@ -1,5 +1,8 @@
 """Parsing of well-formed and malformed request heads."""
 
+import tracemalloc
+from io import BytesIO
+
 import eventlet
 from eventlet import wsgi
 from eventlet.green import socket
@@ -106,6 +109,21 @@
             self.assertEqual(b"HTTP/1.1 400 Bad Request", status, name)
         self.assertEqual([], self.seen)
 
+    def test_small_chunks_take_little_more_memory_than_their_bytes(self):
+        """Guards against bodies whose chunks are kept as an object each."""
+        count = 500_000
+        stream = BytesIO(b"2\r\nab\r\n" * count + b"0\r\n\r\n")
+        environ = {
+            "HTTP_TRANSFER_ENCODING": "chunked",
+            "wsgi.input": wsgi.Input(stream, None, None, chunked_input=True),
+        }
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        body = read_body(environ, 2 * count)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        self.assertEqual(b"ab" * count, body)
+        self.assertLess(peak_bytes, 4 * len(body) + 4_000_000)
+
     def test_oversized_heads_are_refused(self):
         """Guards against a caller that uses up the memory with an endless head."""
         line = b"X-Long: " + b"a" * 8000 + b"\r\n"
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -1,5 +1,6 @@
 """End-to-end tests of the mesh on the stand-in platform."""
 
+import tracemalloc
 from http.client import HTTPException
 from time import monotonic
 
@@ -11,6 +12,7 @@
 
 from tests.call_support import wait_until
 from tests.mesh_cluster import RECORD_KIND, MeshCluster, route, service
+from verbenawick.links._call_messages import MAX_MESSAGE_BODY_BYTES
 from verbenawick.mesh._crash_guard import CRASH_THRESHOLD
 from verbenawick.mesh._node import SILENCE_CHECK_INTERVAL_S, STALL_LOGGED_S
 from verbenawick.mesh._node_events import ProcessStalled
