--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -180,6 +180,18 @@
         self.assertEqual(503, answer.status)
         self.assertEqual(0, sum(self.b1.upstream.runs_by_request.values()))
 
+    def test_leave_acknowledged_in_an_outage_survives_a_restart_in_it(self):
+        """Guards against a leave that only the previous process knew."""
+        self.cluster.store.faults.status = 503
+        self.acknowledge_leave(lambda: self.b1.upstream.leave(self.b1.report_address))
+        self.cluster.restart_node(self.b1)
+        self.b1.upstream.report(self.b1.report_address, self.b1.upstream_address)
+        wait_until(lambda: self.b1.server.node.is_ready, 3)
+        eventlet.sleep(3 * PROBE_INTERVAL_S)
+        answer = self.cluster.call(self.b1, "/booking/1", method="POST", body=b"x")
+        self.assertEqual(503, answer.status)
+        self.assertEqual(0, sum(self.b1.upstream.runs_by_request.values()))
+
     def test_stored_leave_applies_once_the_store_answers(self):
         """Guards against a leave that a node started in an outage never learns."""
         self.acknowledge_leave(lambda: self.b1.upstream.leave(self.b1.report_address))
