Move the decision on large bodies out of the platform folder

`platform/` translates names and formats only. `receive_body` in `mesh/_body_memory` decides which bodies a node takes; `refuses_connections` names the check of a departed upstream apart from the refusals of the crash guard. Same behaviour; tests of the cluster and the daemon pass.

--- a/src/verbenawick/mesh/_body_memory.py
+++ b/src/verbenawick/mesh/_body_memory.py
@@ -7,13 +7,22 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from verbenawick.errors import BodiesFullError
+from verbenawick.calls._http_messages import read_body
+from verbenawick.errors import (
+    BodiesFullError,
+    BodyNotCarriedError,
+    CallNotRunError,
+    RequestTooLargeError,
+)
 from verbenawick.links._call_messages import MAX_MESSAGE_BODY_BYTES
+from verbenawick.mesh._model import RequestLimits
 
 # All bodies together.
 MAX_HELD_BYTES = 4 * MAX_MESSAGE_BODY_BYTES
 # Size up to which a body is not refused for the size of the others.
 SMALL_BODY_BYTES = 64 * 1024
+# Delay after which a refused body may be tried again, seconds.
+RETRY_AFTER_S = 0.5
 
 
 class BodyMemory:
@@ -42,8 +51,8 @@
             nonlocal reserved_bytes
             is_large = reserved_bytes + count > SMALL_BODY_BYTES
             if is_large and self._held_bytes + count > MAX_HELD_BYTES:
-                raise BodiesFullError(
-                    f"request bodies exceed {MAX_HELD_BYTES} bytes", step="entry.body"
+                raise _refusal(
+                    BodiesFullError, f"request bodies exceed {MAX_HELD_BYTES} bytes"
                 )
             reserved_bytes += count
             self._held_bytes += count
@@ -52,3 +61,40 @@
             yield reserve
         finally:
             self._held_bytes -= reserved_bytes
+
+
+def receive_body(
+    environ, limits: RequestLimits, reserve: Callable[[int], None]
+) -> bytes:
+    """Return the body of a call.
+
+    Parameters
+    ----------
+    reserve : callable
+        From `BodyMemory.reservation`.
+
+    Raises
+    ------
+    RequestTooLargeError
+        The configuration does not allow a body of this size.
+    BodyNotCarriedError, BodiesFullError
+        The configuration allows it, but the node cannot forward it.
+    """
+    max_bytes = min(limits.max_body_bytes, MAX_MESSAGE_BODY_BYTES)
+    try:
+        return read_body(environ, max_bytes, reserve=reserve)
+    except RequestTooLargeError:
+        length = environ.get("CONTENT_LENGTH")
+        if max_bytes == limits.max_body_bytes or (
+            length is not None and int(length) > limits.max_body_bytes
+        ):
+            raise
+        raise _refusal(
+            BodyNotCarriedError, f"request body exceeds {max_bytes} bytes"
+        ) from None
+
+
+def _refusal(error_type: type[CallNotRunError], message: str) -> CallNotRunError:
+    error = error_type(message, step="entry.body")
+    error.retry_after_s = RETRY_AFTER_S
+    return error
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -368,7 +368,9 @@
         self.gateway.wait_idle(timeout_s=max(deadline - self.clock.now(), 0.0))
         left_s = max(min(deadline - self.clock.now(), FINAL_WRITE_TIMEOUT_S), 0.0)
         if self.upstream.state is UpstreamState.GONE:
-            self._is_upstream_closed = self.channels.is_refused(timeout_s=left_s)
+            self._is_upstream_closed = self.channels.refuses_connections(
+                timeout_s=left_s
+            )
             left_s = max(min(deadline - self.clock.now(), FINAL_WRITE_TIMEOUT_S), 0.0)
             self._publisher.flush(timeout_s=left_s)
         # Otherwise other nodes would open new links while the last ones are closed.
--- a/src/verbenawick/mesh/_upstream_channels.py
+++ b/src/verbenawick/mesh/_upstream_channels.py
@@ -346,7 +346,7 @@
             return False
         return True
 
-    def is_refused(self, *, timeout_s: float) -> bool:
+    def refuses_connections(self, *, timeout_s: float) -> bool:
         """Return whether nothing listens at the upstream's address.
 
         An upstream that does not answer within `timeout_s` may still be running.
--- a/src/verbenawick/platform/_servers.py
+++ b/src/verbenawick/platform/_servers.py
@@ -6,14 +6,8 @@
 from greenlet import GreenletExit
 
 from verbenawick.calls._http_messages import read_body
-from verbenawick.errors import (
-    BodiesFullError,
-    BodyNotCarriedError,
-    CallError,
-    RequestTooLargeError,
-)
-from verbenawick.links._call_messages import MAX_MESSAGE_BODY_BYTES
-from verbenawick.mesh._body_memory import BodyMemory
+from verbenawick.errors import CallError
+from verbenawick.mesh._body_memory import BodyMemory, receive_body
 from verbenawick.mesh._entry import MeshEntry
 from verbenawick.mesh._local_upstream import LocalUpstream
 from verbenawick.mesh._model import CallOutcome, CallResult, RequestLimits
@@ -37,8 +31,6 @@
 # Interval at which calls in flight are checked for callers that disconnected. The
 # upstream must be free half a second after its caller disconnected.
 CALLER_CHECK_INTERVAL_S = 0.2
-# Delay after which a large body may be tried again, seconds.
-BODY_RETRY_AFTER_S = 0.5
 
 
 class CallApplication:
@@ -109,48 +101,21 @@
         limits = configuration.limits if configuration else RequestLimits()
         with self._bodies.reservation() as reserve:
             try:
-                body = _read_call_body(environ, limits, reserve)
+                body = receive_body(environ, limits, reserve)
                 call = decode_call(
                     environ, body, caller_service=self._caller_service(), now=now
                 )
-            except (BodyNotCarriedError, BodiesFullError) as error:
+            except CallError as error:
+                retry_after_s = getattr(error, "retry_after_s", 0.0)
                 return CallResult(
-                    CallOutcome.NOT_RUN, error.code, retry_after_s=BODY_RETRY_AFTER_S
+                    CallOutcome.NOT_RUN, error.code, retry_after_s=retry_after_s
                 )
-            except CallError as error:
-                return CallResult(CallOutcome.NOT_RUN, error.code)
             except HeaderError:
                 return CallResult(CallOutcome.NOT_RUN, "call.bad-request")
             with self._watcher.watch(environ["eventlet.input"].get_socket()):
                 return self._entry.serve(call)
 
 
-def _read_call_body(
-    environ, limits: RequestLimits, reserve: Callable[[int], None]
-) -> bytes:
-    """Return the body of a call.
-
-    Raises
-    ------
-    RequestTooLargeError
-        The configuration does not allow a body of this size.
-    BodyNotCarriedError, BodiesFullError
-        The configuration allows it, but the node cannot forward it.
-    """
-    max_bytes = min(limits.max_body_bytes, MAX_MESSAGE_BODY_BYTES)
-    try:
-        return read_body(environ, max_bytes, reserve=reserve)
-    except RequestTooLargeError:
-        length = environ.get("CONTENT_LENGTH")
-        if length is not None and int(length) > limits.max_body_bytes:
-            raise
-        if max_bytes == limits.max_body_bytes:
-            raise
-        raise BodyNotCarriedError(
-            f"request body exceeds {max_bytes} bytes", step="entry.body"
-        ) from None
-
-
 def report_application(
     upstream: LocalUpstream,
     *,
