Let other nodes remember a leave for the next process of its node

Callers would see requests reach a leaving upstream, if its leave was acknowledged while the store was away and its node was restarted before the store was back.

Cause: such a leave was known to the node's process only, and a late report made the next process use the upstream again.

Change: a notice of a gateway says whether its upstream announced the leave, and the start of its process. Peers remember the latest leave and tell it to the node when a link to it opens; the node uses it in the first 10 s of its process, for the process that left only.

`test_stored_leave_applies_once_the_store_answers` lets the peers forget the leave, so that it still needs the record.

--- a/src/verbenawick/mesh/_local_upstream.py
+++ b/src/verbenawick/mesh/_local_upstream.py
@@ -210,19 +210,26 @@
     def on_leave(self, upstream_id: str, now: float) -> None:
         """Handle an upstream's announcement that it leaves permanently."""
         born_ms = self._birth_of(upstream_id)
-        self._departures_by_id[upstream_id] = (born_ms, now + LATE_REPORT_WINDOW_S)
-        while len(self._departures_by_id) > MAX_DEPARTURES:
-            self._departures_by_id.popitem(last=False)
+        self._note_departure(upstream_id, born_ms, now)
         if upstream_id == self.upstream_id or not self.upstream_id:
-            self._candidate = None
-            self._born_ms = born_ms
-            self._update(
-                UpstreamState.GONE,
-                upstream_id,
-                self.service,
-                self.slots,
-                cause="leave",
-            )
+            self._set_gone(upstream_id, born_ms, cause="leave")
+
+    def on_earlier_leave(self, upstream_id: str, born_ms: int, now: float) -> None:
+        """Apply a leave that the previous process of this node acknowledged.
+
+        Parameters
+        ----------
+        born_ms : int
+            Start time of the process that left, 0 if unknown.
+        """
+        known_born_ms = self._birth_of(upstream_id)
+        if self.is_leaving or (born_ms and known_born_ms > born_ms):
+            return
+        self._note_departure(upstream_id, born_ms, now)
+        candidate = self._candidate
+        candidate_id = candidate.upstream_id if candidate is not None else ""
+        if upstream_id in (self.upstream_id, candidate_id):
+            self._set_gone(upstream_id, born_ms or known_born_ms, cause="earlier leave")
 
     def on_probe(self, upstream_id: str, slots: int) -> None:
         """Apply a successful health probe; ignored unless the state is unknown."""
@@ -273,6 +280,19 @@
         self._sequence = -1
         self._born_ms = 0
 
+    def _note_departure(self, upstream_id: str, born_ms: int, now: float) -> None:
+        """Ignore late reports of a process from now on."""
+        self._departures_by_id[upstream_id] = (born_ms, now + LATE_REPORT_WINDOW_S)
+        while len(self._departures_by_id) > MAX_DEPARTURES:
+            self._departures_by_id.popitem(last=False)
+
+    def _set_gone(self, upstream_id: str, born_ms: int, *, cause: str) -> None:
+        self._candidate = None
+        self._born_ms = born_ms
+        self._update(
+            UpstreamState.GONE, upstream_id, self.service, self.slots, cause=cause
+        )
+
     def _birth_of(self, upstream_id: str) -> int:
         """Return the start time of the process of `upstream_id`, 0 if unknown."""
         if upstream_id == self.upstream_id:
--- a/src/verbenawick/mesh/_messages.py
+++ b/src/verbenawick/mesh/_messages.py
@@ -62,12 +62,36 @@
 @register_message(92)
 @dataclass(frozen=True, slots=True)
 class GatewayNotice(Message):
-    """State of the sender's upstream; sent when a link opens and on each change."""
+    """State of the sender's upstream; sent when a link opens and on each change.
+
+    Attributes
+    ----------
+    state : UpstreamState
+        Also draining while the sender stops, whatever its upstream does.
+    is_leaving : bool
+        Whether the upstream itself announced that it drains or leaves.
+    born_ms : int
+        Start time of the upstream's process as in `StatusReport`, 0 if unknown.
+    """
 
     service: str
     upstream_id: str
     state: UpstreamState
     slots: int
+    is_leaving: bool
+    born_ms: int
+
+
+@register_message(102)
+@dataclass(frozen=True, slots=True)
+class LeaveNotice(Message):
+    """Leave that the receiver acknowledged, in its present process or an earlier one.
+
+    Sent when a link to the receiver opens.
+    """
+
+    upstream_id: str
+    born_ms: int
 
 
 @register_message(93)
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -25,6 +25,7 @@
     ForwardedCall,
     GatewayNotice,
     HarmlessNotice,
+    LeaveNotice,
 )
 from verbenawick.mesh._metrics_page import MetricsPage
 from verbenawick.mesh._model import (
@@ -45,6 +46,7 @@
     SettingsReloaded,
 )
 from verbenawick.mesh._peer_connectors import PeerConnectors
+from verbenawick.mesh._peer_leaves import PeerLeaves
 from verbenawick.mesh._publisher import RecordPublisher
 from verbenawick.mesh._record_follower import RecordFollower
 from verbenawick.mesh._record_remover import RecordRemover
@@ -82,6 +84,9 @@
 # Time from the last answer of a gateway to that of an entry, and from there to the end
 # of the grace period.
 LAST_ANSWER_MARGIN_S = 0.2
+# Time after the start of the process during which the notices of other nodes about the
+# leave of the upstream are used. All links are open again within seconds.
+LEAVE_NOTICE_WINDOW_S = 10.0
 # Delay between announcing the drain and refusing calls, so that other nodes receive the
 # announcement first.
 DRAIN_NOTICE_S = 0.1
@@ -122,6 +127,7 @@
         self.random = Random(SystemRandom().getrandbits(64))
         self.metrics = metrics
         self.metrics_page = MetricsPage(self.metrics)
+        self._started_at = self.clock.now()
         self.is_stopping = False
         self.is_gateway_draining = False
         # Whether nothing listens at the address of the upstream that left; determined
@@ -209,6 +215,8 @@
         self.links.register_notice(GatewayNotice, self._on_gateway_notice)
         self.links.register_notice(CrashNotice, self._on_crash_notice)
         self.links.register_notice(HarmlessNotice, self._on_harmless_notice)
+        self.links.register_notice(LeaveNotice, self._on_leave_notice)
+        self._leaves = PeerLeaves()
         relay = RelayState(node_id=settings.node_id)
         self._beacons = Beacons(
             region=settings.region,
@@ -474,6 +482,7 @@
 
     def _forget(self, node_id: str) -> None:
         self.endpoints.remove(node_id)
+        self._leaves.forget(node_id)
         self._connectors.stop_connector(node_id)
 
     def _detect_silent_peers(self) -> None:
@@ -492,10 +501,20 @@
             emit(ProcessStalled(round(stalled_s, 3), round(cpu_s, 3)))
 
     def _on_link_open(self, link: Link) -> None:
+        leave = self._leaves.of(link.peer.node_id)
+        if leave is not None:
+            self.links.notify(link, leave)
         if not link.is_dialled:
             self.links.notify(link, self._gateway_notice())
 
+    def _on_leave_notice(self, peer: NodeIdentity, notice: LeaveNotice) -> None:
+        now = self.clock.now()
+        # Later, this process knows more of its upstream than its peers.
+        if now < self._started_at + LEAVE_NOTICE_WINDOW_S:
+            self.upstream.on_earlier_leave(notice.upstream_id, notice.born_ms, now)
+
     def _on_gateway_notice(self, peer: NodeIdentity, notice: GatewayNotice) -> None:
+        self._leaves.on_notice(peer.node_id, notice)
         self.endpoints.put_state(
             peer.node_id,
             service=notice.service,
@@ -551,6 +570,8 @@
             self.upstream.upstream_id,
             state,
             self.upstream.slots,
+            self.upstream.is_leaving,
+            self.upstream.born_ms,
         )
 
     def _put_own_endpoint(self) -> None:
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -196,6 +196,9 @@
         """Guards against a leave that a node started in an outage never learns."""
         self.acknowledge_leave(lambda: self.b1.upstream.leave(self.b1.report_address))
         self.cluster.store.faults.status = 503
+        # Peers that lost power as well do not remember the leave.
+        for peer in (self.a1, self.a2):
+            peer.server.node._leaves.forget(self.b1.node_id)
         self.cluster.restart_node(self.b1)
         self.b1.upstream.report(self.b1.report_address, self.b1.upstream_address)
         wait_until(lambda: self.b1.server.node.upstream.state == "ready", 3)
--- a/tests/test_mesh_local_upstream.py
+++ b/tests/test_mesh_local_upstream.py
@@ -297,6 +297,31 @@
             self.upstream.restore(record)
             self.assertEqual(expected, self.upstream.state, name)
 
+    def test_leave_known_to_other_nodes_applies_to_its_process_only(self):
+        """Guards against a lost leave, and against an unused new process."""
+        u1, u2 = report(), report("u2", born=200)
+        rows = (
+            ("unknown", [], 100, UNKNOWN),
+            ("candidate", [u1], 100, GONE),
+            ("candidate, start unknown", [u1], 0, GONE),
+            ("later process", [report(born=101)], 100, READY),
+            ("another upstream", [u2], 100, READY),
+            ("already used", [u1, None], 100, GONE),
+            ("later process already used", [report(born=101), None], 100, READY),
+        )
+        for name, steps, born, expected in rows:
+            self.restart()
+            for step in steps:
+                if step is None:
+                    self.upstream.skip_restore()
+                else:
+                    self.upstream.on_report(step, 0.0)
+            self.upstream.on_earlier_leave("u1", born, 1.0)
+            self.upstream.restore(None)
+            self.assertEqual(expected, self.upstream.state, name)
+            self.upstream.on_report(report(sequence=9), 2.0)
+            self.assertEqual(expected, self.upstream.state, name)
+
     def test_leave_before_the_record_is_read_wins(self):
         """Guards against a ready candidate that replaces a later leave."""
         for leave in (
