Reject status reports without zone or version

Cause: the decoder required only the fields that the node uses.

Result: `test_invalid_reports_are_rejected` failed with the new rows before and passes.

--- a/src/verbenawick/platform/_documents.py
+++ b/src/verbenawick/platform/_documents.py
@@ -67,6 +67,9 @@
 class _Report(msgspec.Struct):
     service: str
     address: str
+    # Not used, but a report without them comes from another writer.
+    zone: str
+    version: str
     slots: int
     state: str
     sequence: int
--- a/tests/test_platform_wire_format.py
+++ b/tests/test_platform_wire_format.py
@@ -27,6 +27,15 @@
     "sequence": 3,
     "born": 1700000000000,
 }
+REQUIRED_FIELDS = (
+    "service",
+    "address",
+    "zone",
+    "version",
+    "slots",
+    "state",
+    "sequence",
+)
 ROUTE = {
     "host": "h.example",
     "path_prefix": "/x/",
@@ -76,8 +85,7 @@
     def test_invalid_reports_are_rejected(self):
         """A malformed report must not change the state of the upstream."""
         rows = [
-            {k: v for k, v in REPORT.items() if k != name}
-            for name in ("service", "address", "slots", "state", "sequence")
+            {k: v for k, v in REPORT.items() if k != name} for name in REQUIRED_FIELDS
         ]
         rows += [
             {**REPORT, "state": "resting"},
@@ -86,6 +94,8 @@
             {**REPORT, "sequence": None},
             {**REPORT, "service": ""},
             {**REPORT, "service": ["s"]},
+            {**REPORT, "zone": 1},
+            {**REPORT, "version": None},
             {**REPORT, "born": 1.5},
             {**REPORT, "slots": 2**63},
             {**REPORT, "sequence": 10**400},
