Accept request lines and header fields of more than 8 KiB

Change: only the head as a whole is limited, to 64 KiB as before.

Result: `test_long_targets_and_fields_are_accepted` failed before and passes.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -15,6 +15,9 @@
 
 from verbenawick.runtime._polling import is_readable
 
+# Limit on a request line and header fields together. Platforms allow 16 KiB of header
+# fields, of which one may take all.
+MAX_HEAD_BYTES = 64 * 1024
 # Limit on the chunk sizes and trailers of a request. Each byte of the body allows
 # `MAX_FRAMING_RATIO` bytes more.
 MAX_FRAMING_BYTES = 64 * 1024
@@ -212,8 +215,15 @@
         return environ
 
     def _read_lines(self) -> list[bytes]:
-        """Return the lines of the head, whose size the server limits."""
+        """Return the lines of the head.
+
+        Unlike eventlet's limit of 8 KiB for a line, only that of the head applies.
+        """
         lines = [self.raw_requestline]
+        left = MAX_HEAD_BYTES - len(self.raw_requestline)
         while lines[-1] not in _HEAD_TERMINATORS:
-            lines.append(self.rfile.readline())
+            lines.append(self.rfile.fp.readline(left + 1))
+            left -= len(lines[-1])
+            if left < 0:
+                raise wsgi.HeadersTooLarge
         return lines
--- a/src/verbenawick/calls/_entry_server.py
+++ b/src/verbenawick/calls/_entry_server.py
@@ -9,7 +9,7 @@
 from eventlet import wsgi
 from greenlet import GreenletExit
 
-from verbenawick.calls._caller_protocol import CallerProtocol
+from verbenawick.calls._caller_protocol import MAX_HEAD_BYTES, CallerProtocol
 from verbenawick.runtime._clock import MonotonicClock
 from verbenawick.runtime._graceful_listener import GracefulListener
 from verbenawick.runtime._sockets import listen
@@ -91,6 +91,7 @@
             log_output=False,
             debug=False,
             max_size=self._max_connections,
+            url_length_limit=MAX_HEAD_BYTES,
             keepalive=KEEP_ALIVE_TIMEOUT_S,
             socket_timeout=SOCKET_TIMEOUT_S,
             # Keeps header names as the upstream wrote them and saves time per header.
--- a/tests/test_caller_protocol.py
+++ b/tests/test_caller_protocol.py
@@ -8,7 +8,11 @@
 from eventlet.green import socket
 from testtools import TestCase
 
-from verbenawick.calls._caller_protocol import MAX_DISCARDED_BYTES, CallerProtocol
+from verbenawick.calls._caller_protocol import (
+    MAX_DISCARDED_BYTES,
+    MAX_HEAD_BYTES,
+    CallerProtocol,
+)
 from verbenawick.calls._http_messages import read_body
 from verbenawick.errors import CallError
 
@@ -42,6 +46,7 @@
             listener,
             self.application,
             protocol=CallerProtocol,
+            url_length_limit=MAX_HEAD_BYTES,
             log_output=False,
             debug=False,
             capitalize_response_headers=False,
@@ -124,11 +129,22 @@
         self.assertEqual(b"ab" * count, body)
         self.assertLess(peak_bytes, 4 * len(body) + 4_000_000)
 
+    def test_long_targets_and_fields_are_accepted(self):
+        """Guards against requests refused though the configuration allows them."""
+        long = b"a" * 16_000
+        for head in (
+            b"GET /" + long + b" HTTP/1.1\r\nHost: h\r\n",
+            b"GET /a HTTP/1.1\r\nHost: h\r\nX-Long: " + long + b"\r\n",
+        ):
+            self.assertEqual(b"HTTP/1.1 200 OK", self.status_of(head + b"\r\n"))
+
     def test_oversized_heads_are_refused(self):
         """Guards against a caller that uses up the memory with an endless head."""
         line = b"X-Long: " + b"a" * 8000 + b"\r\n"
         status = self.status_of(b"GET / HTTP/1.1\r\n" + line * 32 + b"\r\n")
         self.assertIn(b" 400 ", status)
+        status = self.status_of(b"GET / HTTP/1.1\r\nX: " + b"a" * 100_000)
+        self.assertIn(b" 400 ", status)
         self.assertEqual([], self.seen)
 
     def test_head_that_ends_early_reaches_no_application(self):
