Honour the connection options of callers in all forms

Callers that sent `Connection: TE, close` waited for the end of a connection that stayed open, and connections of HTTP/1.0 callers that asked for `keep-alive` were closed.

Cause: the parser was asked after the end of the message, when it has dropped the options of the head; only a lone `close` worked, since eventlet compares the header itself. The answer is now taken at the end of the headers, as for the responses of upstreams.

The extended test failed before at `TE, close`.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -35,8 +35,32 @@
     """Target and headers of one request, filled by the parser's callbacks."""
 
     def __init__(self):
+        self.method = ""
         self.target = b""
+        self.version = ""
         self.headers = HTTPMessage()
+        self.keeps_connection = False
+        self._parser: HttpRequestParser | None = None
+
+    def parse(self, data: bytes) -> None:
+        """Parse the head of a request.
+
+        Raises
+        ------
+        HttpParserError
+            The head is invalid.
+        """
+        self._parser = parser = HttpRequestParser(self)
+        try:
+            parser.feed_data(data)
+        except HttpParserUpgrade:
+            # Protocol upgrades are not supported; serve the request without one.
+            pass
+        finally:
+            # The parser refers to this object, and garbage collections are rare.
+            self._parser = None
+        self.method = parser.get_method().decode("latin-1")
+        self.version = parser.get_http_version()
 
     def on_url(self, url: bytes) -> None:
         self.target += url
@@ -45,6 +69,10 @@
         text = value.decode("latin-1").strip(" \t")
         self.headers[name.decode("latin-1")] = text
 
+    def on_headers_complete(self) -> None:
+        # At the end of the message, the parser no longer knows the connection options.
+        self.keeps_connection = self._parser.should_keep_alive()
+
 
 class _BodyStream:
     """Stream of a request body, of which each line has to be whole.
@@ -176,23 +204,19 @@
         self.close_connection = True
         lines = self._read_lines()
         head = _RequestHead()
-        parser = HttpRequestParser(head)
         try:
-            parser.feed_data(b"".join(lines))
-        except HttpParserUpgrade:
-            # Protocol upgrades are not supported; serve the request without one.
-            pass
+            head.parse(b"".join(lines))
         except HttpParserError:
             self.send_error(400, "Bad Request")
             return False
         if lines[-1] == b"" or not head.target:
             # The connection was closed before the head was complete.
             return False
-        self.command = parser.get_method().decode("latin-1")
+        self.command = head.method
         self.path = head.target.decode("latin-1")
-        self.request_version = f"HTTP/{parser.get_http_version()}"
+        self.request_version = f"HTTP/{head.version}"
         self.headers = head.headers
-        self.close_connection = not parser.should_keep_alive()
+        self.close_connection = not head.keeps_connection
         if (
             self.request_version == "HTTP/1.1"
             and head.headers.get("Expect", "").lower() == "100-continue"
--- a/tests/test_caller_protocol.py
+++ b/tests/test_caller_protocol.py
@@ -104,8 +104,17 @@
 
     def test_connection_ends_when_the_caller_asks_for_it(self):
         """Guards against a caller that waits for the end of the connection in vain."""
-        head = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
-        self.assertEqual(b"HTTP/1.1 200 OK", self.status_of(head))
+        for option in (b"close", b"Close", b"TE, close", b"close, TE"):
+            sock = self.connect()
+            head = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: " + option
+            sock.sendall(head + b"\r\n\r\n")
+            received = b""
+            with eventlet.Timeout(1, False):
+                while chunk := sock.recv(65_536):
+                    received += chunk
+                received += b"end"
+            self.assertTrue(received.startswith(b"HTTP/1.1 200 OK"), option)
+            self.assertTrue(received.endswith(b"okend"), option)
 
     def test_ambiguous_heads_reach_no_application(self):
         """Guards against request smuggling by heads that parsers read differently."""
