Count and log why the connections of callers end

Nothing told a request that the node cut from one that its caller gave up, so the hypotheses on LOST could not be told apart from logs. Each end of a caller's connection is counted by cause; a request that was read and not answered is logged with the cause, the requests and responses of the connection, whether a response had announced the end and whether further bytes had arrived. Other ends are logged at level DEBUG.

The list of modules that a node on the platform imports has one more.

--- a/bench/call_node.py
+++ b/bench/call_node.py
@@ -192,7 +192,8 @@
         clock=clock,
     )
     server = LinkServer(identity, {CALL_CHANNEL: links})
-    return server, EntryServer(entry, max_connections=4096), metrics
+    entry_server = EntryServer(entry, metrics=metrics, max_connections=4096)
+    return server, entry_server, metrics
 
 
 def serve_metrics(address: str, metrics: MetricSet) -> None:
--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -13,6 +13,7 @@
 from eventlet import Timeout, wsgi
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
+from verbenawick.calls._connection_ends import ConnectionEnd, EndCause
 from verbenawick.runtime._polling import is_readable
 
 # Limit on a request line and header fields together. Platforms allow 16 KiB of header
@@ -28,6 +29,9 @@
 # the connection is closed.
 LINGER_S = 1.0
 
+# Status that an application gives to a request whose caller has closed the connection.
+CALLER_LEFT_STATUS = "499"
+
 _HEAD_TERMINATORS = (b"\r\n", b"\n", b"")
 
 
@@ -137,6 +141,8 @@
     idle_timeout_s : callable
         Returns the time after which the connection is closed if it is idle, in seconds.
         By default the time set for the server applies.
+    on_end : callable
+        Called with the `ConnectionEnd` when the connection has ended.
     """
 
     def __init__(
@@ -146,10 +152,16 @@
         *,
         connections: set["CallerProtocol"] | None = None,
         idle_timeout_s: Callable[[], float] | None = None,
+        on_end: Callable[[ConnectionEnd], None] = lambda end: None,
     ):
         self._connections = set() if connections is None else connections
         self._idle_timeout_s = idle_timeout_s
+        self._on_end = on_end
         self._is_last_request = False
+        self._requests = 0
+        self._responses = 0
+        self._was_announced = False
+        self._end_cause = EndCause.BROKEN
         super().__init__(conn_state, server)
 
     def handle(self) -> None:
@@ -159,13 +171,52 @@
             super().handle()
         finally:
             self._connections.discard(self)
+            self._on_end(
+                ConnectionEnd(
+                    self._end_cause,
+                    self._requests,
+                    self._responses,
+                    self._was_announced,
+                    self._has_unread_bytes(),
+                )
+            )
 
     def handle_one_request(self) -> None:
         """Serve one request, the last one if the server is stopping."""
+        self._end_cause = EndCause.BROKEN
         super().handle_one_request()
         if self._is_last_request:
             self.close_connection = True
 
+    def handle_one_response(self) -> None:
+        """Call the application and write its response."""
+        self._requests += 1
+        self._end_cause = EndCause.BROKEN
+        application = self.application
+        asked_for_end = self.close_connection
+        status = ""
+
+        def observe(environ, start_response):
+            def observe_start(status_line, headers, exc_info=None):
+                nonlocal status
+                status = status_line
+                if ("Connection", "close") in headers:
+                    self._was_announced = True
+                return start_response(status_line, headers, exc_info)
+
+            return application(environ, observe_start)
+
+        self.application = observe
+        super().handle_one_response()
+        if status.startswith(CALLER_LEFT_STATUS):
+            self._end_cause = EndCause.CALLER_LEFT
+            return
+        # Raises an error of the connection again that eventlet has caught.
+        self.wfile.flush()
+        self._responses += 1
+        asked = EndCause.CALLER_ASKED
+        self._end_cause = asked if asked_for_end else EndCause.ANNOUNCED
+
     def serve_arrived_request(self) -> None:
         """Let a request that arrived but was not read yet be the last one.
 
@@ -178,14 +229,34 @@
             self._is_last_request = True
             self.conn_state[2] = wsgi.STATE_REQUEST
 
+    def _has_unread_bytes(self) -> bool:
+        """Return whether bytes have arrived that were not read."""
+        try:
+            self.connection.settimeout(0)
+            return bool(self.rfile.peek(1))
+        except (OSError, ValueError):
+            # The connection is closed.
+            return False
+
     def _read_request_line(self):
         if self._idle_timeout_s is not None:
             # Also the time that responses announce in `Keep-Alive`.
             self.server.keepalive = self._idle_timeout_s()
-        line = super()._read_request_line()
+        try:
+            line = super()._read_request_line()
+        except TimeoutError:
+            self._end_cause = EndCause.IDLE
+            return b""
         if self.conn_state[2] == wsgi.STATE_CLOSE and not self._is_last_request:
             # The connection has been shut down, so the response would be lost.
-            return ""
+            self._end_cause = EndCause.STOPPED
+            return b""
+        if line:
+            self._end_cause = EndCause.INVALID
+        else:
+            has_left = self._requests > self._responses
+            left = EndCause.CALLER_LEFT
+            self._end_cause = left if has_left else EndCause.CALLER_CLOSED
         return line
 
     def parse_request(self) -> bool:
--- a/src/verbenawick/calls/_entry_server.py
+++ b/src/verbenawick/calls/_entry_server.py
@@ -10,8 +10,10 @@
 from greenlet import GreenletExit
 
 from verbenawick.calls._caller_protocol import MAX_HEAD_BYTES, CallerProtocol
+from verbenawick.calls._connection_ends import ConnectionEnds
 from verbenawick.runtime._clock import MonotonicClock
 from verbenawick.runtime._graceful_listener import GracefulListener
+from verbenawick.runtime._metrics import MetricSet
 from verbenawick.runtime._sockets import listen
 
 MAX_CONNECTIONS = 1024
@@ -54,12 +56,15 @@
     idle_timeout_s : callable
         Returns the time after which an idle connection is closed, in seconds. It is
         asked whenever a connection becomes idle.
+    metrics : MetricSet
+        Receives the counts of ended connections.
     """
 
     def __init__(
         self,
         application: StoppableApplication,
         *,
+        metrics: MetricSet,
         max_connections: int = 0,
         idle_timeout_s: Callable[[], float] = lambda: KEEP_ALIVE_TIMEOUT_S,
     ):
@@ -69,6 +74,7 @@
         self._listener = None
         self._thread = None
         self._connections: set[CallerProtocol] = set()
+        self._ends = ConnectionEnds(metrics)
         self._clock = MonotonicClock()
 
     def listen(self, address: str) -> None:
@@ -87,6 +93,7 @@
                 CallerProtocol,
                 connections=self._connections,
                 idle_timeout_s=self._idle_timeout_s,
+                on_end=self._ends.record,
             ),
             log_output=False,
             debug=False,
--- a/src/verbenawick/node/_node.py
+++ b/src/verbenawick/node/_node.py
@@ -280,7 +280,7 @@
             clock=self.clock,
             is_quarantined=self.quarantine.is_refused,
         )
-        self.entry = EntryServer(self.entry_application)
+        self.entry = EntryServer(self.entry_application, metrics=self.metrics)
 
     def _build_admin(self) -> None:
         self.admin = AdminPages()
--- a/src/verbenawick/platform/_node_server.py
+++ b/src/verbenawick/platform/_node_server.py
@@ -58,7 +58,7 @@
             observe=self.node.metrics_page.observe_call,
         )
         self._entry_server = EntryServer(
-            self.application, idle_timeout_s=self._idle_timeout_s
+            self.application, metrics=metrics, idle_timeout_s=self._idle_timeout_s
         )
         self._auxiliary_threads = []
         self._auxiliary_listeners = []
--- a/tests/call_support.py
+++ b/tests/call_support.py
@@ -225,7 +225,7 @@
         self.link_server = LinkServer(identity, {CALL_CHANNEL: self.links})
         self.link_server.listen()
         eventlet.spawn_n(self.link_server.run)
-        self.entry_server = EntryServer(self.entry)
+        self.entry_server = EntryServer(self.entry, metrics=self.metrics)
         self.call_address = f"127.0.0.1:{free_port()}"
         self.entry_server.listen(self.call_address)
         self.entry_server.start()
--- a/tests/test_graceful_listener.py
+++ b/tests/test_graceful_listener.py
@@ -6,6 +6,7 @@
 
 from tests.call_support import free_port
 from verbenawick.calls._entry_server import EntryServer
+from verbenawick.runtime._metrics import MetricSet
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
 CALL_S = 0.1
@@ -30,7 +31,9 @@
     """A listener that is closed while the server has reached its connection limit."""
 
     def start(self, *, max_connections):
-        self.server = EntryServer(_SlowApplication(), max_connections=max_connections)
+        self.server = EntryServer(
+            _SlowApplication(), metrics=MetricSet(), max_connections=max_connections
+        )
         self.address = ("127.0.0.1", free_port())
         self.server.listen("{}:{}".format(*self.address))
         self.server.start()
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -177,6 +177,7 @@
     calls = {name for name in modules if name.startswith("verbenawick.calls._")}
     assert calls == {
         "verbenawick.calls._caller_protocol",
+        "verbenawick.calls._connection_ends",
         "verbenawick.calls._entry_server",
         "verbenawick.calls._http_messages",
     }
