--- a/tests/call_support.py
+++ b/tests/call_support.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from http.client import HTTPConnection
+from http.client import HTTPConnection, HTTPResponse
 from pathlib import Path
 from random import Random
 
@@ -304,6 +304,19 @@
         return self.headers.get("Verbenawick-Code", "")
 
 
+def responses_until_close(sock) -> list[CallerResponse]:
+    """Return the responses on `sock` up to the first with ``Connection: close``."""
+    responses = []
+    while True:
+        received = HTTPResponse(sock)
+        received.begin()
+        body = received.read()
+        headers = dict(received.getheaders())
+        responses.append(CallerResponse(received.status, headers, body))
+        if headers.get("Connection") == "close":
+            return responses
+
+
 class Caller:
     """HTTP client with one connection."""
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -9,7 +9,13 @@
 from eventlet.green import socket
 from testtools import TestCase
 
-from tests.call_support import SERVICE, Caller, CallMesh, wait_until
+from tests.call_support import (
+    SERVICE,
+    Caller,
+    CallMesh,
+    responses_until_close,
+    wait_until,
+)
 from verbenawick.calls._entry import CALLS_ABANDONED
 from verbenawick.calls._gateway import ClaimDecision, ClaimVerdict
 from verbenawick.calls._table import Criticality, Route, ServicePolicy
@@ -411,6 +417,18 @@
             server.listen(self.node.call_address)
             server.start()
 
+    def test_requests_read_before_the_announced_close_are_answered_in_a_stop(self):
+        """Guards against requests that run for callers that were told to leave."""
+        self.start(nodes=1)
+        stop = self.start_stop()
+        sock = self.caller.connection.sock
+        sock.sendall(b"GET /a?delay_ms=50 HTTP/1.1\r\nHost: a\r\n\r\n" * 3)
+        responses = responses_until_close(sock)
+        self.caller.close()
+        self.assertEqual([200] * 3, [response.status for response in responses])
+        stop.wait()
+        self.assertEqual(3, sum(state == "started" for _, state in self.mesh.runs()))
+
     def test_a_request_after_the_last_pass_before_the_close_is_answered(self):
         """Guards against closing a kept connection whose request was not read yet."""
         self.start(nodes=1)
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -10,7 +10,7 @@
 from msgspec.structs import replace
 from testtools import TestCase
 
-from tests.call_support import wait_until
+from tests.call_support import responses_until_close, wait_until
 from tests.mesh_cluster import RECORD_KIND, MeshCluster, route, service
 from verbenawick.links._call_messages import MAX_MESSAGE_BODY_BYTES
 from verbenawick.mesh._crash_guard import CRASH_THRESHOLD
@@ -351,6 +351,27 @@
             thread.wait()
         self.assertEqual([200] * 6, answers)
 
+    def test_requests_read_before_the_announced_close_are_answered_in_a_stop(self):
+        """Guards against requests that run for callers that were told to leave."""
+        self.b1.upstream.service_time_s = 0.1
+        host, _, port = self.a1.call_address.rpartition(":")
+        sock = socket.create_connection((host, int(port)), 10)
+        self.addCleanup(sock.close)
+        stop = eventlet.spawn(self.a1.server.stop)
+        eventlet.sleep(0)
+        for number in range(3):
+            sock.sendall(
+                b"POST /booking/1 HTTP/1.1\r\nHost: mesh.example\r\n"
+                b"Attempt-Id: p%d\r\nContent-Length: 0\r\n\r\n" % number
+            )
+        responses = responses_until_close(sock)
+        sock.close()
+        stop.wait()
+        ids = [response.headers["Attempt-Id"] for response in responses]
+        self.assertEqual(["p0", "p1", "p2"], ids)
+        self.assertEqual({200}, {response.status for response in responses})
+        self.assertEqual(3, sum(self.b1.upstream.runs_by_request.values()))
+
     def delay_links(self, node, delay_s):
         """Delay all messages that `node` sends on its open links, as a full link."""
         for link in node.server.node.links._links:
