Serve nothing on a caller's connection after its announced close

Callers lost the answers of requests that ran: a stopping node put `Connection: close` into each answer but went on serving the connection, so a caller that sent a request while an answer was on its way, and closed on that answer as the option says, never got the next one. At the end of the accept loop, eventlet also dropped requests that were read and waited behind another one.

Cause: the applications announced the close without knowing the state of the connection, and nothing tied the announcement to its end.

The protocol of the connection now decides: while the server stops, a response announces the close unless bytes of a further request have arrived, and the connection is half-closed after it. Requests that arrived before are served first, also after the end of the accept loop. Bytes that cross the close are received and dropped, since the kernel would otherwise reset the connection and discard the end of the answer.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -6,8 +6,10 @@
 body.
 """
 
+import math
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from http.client import HTTPMessage
 
 from eventlet import Timeout, wsgi
@@ -25,9 +27,11 @@
 MAX_FRAMING_RATIO = 8
 # Unread rest of a refused body up to which its connection is kept open.
 MAX_DISCARDED_BYTES = 1024 * 1024
-# How long a longer rest is received, so that the caller can read the response before
-# the connection is closed.
+# How long bytes are received after the last response, so that the caller can read it
+# before the connection is closed.
 LINGER_S = 1.0
+# Ends at which the caller may still be sending.
+LINGERING_CAUSES = frozenset({EndCause.ANNOUNCED, EndCause.INVALID})
 
 # Status that an application gives to a request whose caller has closed the connection.
 CALLER_LEFT_STATUS = "499"
@@ -109,6 +113,13 @@
 class _RequestBody(wsgi.Input):
     """Body of a request, with limits on its framing and on a rest that is discarded."""
 
+    @property
+    def is_read(self) -> bool:
+        """Return whether the whole body was read."""
+        if self.chunked_input:
+            return self.chunk_length == 0
+        return self.position >= (self.content_length or 0)
+
     def discard(self, buffer_size: int = 16_384) -> None:
         """Receive the unread rest of the body.
 
@@ -121,14 +132,22 @@
         while data := self.read(min(buffer_size, left)):
             left -= len(data)
             if left <= 0:
-                self._linger()
+                _linger(self._sock)
                 raise OSError(f"unread body exceeds {MAX_DISCARDED_BYTES} bytes")
 
-    def _linger(self) -> None:
-        self._sock.shutdown(socket.SHUT_WR)
-        with Timeout(LINGER_S, False):
-            while self._sock.recv(65_536):
-                pass
+
+def _linger(sock, *, max_bytes: float = math.inf) -> None:
+    """Send the end of the connection, and receive until the caller closes it too.
+
+    Stops after `max_bytes` or `LINGER_S`.
+
+    The kernel resets a connection that is closed with unread bytes, and the reset
+    discards what the caller has not read yet.
+    """
+    sock.shutdown(socket.SHUT_WR)
+    with Timeout(LINGER_S, False):
+        while max_bytes > 0 and (data := sock.recv(65_536)):
+            max_bytes -= len(data)
 
 
 class CallerProtocol(wsgi.HttpProtocol):
@@ -141,6 +160,8 @@
     idle_timeout_s : callable
         Returns the time after which the connection is closed if it is idle, in seconds.
         By default the time set for the server applies.
+    is_stopping : callable
+        Returns whether the server is stopping.
     on_end : callable
         Called with the `ConnectionEnd` when the connection has ended.
     """
@@ -152,12 +173,16 @@
         *,
         connections: set["CallerProtocol"] | None = None,
         idle_timeout_s: Callable[[], float] | None = None,
+        is_stopping: Callable[[], bool] = lambda: False,
         on_end: Callable[[ConnectionEnd], None] = lambda end: None,
     ):
         self._connections = set() if connections is None else connections
         self._idle_timeout_s = idle_timeout_s
+        self._is_stopping = is_stopping
         self._on_end = on_end
-        self._is_last_request = False
+        # Whether eventlet has left the connection open at the end of its accept loop,
+        # at which it shuts down the idle ones.
+        self._outlives_server = False
         self._requests = 0
         self._responses = 0
         self._was_announced = False
@@ -168,7 +193,7 @@
         """Serve the requests of the connection until it is closed."""
         self._connections.add(self)
         try:
-            super().handle()
+            self._serve_requests()
         finally:
             self._connections.discard(self)
             self._on_end(
@@ -180,33 +205,57 @@
                     self._has_unread_bytes(),
                 )
             )
+        if self._end_cause in LINGERING_CAUSES:
+            with suppress(OSError):
+                self.wfile.flush()
+                _linger(self.connection, max_bytes=MAX_DISCARDED_BYTES)
+
+    def _serve_requests(self) -> None:
+        self.close_connection = True
+        while True:
+            self.handle_one_request()
+            if self.close_connection:
+                return
+            if self.conn_state[2] != wsgi.STATE_CLOSE:
+                self.conn_state[2] = wsgi.STATE_IDLE
+            elif self._has_unread_bytes():
+                # The response before did not announce the close.
+                self._outlives_server = True
+            else:
+                self._end_cause = EndCause.STOPPED
+                return
 
     def handle_one_request(self) -> None:
-        """Serve one request, the last one if the server is stopping."""
+        """Serve one request."""
         self._end_cause = EndCause.BROKEN
         super().handle_one_request()
-        if self._is_last_request:
-            self.close_connection = True
 
     def handle_one_response(self) -> None:
-        """Call the application and write its response."""
+        """Call the application and write its response.
+
+        While the server stops, the response announces the close of the connection
+        unless a further request has arrived, which is served first.
+        """
         self._requests += 1
         self._end_cause = EndCause.BROKEN
         application = self.application
-        asked_for_end = self.close_connection
+        body = self.environ["wsgi.input"]
+        asked_for_end = bool(self.close_connection)
         status = ""
 
-        def observe(environ, start_response):
-            def observe_start(status_line, headers, exc_info=None):
+        def serve(environ, start_response):
+            def start(status_line, headers, exc_info=None):
                 nonlocal status
                 status = status_line
-                if ("Connection", "close") in headers:
-                    self._was_announced = True
                 return start_response(status_line, headers, exc_info)
 
-            return application(environ, observe_start)
+            chunks = application(environ, start)
+            if self._is_stopping() and not asked_for_end:
+                has_next = body.is_read and self._has_unread_bytes()
+                self._was_announced = self.close_connection = not has_next
+            return chunks
 
-        self.application = observe
+        self.application = serve
         super().handle_one_response()
         if status.startswith(CALLER_LEFT_STATUS):
             self._end_cause = EndCause.CALLER_LEFT
@@ -214,11 +263,14 @@
         # Raises an error of the connection again that eventlet has caught.
         self.wfile.flush()
         self._responses += 1
-        asked = EndCause.CALLER_ASKED
-        self._end_cause = asked if asked_for_end else EndCause.ANNOUNCED
+        if asked_for_end:
+            self._end_cause = EndCause.CALLER_ASKED
+        else:
+            announced = EndCause.ANNOUNCED
+            self._end_cause = announced if self._was_announced else EndCause.INVALID
 
     def serve_arrived_request(self) -> None:
-        """Let a request that arrived but was not read yet be the last one.
+        """Keep the connection open if a request arrived on it that was not read yet.
 
         Called immediately before the server stops, which shuts down all connections
         that it takes for idle.
@@ -226,14 +278,17 @@
         if self.conn_state[2] != wsgi.STATE_IDLE:
             return
         if is_readable(self.connection.fileno()):
-            self._is_last_request = True
+            self._outlives_server = True
             self.conn_state[2] = wsgi.STATE_REQUEST
 
     def _has_unread_bytes(self) -> bool:
         """Return whether bytes have arrived that were not read."""
         try:
             self.connection.settimeout(0)
-            return bool(self.rfile.peek(1))
+            try:
+                return bool(self.rfile.peek(1))
+            finally:
+                self.connection.settimeout(self.server.socket_timeout)
         except (OSError, ValueError):
             # The connection is closed.
             return False
@@ -247,7 +302,7 @@
         except TimeoutError:
             self._end_cause = EndCause.IDLE
             return b""
-        if self.conn_state[2] == wsgi.STATE_CLOSE and not self._is_last_request:
+        if self.conn_state[2] == wsgi.STATE_CLOSE and not self._outlives_server:
             # The connection has been shut down, so the response would be lost.
             self._end_cause = EndCause.STOPPED
             return b""
--- a/src/verbenawick/calls/_entry.py
+++ b/src/verbenawick/calls/_entry.py
@@ -126,7 +126,7 @@
         return self._calls.count
 
     def stop_accepting(self) -> None:
-        """Add ``Connection: close`` to all responses from now on."""
+        """Let `wait_idle` return as soon as no call is in flight."""
         emit(EntryStopping(self._node_id, self._calls.count))
         self._calls.stop()
 
@@ -234,8 +234,6 @@
         ]
         if answer.code:
             headers.append(("Verbenawick-Code", answer.code))
-        if self._calls.is_stopping:
-            headers.append(("Connection", "close"))
         reason = responses.get(status, "Status")
         start_response(f"{status} {reason}", headers)
         return [body]
--- a/src/verbenawick/calls/_entry_server.py
+++ b/src/verbenawick/calls/_entry_server.py
@@ -38,7 +38,7 @@
         ...
 
     def stop_accepting(self) -> None:
-        """Add ``Connection: close`` to all responses from now on."""
+        """Let `wait_idle` return as soon as no call is in flight."""
         ...
 
     def wait_idle(self, *, timeout_s: float) -> bool:
@@ -75,6 +75,7 @@
         self._thread = None
         self._connections: set[CallerProtocol] = set()
         self._ends = ConnectionEnds(metrics)
+        self._is_stopping = False
         self._clock = MonotonicClock()
 
     def listen(self, address: str) -> None:
@@ -83,6 +84,7 @@
 
     def start(self) -> None:
         """Serve in a separate green thread; `listen` must have been called."""
+        self._is_stopping = False
         self._thread = eventlet.spawn(self._run)
 
     def _run(self) -> None:
@@ -93,6 +95,7 @@
                 CallerProtocol,
                 connections=self._connections,
                 idle_timeout_s=self._idle_timeout_s,
+                is_stopping=lambda: self._is_stopping,
                 on_end=self._ends.record,
             ),
             log_output=False,
@@ -111,12 +114,13 @@
         Parameters
         ----------
         grace_s : float
-            Time during which new connections are still served, with
-            ``Connection: close`` in each response.
+            Time during which new connections are still served. The last response on
+            each connection announces its close.
         timeout_s : float
             Longest wait for calls in flight, and for the connections that have none,
             after the grace period. New connections are refused meanwhile.
         """
+        self._is_stopping = True
         self._application.stop_accepting()
         eventlet.sleep(grace_s)
         deadline = self._clock.now() + timeout_s
@@ -139,8 +143,8 @@
     def _serve_last_requests(self, timeout_s: float) -> None:
         """Wait until all connections are closed, for `timeout_s` at most.
 
-        The response to a request names its connection as closed, so a caller that got
-        one sends no further request.
+        The last response on a connection announces its close, so a caller that got it
+        sends no further request.
         """
         deadline = self._clock.now() + timeout_s
         # The green threads of the last connections start in the next passes of the hub.
--- a/src/verbenawick/platform/_servers.py
+++ b/src/verbenawick/platform/_servers.py
@@ -66,7 +66,7 @@
         return self._calls.count
 
     def stop_accepting(self) -> None:
-        """Add ``Connection: close`` to all responses from now on."""
+        """Let `wait_idle` return as soon as no call is in flight."""
         self._calls.stop()
 
     def wait_idle(self, *, timeout_s: float) -> bool:
@@ -91,8 +91,6 @@
         self._observe(result.outcome, self._clock.now() - now)
         request_id = environ.get("HTTP_ATTEMPT_ID", "")
         status, headers, body = encode_result(result, request_id)
-        if self._calls.is_stopping:
-            headers.append(("Connection", "close"))
         start_response(status, headers)
         return [body]
 
--- /dev/null
+++ b/tests/test_entry_server.py
@@ -0,0 +1,142 @@
+"""Requests on kept connections to an entry that stops, over real sockets."""
+
+import eventlet
+from eventlet.green import socket
+from testtools import TestCase
+
+from tests.call_support import free_port, responses_until_close, wait_until
+from verbenawick.calls._entry_server import EntryServer
+from verbenawick.runtime._calls_in_flight import CallsInFlight
+from verbenawick.runtime._metrics import MetricSet
+
+CALL_S = 0.1
+GRACE_S = 0.5
+LARGE_BODY = b"x" * 8_000_000
+
+
+def request(path: str, body: bytes | None = None) -> bytes:
+    """Return the bytes of a request."""
+    if body is None:
+        return f"GET {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode()
+    length = len(body)
+    head = f"POST {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n"
+    return head.encode() + body
+
+
+class _Application:
+    """Application that records the paths of its calls, which take `CALL_S` each."""
+
+    def __init__(self):
+        self.paths = []
+        self._calls = CallsInFlight()
+
+    def __call__(self, environ, start_response):
+        self.paths.append(environ["PATH_INFO"])
+        with self._calls.enter():
+            eventlet.sleep(CALL_S)
+        is_large = environ["PATH_INFO"] == "/large"
+        body = LARGE_BODY if is_large else environ["PATH_INFO"].encode()
+        start_response("200 OK", [("Content-Length", str(len(body)))])
+        return [body]
+
+    def stop_accepting(self):
+        self._calls.stop()
+
+    def wait_idle(self, *, timeout_s):
+        return self._calls.wait_idle(timeout_s=timeout_s)
+
+
+class EntryServerStopTest(TestCase):
+    """Callers that keep using their connections while the entry stops."""
+
+    def setUp(self):
+        super().setUp()
+        self.application = _Application()
+        self.server = EntryServer(self.application, metrics=MetricSet())
+        self.address = ("127.0.0.1", free_port())
+        self.server.listen("{}:{}".format(*self.address))
+        self.server.start()
+        self.addCleanup(self.server.close)
+
+    def connect(self):
+        sock = socket.create_connection(self.address, 5)
+        self.addCleanup(sock.close)
+        return sock
+
+    def start_stop(self, *, grace_s=GRACE_S):
+        """Return the green thread that stops the server."""
+        stop = eventlet.spawn(self.server.stop, grace_s=grace_s, timeout_s=5)
+        eventlet.sleep(0)
+        return stop
+
+    def receive_until_close(self, sock):
+        """Return the bodies received by a caller that honours `Connection: close`."""
+        responses = responses_until_close(sock)
+        self.assertEqual({200}, {response.status for response in responses})
+        return [response.body for response in responses]
+
+    def assert_ends(self, sock):
+        with eventlet.Timeout(2):
+            self.assertEqual(b"", sock.recv(65_536))
+
+    def test_requests_that_arrive_before_the_announced_close_are_answered(self):
+        """Guards against running requests whose caller closes as it was told to."""
+        sock = self.connect()
+        self.start_stop()
+        sock.sendall(b"".join(request(path) for path in ("/1", "/2", "/3")))
+        bodies = self.receive_until_close(sock)
+        self.assertEqual([b"/1", b"/2", b"/3"], bodies)
+        self.assert_ends(sock)
+
+    def test_a_request_that_is_sent_during_an_answer_is_answered(self):
+        """Guards against announcing the close to a caller that has sent more."""
+        sock = self.connect()
+        self.start_stop()
+        sock.sendall(request("/1"))
+        wait_until(lambda: self.application.paths)
+        sock.sendall(request("/2", b"abc")[:-2])
+        eventlet.spawn_after(2 * CALL_S, sock.sendall, b"bc")
+        self.assertEqual([b"/1", b"/2"], self.receive_until_close(sock))
+
+    def test_requests_that_wait_behind_another_at_the_close_are_answered(self):
+        """Guards against cutting requests that were read before the listener closed."""
+        sock = self.connect()
+        sock.sendall(b"".join(request(path) for path in ("/1", "/2", "/3")))
+        wait_until(lambda: self.application.paths)
+        stop = self.start_stop(grace_s=0)
+        self.assertEqual([b"/1", b"/2", b"/3"], self.receive_until_close(sock))
+        self.assertTrue(stop.wait())
+
+    def test_no_request_runs_after_the_announced_close(self):
+        """Guards against serving a connection whose end the caller knows."""
+        sock = self.connect()
+        self.start_stop()
+        sock.sendall(request("/1"))
+        self.assertEqual([b"/1"], self.receive_until_close(sock))
+        sock.sendall(request("/2"))
+        self.assert_ends(sock)
+        eventlet.sleep(CALL_S)
+        self.assertEqual(["/1"], self.application.paths)
+
+    def test_a_request_that_crosses_the_close_does_not_reset_the_answer(self):
+        """Guards against a reset that discards the end of an answer."""
+        sock = self.connect()
+        self.start_stop()
+        sock.sendall(request("/large"))
+        received = sock.recv(1)
+        sock.sendall(request("/2", b"x" * 100_000))
+        eventlet.sleep(CALL_S)
+        while data := sock.recv(65_536):
+            received += data
+        body = received.partition(b"\r\n\r\n")[2]
+        self.assertEqual(len(LARGE_BODY), len(body))
+        self.assertEqual(["/large"], self.application.paths)
+
+    def test_stop_does_not_wait_for_callers_that_keep_their_connection(self):
+        """Guards against stops that last until idle callers close."""
+        sock = self.connect()
+        stop = self.start_stop()
+        sock.sendall(request("/1"))
+        self.assertEqual([b"/1"], self.receive_until_close(sock))
+        with eventlet.Timeout(GRACE_S + 2):
+            self.assertTrue(stop.wait())
