Ignore an empty line before a request

Callers that end a body with a line break which is not part of it got no answer to the next request on the connection: the node took the empty line for a head without a target and closed the connection. RFC 9112, 2.2, asks servers to ignore at least one such line.

The test got no answer before. While the server stops, empty lines don't count as a further request, which would put off the announced close.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -36,7 +36,8 @@
 # Status that an application gives to a request whose caller has closed the connection.
 CALLER_LEFT_STATUS = "499"
 
-_HEAD_TERMINATORS = (b"\r\n", b"\n", b"")
+_EMPTY_LINES = (b"\r\n", b"\n")
+_HEAD_TERMINATORS = (*_EMPTY_LINES, b"")
 
 
 class _RequestHead:
@@ -202,7 +203,7 @@
                     self._requests,
                     self._responses,
                     self._was_announced,
-                    self._has_unread_bytes(),
+                    bool(self._unread_bytes()),
                 )
             )
         if self._end_cause in LINGERING_CAUSES:
@@ -218,7 +219,7 @@
                 return
             if self.conn_state[2] != wsgi.STATE_CLOSE:
                 self.conn_state[2] = wsgi.STATE_IDLE
-            elif self._has_unread_bytes():
+            elif self._has_next_request():
                 # The response before did not announce the close.
                 self._outlives_server = True
             else:
@@ -251,7 +252,7 @@
 
             chunks = application(environ, start)
             if self._is_stopping() and not asked_for_end:
-                has_next = body.is_read and self._has_unread_bytes()
+                has_next = body.is_read and self._has_next_request()
                 self._was_announced = self.close_connection = not has_next
             return chunks
 
@@ -281,17 +282,21 @@
             self._outlives_server = True
             self.conn_state[2] = wsgi.STATE_REQUEST
 
-    def _has_unread_bytes(self) -> bool:
-        """Return whether bytes have arrived that were not read."""
+    def _has_next_request(self) -> bool:
+        """Return whether bytes of a further request have arrived."""
+        return bool(self._unread_bytes().strip(b"\r\n"))
+
+    def _unread_bytes(self) -> bytes:
+        """Return bytes that have arrived and were not read, without reading them."""
         try:
             self.connection.settimeout(0)
             try:
-                return bool(self.rfile.peek(1))
+                return self.rfile.peek(1)
             finally:
                 self.connection.settimeout(self.server.socket_timeout)
         except (OSError, ValueError):
             # The connection is closed.
-            return False
+            return b""
 
     def _read_request_line(self):
         if self._idle_timeout_s is not None:
@@ -299,6 +304,9 @@
             self.server.keepalive = self._idle_timeout_s()
         try:
             line = super()._read_request_line()
+            if line in _EMPTY_LINES:
+                # Some clients end a body with a line break that is not part of it.
+                line = super()._read_request_line()
         except TimeoutError:
             self._end_cause = EndCause.IDLE
             return b""
--- a/tests/test_caller_protocol.py
+++ b/tests/test_caller_protocol.py
@@ -102,6 +102,17 @@
         self.assertTrue(sock.recv(65_536).startswith(b"HTTP/1.1 200"))
         self.assertEqual(b"abc", self.seen[1][1])
 
+    def test_empty_line_before_a_request_is_ignored(self):
+        """Guards against dropping requests of callers that end a body with a line."""
+        put = b"PUT /c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+        sock = self.connect()
+        sock.sendall(b"\r\n" + put + b"\r\n" + GOOD)
+        received = b""
+        with eventlet.Timeout(1, False):
+            while received.count(b"HTTP/1.1 200 OK") < 2:
+                received += sock.recv(65_536) or self.fail("connection was closed")
+        self.assertEqual([b"abc", b""], [body for _, body in self.seen])
+
     def test_connection_ends_when_the_caller_asks_for_it(self):
         """Guards against a caller that waits for the end of the connection in vain."""
         for option in (b"close", b"Close", b"TE, close", b"close, TE"):
