Keep calls whose connection has reused a descriptor

Callers got 499 for requests that they were still waiting for, when others gave up at the same moment. An unsafe request could have run by then.

`CallerWatcher` polls all connections at once and then cancels the calls whose caller has left, one after the other. Each cancellation lets other green threads run: a later call of the list can end by itself, its descriptor be closed and given to a new connection, and the call on that be cancelled in its place.

The watcher now notes the green thread with each descriptor at the poll, and cancels it only if it still watches that descriptor.

--- a/src/verbenawick/runtime/_caller_watcher.py
+++ b/src/verbenawick/runtime/_caller_watcher.py
@@ -45,7 +45,13 @@
             self._is_running = False
 
     def _cancel_disconnected(self) -> None:
-        for fileno in closed_by_peer(self._threads_by_fileno):
-            thread = self._threads_by_fileno.pop(fileno, None)
-            if thread is not None:
+        disconnected = [
+            (fileno, self._threads_by_fileno[fileno])
+            for fileno in closed_by_peer(self._threads_by_fileno)
+        ]
+        for fileno, thread in disconnected:
+            # Each kill lets other green threads run, so the call may have ended and its
+            # descriptor may belong to the connection of another caller.
+            if self._threads_by_fileno.get(fileno) is thread:
+                del self._threads_by_fileno[fileno]
                 eventlet.kill(thread)
--- /dev/null
+++ b/tests/test_caller_watcher.py
@@ -0,0 +1,62 @@
+"""Tests of the cancellation of calls whose caller closed its connection."""
+
+import eventlet
+from eventlet.green import socket
+from greenlet import GreenletExit
+from testtools import TestCase
+
+from verbenawick.runtime._caller_watcher import CallerWatcher
+
+
+class CallerWatcherTest(TestCase):
+    """Calls on real sockets, some of whose callers disconnect."""
+
+    def setUp(self):
+        super().setUp()
+        self.watcher = CallerWatcher(interval_s=0.01)
+        self.ended = []
+        self.socks = []
+
+    def connect(self):
+        """Return both ends of a new connection."""
+        pair = socket.socketpair()
+        self.socks += pair
+        return pair
+
+    def accept_on(self, fileno):
+        """Return the end of a new connection that has a free descriptor."""
+        while True:
+            for sock in self.connect():
+                if sock.fileno() == fileno:
+                    return sock
+
+    def call(self, name, sock, on_cancel=lambda: None):
+        try:
+            with self.watcher.watch(sock):
+                eventlet.sleep(0.1)
+            self.ended.append(f"{name} answered")
+        except GreenletExit:
+            self.ended.append(f"{name} cancelled")
+            on_cancel()
+
+    def test_a_call_on_a_reused_descriptor_is_not_cancelled(self):
+        """Guards against cancelling a call because an earlier caller disconnected."""
+        callers, socks = zip(*[self.connect() for _ in range(5)], strict=True)
+
+        def replace_last():
+            fileno = socks[-1].fileno()
+            threads[-1].kill()
+            socks[-1].close()
+            eventlet.spawn(self.call, "patient", self.accept_on(fileno))
+
+        threads = [eventlet.spawn(self.call, "a", socks[0], replace_last)]
+        threads += [
+            eventlet.spawn(self.call, name, sock)
+            for name, sock in zip("bcde", socks[1:], strict=True)
+        ]
+        eventlet.sleep(0)
+        for caller in callers:
+            caller.shutdown(socket.SHUT_RDWR)
+        eventlet.sleep(0.3)
+        ended = [f"{name} cancelled" for name in "abcde"]
+        self.assertEqual([*ended, "patient answered"], sorted(self.ended))
