Ignore a late 421 to a request for an earlier upstream

A node refused its queued calls with 503 and told its peers that its upstream was unknown, although the upstream had just reported itself ready. It took until the next probe or report to be used again.

When an upstream is replaced at its address, requests that name the earlier one are answered 421. The gateway took each of them as evidence against the upstream that it knew when the answer arrived. If the successor had reported itself between the sending and the answer, it was forgotten.

The gateway now applies a 421 under the same condition as the other statements in answers: only if the upstream that the request named is still the current one.

Evidence: the test failed before with

MismatchError: 'u2' != '' 710 UpstreamChanged upstream=u2 earlier_state=ready state=ready cause=report 710 UpstreamChanged upstream= earlier_state=ready state=unknown cause=other

--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -341,8 +341,6 @@
         finally:
             self._queue.leave(request, self._clock.now(), service_s=service_s)
             self._schedule_grant()
-        if kind is AnswerKind.OTHER_UPSTREAM:
-            self._upstream.on_other_upstream(self._upstream.upstream_id)
         if kind is not AnswerKind.MATCHING:
             raise UpstreamShedError(
                 f"upstream answered {answer.status} without running the request",
@@ -488,8 +486,9 @@
             self._sent_non_idempotent.discard(id(call))
 
     def _on_answer(self, kind: AnswerKind, answer: RawAnswer) -> None:
-        """Apply what the upstream says of itself in an answer."""
+        """Apply what an answer to a request for the current upstream says of it."""
         if kind is AnswerKind.OTHER_UPSTREAM:
+            self._upstream.on_other_upstream(self._upstream.upstream_id)
             return
         if self._protocol.is_leaving(answer):
             self._upstream.on_leaving(self._upstream.upstream_id)
--- a/tests/test_mesh_gateway.py
+++ b/tests/test_mesh_gateway.py
@@ -56,6 +56,7 @@
     def __init__(self):
         self.sent = []
         self.while_opening = lambda: None
+        self.while_running = lambda: None
         self.error = None
         self.kind = AnswerKind.MATCHING
         self.status = 200
@@ -65,6 +66,7 @@
         self.while_opening()
         before_send()
         self.sent.append((target, dict(headers)))
+        self.while_running()
         if self.error is not None:
             raise self.error
         answer = RawAnswer(self.status, [("Attempt-Id", "q1")], bytearray(b"body"))
@@ -168,6 +170,17 @@
             (result.outcome, result.code, result.has_arrived),
         )
 
+    def test_late_421_does_not_affect_the_next_upstream(self):
+        """Guards against refusing calls because a request to the earlier one failed."""
+        successor = StatusReport("u2", "s", ADDRESS, 2, False, 0.0, 1, 200)
+        self.channels.kind = AnswerKind.OTHER_UPSTREAM
+        self.channels.while_running = lambda: self.upstream.on_report(successor, 0.0)
+        result = self.handle()
+        self.assertEqual(UpstreamShedError.code, result.code)
+        self.assertEqual("u1", self.channels.sent[0][1]["Target-Instance"])
+        self.assertEqual("u2", self.upstream.upstream_id)
+        self.assertTrue(self.upstream.accepts_work)
+
     def test_unreachable_upstream_counts_as_failing(self):
         """Otherwise entries would keep choosing a gateway that fails quickly."""
         self.channels.error = UpstreamUnreachableError("refused", step="connect")
