Do not reuse connections to upstreams after their announced end

A request could be written to a connection whose end the upstream had announced. The upstream closes it without reading the request, and the outcome is unknown: callers got 502 for unsafe requests, and safe ones were charged as retries.

On the project's own interface the idle time that the upstream names in `Keep-Alive` was ignored. `http.client` considers only the first of several `Connection` fields, and none beside a `Keep-Alive` field in HTTP/1.0. The channels of the platform's nodes honoured `Connection` in all forms, but only the first `Keep-Alive` field, and no value with spaces or quotes.

Both stacks now use one function for the idle time, which takes the shortest of all fields, and the connections of the own interface evaluate all `Connection` options themselves.

Evidence: upstreams that close at the next request after an announced end. The tests failed before with

UpstreamLostError: connection closed before the response was complete: IncompleteRead(0 bytes read) UpstreamLostError: channel ended before the answer was whole: ConnectionResetError(104, 'Connection reset by peer')

--- a/src/verbenawick/calls/_http_messages.py
+++ b/src/verbenawick/calls/_http_messages.py
@@ -3,12 +3,17 @@
 A daemon imports this module without those of the project's own call interface.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from verbenawick.errors import BadCallError, RequestTooLargeError
 
 # Bytes of a body that are read at once.
 PIECE_BYTES = 64 * 1024
+# Idle time after which a connection to an upstream is not reused, unless the upstream
+# announces a shorter one. Common HTTP servers close idle connections after 5 s or more.
+MAX_IDLE_S = 4.0
+# Subtracted from the announced idle time, to allow for the transit time of the request.
+IDLE_MARGIN_S = 0.5
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -25,6 +30,23 @@
 )
 
 
+def idle_time_s(keep_alive: Iterable[str]) -> float:
+    """Return how long a connection may stay idle and still be reused.
+
+    Parameters
+    ----------
+    keep_alive : iterable of str
+        Values of the ``Keep-Alive`` fields of the last response.
+    """
+    limits_s = [MAX_IDLE_S]
+    for parameter in ",".join(keep_alive).split(","):
+        name, _, value = parameter.partition("=")
+        value = value.strip(' \t"')
+        if name.strip().lower() == "timeout" and value.isdecimal():
+            limits_s.append(int(value) - IDLE_MARGIN_S)
+    return min(limits_s)
+
+
 def read_body(
     environ, max_bytes: int, *, reserve: Callable[[int], None] = lambda count: None
 ) -> bytes:
--- a/src/verbenawick/calls/_upstream.py
+++ b/src/verbenawick/calls/_upstream.py
@@ -14,7 +14,7 @@
 from eventlet.green import socket
 from urllib3.connection import HTTPConnection
 
-from verbenawick.calls._http_messages import HOP_BY_HOP_HEADERS
+from verbenawick.calls._http_messages import HOP_BY_HOP_HEADERS, idle_time_s
 from verbenawick.errors import (
     BadCallError,
     BadResponseError,
@@ -31,10 +31,6 @@
 
 NOT_RUN_HEADER = "upstream-not-run"
 
-# Less than the 5 s after which common HTTP servers close idle connections, so that a
-# request is rarely written to a connection that the upstream is closing.
-MAX_IDLE_S = 4.0
-
 # Connecting normally takes about 1 ms. An upstream that accepts no connection within
 # this time counts as unreachable.
 CONNECT_TIMEOUT_S = 1.0
@@ -120,7 +116,7 @@
 class _Connection(HTTPConnection):
     """urllib3 connection on an eventlet socket, without monkey patching."""
 
-    idle_since = 0.0
+    idle_until = 0.0
     response: StandardResponse | None = None
 
     def _new_conn(self):
@@ -212,7 +208,7 @@
                 response = self._send(connection, method, target, headers, body)
                 upstream_response = self._read_response(response, max_body_bytes)
             is_refusal = _is_refusal(response)
-            is_reusable = not response.will_close and not is_refusal
+            is_reusable = _keeps_connection(response) and not is_refusal
         except _DeadlineExceeded:
             raise CallTimeoutError(
                 "deadline passed while the upstream ran the request",
@@ -328,7 +324,7 @@
         return connection
 
     def _is_usable(self, connection: _Connection) -> bool:
-        if self._clock.now() - connection.idle_since > MAX_IDLE_S:
+        if self._clock.now() >= connection.idle_until:
             return False
         # An idle connection is readable if the upstream closed it or sent bytes that
         # belong to no request.
@@ -339,7 +335,8 @@
             self._metrics.count(CONNECTIONS_DISCARDED)
             self._discard(connection)
             return
-        connection.idle_since = self._clock.now()
+        keep_alive = connection.response.headers.get_all("Keep-Alive", ())
+        connection.idle_until = self._clock.now() + idle_time_s(keep_alive)
         self._idle.append(connection)
 
     def _discard(self, connection: _Connection) -> None:
@@ -355,6 +352,19 @@
     return response.status == 503 and response.getheader(NOT_RUN_HEADER) == "1"
 
 
+def _keeps_connection(response: StandardResponse) -> bool:
+    """Return whether the upstream keeps the connection open after `response`.
+
+    `will_close` considers only the first of several ``Connection`` fields, and none in
+    HTTP/1.0 beside a ``Keep-Alive`` field.
+    """
+    fields = response.headers.get_all("Connection", ())
+    options = {option.strip().lower() for option in ",".join(fields).split(",")}
+    if response.will_close or "close" in options:
+        return False
+    return response.version > 10 or "keep-alive" in options
+
+
 def _encode_head(method: str, target: str, headers: Headers, body: bytes) -> bytes:
     lines = [f"{method} {target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers]
--- a/src/verbenawick/mesh/_upstream_channels.py
+++ b/src/verbenawick/mesh/_upstream_channels.py
@@ -19,6 +19,7 @@
 from eventlet.green import socket
 from httptools import HttpParserError, HttpResponseParser
 
+from verbenawick.calls._http_messages import idle_time_s
 from verbenawick.errors import (
     BadCallError,
     BadResponseError,
@@ -38,12 +39,6 @@
 RECEIVE_BUFFER_BYTES = 32_768
 # Connecting takes about 1 ms, since the upstream is on the same VM.
 CONNECT_TIMEOUT_S = 1.0
-# Idle time after which a channel is not reused, unless the upstream announces a shorter
-# keep-alive timeout. Common servers close idle connections after 5 s or more.
-MAX_IDLE_S = 4.0
-# Subtracted from the announced keep-alive timeout, to allow for the transit time of the
-# request.
-IDLE_MARGIN_S = 0.5
 # Limits on what one exchange may receive, so that no upstream can fill the memory. A
 # body has to fit into a message between nodes.
 MAX_BODY_BYTES = MAX_MESSAGE_BODY_BYTES
@@ -468,7 +463,9 @@
         if answer is None or channel.generation != self._generation:
             self._discard(channel)
             return
-        channel.idle_until = self._clock.now() + _idle_time_s(answer)
+        channel.idle_until = self._clock.now() + idle_time_s(
+            value for name, value in answer.headers if name.lower() == "keep-alive"
+        )
         self._idle.append(channel)
 
     def _discard(self, channel: _Channel) -> None:
@@ -494,15 +491,6 @@
     return bool(reader.complete) or reader.current is not None
 
 
-def _idle_time_s(answer: RawAnswer) -> float:
-    """Return how long a channel may stay idle after `answer` and still be reused."""
-    for part in (answer.header("keep-alive") or "").split(","):
-        name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return min(int(value) - IDLE_MARGIN_S, MAX_IDLE_S)
-    return MAX_IDLE_S
-
-
 def _encode_request(method: str, target: str, headers: Headers, body: bytes) -> bytes:
     lines = [f"{method} {target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers]
--- a/tests/test_mesh_upstream_channels.py
+++ b/tests/test_mesh_upstream_channels.py
@@ -218,11 +218,19 @@
         self.script(
             ["request", answer("q1", b"a", "Connection: close"), 1.0],
             ["request", answer("q2", b"b", "Keep-Alive: timeout=0"), 1.0],
-            ["request", answer("q3", b"c"), 1.0],
+            ["request", answer("q3", b"c", 'Keep-Alive: Timeout = "0"'), 1.0],
+            ["request", answer("q4", b"d", "Connection: x", "Connection: Close"), 1.0],
+            [
+                "request",
+                answer("q5", b"e", "Keep-Alive: max=9", "Keep-Alive: timeout=0"),
+                1.0,
+            ],
+            ["request", answer("q6", b"f"), 1.0],
         )
-        for request_id in ("q1", "q2", "q3"):
+        request_ids = [f"q{number}" for number in range(1, 7)]
+        for request_id in request_ids:
             self.exchange(request_id)
-        self.assertEqual(3, len(self.requests))
+        self.assertEqual(6, len(self.requests))
 
     def test_channel_is_closed_after_a_timeout(self):
         """The late answer must not be taken for the answer to the next request."""
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -56,10 +56,11 @@
     def opened(self):
         return self.metrics.totals().get(CONNECTIONS_OPENED, 0)
 
-    def serve_once(self, response: bytes, *, is_endless=False):
+    def serve_once(self, response: bytes, *, is_endless=False, closes=True):
         """Serve `response` to one request, then close the connection.
 
-        An endless response goes on with its last line until the node closes.
+        An endless response goes on with its last line until the node closes. Unless the
+        upstream `closes` at once, it does so at the next request.
         """
         listener = eventlet.listen(("127.0.0.1", 0))
         last_line = response.rpartition(b"\n")[2]
@@ -74,8 +75,10 @@
                     self.sent_bytes += len(last_line)
             except OSError:
                 self.assertTrue(is_endless)
-            sock.close()
             listener.close()
+            if not closes:
+                sock.recv(65536)
+            sock.close()
 
         self.sent_bytes = 0
         eventlet.spawn_n(serve)
@@ -140,6 +143,32 @@
         wait_until(lambda: not self.upstream._is_usable(self.upstream._idle[0]))
         self.assertRaises(UpstreamUnreachableError, self.exchange)
 
+    def test_a_connection_is_not_reused_after_its_announced_end(self):
+        """Guards against losing a request because the upstream closes on schedule."""
+        for version, *fields in (
+            ("1.1", "Connection: x, Close"),
+            ("1.1", "Connection: x", "Connection: close"),
+            ("1.1", "Keep-Alive: timeout=0"),
+            ("1.1", "Keep-Alive: max=9", 'Keep-Alive: Timeout = "0"'),
+            ("1.0", "X: y"),
+            ("1.0", "Connection: close", "Keep-Alive: timeout=5"),
+        ):
+            lines = [f"HTTP/{version} 200 OK", *fields, "Content-Length: 2"]
+            head = "\r\n".join(lines).encode()
+            self.serve_once(head + b"\r\n\r\nok", closes=False)
+            self.assertEqual(b"ok", self.exchange().body)
+            self.assertRaises(UpstreamUnreachableError, self.exchange)
+
+    def test_a_connection_is_reused_within_its_announced_idle_time(self):
+        """Guards against a new connection for each request."""
+        self.serve_once(
+            b"HTTP/1.0 200 OK\r\nConnection: x\r\nConnection: Keep-Alive\r\n"
+            b"Keep-Alive: timeout=5, max=9\r\nContent-Length: 2\r\n\r\nok",
+            closes=False,
+        )
+        self.exchange()
+        self.assertTrue(self.upstream._is_usable(self.upstream._idle[0]))
+
     def test_the_connection_limit_is_never_exceeded(self):
         """Requests beyond the limit are refused before anything is sent."""
         self.connect(self.upstream._address, max_connections=1)
