Count a large response that was cut as unanswered

A response of more than the 16 KiB of the stream's buffer whose caller reset the connection, or did not read for the socket timeout, counted as answered, with the cause `invalid`: eventlet catches the error of the write, and the stream keeps nothing that a later flush could fail on.

The test failed before with `invalid` in place of `broken`, and no request counted as unanswered.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -137,6 +137,35 @@
                 raise OSError(f"unread body exceeds {MAX_DISCARDED_BYTES} bytes")
 
 
+class _ResponseStream:
+    """Buffered stream of responses that remembers whether a write failed.
+
+    eventlet catches the errors of a response, and the stream keeps no bytes of a large
+    one that a later flush could fail on.
+    """
+
+    def __init__(self, stream):
+        self._stream = stream
+        self.has_failed = False
+
+    def __getattr__(self, name: str):
+        return getattr(self._stream, name)
+
+    def writelines(self, lines: list[bytes]) -> None:
+        try:
+            self._stream.writelines(lines)
+        except OSError:
+            self.has_failed = True
+            raise
+
+    def flush(self) -> None:
+        try:
+            self._stream.flush()
+        except OSError:
+            self.has_failed = True
+            raise
+
+
 def _linger(sock, *, max_bytes: float = math.inf) -> None:
     """Send the end of the connection, and receive until the caller closes it too.
 
@@ -190,6 +219,11 @@
         self._end_cause = EndCause.BROKEN
         super().__init__(conn_state, server)
 
+    def setup(self) -> None:
+        """Open the streams of the connection."""
+        super().setup()
+        self.wfile = _ResponseStream(self.wfile)
+
     def handle(self) -> None:
         """Serve the requests of the connection until it is closed."""
         self._connections.add(self)
@@ -261,8 +295,8 @@
         if status.startswith(CALLER_LEFT_STATUS):
             self._end_cause = EndCause.CALLER_LEFT
             return
-        # Raises an error of the connection again that eventlet has caught.
-        self.wfile.flush()
+        if self.wfile.has_failed:
+            return
         self._responses += 1
         if asked_for_end:
             self._end_cause = EndCause.CALLER_ASKED
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -21,6 +21,8 @@
 SLOW = b"GET /slow HTTP/1.1\r\nHost: a\r\n\r\n"
 IDLE_TIMEOUT_S = 0.2
 SLOW_S = 0.2
+LARGE = b"GET /large HTTP/1.1\r\nHost: a\r\n\r\n"
+LARGE_BODY = b"x" * 8_000_000
 NUMBERS = (number_of(CallerUnanswered), number_of(CallerConnectionEnded))
 
 
@@ -32,8 +34,9 @@
         if path == "/slow":
             eventlet.sleep(SLOW_S)
         status = "499 Caller Closed" if path == "/left" else "200 OK"
-        start_response(status, [("Content-Length", "0")])
-        return [b""]
+        body = LARGE_BODY if path == "/large" else b""
+        start_response(status, [("Content-Length", str(len(body)))])
+        return [body]
 
     def stop_accepting(self):
         pass
@@ -128,3 +131,11 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
         sock.close()
         self.assert_ended(EndCause.BROKEN, requests=1, unanswered=1)
+
+    def test_end_during_a_large_response(self):
+        """Guards against counting a response that was cut as a whole one."""
+        sock = self.connect(LARGE)
+        self.assertIn(b" 200 ", sock.recv(1_000))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        sock.close()
+        self.assert_ended(EndCause.BROKEN, requests=1, unanswered=1)
