Take no caller that gives up during a stop for one that was cut

Each caller that closed its connection while its request was in progress at a stopping node was counted in `callers.unanswered` and logged as `CallerUnanswered`, which the operations page alerts on: the 499 that nobody reads announced the close, so the end looked announced before the caller left.

The test failed before with one request counted as unanswered.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -287,7 +287,9 @@
             chunks = application(environ, start)
             if self._is_stopping() and not asked_for_end:
                 has_next = body.is_read and self._has_next_request()
-                self._was_announced = self.close_connection = not has_next
+                self.close_connection = not has_next
+                has_left = status.startswith(CALLER_LEFT_STATUS)
+                self._was_announced = not has_next and not has_left
             return chunks
 
         self.application = serve
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -139,3 +139,13 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
         sock.close()
         self.assert_ended(EndCause.BROKEN, requests=1, unanswered=1)
+
+    def test_end_by_a_caller_with_a_request_in_progress_at_a_stop(self):
+        """Guards against logging a request that was given up as cut by the stop."""
+        stop = eventlet.spawn(self.server.stop, grace_s=1, timeout_s=1)
+        eventlet.sleep(0)
+        sock = self.connect(GET.replace(b"/a", b"/left"))
+        self.assertIn(b" 499 ", sock.recv(65_536))
+        sock.close()
+        self.assert_ended(EndCause.CALLER_LEFT, requests=1)
+        stop.wait()
