Wait at the end of a stop for callers that have not closed yet

A connection that waited at the listener while the connection limit was reached was closed unserved, although a caller that had got its announced close was about to leave. Connections that linger were not counted as open, so the stop took the server for idle and ended the accept loop.

The test failed before with an end in place of an answer; it passes on.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -228,9 +228,18 @@
         """Serve the requests of the connection until it is closed."""
         self._connections.add(self)
         try:
-            self._serve_requests()
+            self._serve_until_end()
+            if self._end_cause in LINGERING_CAUSES:
+                with suppress(OSError):
+                    self.wfile.flush()
+                    _linger(self.connection, max_bytes=MAX_DISCARDED_BYTES)
         finally:
             self._connections.discard(self)
+
+    def _serve_until_end(self) -> None:
+        try:
+            self._serve_requests()
+        finally:
             self._on_end(
                 ConnectionEnd(
                     self._end_cause,
@@ -240,10 +249,6 @@
                     bool(self._unread_bytes()),
                 )
             )
-        if self._end_cause in LINGERING_CAUSES:
-            with suppress(OSError):
-                self.wfile.flush()
-                _linger(self.connection, max_bytes=MAX_DISCARDED_BYTES)
 
     def _serve_requests(self) -> None:
         self.close_connection = True
--- a/tests/test_graceful_listener.py
+++ b/tests/test_graceful_listener.py
@@ -45,16 +45,17 @@
         sock.sendall(REQUEST)
         return sock
 
-    def spawn_receiver(self, sock):
-        """Return a green thread that receives one response on `sock`."""
-        receiver = eventlet.spawn(self.receive_and_close, sock)
+    def spawn_receiver(self, sock, *, delay_s=0):
+        """Return a green thread that receives a response, and closes after a delay."""
+        receiver = eventlet.spawn(self.receive_and_close, sock, delay_s=delay_s)
         # A receiver that still waits when its socket is closed would end with an error
         # in a later test, when eventlet finds its descriptor reused.
         self.addCleanup(receiver.kill)
         return receiver
 
-    def receive_and_close(self, sock):
+    def receive_and_close(self, sock, *, delay_s=0):
         data = sock.recv(65536)
+        eventlet.sleep(delay_s)
         sock.close()
         return data
 
@@ -69,6 +70,17 @@
             self.assertIn(b" 200 ", answer.wait())
         self.assertRaises(ConnectionRefusedError, self.connect_and_send)
 
+    def test_connections_that_wait_for_callers_to_close_are_served(self):
+        """Guards against a stop that ends while announced closes hold the limit."""
+        self.start(max_connections=1)
+        first, second = self.connect_and_send(), self.connect_and_send()
+        answers = [self.spawn_receiver(first, delay_s=2 * CALL_S)]
+        answers.append(self.spawn_receiver(second))
+        eventlet.sleep(CALL_S / 2)
+        self.server.stop(grace_s=0, timeout_s=5)
+        for answer in answers:
+            self.assertIn(b" 200 ", answer.wait())
+
     def test_connections_that_the_stop_cannot_serve_are_closed(self):
         """Guards against callers that wait for a server that has ended."""
         self.start(max_connections=1)
