Look for a further request behind empty lines

A stopping node announced the close although a further request had arrived, if only the line break that some clients send after a body was in its buffer. Behind two line breaks, it put off the announced close for the request and then closed the connection without serving it.

Both tests failed before: one got only the first answer with the announced close, the other an end of the connection.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -27,6 +27,8 @@
 MAX_FRAMING_RATIO = 8
 # Unread rest of a refused body up to which its connection is kept open.
 MAX_DISCARDED_BYTES = 1024 * 1024
+# Receive buffers of empty lines that are skipped in search of a further request.
+MAX_SKIPPED_READS = 4
 # How long bytes are received after the last response, so that the caller can read it
 # before the connection is closed.
 LINGER_S = 1.0
@@ -324,8 +326,18 @@
             self.conn_state[2] = wsgi.STATE_REQUEST
 
     def _has_next_request(self) -> bool:
-        """Return whether bytes of a further request have arrived."""
-        return bool(self._unread_bytes().strip(b"\r\n"))
+        """Return whether bytes of a further request have arrived.
+
+        Skips empty lines before the request.
+        """
+        for _ in range(MAX_SKIPPED_READS):
+            data = self._unread_bytes()
+            request = data.lstrip(b"\r\n")
+            # These bytes are in the buffer, so the read does not wait.
+            self.rfile.read(len(data) - len(request))
+            if request or not data:
+                return bool(request)
+        return False
 
     def _unread_bytes(self) -> bytes:
         """Return bytes that have arrived and were not read, without reading them."""
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -140,3 +140,19 @@
         self.assertEqual([b"/1"], self.receive_until_close(sock))
         with eventlet.Timeout(GRACE_S + 2):
             self.assertTrue(stop.wait())
+
+    def test_a_request_behind_an_empty_line_is_answered_in_a_stop(self):
+        """Guards against announcing the close to a caller whose request has arrived."""
+        sock = self.connect()
+        self.start_stop()
+        sock.sendall(request("/1") + b"\r\n")
+        wait_until(lambda: self.application.paths)
+        sock.sendall(request("/2"))
+        self.assertEqual([b"/1", b"/2"], self.receive_until_close(sock))
+
+    def test_a_request_behind_several_empty_lines_is_answered_in_a_stop(self):
+        """Guards against dropping a request that put off the announced close."""
+        sock = self.connect()
+        self.start_stop()
+        sock.sendall(request("/1") + b"\r\n\r\n" + request("/2"))
+        self.assertEqual([b"/1", b"/2"], self.receive_until_close(sock))
