Let callers send a refused body whose response ends the connection

At a stopping node, and after a request with `Connection: close`, a caller whose body was refused met a reset while it sent the body, since nothing or at most 1 MiB of it was received after the response. A caller that reads the response only after it has sent the body lost the refusal.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -218,6 +218,8 @@
         self._requests = 0
         self._responses = 0
         self._was_announced = False
+        # Whether the last response came before the body of its request was read.
+        self._is_body_refused = False
         self._end_cause = EndCause.BROKEN
         super().__init__(conn_state, server)
 
@@ -231,13 +233,20 @@
         self._connections.add(self)
         try:
             self._serve_until_end()
-            if self._end_cause in LINGERING_CAUSES:
+            max_bytes = self._max_lingering_bytes()
+            if max_bytes:
                 with suppress(OSError):
                     self.wfile.flush()
-                    _linger(self.connection, max_bytes=MAX_DISCARDED_BYTES)
+                    _linger(self.connection, max_bytes=max_bytes)
         finally:
             self._connections.discard(self)
 
+    def _max_lingering_bytes(self) -> float:
+        if self._is_body_refused:
+            # The caller may read the response only after it has sent the body.
+            return math.inf
+        return MAX_DISCARDED_BYTES if self._end_cause in LINGERING_CAUSES else 0
+
     def _serve_until_end(self) -> None:
         try:
             self._serve_requests()
@@ -307,6 +316,9 @@
         if self.wfile.has_failed:
             return
         self._responses += 1
+        # Otherwise eventlet has received the body, or found it invalid.
+        has_decided_end = asked_for_end or self._was_announced
+        self._is_body_refused = has_decided_end and not body.is_read
         if asked_for_end:
             self._end_cause = EndCause.CALLER_ASKED
         else:
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -32,6 +32,9 @@
 
     def __call__(self, environ, start_response):
         self.paths.append(environ["PATH_INFO"])
+        if environ["PATH_INFO"] == "/refused":
+            start_response("413 Content Too Large", [("Content-Length", "0")])
+            return [b""]
         with self._calls.enter():
             eventlet.sleep(CALL_S)
         is_large = environ["PATH_INFO"] == "/large"
@@ -156,3 +159,21 @@
         self.start_stop()
         sock.sendall(request("/1") + b"\r\n\r\n" + request("/2"))
         self.assertEqual([b"/1", b"/2"], self.receive_until_close(sock))
+
+    def test_a_large_body_that_is_refused_in_a_stop_can_be_sent(self):
+        """Guards against a reset that discards the refusal of a body."""
+        sock = self.connect()
+        self.start_stop(grace_s=2)
+        sock.sendall(request("/refused", LARGE_BODY))
+        with eventlet.Timeout(2):
+            self.assertIn(b" 413 ", sock.recv(65_536))
+
+    def test_a_large_body_that_is_refused_before_the_close_can_be_sent(self):
+        """Guards against a reset that discards the refusal of a body."""
+        sock = self.connect()
+        asking = request("/refused", LARGE_BODY).replace(
+            b"Host: a\r\n", b"Host: a\r\nConnection: close\r\n", 1
+        )
+        sock.sendall(asking)
+        with eventlet.Timeout(2):
+            self.assertIn(b" 413 ", sock.recv(65_536))
