Read the answer of an upstream while the request is being sent

An upstream may refuse a request, or answer it, before it has read a long body. If it then closed the connection, callers got 502 although the upstream had stated that the request did not run; the call was neither offered to another upstream nor answered 503. If it kept the connection without reading on, the call ended with 504 at its deadline.

Both stacks sent the whole request before they read anything. A reset during the sending ended the exchange with an unknown outcome, although the answer was in the receive buffer. An upstream that did not read blocked the sending.

The part of a request that the kernel does not take at once is now sent in a separate green thread while the answer is read, so the answer decides what happened. A connection on which a part of the request was not sent is not used again. If the sending ended with an error, the end of the connection does not complete an answer without a length, since the kernel reports a reset only once.

Evidence: the tests failed before with

UpstreamLostError: channel ended before the answer was whole: ConnectionResetError(104, 'Connection reset by peer') UpstreamLostError: connection closed before the response was complete: ConnectionResetError(104, 'Connection reset by peer')

--- a/src/verbenawick/calls/_upstream.py
+++ b/src/verbenawick/calls/_upstream.py
@@ -26,6 +26,7 @@
 )
 from verbenawick.links._call_messages import Headers
 from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._concurrent_send import sending
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 from verbenawick.runtime._polling import is_readable
 
@@ -199,16 +200,22 @@
         CallTimeoutError, UpstreamLostError, BadResponseError
             The request was sent; it may have run.
         """
+        # Head and body at once, while http.client writes them separately and encodes
+        # each header individually.
+        data = _encode_head(method, target, headers, body) + body
         connection = self._acquire(deadline)
         is_reusable = False
         try:
             if before_send is not None:
                 before_send()
             with Timeout(max(deadline - self._clock.now(), 0.0), _DeadlineExceeded()):
-                response = self._send(connection, method, target, headers, body)
-                upstream_response = self._read_response(response, max_body_bytes)
+                with sending(connection.sock, data) as request:
+                    response = self._read_head(connection, method)
+                    upstream_response = self._read_response(response, max_body_bytes)
             is_refusal = _is_refusal(response)
-            is_reusable = _keeps_connection(response) and not is_refusal
+            is_reusable = (
+                request.is_complete and _keeps_connection(response) and not is_refusal
+            )
         except _DeadlineExceeded:
             raise CallTimeoutError(
                 "deadline passed while the upstream ran the request",
@@ -244,10 +251,7 @@
         while self._idle:
             self._discard(self._idle.popleft())
 
-    def _send(self, connection, method, target, headers, body) -> StandardResponse:
-        # Writes head and body at once, while http.client writes them separately and
-        # encodes each header individually.
-        connection.sock.sendall(_encode_head(method, target, headers, body) + body)
+    def _read_head(self, connection: _Connection, method: str) -> StandardResponse:
         # http.client's response raises on a short body. urllib3's wrapper would only
         # add content decoding, which a proxy must not do.
         response = StandardResponse(connection.sock, method=method)
--- a/src/verbenawick/mesh/_upstream_channels.py
+++ b/src/verbenawick/mesh/_upstream_channels.py
@@ -31,6 +31,7 @@
 from verbenawick.links._call_messages import MAX_MESSAGE_BODY_BYTES
 from verbenawick.mesh._model import Headers
 from verbenawick.runtime._clock import Clock
+from verbenawick.runtime._concurrent_send import ConcurrentSend, sending
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 from verbenawick.runtime._polling import is_readable
 from verbenawick.runtime._read_waiter import ReadWaiter
@@ -306,9 +307,11 @@
         try:
             before_send()
             with Timeout(max(deadline - self._clock.now(), 0.0), _DeadlinePassed()):
-                channel.sock.sendall(data)
-                kind, answer = self._read_matching(channel, classify)
-            is_reusable = self._is_reusable(channel, answer, request_id)
+                with sending(channel.sock, data) as request:
+                    kind, answer = self._read_matching(channel, classify, request)
+            is_reusable = request.is_complete and self._is_reusable(
+                channel, answer, request_id
+            )
         except _DeadlinePassed:
             raise CallTimeoutError(
                 "deadline passed while the upstream ran the request",
@@ -371,7 +374,7 @@
         self._target = (host, int(port))
 
     def _read_matching(
-        self, channel: _Channel, classify
+        self, channel: _Channel, classify, request: ConcurrentSend
     ) -> tuple[AnswerKind, RawAnswer]:
         reader = channel.reader
         while True:
@@ -384,6 +387,8 @@
                 reader.skip()
             data = channel.receive()
             if not data:
+                if request.error is not None:
+                    raise request.error
                 reader.end()
                 if not reader.complete:
                     raise ConnectionResetError("upstream closed the channel")
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -20,6 +20,9 @@
 from verbenawick.runtime._clock import MonotonicClock
 from verbenawick.runtime._metrics import MetricSet
 
+# More than the kernel buffers on a connection that nobody reads.
+UNBUFFERED_BYTES = 16 * 1024 * 1024
+
 
 class UpstreamConnectionsTest(TestCase):
     """Only connections whose response was read completely are reused."""
@@ -77,6 +80,8 @@
                 self.assertTrue(is_endless)
             listener.close()
             if not closes:
+                # A request that goes on is not read.
+                eventlet.sleep(0.05)
                 sock.recv(65536)
             sock.close()
 
@@ -169,6 +174,17 @@
         self.exchange()
         self.assertTrue(self.upstream._is_usable(self.upstream._idle[0]))
 
+    def test_a_response_before_the_request_was_read_is_not_lost(self):
+        """Guards against an unknown outcome although the upstream refused the call."""
+        refusal = (
+            b"HTTP/1.1 503 Busy\r\nupstream-not-run: 1\r\nContent-Length: 0\r\n\r\n"
+        )
+        for closes in (True, False):
+            self.serve_once(refusal, closes=closes)
+            body = b"x" * UNBUFFERED_BYTES
+            self.assertRaises(UpstreamShedError, self.exchange, body=body)
+            self.assertEqual(0, self.upstream.open_count)
+
     def test_the_connection_limit_is_never_exceeded(self):
         """Requests beyond the limit are refused before anything is sent."""
         self.connect(self.upstream._address, max_connections=1)
