Keep listeners open when a connection cannot be accepted

When a node had no free descriptor for a moment, its entry closed its listener and all idle connections, and answered nothing on those that waited. It stayed ready, took no further request until it was restarted, and ended with exit code 1. The listeners for status reports, readiness, metrics and links ended in the same way, so that the node could not become ready, lost reports or could not be reached by others.

`accept` raises if the process lacks descriptors or memory, and for an error of the connection that would be returned. eventlet's WSGI server and the link server end their accept loops with any such error; the WSGI server also closes the socket.

All listeners now accept through `runtime/_sockets.accept`, which waits 0.05 s and tries again if resources are missing, and goes on after an error of a single connection. The close of a listener without descriptors ends no connection that was accepted before.

Evidence: the tests failed before with

OSError: [Errno 24] Too many open files MismatchError: b' 200 ' not in b'' AssertionError: True is not false (thread of the link server)

--- a/src/verbenawick/links/_links.py
+++ b/src/verbenawick/links/_links.py
@@ -38,7 +38,7 @@
 from verbenawick.runtime._clock import Clock, MonotonicClock
 from verbenawick.runtime._events import Event, emit, register_event
 from verbenawick.runtime._read_waiter import ReadWaiter
-from verbenawick.runtime._sockets import listen, unacknowledged_bytes
+from verbenawick.runtime._sockets import accept, listen, unacknowledged_bytes
 
 CONTROL_CHANNEL = "/control"
 CALL_CHANNEL = "/calls"
@@ -563,7 +563,7 @@
         """Accept links until `stop` is called."""
         while self._listener is not None:
             try:
-                sock, address = self._listener.accept()
+                sock, address = accept(self._listener)
             except OSError:
                 return
             if not self._connection_limit.acquire(blocking=False):
--- a/src/verbenawick/node/_node.py
+++ b/src/verbenawick/node/_node.py
@@ -38,6 +38,7 @@
 from verbenawick.node._control import ControlTask
 from verbenawick.runtime._clock import MonotonicClock
 from verbenawick.runtime._events import Event, emit, register_event
+from verbenawick.runtime._graceful_listener import GracefulListener
 from verbenawick.runtime._metrics import FLUSH_INTERVAL_S, MetricSet
 from verbenawick.runtime._sockets import listen
 from verbenawick.settings._settings import NodeSettings, TimingSettings
@@ -352,11 +353,11 @@
         settings = self.settings
         self.links.listen()
         self.entry.listen(settings.call_address)
-        admin_socket = listen(settings.admin_address)
+        admin_listener = GracefulListener(listen(settings.admin_address))
         eventlet.spawn_n(self.links.run)
         eventlet.spawn_n(
             wsgi.server,
-            admin_socket,
+            admin_listener,
             self.admin,
             log_output=False,
             debug=False,
--- a/src/verbenawick/platform/_node_server.py
+++ b/src/verbenawick/platform/_node_server.py
@@ -19,6 +19,7 @@
     readiness_application,
     report_application,
 )
+from verbenawick.runtime._graceful_listener import GracefulListener
 from verbenawick.runtime._metrics import MetricSet
 from verbenawick.runtime._sockets import listen
 
@@ -105,7 +106,7 @@
         self._close_auxiliary_servers()
 
     def _start_auxiliary_server(self, address: str, application) -> None:
-        listener = listen(address)
+        listener = GracefulListener(listen(address))
         self._auxiliary_listeners.append(listener)
         self._auxiliary_threads.append(
             eventlet.spawn(
--- a/src/verbenawick/runtime/_graceful_listener.py
+++ b/src/verbenawick/runtime/_graceful_listener.py
@@ -7,6 +7,8 @@
 from eventlet import getcurrent, hubs
 from eventlet.greenio import GreenSocket
 
+from verbenawick.runtime._sockets import accept
+
 
 class _ListenerClosing(BaseException):
     """Ends the wait of the accept loop."""
@@ -47,7 +49,7 @@
         if not self._is_closed:
             self._accept_loop = getcurrent()
             try:
-                return self._sock.accept()
+                return accept(self._sock)
             except _ListenerClosing:
                 self._accept_last()
             finally:
@@ -84,7 +86,8 @@
         self._is_closed = True
         self._sock.setblocking(False)
         try:
-            with suppress(BlockingIOError):
+            # Without descriptors, the connections that still wait are reset.
+            with suppress(OSError):
                 while True:
                     sock, address = self._sock.accept()
                     self._last_connections.append((GreenSocket(sock), address))
--- a/src/verbenawick/runtime/_sockets.py
+++ b/src/verbenawick/runtime/_sockets.py
@@ -1,15 +1,47 @@
 """Listening sockets of a node, and the state of connected ones."""
 
+import errno
 import struct
+from dataclasses import dataclass
 from fcntl import ioctl
 from termios import TIOCOUTQ
 
 import eventlet
 
 from verbenawick.errors import ListenError
+from verbenawick.runtime._events import Event, emit, register_event
 
 # Maximum number of connections that wait to be accepted.
 BACKLOG = 1024
+# Interval of the tries to accept a connection while the process lacks resources for it.
+ACCEPT_RETRY_INTERVAL_S = 0.05
+# Lack of descriptors or memory; the connection keeps waiting.
+_RESOURCE_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+# Errors of the connection that would have been accepted, see accept(2).
+_CONNECTION_ERRORS = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.ECONNRESET,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENONET,
+        errno.ENOPROTOOPT,
+        errno.EOPNOTSUPP,
+        errno.EPERM,
+        errno.EPROTO,
+    }
+)
+
+
+@register_event(105, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class AcceptFailed(Event):
+    """A connection could not be accepted; the listener continues."""
+
+    address: str
+    reason: str
 
 
 def listen(address: str, *, backlog: int = BACKLOG):
@@ -41,6 +73,33 @@
         ) from error
 
 
+def accept(sock):
+    """Return the next connection of a listening green socket and its address.
+
+    Continues after the errors of a single connection, and waits while the process has
+    no descriptors or memory left. The loop that calls it would otherwise end, and with
+    it the listener.
+
+    Raises
+    ------
+    OSError
+        The listening socket is closed or invalid.
+    """
+    is_logged = False
+    while True:
+        try:
+            return sock.accept()
+        except OSError as error:
+            if error.errno not in _RESOURCE_ERRORS | _CONNECTION_ERRORS:
+                raise
+            if not is_logged:
+                is_logged = True
+                host, port = sock.getsockname()[:2]
+                emit(AcceptFailed(f"{host}:{port}", error.strerror))
+            if error.errno in _RESOURCE_ERRORS:
+                eventlet.sleep(ACCEPT_RETRY_INTERVAL_S)
+
+
 def unacknowledged_bytes(sock) -> int:
     """Return the bytes in the send buffer that the peer has not acknowledged yet.
 
--- a/tests/test_graceful_listener.py
+++ b/tests/test_graceful_listener.py
@@ -1,11 +1,17 @@
 """Close of the entry's listening socket, over real sockets."""
 
+import os
+import resource
+from contextlib import contextmanager
+
 import eventlet
 from eventlet.green import socket
 from testtools import TestCase
 
 from tests.call_support import free_port
 from verbenawick.calls._entry_server import EntryServer
+from verbenawick.links._component import NodeIdentity
+from verbenawick.links._links import LinkServer
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
 CALL_S = 0.1
@@ -14,9 +20,13 @@
 class _SlowApplication:
     """Application that responds after `CALL_S`."""
 
+    def __init__(self, *, closes=True):
+        self._closes = closes
+
     def __call__(self, environ, start_response):
         eventlet.sleep(CALL_S)
-        start_response("200 OK", [("Content-Length", "0"), ("Connection", "close")])
+        headers = [("Connection", "close")] if self._closes else []
+        start_response("200 OK", [("Content-Length", "0"), *headers])
         return [b""]
 
     def stop_accepting(self):
@@ -80,3 +90,79 @@
             except ConnectionResetError:
                 data = b""
         self.assertEqual(b"", data)
+
+
+@contextmanager
+def no_free_descriptors():
+    """Let this process open no descriptors in the context."""
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    lowest_free = os.dup(0)
+    os.close(lowest_free)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest_free, limits[1]))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+
+class AcceptErrorTest(TestCase):
+    """Listeners of a process that has no descriptors left for a while."""
+
+    def connect(self, sock, address):
+        """Connect while the listener cannot accept, and wait until it has tried."""
+        with no_free_descriptors():
+            sock.connect(address)
+            eventlet.sleep(0.1)
+
+    def test_entry_serves_its_connections_when_it_can_accept_no_others(self):
+        """Guards against a node that takes no requests until it is restarted."""
+        server = EntryServer(_SlowApplication(closes=False))
+        address = ("127.0.0.1", free_port())
+        server.listen("{}:{}".format(*address))
+        server.start()
+        self.addCleanup(server.close)
+        kept = socket.create_connection(address, 5)
+        waiting = socket.socket()
+        waiting.settimeout(5)
+        for sock in (kept, waiting):
+            self.addCleanup(sock.close)
+        kept.sendall(REQUEST)
+        self.assertIn(b" 200 ", kept.recv(65536))
+        self.connect(waiting, address)
+        for sock in (kept, waiting):
+            sock.sendall(REQUEST)
+            self.assertIn(b" 200 ", sock.recv(65536))
+
+    def test_close_without_descriptors_keeps_the_accepted_connections(self):
+        """Guards against a stop that ends the requests in progress."""
+        server = EntryServer(_SlowApplication())
+        address = ("127.0.0.1", free_port())
+        server.listen("{}:{}".format(*address))
+        server.start()
+        running = socket.create_connection(address, 5)
+        waiting = socket.socket()
+        for sock in (running, waiting):
+            self.addCleanup(sock.close)
+        running.sendall(REQUEST)
+        eventlet.sleep(CALL_S / 2)
+        with no_free_descriptors():
+            waiting.connect(address)
+            self.assertTrue(server.stop(grace_s=0, timeout_s=5))
+        self.assertIn(b" 200 ", running.recv(65536))
+
+    def test_link_server_accepts_links_after_an_error(self):
+        """Guards against a node that other nodes reach only after its restart."""
+        identity = NodeIdentity("n", 1, "s", "d", "r", f"127.0.0.1:{free_port()}")
+        server = LinkServer(identity, {})
+        server.listen()
+        thread = eventlet.spawn(server.run)
+        self.addCleanup(server.stop)
+        host, _, port = identity.peer_address.rpartition(":")
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        self.connect(sock, (host, int(port)))
+        sock.settimeout(5)
+        self.assertFalse(thread.dead)
+        # A handshake without an identity is refused.
+        sock.sendall(REQUEST)
+        self.assertEqual(b"", sock.recv(65536))
