--- a/src/verbenawick/runtime/_graceful_listener.py
+++ b/src/verbenawick/runtime/_graceful_listener.py
@@ -1,12 +1,24 @@
 """Listening socket of a server that loses no connection when it is closed."""
 
 from collections import deque
-from contextlib import suppress
+from dataclasses import dataclass
 
 import eventlet
 from eventlet import getcurrent, hubs
 from eventlet.greenio import GreenSocket
 
+from verbenawick.runtime._events import Event, emit, register_event
+from verbenawick.runtime._sockets import accept
+
+
+@register_event(106, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class WaitingConnectionsReset(Event):
+    """A listener was closed with connections that the process lacks resources for."""
+
+    address: str
+    reason: str
+
 
 class _ListenerClosing(BaseException):
     """Ends the wait of the accept loop."""
@@ -47,7 +59,7 @@
         if not self._is_closed:
             self._accept_loop = getcurrent()
             try:
-                return self._sock.accept()
+                return accept(self._sock)
             except _ListenerClosing:
                 self._accept_last()
             finally:
@@ -84,9 +96,14 @@
         self._is_closed = True
         self._sock.setblocking(False)
         try:
-            with suppress(BlockingIOError):
-                while True:
-                    sock, address = self._sock.accept()
-                    self._last_connections.append((GreenSocket(sock), address))
+            while True:
+                sock, address = accept(self._sock, waits=False)
+                self._last_connections.append((GreenSocket(sock), address))
+        except BlockingIOError:
+            # No connection waits any more.
+            pass
+        except OSError as error:
+            host, port = self._sock.getsockname()[:2]
+            emit(WaitingConnectionsReset(f"{host}:{port}", error.strerror))
         finally:
             self._sock.close()
