Keep the first call of a link from gaining time in transit

On a link that holds its data back, the first call that a gateway got from a node could run up to seconds after its caller had been told 504, and was handed more time than its caller had left.

The gateway estimates the clock of a peer from the sending time of its calls. The first call is the only sample then, so its transit time was added to its deadline.

A dialling node now tells its clock in the handshake of the link. A dial ends after 0.5 s, so this sample is at most that late, and it precedes every call of the link. Nodes that send no such header are measured by their calls as before.

--- a/src/verbenawick/links/_links.py
+++ b/src/verbenawick/links/_links.py
@@ -6,6 +6,7 @@
 client takes 90.
 """
 
+import math
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
@@ -44,6 +45,8 @@
 CALL_CHANNEL = "/calls"
 
 IDENTITY_HEADER = "Verbenawick-Identity"
+# Time on the clock of the dialling node at which it sends the handshake, in seconds.
+CLOCK_HEADER = "Verbenawick-Clock"
 
 # The allocator returns larger buffers to the operating system after each read.
 RECEIVE_BUFFER_BYTES = 32_768
@@ -146,6 +149,9 @@
         Last measured round-trip time, 0 before the first measurement.
     bytes_sent, bytes_received : int
         Bytes sent and received on the socket, including websocket framing.
+    clock_offset_s : float or None
+        Clock of the peer minus the local one, less the transit time of the handshake;
+        None on a dialled link and if the peer did not tell its clock.
     """
 
     def __init__(
@@ -170,6 +176,7 @@
         self.bytes_received = 0
         self.is_open = True
         self.is_silent = False
+        self.clock_offset_s: float | None = None
         self.is_in_use: Callable[[], bool] = lambda: False
         self._sock = sock
         self._waiter = ReadWaiter(sock.fileno())
@@ -458,7 +465,12 @@
             )
             try:
                 protocol, peer = _perform_handshake(
-                    sock, address, channel, identity, is_compressed=is_compressed
+                    sock,
+                    address,
+                    channel,
+                    identity,
+                    is_compressed=is_compressed,
+                    clock=clock or MonotonicClock(),
                 )
             except BaseException:
                 sock.close()
@@ -480,7 +492,7 @@
     return link
 
 
-def _perform_handshake(sock, address, channel, identity, *, is_compressed):
+def _perform_handshake(sock, address, channel, identity, *, is_compressed, clock):
     protocol = ClientProtocol(
         parse_uri(f"ws://{address}{channel}"),
         extensions=[_client_compression()] if is_compressed else None,
@@ -488,6 +500,7 @@
     )
     request = protocol.connect()
     request.headers[IDENTITY_HEADER] = format_identity(identity)
+    request.headers[CLOCK_HEADER] = f"{clock.now():.3f}"
     protocol.send_request(request)
     sock.sendall(b"".join(protocol.data_to_send()))
     while protocol.state is State.CONNECTING:
@@ -547,7 +560,7 @@
         ping_interval_s: float = PING_INTERVAL_S,
         clock: Clock | None = None,
     ):
-        self._link_clock = clock
+        self._link_clock = clock or MonotonicClock()
         self._ping_interval_s = ping_interval_s
         self._identity = identity
         self._handlers_by_channel = handlers_by_channel
@@ -597,6 +610,7 @@
             ):
                 request = self._receive_request(sock, protocol)
                 peer = parse_identity(request.headers.get(IDENTITY_HEADER, ""))
+                clock_offset_s = self._read_clock_offset(request)
                 handler = self._handlers_by_channel.get(request.path)
                 if handler is None:
                     raise ProtocolError(
@@ -612,7 +626,7 @@
             emit(LinkRefused(f"{address[0]}:{address[1]}", str(error)))
             sock.close()
             return None
-        return Link(
+        link = Link(
             sock,
             protocol,
             peer=peer,
@@ -623,6 +637,20 @@
             ping_interval_s=self._ping_interval_s,
             clock=self._link_clock,
         )
+        link.clock_offset_s = clock_offset_s
+        return link
+
+    def _read_clock_offset(self, request: Request) -> float | None:
+        value = request.headers.get(CLOCK_HEADER)
+        if value is None:
+            return None
+        try:
+            peer_time = float(value)
+        except ValueError:
+            peer_time = math.nan
+        if not math.isfinite(peer_time):
+            raise ProtocolError("peer sent an invalid clock header", step="link.accept")
+        return peer_time - self._link_clock.now()
 
     @staticmethod
     def _receive_request(sock, protocol) -> Request:
--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -21,6 +21,7 @@
     WrongServiceError,
 )
 from verbenawick.links._component import NodeIdentity
+from verbenawick.links._links import Link
 from verbenawick.mesh._crash_guard import CrashGuard
 from verbenawick.mesh._local_upstream import LocalUpstream
 from verbenawick.mesh._messages import ForwardedAnswer, ForwardedCall
@@ -275,6 +276,15 @@
         """
         return call.is_idempotent or id(call) not in self._sent_non_idempotent
 
+    def on_link_open(self, link: Link) -> None:
+        """Measure the clock of a node that has linked this one.
+
+        The first call may be held in transit for seconds; the handshake of a link that
+        opens is not.
+        """
+        if link.clock_offset_s is not None:
+            self._record_clock_offset(link.peer, link.clock_offset_s)
+
     def on_call(
         self, peer: NodeIdentity, call: ForwardedCall, sent_at: float
     ) -> ForwardedAnswer:
@@ -570,8 +580,10 @@
         seen is the best estimate. A call that was delayed in transit therefore does not
         gain time.
         """
+        return self._record_clock_offset(peer, call.sent_at - self._clock.now())
+
+    def _record_clock_offset(self, peer: NodeIdentity, seen: float) -> float:
         key = (peer.node_id, peer.incarnation)
-        seen = call.sent_at - self._clock.now()
         offset = max(self._clock_offset_by_peer.get(key, seen), seen)
         self._clock_offset_by_peer[key] = offset
         return offset
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -501,6 +501,7 @@
             emit(ProcessStalled(round(stalled_s, 3), round(cpu_s, 3)))
 
     def _on_link_open(self, link: Link) -> None:
+        self.gateway.on_link_open(link)
         leave = self._leaves.of(link.peer.node_id)
         if leave is not None:
             self.links.notify(link, leave)
--- /dev/null
+++ b/tests/test_mesh_delayed_links.py
@@ -0,0 +1,65 @@
+"""Tests of calls on links between nodes that hold their data back."""
+
+from dataclasses import dataclass, field
+
+import eventlet
+from testtools import TestCase
+
+from standins.platform_store import StandinPlatformStore
+from tests.call_support import free_port, wait_until
+from tests.mesh_cluster import RECORD_KIND, MeshCluster, route, service
+from tests.silent_proxy import SilentProxy
+
+DELAY_S = 1.0
+
+
+@dataclass(slots=True)
+class ProxiedStore(StandinPlatformStore):
+    """Store whose records name the address of a proxy in place of some nodes."""
+
+    proxy_addresses: dict[str, str] = field(default_factory=dict)
+
+    def put(self, kind, name, spec):
+        """Write an object; the peer address of a record is replaced."""
+        if kind == RECORD_KIND:
+            address = spec["peer_address"]
+            spec = {**spec, "peer_address": self.proxy_addresses.get(address, address)}
+        return StandinPlatformStore.put(self, kind, name, spec)
+
+
+class DelayedLinkTest(TestCase):
+    """An entry whose link to the only gateway of a service passes through a proxy."""
+
+    def setUp(self):
+        super().setUp()
+        self.cluster = MeshCluster(store=ProxiedStore())
+        self.addCleanup(self.cluster.close)
+        self.cluster.configure(
+            route("r-a", "/archive/", service="archive", kind="unsafe"),
+            service("archive"),
+            service("booking"),
+        )
+        address = f"127.0.0.1:{free_port()}"
+        self.proxy = SilentProxy(address)
+        self.addCleanup(self.proxy.close)
+        self.cluster.store.proxy_addresses[address] = self.proxy.address
+        self.gateway = self.cluster.add_node("archive", peer_address=address)
+        self.entry = self.cluster.add_node("booking")
+        self.cluster.wait_ready()
+        links = self.entry.server.node.links
+        wait_until(lambda: links.dialled_links())
+
+    def test_first_call_of_a_link_does_not_run_after_its_caller_gave_up(self):
+        """Guards against adding the delay of the first call to its deadline."""
+        self.proxy.delay_s = DELAY_S
+        answer = self.cluster.call(
+            self.entry,
+            "/archive/1",
+            method="POST",
+            Attempt_Id="late",
+            Deadline_Remaining="500",
+        )
+        self.assertEqual(504, answer.status)
+        # Beacons before the call are delayed one after the other.
+        eventlet.sleep(3 * DELAY_S)
+        self.assertEqual(0, self.gateway.upstream.runs_by_request["late"])
