Report calls that run at the end of a stop

`NodeStopped` and `MeshNodeStopped` said that all calls had ended although a call was cut: a connection on which further requests had arrived starts calls after the last one had ended, and the signal of that moment stayed set.

The test failed before: the stop returned true with a call in flight.

--- a/src/verbenawick/calls/_entry_server.py
+++ b/src/verbenawick/calls/_entry_server.py
@@ -138,7 +138,8 @@
         left_s = max(deadline - self._clock.now(), 0.0)
         with eventlet.Timeout(left_s, False), suppress(GreenletExit):
             self._thread.wait()
-        return is_idle
+        # Connections with further requests start calls after the last one had ended.
+        return is_idle and self._application.wait_idle(timeout_s=0)
 
     def _serve_last_requests(self, timeout_s: float) -> None:
         """Wait until all connections are closed, for `timeout_s` at most.
--- a/src/verbenawick/runtime/_calls_in_flight.py
+++ b/src/verbenawick/runtime/_calls_in_flight.py
@@ -46,6 +46,9 @@
         """
         if self._is_stopping and not self._count:
             return True
+        if self._idle.ready():
+            # Further calls have started after the last one had ended.
+            self._idle = Event()
         return bool(self._idle.wait(timeout=timeout_s))
 
     def _signal_if_idle(self) -> None:
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -1,10 +1,13 @@
 """Requests on kept connections to an entry that stops, over real sockets."""
 
+from contextlib import suppress
+
 import eventlet
 from eventlet.green import socket
 from testtools import TestCase
 
 from tests.call_support import free_port, responses_until_close, wait_until
+from verbenawick.calls._connection_ends import ENDS_BY_CAUSE, EndCause
 from verbenawick.calls._entry_server import EntryServer
 from verbenawick.runtime._calls_in_flight import CallsInFlight
 from verbenawick.runtime._metrics import MetricSet
@@ -42,6 +45,10 @@
         start_response("200 OK", [("Content-Length", str(len(body)))])
         return [body]
 
+    @property
+    def in_flight(self):
+        return self._calls.count
+
     def stop_accepting(self):
         self._calls.stop()
 
@@ -55,7 +62,8 @@
     def setUp(self):
         super().setUp()
         self.application = _Application()
-        self.server = EntryServer(self.application, metrics=MetricSet())
+        self.metrics = MetricSet()
+        self.server = EntryServer(self.application, metrics=self.metrics)
         self.address = ("127.0.0.1", free_port())
         self.server.listen("{}:{}".format(*self.address))
         self.server.start()
@@ -177,3 +185,22 @@
         sock.sendall(asking)
         with eventlet.Timeout(2):
             self.assertIn(b" 413 ", sock.recv(65_536))
+
+    def test_stop_reports_a_call_that_runs_at_its_end(self):
+        """Guards against a stop that says that all calls ended when one is cut."""
+        sock = self.connect()
+
+        def send_endlessly():
+            with suppress(OSError):
+                while True:
+                    sock.sendall(request("/1"))
+                    eventlet.sleep(CALL_S / 2)
+
+        sender = eventlet.spawn(send_endlessly)
+        self.addCleanup(sender.kill)
+        wait_until(lambda: self.application.paths)
+        ended = self.server.stop(grace_s=0, timeout_s=1)
+        self.assertEqual(self.application.in_flight == 0, ended)
+        sender.kill()
+        sock.close()
+        wait_until(lambda: self.metrics.totals().get(ENDS_BY_CAUSE[EndCause.BROKEN]))
