Refuse calls that arrive late in a stop on connections kept open

At a stopping node, a caller that always has a further request on its way is served until the end of the grace. Requests that were sent more than 3 s after SIGTERM were passed on and answered with a 504 of the node's own at 5.3 s while their upstream was still at work, if the upstream took longer than expected; the platform counts those as lost. The node refuses them from then on, as not run.

The test failed before with 504.

--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -216,6 +216,7 @@
         self._configuration: MeshConfiguration | None = None
         self._index: RouteIndex | None = None
         self._stop_at = math.inf
+        self._last_call_at = math.inf
 
     @property
     def configuration(self) -> MeshConfiguration | None:
@@ -238,13 +239,15 @@
         self._configuration = configuration
         return True
 
-    def stop_by(self, deadline: float) -> None:
+    def stop_by(self, deadline: float, *, last_call_at: float) -> None:
         """Let calls that arrive from now on end before `deadline`, a local time.
 
         A call that no gateway is expected to complete by then is refused as not run,
-        instead of being cut when the process ends.
+        instead of being cut when the process ends. So are calls that arrive later than
+        `last_call_at`, on connections that were kept open for them.
         """
         self._stop_at = deadline
+        self._last_call_at = last_call_at
 
     def serve(self, call: IncomingCall) -> CallResult:
         """Handle `call` and return its result.
@@ -262,7 +265,7 @@
         if call.caller_timeout_s is not None:
             left_s = min(left_s, call.caller_timeout_s)
         left_s = min(left_s, self._stop_at - call.arrived_at)
-        if left_s <= 0:
+        if left_s <= 0 or call.arrived_at > self._last_call_at:
             return self._refusal(call, route, service, DrainingError.code, [])
         forwarded = ForwardedCall(
             next_call_id(),
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -84,6 +84,9 @@
 # Time from the last answer of a gateway to that of an entry, and from there to the end
 # of the grace period.
 LAST_ANSWER_MARGIN_S = 0.2
+# Time after a stop request from which calls of callers are refused. The platform
+# accepts that the end of the grace period cuts a call only if it was sent before.
+LAST_CALL_S = 3.0
 # Time after the start of the process during which the notices of other nodes about the
 # leave of the upstream are used. All links are open again within seconds.
 LEAVE_NOTICE_WINDOW_S = 10.0
@@ -350,11 +353,14 @@
             How long new callers are served after readiness checks start to fail.
         """
         grace_s = self.settings.stop_grace_s - STOP_MARGIN_S
-        deadline = self.clock.now() + grace_s
+        now = self.clock.now()
+        deadline = now + grace_s
         # Readiness checks fail from here on; callers and other nodes are still served.
         self.is_stopping = True
         emit(MeshNodeStopping(calls_in_flight, self.gateway.in_flight))
-        self.entry.stop_by(deadline - LAST_ANSWER_MARGIN_S)
+        self.entry.stop_by(
+            deadline - LAST_ANSWER_MARGIN_S, last_call_at=now + LAST_CALL_S
+        )
         self.gateway.stop_by(deadline - 2 * LAST_ANSWER_MARGIN_S)
         eventlet.spawn_after(
             max(shutdown_delay_s - DRAIN_NOTICE_S, 0.0), self._drain_gateway
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -1,8 +1,10 @@
 """End-to-end tests of the mesh on the stand-in platform."""
 
 import tracemalloc
-from http.client import HTTPException
+from http.client import HTTPException, parse_headers
+from itertools import count
 from time import monotonic
+from unittest.mock import patch
 
 import eventlet
 from eventlet.green import socket
@@ -372,6 +374,38 @@
         self.assertEqual({200}, {response.status for response in responses})
         self.assertEqual(3, sum(self.b1.upstream.runs_by_request.values()))
 
+    def test_requests_behind_others_late_in_a_stop_are_not_broken_off(self):
+        """Guards against own answers to requests whose upstream is still at work."""
+        node, upstream = self.a1, self.b1.upstream
+        mesh = node.server.node
+        mesh.settings = replace(mesh.settings, stop_grace_s=3.0)
+        upstream.service_time_s = 0.05
+        host, _, port = node.call_address.rpartition(":")
+        sock = socket.create_connection((host, int(port)), 10)
+        self.addCleanup(sock.close)
+        received = sock.makefile("rb")
+        numbers = count()
+
+        def send():
+            sock.sendall(
+                b"POST /booking/1 HTTP/1.1\r\nHost: mesh.example\r\n"
+                b"Attempt-Id: p%d\r\nContent-Length: 0\r\n\r\n" % next(numbers)
+            )
+
+        statuses = []
+        with patch("verbenawick.mesh._node.LAST_CALL_S", 0.6):
+            stop = eventlet.spawn(node.server.stop)
+            eventlet.spawn_after(0.8, setattr, upstream, "service_time_s", 1.9)
+            send()
+            while statuses[-1:] in ([], [200]):
+                send()
+                statuses.append(int(received.readline().split()[1]))
+                headers = parse_headers(received)
+                received.read(int(headers["Content-Length"]))
+        sock.close()
+        stop.wait()
+        self.assertEqual({200, 503}, set(statuses))
+
     def delay_links(self, node, delay_s):
         """Delay all messages that `node` sends on its open links, as a full link."""
         for link in node.server.node.links._links:
