Open no links while a stop closes the last ones

Stops on links with a delay could take 1.2 s longer than needed: the node waited for all of LINK_FINISH_TIMEOUT_S, and its peers for links that ended again at once. Callers saw the node away for longer.

CallLinks.finish closes each link and waits until none is left, while the task that links the contacts of other regions each second, and that which follows the records, went on to dial. Links that were opened after the first pass were never closed, so the wait took its whole time. On loopback the close takes milliseconds, so that it rarely met a dial.

CallLinks dials no more once it finishes. test_finish_opens_no_links failed before (connect returned).

--- a/src/verbenawick/links/_call_links.py
+++ b/src/verbenawick/links/_call_links.py
@@ -186,6 +186,7 @@
         self._recent_ids_by_link: dict[Link, deque[int]] = {}
         # Links without pending requests that have to answer a ping, and since when.
         self._checked_since_by_link: dict[Link, float] = {}
+        self._is_finishing = False
 
     def register_handler(
         self,
@@ -432,10 +433,12 @@
     def finish(self, *, timeout_s: float) -> None:
         """Close all links once the messages of both directions have been handled.
 
+        No more links are dialled from then on, since the close would wait for them too.
         Call it when this node has told the others that it accepts no more requests.
         The pong to a ping follows all requests that a peer sent before it read that,
         so they are still answered.
         """
+        self._is_finishing = True
         deadline = self._clock.now() + timeout_s
         for link in list(self._links):
             with suppress(LinkClosedError, LinkOverflowError):
@@ -581,6 +584,10 @@
             peer.dial_lock.release()
 
     def _dial(self, peer: _Peer, member: Member, deadline: float) -> Link:
+        if self._is_finishing:
+            raise LinkClosedError(
+                "this node closes its links", step="calls.dial", peer=member.node_id
+            )
         now = self._clock.now()
         if now < peer.next_dial_at:
             raise LinkClosedError(
--- a/tests/test_call_links.py
+++ b/tests/test_call_links.py
@@ -268,6 +268,18 @@
         self.assertEqual(set(), self.server._links)
         wait_until(lambda: not self.client.dialled_links())
 
+    def test_finish_opens_no_links(self):
+        """Guards against a stop that waits for links that it has opened meanwhile."""
+        self.answer_with(lambda peer, message, at: Reply(message.call_id))
+        self.request()
+        self.client.dialled_links()[0]._delay_s = 0.2
+        thread = eventlet.spawn(self.client.finish, timeout_s=5.0)
+        eventlet.sleep(0.05)
+        self.serve("other")
+        self.assertRaises(LinkClosedError, self.client.connect, self.peer)
+        with eventlet.Timeout(2):
+            thread.wait()
+
     def test_finish_closes_the_link_to_a_peer_that_does_not_respond(self):
         """Guards against a stop that waits forever for a node that hangs."""
         self.answer_with(lambda peer, message, at: Reply(message.call_id))
