--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -17,6 +17,7 @@
 DRAIN_S = 3.0
 # A second node gets its signal while the first one stops.
 NEXT_STOP_DELAY_S = 0.2
+RUNNING_POLL_S = 0.1
 
 Fault = Callable[[World, Random, float], None]
 
@@ -91,32 +92,34 @@
     interval[1] = monotonic()
 
 
-def _choose(world: World, random: Random):
-    """Return a node whose process runs."""
-    return random.choice([node for node in world.nodes if not node.is_down])
+def choose_node(world: World, random: Random):
+    """Return a node whose process runs, as soon as there is one."""
+    while not (running := [node for node in world.nodes if not node.is_down]):
+        eventlet.sleep(RUNNING_POLL_S)
+    return random.choice(running)
 
 
 @register_fault(is_planned=True)
 def stop_and_restart(world, random, duration_s):
     """Stop a node as planned and start it again."""
-    _stop(world, _choose(world, random))
+    _stop(world, choose_node(world, random))
 
 
 @register_fault(is_planned=True)
 def stop_several(world, random, duration_s):
     """Stop two nodes at overlapping times, each with several signals."""
     first = eventlet.spawn(
-        _stop, world, _choose(world, random), repeat_after_s=duration_s
+        _stop, world, choose_node(world, random), repeat_after_s=duration_s
     )
     eventlet.sleep(NEXT_STOP_DELAY_S)
-    _stop(world, _choose(world, random), repeat_after_s=duration_s)
+    _stop(world, choose_node(world, random), repeat_after_s=duration_s)
     first.wait()
 
 
 @register_fault(is_planned=True)
 def reload(world, random, duration_s):
     """Write the settings again and send SIGHUP."""
-    node = _choose(world, random)
+    node = choose_node(world, random)
     node.write_settings()
     node.signal(signal.SIGHUP)
 
@@ -132,7 +135,7 @@
 @register_fault()
 def drain_and_replace(world, random, duration_s):
     """Drain an upstream and replace it by a new process."""
-    node = _choose(world, random)
+    node = choose_node(world, random)
     if node.state == "ready":
         node.state = "draining"
         eventlet.sleep(DRAIN_S)
@@ -142,13 +145,13 @@
 @register_fault()
 def kill(world, random, duration_s):
     """Kill a node process."""
-    _choose(world, random).end(signal.SIGKILL)
+    choose_node(world, random).end(signal.SIGKILL)
 
 
 @register_fault()
 def pause(world, random, duration_s):
     """Pause a node process."""
-    node = _choose(world, random)
+    node = choose_node(world, random)
     process = node.process
     process.send_signal(signal.SIGSTOP)
     eventlet.sleep(duration_s)
@@ -189,7 +192,7 @@
 def upstream_connection(world, random, duration_s):
     """Disturb the connections of a node to its upstream."""
     mode = random.choice([mode for mode in Mode if mode is not Mode.PASS])
-    _disturb([_choose(world, random).upstream_proxy], mode, duration_s)
+    _disturb([choose_node(world, random).upstream_proxy], mode, duration_s)
 
 
 def _stop(world: World, node, *, repeat_after_s: float = math.inf) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,10 +3,13 @@
 import json
 import subprocess
 import sys
+from random import Random
+from types import SimpleNamespace
 
+import eventlet
 from testtools import TestCase
 
-from soak._faults import Event
+from soak._faults import Event, choose_node
 from soak._promises import Attempt, History, Run, violations_of
 from soak._shrink import shrink
 
@@ -103,6 +106,18 @@
         self.assertEqual("abc", self.needed_of("abc", lambda names: False))
 
 
+class ChooseNodeTest(TestCase):
+    """Choice of the node of a fault."""
+
+    def test_fault_waits_while_all_nodes_are_down(self):
+        """Guards against a run that ends when all nodes are stopped at once."""
+        node = SimpleNamespace(is_down=True)
+        eventlet.spawn(setattr, node, "is_down", False)
+        with eventlet.Timeout(5):
+            chosen = choose_node(SimpleNamespace(nodes=[node]), Random(1))
+        self.assertIs(node, chosen)
+
+
 def run_soak(folder, *options):
     """Return the figures of each seed, and what the soak wrote to its error output."""
     run = subprocess.run(
