Let the callers of the soak pipeline, split and chunk their requests

The callers sent one request at a time, so the soak could not see requests that a stopping node runs behind an answer that announces the close of their connection (RFC 9112, 9.6).

Change: a caller draws from the seed how it uses its connection: single or pipelined requests, written at once or while an answer is under way, whole, in pieces or with a chunked body. It closes a connection whose close an answer announces. A tenth of the runs is slow, so that requests behind them wait longer than the slack of 0.2 s. Three promises cover pipelined requests: stops leave none that ran without its answer, in calm none is left unanswered long after its last byte, and none runs that is left behind by an announced close. 400 and 499 in calm count as faults as well.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,7 +21,8 @@
 from soak._world import World
 
 RECOVERY_TIMEOUT_S = 20.0
-LAST_CALLS_S = 3.5
+# A request may run this long after its caller left; its deadline is sooner.
+LAST_RUNS_S = 2.5
 
 
 def run_seed(
@@ -38,12 +39,11 @@
     schedule = [asdict(event) for event in events]
     (folder / "schedule.json").write_text(json.dumps(schedule, indent=1))
     world = World(seed=seed, nodes=nodes, folder=folder)
-    with world.running(callers=2):
+    with world.running(callers=3):
         play(world, events)
         world.wait_until_serving(timeout_s=RECOVERY_TIMEOUT_S)
-        # All requests in progress end by their deadline.
-        world.is_calling = False
-        eventlet.sleep(LAST_CALLS_S)
+        world.finish_calls()
+        eventlet.sleep(LAST_RUNS_S)
         history = world.complete_history()
     violations = violations_of(history)
     (folder / "history.json").write_text(json.dumps(asdict(history), default=repr))
--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -11,21 +11,53 @@
 # A fault disturbs the node for this long after its end.
 SETTLE_S = 3.0
 MAX_NODE_MB = 200.0
+# A request sent so shortly before the end of its connection may not have been read.
+LOSS_SLACK_S = 0.2
 
 
 @dataclass(slots=True)
 class Attempt:
-    """A request as its caller saw it; `status` is 0 if there was no whole answer."""
+    """A request as its caller saw it.
+
+    Attributes
+    ----------
+    sent_at, last_byte_at : float
+        Time of the first and of the last byte; 0 if it was not sent.
+    ended_at : float
+        End of the answer, or of the connection if there was no whole answer.
+    status : int
+        0 if there was no whole answer.
+    connection, position : int
+        Number of the connection of this caller, and of the request on it.
+    is_given_up : bool
+        Whether the caller closed the connection because no answer came in time.
+    is_after_close : bool
+        Whether an earlier answer on the connection announced its close.
+    """
 
     request_id: str
     node_id: str
     is_safe: bool
-    sent_at: float
+    sent_at: float = 0.0
+    last_byte_at: float = 0.0
     ended_at: float = 0.0
     status: int = 0
     seal: str = ""
     body: bytes = b""
-    was_sent: bool = False
+    connection: int = 0
+    position: int = 1
+    payload: bytes = b""
+    encoding: str = ""
+    is_given_up: bool = False
+    is_after_close: bool = False
+
+    @property
+    def place(self) -> str:
+        """Return where the request was sent, for reports."""
+        return (
+            f"{self.request_id} ({self.encoding}, number {self.position} on connection "
+            f"{self.connection} to {self.node_id})"
+        )
 
 
 @dataclass(slots=True)
@@ -85,6 +117,7 @@
         if attempt.status == 200 and (
             attempt.seal != f"seal-{attempt.request_id}"
             or attempt.request_id.encode() not in attempt.body
+            or not attempt.body.endswith(attempt.payload)
         ):
             yield f"{attempt.request_id} got {attempt.seal} {attempt.body[:60]!r}"
 
@@ -129,22 +162,50 @@
         ):
             continue
         for attempt in history.attempts:
-            is_cut = not attempt.status and attempt.was_sent
             if attempt.node_id != node_id or attempt.request_id not in ran:
                 continue
-            if is_cut and stopped_at - SETTLE_S <= attempt.sent_at <= ends_at:
-                yield f"{attempt.request_id} cut by the stop of {node_id}"
+            is_near = stopped_at - SETTLE_S <= attempt.sent_at <= ends_at
+            if not attempt.status and is_near:
+                yield f"{attempt.place} cut {attempt.ended_at - stopped_at:.2f} s after"
+
+
+@register_promise
+def sent_requests_are_answered(history: History) -> Iterator[str]:
+    """Yield requests that were sent in calm well before their connection was closed."""
+    for attempt in history.attempts:
+        is_cut = not attempt.status and attempt.last_byte_at and attempt.ended_at
+        if not is_cut or attempt.is_given_up or not _is_calm(history, attempt):
+            continue
+        waited_s = attempt.ended_at - attempt.last_byte_at
+        if waited_s > LOSS_SLACK_S:
+            yield f"{attempt.place} closed {waited_s:.2f} s after its last byte"
+
+
+@register_promise
+def nothing_runs_after_announced_close(history: History) -> Iterator[str]:
+    """Yield requests that ran although an earlier answer announced the close."""
+    ran_at = {run.request_id: run.at for run in history.runs}
+    for attempt in history.attempts:
+        if attempt.is_after_close and attempt.request_id in ran_at:
+            after_s = ran_at[attempt.request_id] - attempt.ended_at
+            yield f"{attempt.place} ran {after_s:+.2f} s from the close"
 
 
 @register_promise
 def planned_faults_leave_outcomes_known(history: History) -> Iterator[str]:
     """Yield requests with an unknown outcome although no unplanned fault was near."""
     for attempt in history.attempts:
-        if attempt.status in (500, 502, 504) and not any(
-            begin < attempt.ended_at and end > attempt.sent_at - SETTLE_S
-            for begin, end in history.disturbed
-        ):
-            yield f"{attempt.request_id} at {attempt.node_id} got {attempt.status}"
+        is_unknown = attempt.status in (400, 499, 500, 502, 504)
+        if is_unknown and _is_calm(history, attempt):
+            yield f"{attempt.place} got {attempt.status}"
+
+
+def _is_calm(history: History, attempt: Attempt) -> bool:
+    """Return whether no unplanned fault was near an attempt."""
+    return not any(
+        begin < attempt.ended_at and end > attempt.sent_at - SETTLE_S
+        for begin, end in history.disturbed
+    )
 
 
 @register_promise
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -16,16 +16,19 @@
 from eventlet import wsgi
 from eventlet.green import socket
 
-from soak._promises import Attempt, History, Run
+from soak._callers import SERVICES, Caller
+from soak._promises import History, Run
 from soak._proxy import FaultyProxy
 from standins.platform_store import StandinPlatformStore
 from standins.platform_upstream import StandinPlatformUpstream
 
-SERVICES = ("archive", "booking")
 REPORT_INTERVAL_S = 0.3
-CALLER_PAUSE_S = 0.04
-CALL_TIMEOUT_S = 3.0
 RESTART_DELAY_S = 0.4
+# Service times of upstreams. Requests behind a slow one wait longer than the slack of
+# `sent_requests_are_answered`.
+FAST_S = (0.005, 0.08)
+SLOW_S = (0.25, 0.6)
+SLOW_RATIO = 0.1
 # Below the ports that the kernel gives to outgoing connections.
 PORT_RANGE = (20_000, 30_000)
 LISTENERS = ("call", "peer", "readiness", "report", "metrics")
@@ -42,7 +45,8 @@
     def _run(self, environ, start_response, request_id):
         run = Run(request_id, self.upstream_id, monotonic())
         self._history.runs.append(run)
-        self.service_time_s = self._random.uniform(0.005, 0.08)
+        is_slow = self._random.random() < SLOW_RATIO
+        self.service_time_s = self._random.uniform(*(SLOW_S if is_slow else FAST_S))
         return super()._run(environ, start_response, request_id)
 
 
@@ -160,46 +164,6 @@
         eventlet.sleep(RESTART_DELAY_S)
         self.start()
 
-    def call_repeatedly(self, name: str) -> None:
-        """Send requests, on one connection for as long as that stays open."""
-        random = Random(f"{self.world.seed} {name}")
-        connection = None
-        for number in count():
-            if not self.world.is_calling:
-                return
-            eventlet.sleep(CALLER_PAUSE_S * 2 * random.random())
-            is_safe = random.random() < 0.6
-            attempt = Attempt(f"{name}-{number}", self.node_id, is_safe, monotonic())
-            self.world.history.attempts.append(attempt)
-            connection = self._call(connection, attempt)
-            attempt.ended_at = monotonic()
-
-    def _call(self, connection, attempt: Attempt):
-        service = SERVICES[0] if attempt.is_safe else SERVICES[1]
-        headers = {
-            "Host": "mesh.example",
-            "Attempt-Id": attempt.request_id,
-            "Deadline-Remaining": "2000",
-        }
-        path = f"/{service}/{attempt.request_id}"
-        try:
-            with eventlet.Timeout(CALL_TIMEOUT_S, OSError("no answer in time")):
-                if connection is None or connection.sock is None:
-                    connection = _connect(self.addresses["call"])
-                method = "GET" if attempt.is_safe else "POST"
-                connection.request(method, path, None, headers)
-                attempt.was_sent = True
-                response = connection.getresponse()
-                body = response.read()
-        except (OSError, HTTPException):
-            # Counted as an attempt without an answer.
-            if connection is not None:
-                connection.close()
-            return None
-        attempt.status, attempt.body = response.status, body
-        attempt.seal = response.headers.get("Response-Seal", "")
-        return connection
-
     def read_logs(self, history: History) -> None:
         """Add the versions that each process of this node put in force."""
         for log in sorted(self.world.folder.glob(f"{self.node_id}.*.log")):
@@ -238,6 +202,7 @@
         listener = eventlet.listen(("127.0.0.1", 0))
         self.store_address = f"127.0.0.1:{listener.getsockname()[1]}"
         self._threads = [eventlet.spawn(self.store.serve, listener)]
+        self._caller_threads = []
         self.configure()
         self.nodes = [SoakNode(number, self) for number in range(nodes)]
 
@@ -299,11 +264,11 @@
             self.wait_until_serving(timeout_s=30.0)
             for node in self.nodes:
                 for number in range(callers):
-                    name = f"{node.node_id}-c{number}"
-                    self.spawn(node.call_repeatedly, name)
+                    caller = Caller(f"{node.node_id}-c{number}", node, self)
+                    self._caller_threads.append(eventlet.spawn(caller.run))
             yield self
         finally:
-            for thread in self._threads:
+            for thread in self._caller_threads + self._threads:
                 thread.kill()
             for node in self.nodes:
                 if node.process is not None and node.process.poll() is None:
@@ -313,6 +278,12 @@
                 node.upstream_proxy.close()
                 node.store_proxy.close()
 
+    def finish_calls(self) -> None:
+        """Let the callers send nothing more, and wait for their last answers."""
+        self.is_calling = False
+        for thread in self._caller_threads:
+            thread.wait()
+
     def complete_history(self) -> History:
         """Return the history with what the processes logged and used."""
         for node in self.nodes:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,21 +22,25 @@
         "node_id": "node-1",
         "is_safe": False,
         "sent_at": 10.0,
+        "last_byte_at": 10.3,
         "ended_at": 10.4,
         "status": 200,
         "seal": f"seal-{request_id}",
         "body": f"POST /booking/{request_id}".encode(),
-        "was_sent": True,
     }
     return Attempt(request_id, **{**values, **changes})
 
 
 RUN = Run("q", "i-1", 10.1)
+# The caller closed the connection after the answer to an earlier request.
+CLOSED = {"status": 0, "position": 2, "is_after_close": True}
+EARLY = {"status": 0, "last_byte_at": 10.1}
 BROKEN_HISTORIES_BY_PROMISE = {
     "whole_own_answers": [
         History([attempt(seal="seal-other")], [RUN]),
         History([attempt(body=b"POST /booking/other")], [RUN]),
         History([attempt(body=b"")], [RUN]),
+        History([attempt(payload=b"xx")], [RUN]),
     ],
     "unsafe_at_most_once": [History([attempt()], [RUN, Run("q", "i-2", 10.5)])],
     "refused_did_not_run": [
@@ -46,10 +50,28 @@
     "stops_cut_nothing": [
         History([attempt(status=0)], [RUN], stops=[("node-1", 9.0)]),
         History([attempt(status=0)], [RUN], stops=[("node-1", 11.0)]),
+        History(
+            [attempt("p", position=1), attempt(status=0, position=2)],
+            [Run("p", "i-1", 10.0), RUN],
+            stops=[("node-1", 9.0)],
+        ),
+    ],
+    "sent_requests_are_answered": [
+        History([attempt(**EARLY)], []),
+        History([attempt(**EARLY)], [RUN]),
+        History([attempt(**EARLY)], [], stops=[("node-1", 9.0)]),
+        History([attempt(**CLOSED | EARLY)], []),
+    ],
+    "nothing_runs_after_announced_close": [
+        History([attempt(**CLOSED)], [RUN]),
+        History([attempt(**CLOSED)], [Run("q", "i-1", 10.6)]),
+        History([attempt(**CLOSED, is_safe=True)], [RUN], disturbed=[(8.0, 8.5)]),
     ],
     "planned_faults_leave_outcomes_known": [
         History([attempt(status=502)], [RUN], disturbed=[(6.0, 6.5)]),
         History([attempt(status=504)], []),
+        History([attempt(status=499)], []),
+        History([attempt(status=400)], []),
     ],
     "versions_never_back": [History(versions_by_process={"node-1.1": [1, 4, 3]})],
     "processes_stay": [
@@ -84,6 +106,10 @@
                 disturbed=[(8.0, 8.5)],
             ),
             History([attempt(status=0)], [], stops=[("node-1", 9.0)]),
+            History([attempt(**CLOSED)], []),
+            History([attempt(**EARLY)], [RUN], disturbed=[(8.0, 8.5)]),
+            History([attempt(**EARLY, is_given_up=True)], [RUN]),
+            History([attempt(status=0, last_byte_at=0.0)], []),
         ):
             self.assertEqual({}, violations_of(history))
 
