--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -6,13 +6,16 @@
 body.
 """
 
+import math
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from http.client import HTTPMessage
 
 from eventlet import Timeout, wsgi
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
+from verbenawick.calls._connection_ends import ConnectionEnd, EndCause
 from verbenawick.runtime._polling import is_readable
 
 # Limit on a request line and header fields together. Platforms allow 16 KiB of header
@@ -24,9 +27,14 @@
 MAX_FRAMING_RATIO = 8
 # Unread rest of a refused body up to which its connection is kept open.
 MAX_DISCARDED_BYTES = 1024 * 1024
-# How long a longer rest is received, so that the caller can read the response before
-# the connection is closed.
+# How long bytes are received after the last response, so that the caller can read it
+# before the connection is closed.
 LINGER_S = 1.0
+# Ends at which the caller may still be sending.
+LINGERING_CAUSES = frozenset({EndCause.ANNOUNCED, EndCause.INVALID})
+
+# Status that an application gives to a request whose caller has closed the connection.
+CALLER_LEFT_STATUS = "499"
 
 _HEAD_TERMINATORS = (b"\r\n", b"\n", b"")
 
@@ -35,8 +43,32 @@
     """Target and headers of one request, filled by the parser's callbacks."""
 
     def __init__(self):
+        self.method = ""
         self.target = b""
+        self.version = ""
         self.headers = HTTPMessage()
+        self.keeps_connection = False
+        self._parser: HttpRequestParser | None = None
+
+    def parse(self, data: bytes) -> None:
+        """Parse the head of a request.
+
+        Raises
+        ------
+        HttpParserError
+            The head is invalid.
+        """
+        self._parser = parser = HttpRequestParser(self)
+        try:
+            parser.feed_data(data)
+        except HttpParserUpgrade:
+            # Protocol upgrades are not supported; serve the request without one.
+            pass
+        finally:
+            # The parser refers to this object, and garbage collections are rare.
+            self._parser = None
+        self.method = parser.get_method().decode("latin-1")
+        self.version = parser.get_http_version()
 
     def on_url(self, url: bytes) -> None:
         self.target += url
@@ -45,6 +77,10 @@
         text = value.decode("latin-1").strip(" \t")
         self.headers[name.decode("latin-1")] = text
 
+    def on_headers_complete(self) -> None:
+        # At the end of the message, the parser no longer knows the connection options.
+        self.keeps_connection = self._parser.should_keep_alive()
+
 
 class _BodyStream:
     """Stream of a request body, of which each line has to be whole.
@@ -77,6 +113,13 @@
 class _RequestBody(wsgi.Input):
     """Body of a request, with limits on its framing and on a rest that is discarded."""
 
+    @property
+    def is_read(self) -> bool:
+        """Return whether the whole body was read."""
+        if self.chunked_input:
+            return self.chunk_length == 0
+        return self.position >= (self.content_length or 0)
+
     def discard(self, buffer_size: int = 16_384) -> None:
         """Receive the unread rest of the body.
 
@@ -89,14 +132,22 @@
         while data := self.read(min(buffer_size, left)):
             left -= len(data)
             if left <= 0:
-                self._linger()
+                _linger(self._sock)
                 raise OSError(f"unread body exceeds {MAX_DISCARDED_BYTES} bytes")
 
-    def _linger(self) -> None:
-        self._sock.shutdown(socket.SHUT_WR)
-        with Timeout(LINGER_S, False):
-            while self._sock.recv(65_536):
-                pass
+
+def _linger(sock, *, max_bytes: float = math.inf) -> None:
+    """Send the end of the connection, and receive until the caller closes it too.
+
+    Stops after `max_bytes` or `LINGER_S`.
+
+    The kernel resets a connection that is closed with unread bytes, and the reset
+    discards what the caller has not read yet.
+    """
+    sock.shutdown(socket.SHUT_WR)
+    with Timeout(LINGER_S, False):
+        while max_bytes > 0 and (data := sock.recv(65_536)):
+            max_bytes -= len(data)
 
 
 class CallerProtocol(wsgi.HttpProtocol):
@@ -109,6 +160,10 @@
     idle_timeout_s : callable
         Returns the time after which the connection is closed if it is idle, in seconds.
         By default the time set for the server applies.
+    is_stopping : callable
+        Returns whether the server is stopping.
+    on_end : callable
+        Called with the `ConnectionEnd` when the connection has ended.
     """
 
     def __init__(
@@ -118,28 +173,104 @@
         *,
         connections: set["CallerProtocol"] | None = None,
         idle_timeout_s: Callable[[], float] | None = None,
+        is_stopping: Callable[[], bool] = lambda: False,
+        on_end: Callable[[ConnectionEnd], None] = lambda end: None,
     ):
         self._connections = set() if connections is None else connections
         self._idle_timeout_s = idle_timeout_s
-        self._is_last_request = False
+        self._is_stopping = is_stopping
+        self._on_end = on_end
+        # Whether eventlet has left the connection open at the end of its accept loop,
+        # at which it shuts down the idle ones.
+        self._outlives_server = False
+        self._requests = 0
+        self._responses = 0
+        self._was_announced = False
+        self._end_cause = EndCause.BROKEN
         super().__init__(conn_state, server)
 
     def handle(self) -> None:
         """Serve the requests of the connection until it is closed."""
         self._connections.add(self)
         try:
-            super().handle()
+            self._serve_requests()
         finally:
             self._connections.discard(self)
+            self._on_end(
+                ConnectionEnd(
+                    self._end_cause,
+                    self._requests,
+                    self._responses,
+                    self._was_announced,
+                    self._has_unread_bytes(),
+                )
+            )
+        if self._end_cause in LINGERING_CAUSES:
+            with suppress(OSError):
+                self.wfile.flush()
+                _linger(self.connection, max_bytes=MAX_DISCARDED_BYTES)
+
+    def _serve_requests(self) -> None:
+        self.close_connection = True
+        while True:
+            self.handle_one_request()
+            if self.close_connection:
+                return
+            if self.conn_state[2] != wsgi.STATE_CLOSE:
+                self.conn_state[2] = wsgi.STATE_IDLE
+            elif self._has_unread_bytes():
+                # The response before did not announce the close.
+                self._outlives_server = True
+            else:
+                self._end_cause = EndCause.STOPPED
+                return
 
     def handle_one_request(self) -> None:
-        """Serve one request, the last one if the server is stopping."""
+        """Serve one request."""
+        self._end_cause = EndCause.BROKEN
         super().handle_one_request()
-        if self._is_last_request:
-            self.close_connection = True
+
+    def handle_one_response(self) -> None:
+        """Call the application and write its response.
+
+        While the server stops, the response announces the close of the connection
+        unless a further request has arrived, which is served first.
+        """
+        self._requests += 1
+        self._end_cause = EndCause.BROKEN
+        application = self.application
+        body = self.environ["wsgi.input"]
+        asked_for_end = bool(self.close_connection)
+        status = ""
+
+        def serve(environ, start_response):
+            def start(status_line, headers, exc_info=None):
+                nonlocal status
+                status = status_line
+                return start_response(status_line, headers, exc_info)
+
+            chunks = application(environ, start)
+            if self._is_stopping() and not asked_for_end:
+                has_next = body.is_read and self._has_unread_bytes()
+                self._was_announced = self.close_connection = not has_next
+            return chunks
+
+        self.application = serve
+        super().handle_one_response()
+        if status.startswith(CALLER_LEFT_STATUS):
+            self._end_cause = EndCause.CALLER_LEFT
+            return
+        # Raises an error of the connection again that eventlet has caught.
+        self.wfile.flush()
+        self._responses += 1
+        if asked_for_end:
+            self._end_cause = EndCause.CALLER_ASKED
+        else:
+            announced = EndCause.ANNOUNCED
+            self._end_cause = announced if self._was_announced else EndCause.INVALID
 
     def serve_arrived_request(self) -> None:
-        """Let a request that arrived but was not read yet be the last one.
+        """Keep the connection open if a request arrived on it that was not read yet.
 
         Called immediately before the server stops, which shuts down all connections
         that it takes for idle.
@@ -147,17 +278,40 @@
         if self.conn_state[2] != wsgi.STATE_IDLE:
             return
         if is_readable(self.connection.fileno()):
-            self._is_last_request = True
+            self._outlives_server = True
             self.conn_state[2] = wsgi.STATE_REQUEST
 
+    def _has_unread_bytes(self) -> bool:
+        """Return whether bytes have arrived that were not read."""
+        try:
+            self.connection.settimeout(0)
+            try:
+                return bool(self.rfile.peek(1))
+            finally:
+                self.connection.settimeout(self.server.socket_timeout)
+        except (OSError, ValueError):
+            # The connection is closed.
+            return False
+
     def _read_request_line(self):
         if self._idle_timeout_s is not None:
             # Also the time that responses announce in `Keep-Alive`.
             self.server.keepalive = self._idle_timeout_s()
-        line = super()._read_request_line()
-        if self.conn_state[2] == wsgi.STATE_CLOSE and not self._is_last_request:
+        try:
+            line = super()._read_request_line()
+        except TimeoutError:
+            self._end_cause = EndCause.IDLE
+            return b""
+        if self.conn_state[2] == wsgi.STATE_CLOSE and not self._outlives_server:
             # The connection has been shut down, so the response would be lost.
-            return ""
+            self._end_cause = EndCause.STOPPED
+            return b""
+        if line:
+            self._end_cause = EndCause.INVALID
+        else:
+            has_left = self._requests > self._responses
+            left = EndCause.CALLER_LEFT
+            self._end_cause = left if has_left else EndCause.CALLER_CLOSED
         return line
 
     def parse_request(self) -> bool:
@@ -176,23 +330,19 @@
         self.close_connection = True
         lines = self._read_lines()
         head = _RequestHead()
-        parser = HttpRequestParser(head)
         try:
-            parser.feed_data(b"".join(lines))
-        except HttpParserUpgrade:
-            # Protocol upgrades are not supported; serve the request without one.
-            pass
+            head.parse(b"".join(lines))
         except HttpParserError:
             self.send_error(400, "Bad Request")
             return False
         if lines[-1] == b"" or not head.target:
             # The connection was closed before the head was complete.
             return False
-        self.command = parser.get_method().decode("latin-1")
+        self.command = head.method
         self.path = head.target.decode("latin-1")
-        self.request_version = f"HTTP/{parser.get_http_version()}"
+        self.request_version = f"HTTP/{head.version}"
         self.headers = head.headers
-        self.close_connection = not parser.should_keep_alive()
+        self.close_connection = not head.keeps_connection
         if (
             self.request_version == "HTTP/1.1"
             and head.headers.get("Expect", "").lower() == "100-continue"
--- a/tests/call_support.py
+++ b/tests/call_support.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from http.client import HTTPConnection
+from http.client import HTTPConnection, HTTPResponse
 from pathlib import Path
 from random import Random
 
@@ -225,7 +225,7 @@
         self.link_server = LinkServer(identity, {CALL_CHANNEL: self.links})
         self.link_server.listen()
         eventlet.spawn_n(self.link_server.run)
-        self.entry_server = EntryServer(self.entry)
+        self.entry_server = EntryServer(self.entry, metrics=self.metrics)
         self.call_address = f"127.0.0.1:{free_port()}"
         self.entry_server.listen(self.call_address)
         self.entry_server.start()
@@ -304,6 +304,19 @@
         return self.headers.get("Verbenawick-Code", "")
 
 
+def responses_until_close(sock) -> list[CallerResponse]:
+    """Return the responses on `sock` up to the first with ``Connection: close``."""
+    responses = []
+    while True:
+        received = HTTPResponse(sock)
+        received.begin()
+        body = received.read()
+        headers = dict(received.getheaders())
+        responses.append(CallerResponse(received.status, headers, body))
+        if headers.get("Connection") == "close":
+            return responses
+
+
 class Caller:
     """HTTP client with one connection."""
 
