--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,13 +7,16 @@
 from types import SimpleNamespace
 
 import eventlet
+from httptools import HttpRequestParser
 from testtools import TestCase
 
+from soak._callers import Caller, encodings_by_name
 from soak._faults import Event, choose_node
 from soak._promises import Attempt, History, Run, violations_of
 from soak._shrink import shrink
 
 SOAK_TIMEOUT_S = 150
+LAST_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 
 def attempt(request_id="q", **changes):
@@ -114,6 +117,50 @@
             self.assertEqual({}, violations_of(history))
 
 
+def answer_once_per_connection(listener):
+    """Announce the close in the first answer and wait until the caller closes."""
+    while True:
+        sock, _ = listener.accept()
+        sock.recv(65_536)
+        eventlet.sleep(0.05)
+        sock.sendall(LAST_ANSWER)
+        while sock.recv(65_536):
+            pass
+        sock.close()
+
+
+class CallerTest(TestCase):
+    """Requests of the callers, and what they note about them."""
+
+    def test_parts_of_each_encoding_are_one_request(self):
+        """Guards against a soak whose requests are all refused."""
+        head = b"POST /booking/q HTTP/1.1\r\nHost: mesh.example\r\n"
+        for encoding in encodings_by_name.values():
+            body = []
+            parser = HttpRequestParser(SimpleNamespace(on_body=body.append))
+            for part in encoding(head, b"abc" * 100, Random(1)):
+                parser.feed_data(part)
+            self.assertEqual(b"abc" * 100, b"".join(body))
+
+    def test_caller_leaves_after_an_announced_close(self):
+        """Guards against a soak that does not see what runs after such an answer."""
+        listener = eventlet.listen(("127.0.0.1", 0))
+        server = eventlet.spawn(answer_once_per_connection, listener)
+        self.addCleanup(server.kill)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        node = SimpleNamespace(node_id="node-1", addresses={"call": address})
+        world = SimpleNamespace(seed=1, history=History(), is_calling=True)
+        thread = eventlet.spawn(Caller("c", node, world).run)
+        while len(world.history.attempts) < 20:
+            eventlet.sleep(0.01)
+        world.is_calling = False
+        thread.wait()
+        answered = [a for a in world.history.attempts if a.status]
+        unanswered = [a for a in world.history.attempts if not a.status]
+        self.assertEqual({1}, {a.position for a in answered})
+        self.assertEqual({True}, {a.is_after_close for a in unanswered})
+
+
 class ShrinkTest(TestCase):
     """Reduction of schedules."""
 
