--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -27,6 +27,8 @@
 MAX_FRAMING_RATIO = 8
 # Unread rest of a refused body up to which its connection is kept open.
 MAX_DISCARDED_BYTES = 1024 * 1024
+# Receive buffers of empty lines that are skipped in search of a further request.
+MAX_SKIPPED_READS = 4
 # How long bytes are received after the last response, so that the caller can read it
 # before the connection is closed.
 LINGER_S = 1.0
@@ -137,6 +139,35 @@
                 raise OSError(f"unread body exceeds {MAX_DISCARDED_BYTES} bytes")
 
 
+class _ResponseStream:
+    """Buffered stream of responses that remembers whether a write failed.
+
+    eventlet catches the errors of a response, and the stream keeps no bytes of a large
+    one that a later flush could fail on.
+    """
+
+    def __init__(self, stream):
+        self._stream = stream
+        self.has_failed = False
+
+    def __getattr__(self, name: str):
+        return getattr(self._stream, name)
+
+    def writelines(self, lines: list[bytes]) -> None:
+        try:
+            self._stream.writelines(lines)
+        except OSError:
+            self.has_failed = True
+            raise
+
+    def flush(self) -> None:
+        try:
+            self._stream.flush()
+        except OSError:
+            self.has_failed = True
+            raise
+
+
 def _linger(sock, *, max_bytes: float = math.inf) -> None:
     """Send the end of the connection, and receive until the caller closes it too.
 
@@ -187,16 +218,39 @@
         self._requests = 0
         self._responses = 0
         self._was_announced = False
+        # Whether the last response came before the body of its request was read.
+        self._is_body_refused = False
         self._end_cause = EndCause.BROKEN
         super().__init__(conn_state, server)
 
+    def setup(self) -> None:
+        """Open the streams of the connection."""
+        super().setup()
+        self.wfile = _ResponseStream(self.wfile)
+
     def handle(self) -> None:
         """Serve the requests of the connection until it is closed."""
         self._connections.add(self)
         try:
-            self._serve_requests()
+            self._serve_until_end()
+            max_bytes = self._max_lingering_bytes()
+            if max_bytes:
+                with suppress(OSError):
+                    self.wfile.flush()
+                    _linger(self.connection, max_bytes=max_bytes)
         finally:
             self._connections.discard(self)
+
+    def _max_lingering_bytes(self) -> float:
+        if self._is_body_refused:
+            # The caller may read the response only after it has sent the body.
+            return math.inf
+        return MAX_DISCARDED_BYTES if self._end_cause in LINGERING_CAUSES else 0
+
+    def _serve_until_end(self) -> None:
+        try:
+            self._serve_requests()
+        finally:
             self._on_end(
                 ConnectionEnd(
                     self._end_cause,
@@ -206,10 +260,6 @@
                     bool(self._unread_bytes()),
                 )
             )
-        if self._end_cause in LINGERING_CAUSES:
-            with suppress(OSError):
-                self.wfile.flush()
-                _linger(self.connection, max_bytes=MAX_DISCARDED_BYTES)
 
     def _serve_requests(self) -> None:
         self.close_connection = True
@@ -253,7 +303,9 @@
             chunks = application(environ, start)
             if self._is_stopping() and not asked_for_end:
                 has_next = body.is_read and self._has_next_request()
-                self._was_announced = self.close_connection = not has_next
+                self.close_connection = not has_next
+                has_left = status.startswith(CALLER_LEFT_STATUS)
+                self._was_announced = not has_next and not has_left
             return chunks
 
         self.application = serve
@@ -261,9 +313,12 @@
         if status.startswith(CALLER_LEFT_STATUS):
             self._end_cause = EndCause.CALLER_LEFT
             return
-        # Raises an error of the connection again that eventlet has caught.
-        self.wfile.flush()
+        if self.wfile.has_failed:
+            return
         self._responses += 1
+        # Otherwise eventlet has received the body, or found it invalid.
+        has_decided_end = asked_for_end or self._was_announced
+        self._is_body_refused = has_decided_end and not body.is_read
         if asked_for_end:
             self._end_cause = EndCause.CALLER_ASKED
         else:
@@ -283,8 +338,18 @@
             self.conn_state[2] = wsgi.STATE_REQUEST
 
     def _has_next_request(self) -> bool:
-        """Return whether bytes of a further request have arrived."""
-        return bool(self._unread_bytes().strip(b"\r\n"))
+        """Return whether bytes of a further request have arrived.
+
+        Skips empty lines before the request.
+        """
+        for _ in range(MAX_SKIPPED_READS):
+            data = self._unread_bytes()
+            request = data.lstrip(b"\r\n")
+            # These bytes are in the buffer, so the read does not wait.
+            self.rfile.read(len(data) - len(request))
+            if request or not data:
+                return bool(request)
+        return False
 
     def _unread_bytes(self) -> bytes:
         """Return bytes that have arrived and were not read, without reading them."""
