--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -149,3 +149,24 @@
         sock.close()
         self.assert_ended(EndCause.CALLER_LEFT, requests=1)
         stop.wait()
+
+    def test_end_that_a_response_announced(self):
+        """Guards against taking an announced end for one that the stop forced."""
+        stop = eventlet.spawn(self.server.stop, grace_s=1, timeout_s=1)
+        eventlet.sleep(0)
+        sock = self.connect(GET)
+        self.assertIn(b"Connection: close", sock.recv(65_536))
+        self.assert_ended(EndCause.ANNOUNCED, requests=1)
+        self.assertTrue(self.fields[0]["was_announced"])
+        self.assertFalse(self.fields[0]["has_unread"])
+        stop.wait()
+
+    def test_end_with_a_further_request(self):
+        """Guards against requests that were dropped without a sign in the log."""
+        sock = self.connect(
+            GET.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n") + GET
+        )
+        self.assertIn(b" 200 ", sock.recv(65_536))
+        self.assert_ended(EndCause.CALLER_ASKED, requests=1)
+        self.assertFalse(self.fields[0]["was_announced"])
+        self.assertTrue(self.fields[0]["has_unread"])
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -8,7 +8,7 @@
 
 from tests.call_support import free_port, responses_until_close, wait_until
 from verbenawick.calls._connection_ends import ENDS_BY_CAUSE, EndCause
-from verbenawick.calls._entry_server import EntryServer
+from verbenawick.calls._entry_server import LAST_REQUESTS_S, EntryServer
 from verbenawick.runtime._calls_in_flight import CallsInFlight
 from verbenawick.runtime._metrics import MetricSet
 
@@ -118,6 +118,35 @@
         self.assertEqual([b"/1", b"/2", b"/3"], self.receive_until_close(sock))
         self.assertTrue(stop.wait())
 
+    def test_requests_that_wait_behind_others_after_the_close_are_answered(self):
+        """Guards against cutting requests at the end of the accept loop."""
+        paths = [f"/{number}" for number in range(int(LAST_REQUESTS_S / CALL_S) + 3)]
+        sock = self.connect()
+        sock.sendall(b"".join(request(path) for path in paths))
+        wait_until(lambda: self.application.paths)
+        stop = self.start_stop(grace_s=0)
+        bodies = self.receive_until_close(sock)
+        self.assertEqual([path.encode() for path in paths], bodies)
+        self.assertTrue(stop.wait())
+
+    def test_no_request_runs_behind_one_that_asks_for_the_end(self):
+        """Guards against a stop that keeps connections which are to be closed."""
+        sock = self.connect()
+        self.start_stop()
+        last = request("/1").replace(b"Host: a", b"Host: a\r\nConnection: TE, close")
+        sock.sendall(last + request("/2"))
+        self.assertEqual([b"/1"], self.receive_until_close(sock))
+        self.assert_ends(sock)
+        self.assertEqual(["/1"], self.application.paths)
+
+    def test_an_empty_line_does_not_put_off_the_announced_close(self):
+        """Guards against callers that are never told of the stop."""
+        sock = self.connect()
+        self.start_stop()
+        sock.sendall(request("/1") + b"\r\n")
+        with eventlet.Timeout(GRACE_S):
+            self.assertEqual([b"/1"], self.receive_until_close(sock))
+
     def test_no_request_runs_after_the_announced_close(self):
         """Guards against serving a connection whose end the caller knows."""
         sock = self.connect()
