Run no further requests of a caller that has left

The connection is now closed after such a request. An upstream's own status 499 is no longer taken for a caller that left. The log line of an unanswered request no longer covers callers that left, since nothing runs after an announced close.

The test failed before (the second request reached the application). The tests of connection ends no longer read the events of other servers, and `responses_until_close` no longer loses a response that is received with the end of another one.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -36,7 +36,7 @@
 LINGERING_CAUSES = frozenset({EndCause.ANNOUNCED, EndCause.INVALID})
 
 # Status that an application gives to a request whose caller has closed the connection.
-CALLER_LEFT_STATUS = "499"
+CALLER_LEFT_STATUS = "499 Caller Closed"
 
 _EMPTY_LINES = (b"\r\n", b"\n")
 _HEAD_TERMINATORS = (*_EMPTY_LINES, b"")
@@ -304,14 +304,16 @@
             if self._is_stopping() and not asked_for_end:
                 has_next = body.is_read and self._has_next_request()
                 self.close_connection = not has_next
-                has_left = status.startswith(CALLER_LEFT_STATUS)
+                has_left = status == CALLER_LEFT_STATUS
                 self._was_announced = not has_next and not has_left
             return chunks
 
         self.application = serve
         super().handle_one_response()
-        if status.startswith(CALLER_LEFT_STATUS):
+        if status == CALLER_LEFT_STATUS:
             self._end_cause = EndCause.CALLER_LEFT
+            # Further requests of the caller would run for nobody.
+            self.close_connection = True
             return
         if self.wfile.has_failed:
             return
--- a/src/verbenawick/calls/_connection_ends.py
+++ b/src/verbenawick/calls/_connection_ends.py
@@ -76,8 +76,7 @@
     """A connection ended with a request that was read and not answered.
 
     `was_announced` tells whether an earlier response announced the end, and
-    `has_unread` whether further bytes had arrived. A caller that left by itself is
-    logged only if the end was announced.
+    `has_unread` whether further bytes had arrived.
     """
 
     cause: str
@@ -108,7 +107,7 @@
         """Count and log the end of a connection."""
         self._metrics.count(ENDS_BY_CAUSE[end.cause])
         unanswered = end.requests - end.responses
-        if unanswered and (end.was_announced or end.cause is not EndCause.CALLER_LEFT):
+        if unanswered and end.cause is not EndCause.CALLER_LEFT:
             self._metrics.count(UNANSWERED, unanswered)
             emit(
                 CallerUnanswered(
--- a/src/verbenawick/calls/_entry.py
+++ b/src/verbenawick/calls/_entry.py
@@ -6,6 +6,7 @@
 
 from greenlet import GreenletExit
 
+from verbenawick.calls._caller_protocol import CALLER_LEFT_STATUS
 from verbenawick.calls._dispatch import Call, Dispatcher
 from verbenawick.calls._entry_request import (
     MAX_KEY_LENGTH,
@@ -147,7 +148,7 @@
                 answer = self._serve(environ, table, context)
         except GreenletExit:
             self._metrics.count(CALLS_ABANDONED)
-            start_response("499 Caller Closed", [("Content-Length", "0")])
+            start_response(CALLER_LEFT_STATUS, [("Content-Length", "0")])
             return [b""]
         self._metrics.count(METRIC_BY_OUTCOME[answer.outcome])
         return self._respond(start_response, answer, table, context)
--- a/src/verbenawick/platform/_servers.py
+++ b/src/verbenawick/platform/_servers.py
@@ -5,6 +5,7 @@
 import msgspec
 from greenlet import GreenletExit
 
+from verbenawick.calls._caller_protocol import CALLER_LEFT_STATUS
 from verbenawick.calls._http_messages import read_body
 from verbenawick.errors import CallError
 from verbenawick.mesh._body_memory import BodyMemory, receive_body
@@ -83,7 +84,7 @@
             with self._calls.enter():
                 result = self._serve(environ, now)
         except GreenletExit:
-            start_response("499 Caller Closed", [("Content-Length", "0")])
+            start_response(CALLER_LEFT_STATUS, [("Content-Length", "0")])
             return [b""]
         except Exception as error:
             emit(CallBroken(environ.get("HTTP_ATTEMPT_ID", ""), repr(error)))
--- a/tests/call_support.py
+++ b/tests/call_support.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from http.client import HTTPConnection, HTTPResponse
+from http.client import HTTPConnection, parse_headers
 from pathlib import Path
 from random import Random
 
@@ -307,14 +307,15 @@
 def responses_until_close(sock) -> list[CallerResponse]:
     """Return the responses on `sock` up to the first with ``Connection: close``."""
     responses = []
-    while True:
-        received = HTTPResponse(sock)
-        received.begin()
-        body = received.read()
-        headers = dict(received.getheaders())
-        responses.append(CallerResponse(received.status, headers, body))
-        if headers.get("Connection") == "close":
-            return responses
+    # One file, since the next response may be received with the end of one.
+    with sock.makefile("rb") as received:
+        while True:
+            status = int(received.readline().split()[1])
+            headers = dict(parse_headers(received))
+            body = received.read(int(headers["Content-Length"]))
+            responses.append(CallerResponse(status, headers, body))
+            if headers.get("Connection") == "close":
+                return responses
 
 
 class Caller:
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -55,6 +55,10 @@
             _Application(), metrics=self.metrics, idle_timeout_s=lambda: IDLE_TIMEOUT_S
         )
         self.address = ("127.0.0.1", free_port())
+        # Connections of earlier tests may still end and be logged.
+        self.ends = []
+        record = self.server._ends.record
+        self.server._ends.record = lambda end: (record(end), self.ends.append(end))
         self.server.listen("{}:{}".format(*self.address))
         self.server.start()
         self.addCleanup(self.server.close)
@@ -74,16 +78,13 @@
         return sock
 
     def assert_ended(self, cause, *, requests, unanswered=0):
-        wait_until(lambda: self.fields)
-        self.assertEqual((cause, requests), self.cause_and_requests())
+        wait_until(lambda: self.ends)
+        self.assertEqual((cause, requests), (self.ends[0].cause, self.ends[0].requests))
         self.assertEqual(1, self.metrics.totals()[ENDS_BY_CAUSE[cause]])
         self.assertEqual(unanswered, self.metrics.totals().get(UNANSWERED, 0))
-        is_unanswered = self.fields[0]["event"] == number_of(CallerUnanswered)
-        self.assertEqual(bool(unanswered), is_unanswered)
-
-    def cause_and_requests(self):
-        fields = self.fields[0]
-        return fields["cause"], fields["requests"]
+        event_type = CallerUnanswered if unanswered else CallerConnectionEnded
+        logged = [(fields["event"], fields["cause"]) for fields in self.fields]
+        self.assertIn((number_of(event_type), cause), logged)
 
     def test_end_by_the_caller(self):
         """Guards against taking a caller that is done for one that was cut."""
@@ -157,8 +158,8 @@
         sock = self.connect(GET)
         self.assertIn(b"Connection: close", sock.recv(65_536))
         self.assert_ended(EndCause.ANNOUNCED, requests=1)
-        self.assertTrue(self.fields[0]["was_announced"])
-        self.assertFalse(self.fields[0]["has_unread"])
+        self.assertTrue(self.ends[0].was_announced)
+        self.assertFalse(self.ends[0].has_unread)
         stop.wait()
 
     def test_end_with_a_further_request(self):
@@ -168,5 +169,5 @@
         )
         self.assertIn(b" 200 ", sock.recv(65_536))
         self.assert_ended(EndCause.CALLER_ASKED, requests=1)
-        self.assertFalse(self.fields[0]["was_announced"])
-        self.assertTrue(self.fields[0]["has_unread"])
+        self.assertFalse(self.ends[0].was_announced)
+        self.assertTrue(self.ends[0].has_unread)
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -7,6 +7,7 @@
 from testtools import TestCase
 
 from tests.call_support import free_port, responses_until_close, wait_until
+from verbenawick.calls._caller_protocol import CALLER_LEFT_STATUS
 from verbenawick.calls._connection_ends import ENDS_BY_CAUSE, EndCause
 from verbenawick.calls._entry_server import LAST_REQUESTS_S, EntryServer
 from verbenawick.runtime._calls_in_flight import CallsInFlight
@@ -35,6 +36,9 @@
 
     def __call__(self, environ, start_response):
         self.paths.append(environ["PATH_INFO"])
+        if environ["PATH_INFO"] == "/left":
+            start_response(CALLER_LEFT_STATUS, [("Content-Length", "0")])
+            return [b""]
         if environ["PATH_INFO"] == "/refused":
             start_response("413 Content Too Large", [("Content-Length", "0")])
             return [b""]
@@ -158,6 +162,14 @@
         eventlet.sleep(CALL_S)
         self.assertEqual(["/1"], self.application.paths)
 
+    def test_no_request_runs_for_a_caller_that_has_left(self):
+        """Guards against running the requests behind one that was given up."""
+        sock = self.connect()
+        sock.sendall(request("/left") + request("/1"))
+        self.assertIn(b" 499 ", sock.recv(65_536))
+        self.assert_ends(sock)
+        self.assertEqual(["/left"], self.application.paths)
+
     def test_a_request_that_crosses_the_close_does_not_reset_the_answer(self):
         """Guards against a reset that discards the end of an answer."""
         sock = self.connect()
