Refuse late calls in a stop at the own interface too

A caller that always has a further request on its way was served until the stop timed out after 30 s, and the call then in progress was cut. Its calls are refused as not run from 1 s after the close of the listener on, so that the buffer of its connection empties and the close is announced.

The test failed before: no close was announced in 5 s.

--- a/src/verbenawick/calls/_entry.py
+++ b/src/verbenawick/calls/_entry.py
@@ -1,5 +1,6 @@
 """Entry role: the WSGI application that receives the requests of callers."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from http.client import responses
@@ -25,6 +26,7 @@
     BadCallError,
     BelowFloorError,
     CallError,
+    DrainingError,
     KeyRequiredError,
     NoRouteError,
     NotReadyError,
@@ -120,6 +122,7 @@
         self._router = Router()
         self._watcher = CallerWatcher()
         self._calls = CallsInFlight()
+        self._last_call_at = math.inf
 
     @property
     def in_flight(self) -> int:
@@ -131,6 +134,13 @@
         emit(EntryStopping(self._node_id, self._calls.count))
         self._calls.stop()
 
+    def stop_by(self, *, last_call_at: float) -> None:
+        """Refuse calls that arrive later than `last_call_at`, a local time.
+
+        They arrive on connections that were kept open for them.
+        """
+        self._last_call_at = last_call_at
+
     def wait_idle(self, *, timeout_s: float) -> bool:
         """Wait for calls in flight; return whether all ended within `timeout_s`.
 
@@ -168,6 +178,8 @@
 
     def _build_call(self, environ, table: RoutingTable | None, context) -> Call:
         now = self._clock.now()
+        if now > self._last_call_at:
+            raise DrainingError("this node is stopping", step="entry")
         if table is None:
             raise NotReadyError("no configuration in force", step="entry")
         method = environ["REQUEST_METHOD"]
--- a/src/verbenawick/node/_node.py
+++ b/src/verbenawick/node/_node.py
@@ -46,6 +46,9 @@
 from verbenawick.store._store import StoreClient
 
 INCARNATION_BITS = 48
+# Time after the close of the listener from which calls on connections that were kept
+# open are refused; callers with a further request on its way would put off the stop.
+LAST_CALLS_S = 1.0
 HANDOVER_TIMEOUT_S = 5.0
 CLAIM_POLL_INTERVAL_S = 0.02
 # Delay before sockets are closed, so that the last messages are sent.
@@ -386,6 +389,9 @@
         self.control.submit(self.membership.start_drain)
         self.control.submit(self.lifecycle.drain)
         self.gateway.drain()
+        self.entry_application.stop_by(
+            last_call_at=self.clock.now() + timing.stop_grace_s + LAST_CALLS_S
+        )
         all_ended = self.entry.stop(
             grace_s=timing.stop_grace_s, timeout_s=timing.longest_call_s
         )
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -2,7 +2,7 @@
 
 import time
 from dataclasses import replace
-from http.client import HTTPException
+from http.client import HTTPException, parse_headers
 
 import eventlet
 from eventlet import patcher
@@ -429,6 +429,29 @@
         stop.wait()
         self.assertEqual(3, sum(state == "started" for _, state in self.mesh.runs()))
 
+    def test_stop_ends_although_a_caller_always_has_a_further_request(self):
+        """Guards against a stop that lasts until its timeout."""
+        self.start(nodes=1)
+        self.node.entry.stop_by(last_call_at=self.node.clock.now() + 10 * GRACE_S)
+        stop = self.start_stop()
+        sock = self.caller.connection.sock
+        received = sock.makefile("rb")
+        request = b"GET /a?delay_ms=50 HTTP/1.1\r\nHost: a\r\n\r\n"
+        sock.sendall(request)
+        connection, statuses = None, []
+        with eventlet.Timeout(5):
+            while connection != "close":
+                sock.sendall(request)
+                statuses.append(int(received.readline().split()[1]))
+                headers = parse_headers(received)
+                received.read(int(headers["Content-Length"]))
+                connection = headers["Connection"]
+            sock.close()
+            self.assertTrue(stop.wait())
+        self.assertEqual({200, 503}, set(statuses))
+        runs = sum(state == "started" for _, state in self.mesh.runs())
+        self.assertEqual(statuses.count(200), runs)
+
     def test_a_request_after_the_last_pass_before_the_close_is_answered(self):
         """Guards against closing a kept connection whose request was not read yet."""
         self.start(nodes=1)
