Deliver messages that arrive with the handshake of a link

A node that opened a link to a stopping one took its gateway for ready until that node's end: calls were offered to it and refused, callers got 503 although other gateways were free, and a call that reached it while it closed its links ended with 502 for an unsafe request that had not run. The same holds for any change of an upstream's state while a link was down.

A node sends its state as soon as it accepts a link. If the frame was received together with the response of the handshake, the dialler dropped it: `events_received` returns all events and forgets them, but only the first was used. Nothing corrects the state later, since records of the store do not apply to connected nodes.

The events that follow the response are now passed to the link, whose reader dispatches them first.

Evidence: the tests failed before with

eventlet.timeout.Timeout: 5.0 seconds (no message of the accepting end) MismatchError: <UpstreamState.DRAINING> != <UpstreamState.READY>

--- a/src/verbenawick/links/_links.py
+++ b/src/verbenawick/links/_links.py
@@ -160,7 +160,9 @@
         delay_s,
         ping_interval_s=PING_INTERVAL_S,
         clock=None,
+        events=(),
     ):
+        self._early_events = events
         self._ping_interval_s = ping_interval_s
         self.peer: NodeIdentity = peer
         self.channel: str = channel
@@ -273,7 +275,8 @@
         pinger = eventlet.spawn(self._ping_periodically)
         try:
             self._handler.on_open(self)
-            self._dispatch_events()
+            events, self._early_events = self._early_events, ()
+            self._dispatch(events)
             while self.is_open:
                 self._read_once()
         except ProtocolError as error:
@@ -302,7 +305,7 @@
         self.bytes_received += len(data)
         self._last_received_at = self._clock.now()
         self._protocol.receive_data(data)
-        self._dispatch_events()
+        self._dispatch(self._protocol.events_received())
         self._flush()
         if self._protocol.state is not State.OPEN:
             if self._protocol.parser_exc is not None:
@@ -313,8 +316,8 @@
                 )
             self.close("peer closed the connection")
 
-    def _dispatch_events(self) -> None:
-        for event in self._protocol.events_received():
+    def _dispatch(self, events) -> None:
+        for event in events:
             if isinstance(event, Frame):
                 self._dispatch_frame(event)
 
@@ -457,7 +460,7 @@
                 (host, int(port)), source_address=(source_ip, 0)
             )
             try:
-                protocol, peer = _perform_handshake(
+                protocol, peer, events = _perform_handshake(
                     sock, address, channel, identity, is_compressed=is_compressed
                 )
             except BaseException:
@@ -475,6 +478,7 @@
         delay_s=delay_s,
         ping_interval_s=ping_interval_s,
         clock=clock,
+        events=events,
     )
     eventlet.spawn_n(link.run)
     return link
@@ -500,11 +504,12 @@
             raise protocol.handshake_exc
     if protocol.handshake_exc is not None:
         raise protocol.handshake_exc
-    # Only one event is consumed, so that data frames after it stay for the reader.
-    response = next(iter(protocol.events_received()), None)
+    # Frames that were received with the response follow it.
+    response, *events = protocol.events_received() or [None]
     if not isinstance(response, Response):
         raise ProtocolError("no handshake response", step="link.dial", peer=address)
-    return protocol, parse_identity(response.headers.get(IDENTITY_HEADER, ""))
+    peer = parse_identity(response.headers.get(IDENTITY_HEADER, ""))
+    return protocol, peer, events
 
 
 def _client_compression() -> ClientPerMessageDeflateFactory:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -106,6 +106,23 @@
         self.assertEqual("server", link.peer.node_id)
         self.assertEqual("client", self.server_handler.opened[0].peer.node_id)
 
+    def test_messages_sent_directly_after_the_handshake_arrive(self):
+        """Guards against losing the state that a node sends when a link opens."""
+        sent = [Echo(1), Echo(2, b"x" * 100_000)]
+        record_open = self.server_handler.on_open
+
+        def greet(link):
+            record_open(link)
+            for message in sent:
+                link.post(message)
+
+        self.server_handler.on_open = greet
+        for is_compressed in (False, True):
+            handler = RecordingHandler()
+            self.dial(handler, is_compressed=is_compressed)
+            wait_until(lambda h=handler: len(h.messages) == len(sent))
+            self.assertEqual(sent, handler.messages)
+
     def test_compressed_links_carry_the_same_messages_in_fewer_bytes(self):
         """Traffic between data centres costs money, and its messages compress well."""
         sent = [Echo(number, b"header-name: value; " * 20) for number in range(20)]
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -14,6 +14,7 @@
 from tests.mesh_cluster import RECORD_KIND, MeshCluster, route, service
 from verbenawick.links._call_messages import MAX_MESSAGE_BODY_BYTES
 from verbenawick.mesh._crash_guard import CRASH_THRESHOLD
+from verbenawick.mesh._model import UpstreamState
 from verbenawick.mesh._node import SILENCE_CHECK_INTERVAL_S, STALL_LOGGED_S
 from verbenawick.mesh._node_events import ProcessStalled
 from verbenawick.mesh._request_rate import BURST_S
@@ -371,6 +372,23 @@
         thread.wait()
         self.assertEqual([200], answers)
 
+    def test_node_that_starts_knows_that_another_is_stopping(self):
+        """Guards against calls to a gateway that refuses them or has closed its end."""
+        self.b1.upstream.service_time_s = 1.0
+        call = eventlet.spawn(self.cluster.call, self.b1, "/booking/1", method="POST")
+        wait_until(lambda: self.b1.upstream.running)
+        stop = eventlet.spawn(self.b1.server.stop)
+        wait_until(lambda: self.b1.server.node.is_gateway_draining)
+        self.cluster.restart_node(self.a1)
+        mesh = self.a1.server.node
+        wait_until(lambda: mesh.endpoints.get(self.b1.node_id))
+        endpoint = mesh.endpoints.get(self.b1.node_id)
+        wait_until(lambda: mesh.links.is_connected(endpoint.member))
+        eventlet.sleep(0.1)
+        self.assertEqual(UpstreamState.DRAINING, endpoint.state)
+        stop.wait()
+        self.assertEqual(200, call.wait().status)
+
     def test_stop_answers_calls_sent_before_the_drain_was_known(self):
         """Guards against bookings with unknown outcome at a node that is stopping."""
         self.delay_links(self.b1, 0.3)
--- a/tests/test_mesh_silent_peer.py
+++ b/tests/test_mesh_silent_peer.py
@@ -117,8 +117,10 @@
     def test_call_is_not_offered_again_after_its_deadline(self):
         """Guards against runs for a caller that is being told of the timeout."""
         self.allow_retries(1)
-        refusing, late = self.add_idle_gateway(), self.add_idle_gateway()
         endpoints = self.entry.server.node.endpoints
+        # Notices of the gateways would replace the states that are set here.
+        endpoints.put_state = lambda *arguments, **state: None
+        refusing, late = self.add_idle_gateway(), self.add_idle_gateway()
         for node in (refusing, late):
             endpoints.get(node.node_id).state = UpstreamState.DRAINING
         thread, results = self.start_call(Deadline_Remaining="1100")
