Do not send a request whose deadline passed while a channel was opened

A call could run after its deadline, and its caller got 504 (unknown) although nothing had been sent when the deadline passed.

The deadline was checked before a connection to the upstream was opened, which can take up to a second. Afterwards the timer of the exchange is due at once, but it fires only when another green thread runs, after the request has been written.

Both stacks check the deadline again once the connection is open, and refuse the call as not run.

Evidence: the tests, with connections that open slowly, failed before with

CallTimeoutError: deadline passed while the upstream ran the request

--- a/src/verbenawick/calls/_upstream.py
+++ b/src/verbenawick/calls/_upstream.py
@@ -295,20 +295,29 @@
             if self._is_usable(connection):
                 return connection
             self._discard(connection)
-        remaining_s = deadline - self._clock.now()
-        if remaining_s <= 0:
-            raise DeadlineUnreachableError(
-                "deadline passed before the request was sent",
-                step="upstream.connect",
-                peer=self._address,
-            )
+        self._check_deadline(deadline)
         if self._open_count >= self._max_connections:
             raise UpstreamUnreachableError(
                 f"all {self._max_connections} connections are in use",
                 step="upstream.connect",
                 peer=self._address,
             )
-        return self._open()
+        connection = self._open()
+        try:
+            # Opening a connection can take up to a second.
+            self._check_deadline(deadline)
+        except DeadlineUnreachableError:
+            self._discard(connection)
+            raise
+        return connection
+
+    def _check_deadline(self, deadline: float) -> None:
+        if deadline <= self._clock.now():
+            raise DeadlineUnreachableError(
+                "deadline passed before the request was sent",
+                step="upstream.connect",
+                peer=self._address,
+            )
 
     def _open(self) -> _Connection:
         connection = _Connection(self._host, self._port)
--- a/src/verbenawick/mesh/_upstream_channels.py
+++ b/src/verbenawick/mesh/_upstream_channels.py
@@ -413,13 +413,8 @@
         )
 
     def _acquire(self, request_id: str, deadline: float) -> _Channel:
+        self._check_deadline(deadline)
         now = self._clock.now()
-        if deadline <= now:
-            raise DeadlineUnreachableError(
-                "deadline passed before the request was sent",
-                step="upstream.connect",
-                peer=self._address,
-            )
         while self._idle:
             channel = self._idle.pop()
             # Readable while idle: closed by the upstream, or unsolicited bytes. A
@@ -438,7 +433,22 @@
                 step="upstream.connect",
                 peer=self._address,
             )
-        return self._start(self._open(), request_id)
+        channel = self._open()
+        try:
+            # Opening a channel can take up to a second.
+            self._check_deadline(deadline)
+        except DeadlineUnreachableError:
+            self._discard(channel)
+            raise
+        return self._start(channel, request_id)
+
+    def _check_deadline(self, deadline: float) -> None:
+        if deadline <= self._clock.now():
+            raise DeadlineUnreachableError(
+                "deadline passed before the request was sent",
+                step="upstream.connect",
+                peer=self._address,
+            )
 
     def _start(self, channel: _Channel, request_id: str) -> _Channel:
         channel.request_ids.add(request_id)
--- a/tests/test_mesh_upstream_channels.py
+++ b/tests/test_mesh_upstream_channels.py
@@ -2,8 +2,9 @@
 
 import gc
 import tracemalloc
-from contextlib import suppress
+from contextlib import contextmanager, suppress
 from functools import partial
+from unittest import mock
 
 import eventlet
 from eventlet.green import socket
@@ -53,6 +54,19 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
+@contextmanager
+def slow_connections(delay_s: float):
+    """Delay each connection that is opened in the context."""
+    connect = socket.create_connection
+
+    def connect_slowly(*arguments, **options):
+        eventlet.sleep(delay_s)
+        return connect(*arguments, **options)
+
+    with mock.patch.object(socket, "create_connection", connect_slowly):
+        yield
+
+
 def classify_for(request_id: str):
     """Return the platform's classifier of answers to `request_id`."""
     return partial(PlatformUpstreamProtocol().classify, request_id=request_id)
@@ -313,6 +327,14 @@
         self.assertRaises(UpstreamUnreachableError, self.exchange, **note)
         self.assertEqual([], sent)
 
+    def test_nothing_is_sent_if_the_deadline_passes_while_a_channel_opens(self):
+        """Guards against a run after the deadline, reported as unknown."""
+        self.script(["request", answer("q1", b"a")])
+        with slow_connections(0.1):
+            self.assertRaises(DeadlineUnreachableError, self.exchange, timeout_s=0.05)
+        wait_until(lambda: self.requests == [b""])
+        self.assertEqual(0, self.channels.open_count)
+
     def test_nothing_is_sent_on_an_open_channel_after_the_deadline(self):
         """A call that was delayed in transit must not run after its deadline."""
         self.script(["request", answer("q1", b"a"), "request", answer("q2", b"b"), 1.0])
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -1,8 +1,10 @@
 """Connections to the local upstream, with the stand-in on a real socket."""
 
 from time import thread_time
+from unittest import mock
 
 import eventlet
+from eventlet.green import socket
 from testtools import TestCase
 
 from standins.upstream import StandinUpstream
@@ -13,6 +15,7 @@
     BadCallError,
     BadResponseError,
     CallTimeoutError,
+    DeadlineUnreachableError,
     UpstreamLostError,
     UpstreamShedError,
     UpstreamUnreachableError,
@@ -209,6 +212,20 @@
         )
         self.assertEqual(0, self.standin.counters()["started"])
 
+    def test_nothing_is_sent_if_the_deadline_passes_while_a_connection_opens(self):
+        """Guards against a run after the deadline, reported as unknown."""
+        connect = socket.create_connection
+
+        def connect_slowly(*arguments):
+            eventlet.sleep(0.1)
+            return connect(*arguments)
+
+        with mock.patch.object(socket, "create_connection", connect_slowly):
+            self.assertRaises(DeadlineUnreachableError, self.exchange, timeout_s=0.05)
+        eventlet.sleep(0.05)
+        self.assertEqual(0, self.standin.counters()["started"])
+        self.assertEqual(0, self.upstream.open_count)
+
     def test_nothing_is_sent_when_the_check_before_sending_fails(self):
         """Guards against an owner that sends after its authority has ended."""
 
