Play faults of the links between nodes in the soak

The stand-in store names a proxy in place of each node, so that nodes need no change, and the proxy rewrites the addresses in the handshake. Each link has a constant delay; all links that are opened to a node can be delayed, silent, cut for answers, reset and truncated, and its open links can go silent for good. The proxies pass on the end of one direction, as nodes end their links so.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -15,6 +15,9 @@
 STORM_CHANGES = 8
 STORM_INTERVAL_S = 0.2
 DRAIN_S = 3.0
+RUNNING_POLL_S = 0.1
+# Nodes need this long to find the silence of a link.
+MIN_SILENCE_S = 1.0
 # A second node gets its signal while the first one stops.
 NEXT_STOP_DELAY_S = 0.2
 
@@ -92,7 +95,9 @@
 
 
 def _choose(world: World, random: Random):
-    """Return a node whose process runs."""
+    """Return a node whose process runs; wait for one if all of them stop."""
+    while all(node.is_down for node in world.nodes):
+        eventlet.sleep(RUNNING_POLL_S)
     return random.choice([node for node in world.nodes if not node.is_down])
 
 
@@ -192,6 +197,22 @@
     _disturb([_choose(world, random).upstream_proxy], mode, duration_s)
 
 
+@register_fault()
+def node_links(world, random, duration_s):
+    """Disturb the links that other nodes have opened to a node."""
+    mode = random.choice([mode for mode in Mode if mode is not Mode.PASS])
+    _disturb([random.choice(world.nodes).link_proxy], mode, duration_s)
+
+
+@register_fault()
+def silent_links(world, random, duration_s):
+    """Let the open links to a node go silent for good; new ones work."""
+    proxy = random.choice(world.nodes).link_proxy
+    proxy.silence_open_links()
+    eventlet.sleep(max(duration_s, MIN_SILENCE_S))
+    proxy.reset_silent_links()
+
+
 def _stop(world: World, node, *, repeat_after_s: float = math.inf) -> None:
     world.history.stops.append((node.node_id, monotonic()))
     node.end(signal.SIGTERM, repeat_after_s=repeat_after_s)
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -88,6 +88,8 @@
         self._close(pair)
 
     def _reset(self, pair: "_Pair") -> None:
+        if pair not in self._pairs:
+            return
         for sock in (pair.client, pair.server):
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._close(pair)
@@ -111,3 +113,4 @@
     client: object
     server: object
     threads: list = field(default_factory=list)
+    ended_directions: int = 0
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -16,10 +16,11 @@
 from eventlet import wsgi
 from eventlet.green import socket
 
+from soak._links import LinkProxy
 from soak._promises import Attempt, History, Run
 from soak._proxy import FaultyProxy
-from standins.platform_store import StandinPlatformStore
 from standins.platform_upstream import StandinPlatformUpstream
+from standins.proxied_store import ProxiedStore
 
 SERVICES = ("archive", "booking")
 REPORT_INTERVAL_S = 0.3
@@ -47,7 +48,7 @@
 
 
 class SoakNode:
-    """A node process, its upstream, and proxies to the upstream and to the store."""
+    """A node process, its upstream, and proxies to the upstream, store and node."""
 
     def __init__(self, number: int, world: "World"):
         self.node_id = f"node-{number}"
@@ -66,6 +67,11 @@
             name: f"127.0.{1 + number // 200}.{1 + number % 200}:{world.port + i}"
             for i, name in enumerate(LISTENERS)
         }
+        self.link_proxy = LinkProxy(
+            self.addresses["peer"],
+            proxy_by_address=world.store.proxy_by_address,
+            seed=world.seed,
+        )
         self._settings_path = world.folder / f"{self.node_id}.json5"
         self.write_settings()
         self.replace_upstream()
@@ -233,7 +239,7 @@
         self.births = count(1)
         self.history = History()
         self.is_calling = True
-        self.store = StandinPlatformStore()
+        self.store = ProxiedStore()
         self._version = 0
         listener = eventlet.listen(("127.0.0.1", 0))
         self.store_address = f"127.0.0.1:{listener.getsockname()[1]}"
@@ -312,6 +318,7 @@
                     node.process.wait()
                 node.upstream_proxy.close()
                 node.store_proxy.close()
+                node.link_proxy.close()
 
     def complete_history(self) -> History:
         """Return the history with what the processes logged and used."""
--- a/tests/test_mesh_delayed_links.py
+++ b/tests/test_mesh_delayed_links.py
@@ -1,32 +1,16 @@
 """Tests of calls on links between nodes that hold their data back."""
 
-from dataclasses import dataclass, field
-
 import eventlet
 from testtools import TestCase
 
-from standins.platform_store import StandinPlatformStore
+from standins.proxied_store import ProxiedStore
 from tests.call_support import free_port, wait_until
-from tests.mesh_cluster import RECORD_KIND, MeshCluster, route, service
+from tests.mesh_cluster import MeshCluster, route, service
 from tests.silent_proxy import SilentProxy
 
 DELAY_S = 1.0
 
 
-@dataclass(slots=True)
-class ProxiedStore(StandinPlatformStore):
-    """Store whose records name the address of a proxy in place of some nodes."""
-
-    proxy_addresses: dict[str, str] = field(default_factory=dict)
-
-    def put(self, kind, name, spec):
-        """Write an object; the peer address of a record is replaced."""
-        if kind == RECORD_KIND:
-            address = spec["peer_address"]
-            spec = {**spec, "peer_address": self.proxy_addresses.get(address, address)}
-        return StandinPlatformStore.put(self, kind, name, spec)
-
-
 class DelayedLinkTest(TestCase):
     """An entry whose link to the only gateway of a service passes through a proxy."""
 
@@ -42,7 +26,7 @@
         address = f"127.0.0.1:{free_port()}"
         self.proxy = SilentProxy(address)
         self.addCleanup(self.proxy.close)
-        self.cluster.store.proxy_addresses[address] = self.proxy.address
+        self.cluster.store.proxy_by_address[address] = self.proxy.address
         self.gateway = self.cluster.add_node("archive", peer_address=address)
         self.entry = self.cluster.add_node("booking")
         self.cluster.wait_ready()
