--- a/src/verbenawick/platform/_servers.py
+++ b/src/verbenawick/platform/_servers.py
@@ -5,6 +5,7 @@
 import msgspec
 from greenlet import GreenletExit
 
+from verbenawick.calls._caller_protocol import CALLER_LEFT_STATUS
 from verbenawick.calls._http_messages import read_body
 from verbenawick.errors import CallError
 from verbenawick.mesh._body_memory import BodyMemory, receive_body
@@ -66,7 +67,7 @@
         return self._calls.count
 
     def stop_accepting(self) -> None:
-        """Add ``Connection: close`` to all responses from now on."""
+        """Let `wait_idle` return as soon as no call is in flight."""
         self._calls.stop()
 
     def wait_idle(self, *, timeout_s: float) -> bool:
@@ -83,7 +84,7 @@
             with self._calls.enter():
                 result = self._serve(environ, now)
         except GreenletExit:
-            start_response("499 Caller Closed", [("Content-Length", "0")])
+            start_response(CALLER_LEFT_STATUS, [("Content-Length", "0")])
             return [b""]
         except Exception as error:
             emit(CallBroken(environ.get("HTTP_ATTEMPT_ID", ""), repr(error)))
@@ -91,8 +92,6 @@
         self._observe(result.outcome, self._clock.now() - now)
         request_id = environ.get("HTTP_ATTEMPT_ID", "")
         status, headers, body = encode_result(result, request_id)
-        if self._calls.is_stopping:
-            headers.append(("Connection", "close"))
         start_response(status, headers)
         return [body]
 
--- a/src/verbenawick/runtime/_sockets.py
+++ b/src/verbenawick/runtime/_sockets.py
@@ -73,30 +73,39 @@
         ) from error
 
 
-def accept(sock):
+def accept(sock, *, waits: bool = True):
     """Return the next connection of a listening green socket and its address.
 
     Continues after the errors of a single connection, and waits while the process has
     no descriptors or memory left. The loop that calls it would otherwise end, and with
     it the listener.
 
+    Parameters
+    ----------
+    waits : bool
+        Whether to wait for descriptors and memory.
+
     Raises
     ------
     OSError
-        The listening socket is closed or invalid.
+        The listening socket is closed or invalid, or resources are missing and `waits`
+        is false.
     """
     is_logged = False
     while True:
         try:
             return sock.accept()
         except OSError as error:
-            if error.errno not in _RESOURCE_ERRORS | _CONNECTION_ERRORS:
+            lacks_resources = error.errno in _RESOURCE_ERRORS
+            if lacks_resources and not waits:
+                raise
+            if not lacks_resources and error.errno not in _CONNECTION_ERRORS:
                 raise
             if not is_logged:
                 is_logged = True
                 host, port = sock.getsockname()[:2]
                 emit(AcceptFailed(f"{host}:{port}", error.strerror))
-            if error.errno in _RESOURCE_ERRORS:
+            if lacks_resources:
                 eventlet.sleep(ACCEPT_RETRY_INTERVAL_S)
 
 
--- a/tests/test_graceful_listener.py
+++ b/tests/test_graceful_listener.py
@@ -12,6 +12,7 @@
 from verbenawick.calls._entry_server import EntryServer
 from verbenawick.links._component import NodeIdentity
 from verbenawick.links._links import LinkServer
+from verbenawick.runtime._metrics import MetricSet
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
 CALL_S = 0.1
@@ -40,7 +41,9 @@
     """A listener that is closed while the server has reached its connection limit."""
 
     def start(self, *, max_connections):
-        self.server = EntryServer(_SlowApplication(), max_connections=max_connections)
+        self.server = EntryServer(
+            _SlowApplication(), metrics=MetricSet(), max_connections=max_connections
+        )
         self.address = ("127.0.0.1", free_port())
         self.server.listen("{}:{}".format(*self.address))
         self.server.start()
@@ -52,16 +55,17 @@
         sock.sendall(REQUEST)
         return sock
 
-    def spawn_receiver(self, sock):
-        """Return a green thread that receives one response on `sock`."""
-        receiver = eventlet.spawn(self.receive_and_close, sock)
+    def spawn_receiver(self, sock, *, delay_s=0):
+        """Return a green thread that receives a response, and closes after a delay."""
+        receiver = eventlet.spawn(self.receive_and_close, sock, delay_s=delay_s)
         # A receiver that still waits when its socket is closed would end with an error
         # in a later test, when eventlet finds its descriptor reused.
         self.addCleanup(receiver.kill)
         return receiver
 
-    def receive_and_close(self, sock):
+    def receive_and_close(self, sock, *, delay_s=0):
         data = sock.recv(65536)
+        eventlet.sleep(delay_s)
         sock.close()
         return data
 
@@ -76,6 +80,17 @@
             self.assertIn(b" 200 ", answer.wait())
         self.assertRaises(ConnectionRefusedError, self.connect_and_send)
 
+    def test_connections_that_wait_for_callers_to_close_are_served(self):
+        """Guards against a stop that ends while announced closes hold the limit."""
+        self.start(max_connections=1)
+        first, second = self.connect_and_send(), self.connect_and_send()
+        answers = [self.spawn_receiver(first, delay_s=2 * CALL_S)]
+        answers.append(self.spawn_receiver(second))
+        eventlet.sleep(CALL_S / 2)
+        self.server.stop(grace_s=0, timeout_s=5)
+        for answer in answers:
+            self.assertIn(b" 200 ", answer.wait())
+
     def test_connections_that_the_stop_cannot_serve_are_closed(self):
         """Guards against callers that wait for a server that has ended."""
         self.start(max_connections=1)
@@ -116,7 +131,7 @@
 
     def test_entry_serves_its_connections_when_it_can_accept_no_others(self):
         """Guards against a node that takes no requests until it is restarted."""
-        server = EntryServer(_SlowApplication(closes=False))
+        server = EntryServer(_SlowApplication(closes=False), metrics=MetricSet())
         address = ("127.0.0.1", free_port())
         server.listen("{}:{}".format(*address))
         server.start()
@@ -135,7 +150,7 @@
 
     def test_close_without_descriptors_keeps_the_accepted_connections(self):
         """Guards against a stop that ends the requests in progress."""
-        server = EntryServer(_SlowApplication())
+        server = EntryServer(_SlowApplication(), metrics=MetricSet())
         address = ("127.0.0.1", free_port())
         server.listen("{}:{}".format(*address))
         server.start()
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -1,8 +1,10 @@
 """End-to-end tests of the mesh on the stand-in platform."""
 
 import tracemalloc
-from http.client import HTTPException
+from http.client import HTTPException, parse_headers
+from itertools import count
 from time import monotonic
+from unittest.mock import patch
 
 import eventlet
 from eventlet.green import socket
@@ -10,7 +12,7 @@
 from msgspec.structs import replace
 from testtools import TestCase
 
-from tests.call_support import wait_until
+from tests.call_support import responses_until_close, wait_until
 from tests.mesh_cluster import RECORD_KIND, MeshCluster, route, service
 from verbenawick.links._call_messages import MAX_MESSAGE_BODY_BYTES
 from verbenawick.mesh._crash_guard import CRASH_THRESHOLD
@@ -352,6 +354,59 @@
             thread.wait()
         self.assertEqual([200] * 6, answers)
 
+    def test_requests_read_before_the_announced_close_are_answered_in_a_stop(self):
+        """Guards against requests that run for callers that were told to leave."""
+        self.b1.upstream.service_time_s = 0.1
+        host, _, port = self.a1.call_address.rpartition(":")
+        sock = socket.create_connection((host, int(port)), 10)
+        self.addCleanup(sock.close)
+        stop = eventlet.spawn(self.a1.server.stop)
+        eventlet.sleep(0)
+        for number in range(3):
+            sock.sendall(
+                b"POST /booking/1 HTTP/1.1\r\nHost: mesh.example\r\n"
+                b"Attempt-Id: p%d\r\nContent-Length: 0\r\n\r\n" % number
+            )
+        responses = responses_until_close(sock)
+        sock.close()
+        stop.wait()
+        ids = [response.headers["Attempt-Id"] for response in responses]
+        self.assertEqual(["p0", "p1", "p2"], ids)
+        self.assertEqual({200}, {response.status for response in responses})
+        self.assertEqual(3, sum(self.b1.upstream.runs_by_request.values()))
+
+    def test_requests_behind_others_late_in_a_stop_are_not_broken_off(self):
+        """Guards against own answers to requests whose upstream is still at work."""
+        node, upstream = self.a1, self.b1.upstream
+        mesh = node.server.node
+        mesh.settings = replace(mesh.settings, stop_grace_s=3.0)
+        upstream.service_time_s = 0.05
+        host, _, port = node.call_address.rpartition(":")
+        sock = socket.create_connection((host, int(port)), 10)
+        self.addCleanup(sock.close)
+        received = sock.makefile("rb")
+        numbers = count()
+
+        def send():
+            sock.sendall(
+                b"POST /booking/1 HTTP/1.1\r\nHost: mesh.example\r\n"
+                b"Attempt-Id: p%d\r\nContent-Length: 0\r\n\r\n" % next(numbers)
+            )
+
+        statuses = []
+        with patch("verbenawick.mesh._node.LAST_CALL_S", 0.6):
+            stop = eventlet.spawn(node.server.stop)
+            eventlet.spawn_after(0.8, setattr, upstream, "service_time_s", 1.9)
+            send()
+            while statuses[-1:] in ([], [200]):
+                send()
+                statuses.append(int(received.readline().split()[1]))
+                headers = parse_headers(received)
+                received.read(int(headers["Content-Length"]))
+        sock.close()
+        stop.wait()
+        self.assertEqual({200, 503}, set(statuses))
+
     def delay_links(self, node, delay_s):
         """Delay all messages that `node` sends on its open links, as a full link."""
         for link in node.server.node.links._links:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,14 +3,20 @@
 import json
 import subprocess
 import sys
+from random import Random
+from types import SimpleNamespace
 
+import eventlet
+from httptools import HttpRequestParser
 from testtools import TestCase
 
-from soak._faults import Event
+from soak._callers import Caller, encodings_by_name
+from soak._faults import Event, choose_node
 from soak._promises import Attempt, History, Run, violations_of
 from soak._shrink import shrink
 
 SOAK_TIMEOUT_S = 150
+LAST_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 
 def attempt(request_id="q", **changes):
@@ -19,21 +25,25 @@
         "node_id": "node-1",
         "is_safe": False,
         "sent_at": 10.0,
+        "last_byte_at": 10.3,
         "ended_at": 10.4,
         "status": 200,
         "seal": f"seal-{request_id}",
         "body": f"POST /booking/{request_id}".encode(),
-        "was_sent": True,
     }
     return Attempt(request_id, **{**values, **changes})
 
 
 RUN = Run("q", "i-1", 10.1)
+# The caller closed the connection after the answer to an earlier request.
+CLOSED = {"status": 0, "position": 2, "is_after_close": True}
+EARLY = {"status": 0, "last_byte_at": 10.1}
 BROKEN_HISTORIES_BY_PROMISE = {
     "whole_own_answers": [
         History([attempt(seal="seal-other")], [RUN]),
         History([attempt(body=b"POST /booking/other")], [RUN]),
         History([attempt(body=b"")], [RUN]),
+        History([attempt(payload=b"xx")], [RUN]),
     ],
     "unsafe_at_most_once": [History([attempt()], [RUN, Run("q", "i-2", 10.5)])],
     "refused_did_not_run": [
@@ -43,10 +53,28 @@
     "stops_cut_nothing": [
         History([attempt(status=0)], [RUN], stops=[("node-1", 9.0)]),
         History([attempt(status=0)], [RUN], stops=[("node-1", 11.0)]),
+        History(
+            [attempt("p", position=1), attempt(status=0, position=2)],
+            [Run("p", "i-1", 10.0), RUN],
+            stops=[("node-1", 9.0)],
+        ),
+    ],
+    "sent_requests_are_answered": [
+        History([attempt(**EARLY)], []),
+        History([attempt(**EARLY)], [RUN]),
+        History([attempt(**EARLY)], [], stops=[("node-1", 9.0)]),
+        History([attempt(**CLOSED | EARLY)], []),
+    ],
+    "nothing_runs_after_announced_close": [
+        History([attempt(**CLOSED)], [RUN]),
+        History([attempt(**CLOSED)], [Run("q", "i-1", 10.6)]),
+        History([attempt(**CLOSED, is_safe=True)], [RUN], disturbed=[(8.0, 8.5)]),
     ],
     "planned_faults_leave_outcomes_known": [
         History([attempt(status=502)], [RUN], disturbed=[(6.0, 6.5)]),
         History([attempt(status=504)], []),
+        History([attempt(status=499)], []),
+        History([attempt(status=400)], []),
     ],
     "versions_never_back": [History(versions_by_process={"node-1.1": [1, 4, 3]})],
     "processes_stay": [
@@ -81,10 +109,58 @@
                 disturbed=[(8.0, 8.5)],
             ),
             History([attempt(status=0)], [], stops=[("node-1", 9.0)]),
+            History([attempt(**CLOSED)], []),
+            History([attempt(**EARLY)], [RUN], disturbed=[(8.0, 8.5)]),
+            History([attempt(**EARLY, is_given_up=True)], [RUN]),
+            History([attempt(status=0, last_byte_at=0.0)], []),
         ):
             self.assertEqual({}, violations_of(history))
 
 
+def answer_once_per_connection(listener):
+    """Announce the close in the first answer and wait until the caller closes."""
+    while True:
+        sock, _ = listener.accept()
+        sock.recv(65_536)
+        eventlet.sleep(0.05)
+        sock.sendall(LAST_ANSWER)
+        while sock.recv(65_536):
+            pass
+        sock.close()
+
+
+class CallerTest(TestCase):
+    """Requests of the callers, and what they note about them."""
+
+    def test_parts_of_each_encoding_are_one_request(self):
+        """Guards against a soak whose requests are all refused."""
+        head = b"POST /booking/q HTTP/1.1\r\nHost: mesh.example\r\n"
+        for encoding in encodings_by_name.values():
+            body = []
+            parser = HttpRequestParser(SimpleNamespace(on_body=body.append))
+            for part in encoding(head, b"abc" * 100, Random(1)):
+                parser.feed_data(part)
+            self.assertEqual(b"abc" * 100, b"".join(body))
+
+    def test_caller_leaves_after_an_announced_close(self):
+        """Guards against a soak that does not see what runs after such an answer."""
+        listener = eventlet.listen(("127.0.0.1", 0))
+        server = eventlet.spawn(answer_once_per_connection, listener)
+        self.addCleanup(server.kill)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        node = SimpleNamespace(node_id="node-1", addresses={"call": address})
+        world = SimpleNamespace(seed=1, history=History(), is_calling=True)
+        thread = eventlet.spawn(Caller("c", node, world).run)
+        while len(world.history.attempts) < 20:
+            eventlet.sleep(0.01)
+        world.is_calling = False
+        thread.wait()
+        answered = [a for a in world.history.attempts if a.status]
+        unanswered = [a for a in world.history.attempts if not a.status]
+        self.assertEqual({1}, {a.position for a in answered})
+        self.assertEqual({True}, {a.is_after_close for a in unanswered})
+
+
 class ShrinkTest(TestCase):
     """Reduction of schedules."""
 
@@ -103,6 +179,18 @@
         self.assertEqual("abc", self.needed_of("abc", lambda names: False))
 
 
+class ChooseNodeTest(TestCase):
+    """Choice of the node of a fault."""
+
+    def test_fault_waits_while_all_nodes_are_down(self):
+        """Guards against a run that ends when all nodes are stopped at once."""
+        node = SimpleNamespace(is_down=True)
+        eventlet.spawn(setattr, node, "is_down", False)
+        with eventlet.Timeout(5):
+            chosen = choose_node(SimpleNamespace(nodes=[node]), Random(1))
+        self.assertIs(node, chosen)
+
+
 def run_soak(folder, *options):
     """Return the figures of each seed, and what the soak wrote to its error output."""
     run = subprocess.run(
