--- a/src/verbenawick/calls/_entry.py
+++ b/src/verbenawick/calls/_entry.py
@@ -1,11 +1,13 @@
 """Entry role: the WSGI application that receives the requests of callers."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from http.client import responses
 
 from greenlet import GreenletExit
 
+from verbenawick.calls._caller_protocol import CALLER_LEFT_STATUS
 from verbenawick.calls._dispatch import Call, Dispatcher
 from verbenawick.calls._entry_request import (
     MAX_KEY_LENGTH,
@@ -24,6 +26,7 @@
     BadCallError,
     BelowFloorError,
     CallError,
+    DrainingError,
     KeyRequiredError,
     NoRouteError,
     NotReadyError,
@@ -119,6 +122,7 @@
         self._router = Router()
         self._watcher = CallerWatcher()
         self._calls = CallsInFlight()
+        self._last_call_at = math.inf
 
     @property
     def in_flight(self) -> int:
@@ -130,6 +134,13 @@
         emit(EntryStopping(self._node_id, self._calls.count))
         self._calls.stop()
 
+    def stop_by(self, *, last_call_at: float) -> None:
+        """Refuse calls that arrive later than `last_call_at`, a local time.
+
+        They arrive on connections that were kept open for them.
+        """
+        self._last_call_at = last_call_at
+
     def wait_idle(self, *, timeout_s: float) -> bool:
         """Wait for calls in flight; return whether all ended within `timeout_s`.
 
@@ -147,7 +158,7 @@
                 answer = self._serve(environ, table, context)
         except GreenletExit:
             self._metrics.count(CALLS_ABANDONED)
-            start_response("499 Caller Closed", [("Content-Length", "0")])
+            start_response(CALLER_LEFT_STATUS, [("Content-Length", "0")])
             return [b""]
         self._metrics.count(METRIC_BY_OUTCOME[answer.outcome])
         return self._respond(start_response, answer, table, context)
@@ -167,6 +178,8 @@
 
     def _build_call(self, environ, table: RoutingTable | None, context) -> Call:
         now = self._clock.now()
+        if now > self._last_call_at:
+            raise DrainingError("this node is stopping", step="entry")
         if table is None:
             raise NotReadyError("no configuration in force", step="entry")
         method = environ["REQUEST_METHOD"]
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -7,8 +7,9 @@
 from testtools import TestCase
 
 from tests.call_support import free_port, responses_until_close, wait_until
+from verbenawick.calls._caller_protocol import CALLER_LEFT_STATUS
 from verbenawick.calls._connection_ends import ENDS_BY_CAUSE, EndCause
-from verbenawick.calls._entry_server import EntryServer
+from verbenawick.calls._entry_server import LAST_REQUESTS_S, EntryServer
 from verbenawick.runtime._calls_in_flight import CallsInFlight
 from verbenawick.runtime._metrics import MetricSet
 
@@ -35,6 +36,9 @@
 
     def __call__(self, environ, start_response):
         self.paths.append(environ["PATH_INFO"])
+        if environ["PATH_INFO"] == "/left":
+            start_response(CALLER_LEFT_STATUS, [("Content-Length", "0")])
+            return [b""]
         if environ["PATH_INFO"] == "/refused":
             start_response("413 Content Too Large", [("Content-Length", "0")])
             return [b""]
@@ -118,6 +122,35 @@
         self.assertEqual([b"/1", b"/2", b"/3"], self.receive_until_close(sock))
         self.assertTrue(stop.wait())
 
+    def test_requests_that_wait_behind_others_after_the_close_are_answered(self):
+        """Guards against cutting requests at the end of the accept loop."""
+        paths = [f"/{number}" for number in range(int(LAST_REQUESTS_S / CALL_S) + 3)]
+        sock = self.connect()
+        sock.sendall(b"".join(request(path) for path in paths))
+        wait_until(lambda: self.application.paths)
+        stop = self.start_stop(grace_s=0)
+        bodies = self.receive_until_close(sock)
+        self.assertEqual([path.encode() for path in paths], bodies)
+        self.assertTrue(stop.wait())
+
+    def test_no_request_runs_behind_one_that_asks_for_the_end(self):
+        """Guards against a stop that keeps connections which are to be closed."""
+        sock = self.connect()
+        self.start_stop()
+        last = request("/1").replace(b"Host: a", b"Host: a\r\nConnection: TE, close")
+        sock.sendall(last + request("/2"))
+        self.assertEqual([b"/1"], self.receive_until_close(sock))
+        self.assert_ends(sock)
+        self.assertEqual(["/1"], self.application.paths)
+
+    def test_an_empty_line_does_not_put_off_the_announced_close(self):
+        """Guards against callers that are never told of the stop."""
+        sock = self.connect()
+        self.start_stop()
+        sock.sendall(request("/1") + b"\r\n")
+        with eventlet.Timeout(GRACE_S):
+            self.assertEqual([b"/1"], self.receive_until_close(sock))
+
     def test_no_request_runs_after_the_announced_close(self):
         """Guards against serving a connection whose end the caller knows."""
         sock = self.connect()
@@ -129,6 +162,14 @@
         eventlet.sleep(CALL_S)
         self.assertEqual(["/1"], self.application.paths)
 
+    def test_no_request_runs_for_a_caller_that_has_left(self):
+        """Guards against running the requests behind one that was given up."""
+        sock = self.connect()
+        sock.sendall(request("/left") + request("/1"))
+        self.assertIn(b" 499 ", sock.recv(65_536))
+        self.assert_ends(sock)
+        self.assertEqual(["/left"], self.application.paths)
+
     def test_a_request_that_crosses_the_close_does_not_reset_the_answer(self):
         """Guards against a reset that discards the end of an answer."""
         sock = self.connect()
