Describe what the protocol of callers' connections does now

The module parses heads and decides when a connection ends. A branch that no connection reaches any more is removed: a request whose caller has left is the last one that is read.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -1,9 +1,12 @@
-"""Parser of HTTP request heads for eventlet's WSGI server.
+"""HTTP protocol of the connections of callers, for eventlet's WSGI server.
 
 `http.server` parses headers with the standard library's email parser, which takes three
 times as long as httptools. httptools also parses the responses of upstreams. It rejects
 ambiguous heads that allow request smuggling, such as a Content-Length beside a chunked
 body.
+
+The connection ends with a response that announces it, and nothing is served after that.
+eventlet would keep it, or drop requests that have arrived, when the server stops.
 """
 
 import math
@@ -235,6 +238,7 @@
             self._serve_until_end()
             max_bytes = self._max_lingering_bytes()
             if max_bytes:
+                # An error means that the caller has closed the connection.
                 with suppress(OSError):
                     self.wfile.flush()
                     _linger(self.connection, max_bytes=max_bytes)
@@ -381,12 +385,7 @@
             # The connection has been shut down, so the response would be lost.
             self._end_cause = EndCause.STOPPED
             return b""
-        if line:
-            self._end_cause = EndCause.INVALID
-        else:
-            has_left = self._requests > self._responses
-            left = EndCause.CALLER_LEFT
-            self._end_cause = left if has_left else EndCause.CALLER_CLOSED
+        self._end_cause = EndCause.INVALID if line else EndCause.CALLER_CLOSED
         return line
 
     def parse_request(self) -> bool:
