Serve a request that arrived before the idle timeout was seen

Callers lost requests on kept connections when the node stood still for a moment around the idle timeout: the hub fires its timers before it looks for bytes that have arrived, and the connection was closed with the request unread.

At the timeout, the connection is now read once more if bytes have arrived.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -374,10 +374,10 @@
             # Also the time that responses announce in `Keep-Alive`.
             self.server.keepalive = self._idle_timeout_s()
         try:
-            line = super()._read_request_line()
+            line = self._read_line_before_timeout()
             if line in _EMPTY_LINES:
                 # Some clients end a body with a line break that is not part of it.
-                line = super()._read_request_line()
+                line = self._read_line_before_timeout()
         except TimeoutError:
             self._end_cause = EndCause.IDLE
             return b""
@@ -388,6 +388,18 @@
         self._end_cause = EndCause.INVALID if line else EndCause.CALLER_CLOSED
         return line
 
+    def _read_line_before_timeout(self):
+        try:
+            return super()._read_request_line()
+        except TimeoutError:
+            # After a standstill of the process, the hub fires its timers before it
+            # looks for bytes that have arrived.
+            if self._unread_bytes() or not is_readable(self.connection.fileno()):
+                raise
+        # The stream refuses to be read after a timeout.
+        self.rfile = self.connection.makefile("rb", self.rbufsize)
+        return super()._read_request_line()
+
     def parse_request(self) -> bool:
         """Parse the request head that begins with ``raw_requestline``.
 
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -1,5 +1,6 @@
 """Requests on kept connections to an entry that stops, over real sockets."""
 
+import time
 from contextlib import suppress
 
 import eventlet
@@ -67,7 +68,12 @@
         super().setUp()
         self.application = _Application()
         self.metrics = MetricSet()
-        self.server = EntryServer(self.application, metrics=self.metrics)
+        self.idle_timeout_s = 5.0
+        self.server = EntryServer(
+            self.application,
+            metrics=self.metrics,
+            idle_timeout_s=lambda: self.idle_timeout_s,
+        )
         self.address = ("127.0.0.1", free_port())
         self.server.listen("{}:{}".format(*self.address))
         self.server.start()
@@ -162,6 +168,17 @@
         eventlet.sleep(CALL_S)
         self.assertEqual(["/1"], self.application.paths)
 
+    def test_a_request_that_arrived_at_the_idle_timeout_is_answered(self):
+        """Guards against closing a connection whose request is not read yet."""
+        self.idle_timeout_s = 0.2
+        sock = self.connect()
+        for path in ("/1", "/2"):
+            sock.sendall(request(path))
+            # The timeout is over before the server polls its connections again.
+            time.sleep(2 * self.idle_timeout_s)
+            with eventlet.Timeout(2):
+                self.assertIn(b" 200 ", sock.recv(65_536))
+
     def test_no_request_runs_for_a_caller_that_has_left(self):
         """Guards against running the requests behind one that was given up."""
         sock = self.connect()
