Wait for the entry's choice in the test of offers after the deadline

Cause: the test, not the entry. The offer was made 0.36 s before the deadline, which is allowed. The test made a second gateway ready as soon as it saw that the first one was avoided. The avoidance is recorded in the green thread of the offer, and the dispatch looks for the next gateway one pass of the hub later; if the test runs in between, it finds the second gateway.

The test waits until the entry has found no further gateway. It stays as strict: without the two checks of the deadline it fails with the call offered to the second gateway.

--- a/tests/test_mesh_silent_peer.py
+++ b/tests/test_mesh_silent_peer.py
@@ -55,6 +55,20 @@
         wait_until(lambda: self.silent.upstream.runs_by_request["q"])
         return thread, results
 
+    def record_choices(self):
+        """Return a list that receives the gateway of each offer, None for no offer."""
+        entry = self.entry.server.node.entry
+        choose = entry._next_endpoint
+        choices = []
+
+        def record(*arguments):
+            endpoint = choose(*arguments)
+            choices.append(endpoint and endpoint.node_id)
+            return endpoint
+
+        entry._next_endpoint = record
+        return choices
+
     def wait_silent(self):
         address = self.silent.server.settings.peer_address
         wait_until(lambda: self.entry.server.node.links.is_silent(address))
@@ -123,10 +137,14 @@
         refusing, late = self.add_idle_gateway(), self.add_idle_gateway()
         for node in (refusing, late):
             endpoints.get(node.node_id).state = UpstreamState.DRAINING
+        choices = self.record_choices()
         thread, results = self.start_call(Deadline_Remaining="1100")
         refusing.server.node.gateway.stop_accepting()
         endpoints.get(refusing.node_id).state = UpstreamState.READY
-        wait_until(lambda: endpoints.get(refusing.node_id).avoided_until, 1)
+        # Before the deadline, the call may be offered to any gateway that is ready when
+        # the entry looks for one after the refusal.
+        expected = [self.silent.node_id, refusing.node_id, None]
+        wait_until(lambda: choices == expected, 1)
         endpoints.get(late.node_id).state = UpstreamState.READY
         offered = []
         late.server.node.gateway.handle = lambda call, **options: offered.append(call)
