--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -171,6 +171,28 @@
         response = self.new_caller().call("POST", "/a", body=chunks, headers=headers)
         self.assertEqual("call.request-too-large", response.code)
 
+    def test_rest_of_a_refused_body_is_received_after_the_refusal(self):
+        """Guards against a close with unread bytes, whose reset discards an answer."""
+        self.start(policy=ServicePolicy("p", max_body_bytes=1000))
+        head = b"POST /a HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k\r\n"
+        request = b"GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        chunk = b"258\r\n" + b"x" * 600 + b"\r\n"
+        for framing, body, refused_after in (
+            (b"Content-Length: 1001", b"x" * 1001, 0),
+            # The second chunk has the byte that exceeds the limit.
+            (b"Transfer-Encoding: chunked", 2 * chunk + b"0\r\n\r\n", 1013),
+        ):
+            for sent in (refused_after, len(body) - 7, len(body) - 1):
+                sock = self.new_caller().connection.sock
+                sock.sendall(head + framing + b"\r\n\r\n" + body[:sent])
+                wait_until(lambda sock=sock: is_readable(sock.fileno()))
+                sock.sendall(body[sent:] + request)
+                with eventlet.Timeout(5), sock.makefile("rb") as received:
+                    refusal, answer = received.read().split(b"HTTP/1.1 ")[1:]
+                self.assertTrue(refusal.startswith(b"413 "), refusal)
+                self.assertIn(b"call.request-too-large", refusal)
+                self.assertTrue(answer.startswith(b"200 "), answer)
+
     def test_a_request_that_ends_early_does_not_run(self):
         """Guards against forwarding a truncated body as a complete one."""
         self.start()
