Refuse calls at a stopping gateway that may outlast it

Callers of an entry that was stopped after the gateway of their call got an own 504 while the upstream was at work, or a 502 without a run being known: the gateway accepted any call of which twice the average service time was left, and ended it 0.9 s before the end of its grace.

The time of a run is not known in advance, so an average can't decide it. A gateway that is stopping now accepts a call only if the deadline of the call is before its own end, which holds for every grace and timeout. Others are refused as not run and go to another gateway. The deadline may exceed the end by 0.2 s (STOP_SKEW_S): nodes that are stopped together bound their calls by their own stop, and would else refuse each other's. Calls that have not been sent when the stop begins are checked again before they are sent.

The gateway also keeps runs 0.2 s longer: its last answers need the links only, and each entry bounds its calls by its own stop anyway.

The earlier unit test expected a call with a deadline 57 s after the end of the gateway to be accepted, which is the fault; it now expects acceptance for deadlines within the grace only and covers deadlines just before, just after and far after the end.

--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -43,6 +43,10 @@
 
 # Weight of a new outcome in the moving average of the upstream's failure rate.
 FAILURE_WEIGHT = 0.1
+# Time by which the deadline of a call may exceed the end of a stopping gateway. Nodes
+# that are stopped together get their stop requests at slightly different times, and
+# each entry lets its calls end before its own stop.
+STOP_SKEW_S = 0.2
 
 RUNS = register_metric(
     "mesh.gateway_runs", MetricKind.COUNTER, "calls", "Calls sent to the own upstream"
@@ -227,7 +231,11 @@
         return self._calls.count
 
     def stop_by(self, deadline: float) -> None:
-        """Accept only calls that are expected to end before the node stops.
+        """Accept only calls whose deadline is before the node stops.
+
+        The time that a run takes is not known in advance, and a run that the end of the
+        node cuts may have had its effect. A refused call can run at another gateway.
+        Calls that are not expected to end by then are refused too.
 
         Parameters
         ----------
@@ -333,18 +341,18 @@
 
     def _handle(self, call, deadline, objective_at) -> CallResult:
         now = self._clock.now()
-        deadline = min(deadline, self._stop_at)
         fingerprint = fingerprint_of(call)
-        self._check_accepts(call, fingerprint, now)
+        self._check_accepts(call, fingerprint, deadline, now)
+        ends_by = min(deadline, self._stop_at)
         request = SlotRequest(
-            call.route, call.priority, objective_at, deadline, lambda *verdict: None
+            call.route, call.priority, objective_at, ends_by, lambda *verdict: None
         )
         self._wait_for_slot(request, now)
         started_at = self._clock.now()
         service_s = None
         try:
             # The upstream's state may have changed while the call was queued.
-            self._check_accepts(call, fingerprint, started_at)
+            self._check_accepts(call, fingerprint, deadline, started_at)
             kind, answer = self._run(call, fingerprint, deadline)
             service_s = self._clock.now() - started_at
             self._observe(service_s)
@@ -372,7 +380,7 @@
         )
 
     def _check_accepts(
-        self, call: ForwardedCall, fingerprint: bytes, now: float
+        self, call: ForwardedCall, fingerprint: bytes, deadline: float, now: float
     ) -> None:
         upstream = self._upstream
         if self._calls.is_stopping or not upstream.accepts_work:
@@ -387,12 +395,9 @@
                 step="gateway",
                 peer=self._node_id,
             )
-        if self._stop_at < math.inf and not ends_before_stop(
-            self._queue.expected_service_s(call.route, now),
-            left_s=self._stop_at - now,
-        ):
+        if self._stop_at < math.inf and not self._ends_before_stop(call, deadline, now):
             raise DrainingError(
-                "call is not expected to end before the node stops",
+                "call may not end before the node stops",
                 step="gateway",
                 peer=self._node_id,
             )
@@ -403,6 +408,14 @@
                 peer=self._node_id,
             )
 
+    def _ends_before_stop(
+        self, call: ForwardedCall, deadline: float, now: float
+    ) -> bool:
+        return deadline <= self._stop_at + STOP_SKEW_S and ends_before_stop(
+            self._queue.expected_service_s(call.route, now),
+            left_s=self._stop_at - now,
+        )
+
     def _wait_for_slot(self, request: SlotRequest, now: float) -> None:
         decided = Event()
         request.on_verdict = lambda verdict, wait_s: decided.send((verdict, wait_s))
@@ -456,17 +469,18 @@
 
     def _run(self, call: ForwardedCall, fingerprint: bytes, deadline: float):
         upstream_id = self._upstream.upstream_id
+        ends_by = min(deadline, self._stop_at)
         headers = self._protocol.request_headers(
             call.headers,
             caller_service=call.caller_service,
             upstream_id=upstream_id,
-            left_s=max(deadline - self._clock.now(), 0.001),
+            left_s=max(ends_by - self._clock.now(), 0.001),
         )
 
         def before_send() -> None:
             # Opening a channel can take up to a second; the upstream may have started
             # to drain in the meantime.
-            self._check_accepts(call, fingerprint, self._clock.now())
+            self._check_accepts(call, fingerprint, deadline, self._clock.now())
             self._metrics.count(RUNS)
             self._running_fingerprints[id(call)] = fingerprint
             if not call.is_idempotent:
@@ -479,7 +493,7 @@
                 target=call.target,
                 headers=headers,
                 body=call.body,
-                deadline=deadline,
+                deadline=ends_by,
                 classify=lambda answer: self._protocol.classify(
                     answer, request_id=call.request_id
                 ),
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -81,8 +81,8 @@
 # Part of the stop grace period that is reserved for closing sockets before the platform
 # kills the process.
 STOP_MARGIN_S = 0.5
-# Time from the last answer of a gateway to that of an entry, and from there to the end
-# of the grace period.
+# Time from the last answers to callers and other nodes to the end of the grace period,
+# in which they are delivered.
 LAST_ANSWER_MARGIN_S = 0.2
 # Time after a stop request from which calls of callers are refused. The platform
 # accepts that the end of the grace period cuts a call only if it was sent before.
@@ -358,10 +358,9 @@
         # Readiness checks fail from here on; callers and other nodes are still served.
         self.is_stopping = True
         emit(MeshNodeStopping(calls_in_flight, self.gateway.in_flight))
-        self.entry.stop_by(
-            deadline - LAST_ANSWER_MARGIN_S, last_call_at=now + LAST_CALL_S
-        )
-        self.gateway.stop_by(deadline - 2 * LAST_ANSWER_MARGIN_S)
+        answer_by = deadline - LAST_ANSWER_MARGIN_S
+        self.entry.stop_by(answer_by, last_call_at=now + LAST_CALL_S)
+        self.gateway.stop_by(answer_by)
         eventlet.spawn_after(
             max(shutdown_delay_s - DRAIN_NOTICE_S, 0.0), self._drain_gateway
         )
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -512,6 +512,41 @@
         statuses = {status for _, status in outcomes}
         self.assertEqual({200, 503}, statuses - {0})
 
+    def test_long_calls_are_not_broken_off_by_a_gateway_that_stops_before_the_entry(
+        self,
+    ):
+        """Guards against own answers to bookings that are running at their upstream."""
+        self.configure(
+            route("r-l", "/long/", service="booking", kind="unsafe", timeout_ms=6000),
+        )
+        first, second = self.b1, self.cluster.add_node("booking")
+        self.cluster.wait_ready()
+        version = self.cluster.version
+        entry = self.a1.server.node.entry
+        wait_until(lambda: entry.configuration.version == version)
+        first.server.shutdown_delay_s = 1.0
+        for node in (first, self.a1):
+            mesh = node.server.node
+            mesh.settings = replace(mesh.settings, stop_grace_s=3.0)
+        stops = [eventlet.spawn(first.server.stop)]
+        wait_until(lambda: first.server.node.is_stopping)
+        statuses = []
+
+        def call(number):
+            answer = self.cluster.call(
+                self.a1, "/long/1", method="POST", Deadline_Remaining="6000"
+            )
+            statuses.append(answer.status)
+
+        for upstream in (first.upstream, second.upstream):
+            upstream.service_time_s = 2.6
+        calls = [eventlet.spawn(call, number) for number in range(8)]
+        eventlet.sleep(0.8)
+        stops.append(eventlet.spawn(self.a1.server.stop))
+        for thread in (*calls, *stops):
+            thread.wait()
+        self.assertEqual([200] * 8, statuses)
+
     def test_stopping_node_is_not_ready_and_closes_caller_connections(self):
         """Callers on persistent connections would be cut off when the node exits."""
         # The listener closes after this delay, which leaves time for a call on a busy
--- a/tests/test_mesh_gateway.py
+++ b/tests/test_mesh_gateway.py
@@ -12,7 +12,7 @@
     WrongServiceError,
 )
 from verbenawick.mesh._crash_guard import CRASH_THRESHOLD, CrashGuard
-from verbenawick.mesh._gateway import MeshGateway, fingerprint_of
+from verbenawick.mesh._gateway import STOP_SKEW_S, MeshGateway, fingerprint_of
 from verbenawick.mesh._local_upstream import LocalUpstream
 from verbenawick.mesh._messages import ForwardedCall
 from verbenawick.mesh._model import CallOutcome, StatusReport
@@ -213,16 +213,21 @@
             self.channels.while_opening = lambda: self.clock.advance(1.0)
             self.handle(deadline=self.clock.now() + 60)
         self.channels.sent.clear()
-        for grace_s, expected in (
-            (0.5, CallOutcome.NOT_RUN),
+        for grace_s, left_s, expected in (
+            (0.5, 0.4, CallOutcome.NOT_RUN),
             # The upstream may take longer than its average of about 1 s.
-            (1.5, CallOutcome.NOT_RUN),
-            (3, CallOutcome.COMPLETE),
+            (1.5, 1.4, CallOutcome.NOT_RUN),
+            (3, 2.9, CallOutcome.COMPLETE),
+            # An entry that got its SIGTERM together with this node.
+            (3, 3 + STOP_SKEW_S / 2, CallOutcome.COMPLETE),
+            # The upstream may take longer than its longest run so far.
+            (3, 3.5, CallOutcome.NOT_RUN),
+            (3, 60, CallOutcome.NOT_RUN),
         ):
             now = self.clock.now()
             self.gateway.stop_by(now + grace_s)
-            result = self.handle(deadline=now + 60, is_idempotent=False)
+            result = self.handle(deadline=now + left_s, is_idempotent=False)
             self.assertEqual(expected, result.outcome)
-        self.assertEqual(1, len(self.channels.sent))
-        left_ms = int(self.channels.sent[0][1]["Deadline-Remaining"])
-        self.assertLessEqual(left_ms, 3000)
+        self.assertEqual(2, len(self.channels.sent))
+        for _, headers in self.channels.sent:
+            self.assertLessEqual(int(headers["Deadline-Remaining"]), 3000)
