Refuse a queued call before its deadline, not at it

Callers of a call that got no slot at its gateway until its deadline were answered 504 although the call had not run, and unsafe calls could not be sent again: the gateway waited for a slot until the deadline, so that its refusal reached the entry after that had given up. The gateway also takes the deadline to be later by one transit of the link, since that lowers the measured offset between the two clocks.

A queued call now leaves the queue 0.05 s before its deadline, or earlier if half of the average service time would not be left, after which it would have been granted no slot anyway. Two transits between regions take 16 ms of that; the rest is for the queues of busy processes. The call has left the queue when the refusal is made, so it can't run after it.

The gateway of the project's own interface leaves its queue early already (`Admission._wait`).

--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -422,7 +422,7 @@
         self._queue.enter(request, now)
         self._schedule_grant()
         try:
-            timeout_s = max(request.deadline - now, 0.0)
+            timeout_s = max(self._queue.wait_until(request) - now, 0.0)
             verdict = decided.wait(timeout=timeout_s)
         except BaseException:
             self._queue.leave(request, self._clock.now())
--- a/src/verbenawick/mesh/_slot_queue.py
+++ b/src/verbenawick/mesh/_slot_queue.py
@@ -26,9 +26,12 @@
 # The same for a call that can no longer meet its objective. Calls that still can are
 # served first even if they arrive later, so a late call waits longer than estimated.
 ADMITTED_SHARE_LATE = 0.4
-# A slot is granted only if at least this fraction of the average service time is left
-# before the deadline.
+# A queued call is granted a slot only if at least this fraction of the average service
+# time is left before the deadline.
 MIN_SERVICE_SHARE_LEFT = 0.5
+# Least time before its deadline at which a queued call is refused. Covers two transits
+# between regions and the delays of both processes, after which its entry gives up.
+REFUSAL_MARGIN_S = 0.05
 # Maximum queue length, in calls per slot.
 MAX_WAITING_PER_SLOT = 6
 # Minimum retry-after time of a refused call, seconds.
@@ -145,14 +148,16 @@
         while self._waiting and self._can_grant(now):
             request = min(self._waiting, key=lambda r: self._rank(r, now))
             self._waiting.remove(request)
-            needed_s = MIN_SERVICE_SHARE_LEFT * self.service_times.expected_s(
-                request.route
-            )
-            if now + needed_s > request.deadline:
+            if now > self.wait_until(request):
                 self._refuse(request, now)
                 continue
             self._grant(request, now)
 
+    def wait_until(self, request: SlotRequest) -> float:
+        """Return the time from which a queued call is granted no slot."""
+        needed_s = MIN_SERVICE_SHARE_LEFT * self.service_times.expected_s(request.route)
+        return request.deadline - max(needed_s, REFUSAL_MARGIN_S)
+
     def next_grant_at(self, now: float) -> float | None:
         """Return when the rate admits the next queued call to a free slot, or None."""
         if not self._waiting or len(self._running) >= self.slots:
--- a/tests/test_mesh_delayed_links.py
+++ b/tests/test_mesh_delayed_links.py
@@ -9,6 +9,8 @@
 from tests.silent_proxy import SilentProxy
 
 DELAY_S = 1.0
+# One-way delay between two regions.
+REGION_DELAY_S = 0.008
 
 
 class DelayedLinkTest(TestCase):
@@ -47,3 +49,31 @@
         # Beacons before the call are delayed one after the other.
         eventlet.sleep(3 * DELAY_S)
         self.assertEqual(0, self.gateway.upstream.runs_by_request["late"])
+
+    def test_refusal_of_a_queued_call_reaches_the_entry_before_its_deadline(self):
+        """Guards against 504 for calls that have not run and may be sent again."""
+        self.gateway.upstream.slots = 1
+        gateway = self.gateway.server.node.gateway
+        wait_until(lambda: gateway.load("r-a").slots == 1)
+        self.proxy.delay_s = REGION_DELAY_S
+        # Measures the offset between the clocks of the two nodes.
+        self.assertEqual(200, self.call("first", 1000))
+        self.gateway.upstream.service_time_s = 1.5
+        running = eventlet.spawn(self.call, "running", 2000)
+        wait_until(lambda: gateway.load("r-a").running)
+        waits_ms = [400, 450, 500, 550, 600]
+        queued = [eventlet.spawn(self.call, f"w{ms}", ms) for ms in waits_ms]
+        statuses = [thread.wait() for thread in queued]
+        self.assertEqual([503] * len(waits_ms), statuses)
+        self.assertEqual(200, running.wait())
+        runs = self.gateway.upstream.runs_by_request
+        self.assertEqual({"first": 1, "running": 1}, dict(runs))
+
+    def call(self, request_id, deadline_ms):
+        return self.cluster.call(
+            self.entry,
+            "/archive/1",
+            method="POST",
+            Attempt_Id=request_id,
+            Deadline_Remaining=str(deadline_ms),
+        ).status
