Ignore SIGHUP before the imports of a starting node

Callers saw a node whose process ended at its start without a log line, with exit code -1, if a change of its settings met the start: their connections were refused until the platform had started it again.

Cause: the default action of SIGHUP ends a process. `main` ignored it first, but its module imported argparse, pathlib and others before.

Evidence: test_signal_that_settings_changed_does_not_end_a_node_that_imports failed before (exit code -1) and passes.

--- a/src/verbenawick/platform/__main__.py
+++ b/src/verbenawick/platform/__main__.py
@@ -1,12 +1,8 @@
 """Command ``python -m verbenawick.platform``, which runs a node on the platform."""
 
 import gc
-import os
 import signal
 import sys
-from argparse import ArgumentParser
-from pathlib import Path
-from warnings import filterwarnings
 
 SETTINGS_VARIABLE = "VERBENAWICK_SETTINGS"
 
@@ -18,6 +14,12 @@
     # Imports create few objects that become garbage. `run_platform_node` enables the
     # collector again.
     gc.disable()
+    # Imported here because a signal before the handler is set ends the process.
+    import os
+    from argparse import ArgumentParser
+    from pathlib import Path
+    from warnings import filterwarnings
+
     parser = ArgumentParser(
         prog="python -m verbenawick.platform",
         description="Run a node on the users' platform.",
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -76,6 +76,27 @@
 sys.exit(main())
 """
 
+# Sends SIGHUP whenever a module is loaded that the handler does not need.
+IMPORT_SCRIPT = """
+import os
+import signal
+import sys
+from types import ModuleType
+
+class SignalSender:
+    def find_spec(self, name, path=None, target=None):
+        if name not in sys.builtin_module_names and "verbenawick" not in name:
+            os.kill(os.getpid(), signal.SIGHUP)
+
+daemon = ModuleType("daemon")
+daemon.run_platform_node = lambda path: 0
+sys.modules["verbenawick.platform._daemon"] = daemon
+sys.modules.pop("argparse", None)
+sys.meta_path.insert(0, SignalSender())
+from verbenawick.platform.__main__ import main
+sys.exit(main())
+"""
+
 
 def write_settings(tmp_path):
     """Write the settings of a node; its store's address refuses connections."""
@@ -112,6 +133,12 @@
     assert run.returncode == 0, run.stderr
 
 
+def test_signal_that_settings_changed_does_not_end_a_node_that_imports(tmp_path):
+    """Guards against nodes that end when SIGHUP meets their first imports."""
+    run = run_node_script(IMPORT_SCRIPT, tmp_path)
+    assert run.returncode == 0, run.stderr
+
+
 def test_further_stop_signals_do_not_change_the_exit_code(tmp_path):
     """Guards against a clean stop that looks like a crash."""
     node = subprocess.Popen(
