--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -1,5 +1,6 @@
 """End-to-end tests of the mesh on the stand-in platform."""
 
+import time
 import tracemalloc
 from http.client import HTTPException, parse_headers
 from itertools import count
@@ -14,8 +15,10 @@
 
 from tests.call_support import responses_until_close, wait_until
 from tests.mesh_cluster import RECORD_KIND, MeshCluster, route, service
+from verbenawick.links._call_links import SILENCE_TIMEOUT_S
 from verbenawick.links._call_messages import MAX_MESSAGE_BODY_BYTES
 from verbenawick.mesh._crash_guard import CRASH_THRESHOLD
+from verbenawick.mesh._entry import RETRIES
 from verbenawick.mesh._model import UpstreamState
 from verbenawick.mesh._node import SILENCE_CHECK_INTERVAL_S, STALL_LOGGED_S
 from verbenawick.mesh._node_events import ProcessStalled
@@ -646,9 +649,37 @@
 
     def test_shed_requests_move_on_and_are_counted(self):
         """A request shed by one upstream must succeed at another one."""
+        self.allow_long_calls()
         self.a1.upstream.sheds = True
-        statuses = [self.cluster.call(self.a1, "/archive/1").status for _ in range(6)]
-        self.assertEqual([200] * 6, statuses)
+        self.assertEqual([200] * 6, self.read_archive(6))
+        self.assertEqual(6, sum(self.a2.upstream.runs_by_request.values()))
+        self.assertLess(0, self.a1.server.node.metrics.totals()[RETRIES])
+
+    def test_shed_requests_move_on_although_the_process_stands_still(self):
+        """Guards against giving up a sound link that was not read for a while."""
+        self.allow_long_calls()
+        self.a1.upstream.sheds = True
+        run = self.a2.upstream.crashes_on
+
+        def stand_still(environ):
+            self.a2.upstream.crashes_on = run
+            time.sleep(SILENCE_TIMEOUT_S + 0.5)
+            return False
+
+        for number in range(3):
+            self.a2.upstream.crashes_on = stand_still
+            self.assertEqual([200] * 2, self.read_archive(2), f"standstill {number}")
+
+    def allow_long_calls(self):
+        # A busy machine can hold the test process up for longer than usual deadlines.
+        version = self.configure(timeout_ms=20_000)
+        wait_until(lambda: self.lowest_version() == version, 3)
+
+    def read_archive(self, count):
+        return [
+            self.cluster.call(self.a1, "/archive/1", Deadline_Remaining="20000").status
+            for _ in range(count)
+        ]
 
     def test_crashing_request_is_told_from_equal_requests_of_other_callers(self):
         """Guards against a crashing request that passes, and reads that are refused."""
