Let the run of a lost answer wait for the kill in its test

tests/test_mesh_cluster.py::MeshClusterTest::test_unsafe_request_runs_once_when_its_ answer_is_lost failed once at 00:03 on 5 December; only its name was kept.

Cause, in the test: the run took 0.2 s, and its node was to be killed before that. A process that stands still for longer lets the answer arrive first, rightly with 200.

The run now goes on only after the kill, and the test also waits for its end before it counts the runs.

--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -8,6 +8,7 @@
 from unittest.mock import patch
 
 import eventlet
+from eventlet.event import Event
 from eventlet.green import socket
 from loguru import logger
 from msgspec.structs import replace
@@ -597,8 +598,11 @@
         """A booking that runs twice dispatches two crews."""
         second = self.cluster.add_node("booking")
         self.cluster.wait_ready()
-        for node in (self.b1, second):
-            node.upstream.service_time_s = 0.2
+        nodes = (self.b1, second)
+        killed = Event()
+        for node in nodes:
+            # The run goes on only after the kill, however long that takes.
+            node.upstream.crashes_on = lambda environ: killed.wait()
         results = []
         thread = eventlet.spawn(
             lambda: results.append(
@@ -607,14 +611,15 @@
                 )
             )
         )
-        nodes = (self.b1, second)
-        wait_until(lambda: any(n.upstream.runs_by_request["once"] for n in nodes), 2)
+        wait_until(lambda: any(n.upstream.runs_by_request["once"] for n in nodes))
         runner = next(n for n in nodes if n.upstream.runs_by_request["once"])
         runner.is_reporting = False
         runner.server.kill()
+        killed.send(False)
         thread.wait()
         self.assertIn(results[0].status, (502, 504))
-        runs = [n.upstream.runs_by_request["once"] for n in (self.b1, second)]
+        wait_until(lambda: runner.upstream.completed_runs["once"])
+        runs = [n.upstream.runs_by_request["once"] for n in nodes]
         self.assertEqual(1, sum(runs))
 
     def test_slots_of_an_upstream_are_never_exceeded(self):
