Answer calls in progress before their entry ends

A call that arrived before the SIGTERM of its entry kept its deadline, so that one with a timeout beyond the grace, for example a booking at a gateway that went silent, lost its connection with the process and got no answer. Only calls that arrived later were bounded by the stop.

Both new tests failed before: with a booking at a silent gateway the stop took its whole grace and the answer was a 502 of the link's close, with a read at the own gateway there was no answer when the stop returned. Both get their 504 before it returns now. A third test shows that a reload of the entry does not end a booking at a silent gateway; it passed before as well.

--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -18,6 +18,7 @@
 from random import Random
 
 import eventlet
+from greenlet import GreenletExit
 
 from verbenawick.errors import (
     AnswerLostError,
@@ -123,6 +124,10 @@
     retry_after_s: float
 
 
+class _StopReached(GreenletExit):
+    """Ends a call whose deadline is after the end of the stopping node."""
+
+
 @dataclass(slots=True)
 class _Progress:
     """What the offers of a call have led to so far.
@@ -217,6 +222,8 @@
         self._index: RouteIndex | None = None
         self._stop_at = math.inf
         self._last_call_at = math.inf
+        # Deadlines of the calls in progress, by the green thread of the caller.
+        self._deadlines_by_thread: dict[object, float] = {}
 
     @property
     def configuration(self) -> MeshConfiguration | None:
@@ -244,10 +251,18 @@
 
         A call that no gateway is expected to complete by then is refused as not run,
         instead of being cut when the process ends. So are calls that arrive later than
-        `last_call_at`, on connections that were kept open for them.
+        `last_call_at`, on connections that were kept open for them. Calls that arrived
+        earlier and are still in progress at `deadline` end as timed out.
         """
         self._stop_at = deadline
         self._last_call_at = last_call_at
+        eventlet.spawn_after(max(deadline - self._clock.now(), 0.0), self._end_calls)
+
+    def _end_calls(self) -> None:
+        for thread, deadline in list(self._deadlines_by_thread.items()):
+            # Each kill lets other green threads run, so the call may have ended.
+            if deadline > self._stop_at and thread in self._deadlines_by_thread:
+                eventlet.kill(thread, _StopReached())
 
     def serve(self, call: IncomingCall) -> CallResult:
         """Handle `call` and return its result.
@@ -296,13 +311,19 @@
         self, call: IncomingCall, route: MeshRoute, forwarded: ForwardedCall
     ) -> CallResult:
         race = OfferRace()
+        progress = _Progress()
+        thread = eventlet.getcurrent()
+        self._deadlines_by_thread[thread] = forwarded.deadline
         try:
-            return self._dispatch_in(race, call, route, forwarded)
+            return self._dispatch_in(race, progress, call, route, forwarded)
+        except _StopReached:
+            result = CallResult(CallOutcome.UNKNOWN, CallTimeoutError.code)
+            return self._unknown(call, route, forwarded, result, progress.offers)
         finally:
+            self._deadlines_by_thread.pop(thread, None)
             race.cancel()
 
-    def _dispatch_in(self, race, call, route, forwarded) -> CallResult:
-        progress = _Progress()
+    def _dispatch_in(self, race, progress, call, route, forwarded) -> CallResult:
         is_offering = False
         while True:
             if not is_offering:
--- a/tests/test_mesh_silent_peer.py
+++ b/tests/test_mesh_silent_peer.py
@@ -1,8 +1,10 @@
 """Tests of calls at a gateway that answers no pings while its upstream works."""
 
 import math
+from time import monotonic
 
 import eventlet
+from msgspec.structs import replace
 from testtools import TestCase
 
 from tests.call_support import wait_until
@@ -206,3 +208,55 @@
         thread.wait()
         self.assertEqual([500], [status for status, _ in results])
         self.assertEqual(1, failing.upstream.runs_by_request["q"])
+
+    def start_booking(self):
+        self.cluster.configure(
+            route(
+                "r-a", "/archive/", service="archive", kind="unsafe", timeout_ms=6000
+            ),
+            service("archive"),
+        )
+        node = self.entry.server.node
+        wait_until(lambda: node.entry.configuration.version == 2, 2)
+        return self.start_call(method="POST", Deadline_Remaining="6000")
+
+    def test_booking_at_a_silent_gateway_is_answered_before_its_entry_ends(self):
+        """Guards against connections that end with the process, without an answer."""
+        self.silent.upstream.service_time_s = 5.0
+        thread, results = self.start_booking()
+        node = self.entry.server.node
+        node.settings = replace(node.settings, stop_grace_s=2.0)
+        self.wait_silent()
+        started_at = monotonic()
+        self.entry.server.stop()
+        # The process ends here, and with it the connection of the caller.
+        self.assertEqual([504], [status for status, _ in results])
+        self.assertLess(monotonic() - started_at, 2.0)
+        # The request may run to its end, since it may have had its effect.
+        self.assertEqual(1, self.silent.server.node.gateway.in_flight)
+
+    def test_read_in_its_gateway_is_answered_before_its_entry_ends(self):
+        """Guards against connections that end with the process, without an answer."""
+        self.entry.upstream.service_time_s = 5.0
+        self.cluster.configure(
+            route("r-b", "/booking/", service="booking", timeout_ms=6000),
+            service("booking"),
+        )
+        node = self.entry.server.node
+        wait_until(lambda: node.entry.configuration.version == 2, 2)
+        results = []
+        eventlet.spawn(self.call, results, "/booking/1", Deadline_Remaining="6000")
+        wait_until(lambda: self.entry.upstream.running)
+        node.settings = replace(node.settings, stop_grace_s=2.0)
+        self.entry.server.stop()
+        self.assertEqual([504], [status for status, _ in results])
+
+    def test_booking_at_a_silent_gateway_outlasts_a_reload_of_its_entry(self):
+        """Guards against a reload that ends the calls on links."""
+        thread, results = self.start_booking()
+        self.wait_silent()
+        server = self.entry.server
+        upstream = replace(server.settings.upstream, address="127.0.0.1:1")
+        server.node.reload(replace(server.settings, upstream=upstream), cause="signal")
+        thread.wait()
+        self.assertEqual([200], [status for status, _ in results])
