Deliver answers that a peer sent before it closed a link

Callers could get 502 for requests that had been answered: when a send on a link failed, because the peer had closed its end, the link was closed at once, and what the peer had sent before and was not read yet was discarded with it. Each pong, notice or request that was sent between the arrival of the peer's close and the reading of the answers before it could do that; on a busy node these wait in the socket.

After a failed send a link now sends nothing more, ends its sending side, and is read to its end. The peer's end, or the reset, still closes it; requests without an answer fail then. Further posts raise `LinkClosedError` as before, so their requests count as not sent.

--- a/src/verbenawick/links/_links.py
+++ b/src/verbenawick/links/_links.py
@@ -261,6 +261,18 @@
         if not self._is_writing:
             self._end_sending()
 
+    def _on_send_error(self, error: OSError) -> None:
+        """Send nothing more, and close once what the peer has sent is received.
+
+        A peer that has closed its end may have sent answers before.
+        """
+        self._is_finishing = True
+        self._close_reason = self._close_reason or str(error)
+        self._send_queue.clear()
+        self._send_queue_bytes = 0
+        # Also lets the peer close if its end is still open.
+        self._end_sending()
+
     def _end_sending(self) -> None:
         with suppress(OSError):
             self._sock.shutdown(socket.SHUT_WR)
@@ -313,7 +325,8 @@
         self._last_received_at = self._clock.now()
         self._protocol.receive_data(data)
         self._dispatch(self._protocol.events_received())
-        self._flush()
+        with suppress(LinkClosedError):
+            self._flush()
         if self._protocol.state is not State.OPEN:
             if self._protocol.parser_exc is not None:
                 raise ProtocolError(
@@ -390,7 +403,7 @@
         except BlockingIOError:
             return 0
         except OSError as error:
-            self.close(str(error))
+            self._on_send_error(error)
             raise LinkClosedError(
                 str(error), step="link.post", peer=self.peer.node_id
             ) from error
@@ -422,7 +435,7 @@
             if self._is_finishing:
                 self._end_sending()
         except OSError as error:
-            self.close(str(error))
+            self._on_send_error(error)
         finally:
             self._is_writing = False
 
--- a/tests/test_call_links.py
+++ b/tests/test_call_links.py
@@ -1,6 +1,7 @@
 """Tests of requests and answers between nodes over real sockets."""
 
 from dataclasses import dataclass, replace
+from unittest.mock import patch
 
 import eventlet
 from testtools import TestCase
@@ -21,6 +22,7 @@
 from verbenawick.runtime._metrics import MetricSet
 
 SHORT_PING_INTERVAL_S = 0.05
+RECEIVED_BYTES = 1000
 
 
 @register_message(9101)
@@ -234,6 +236,41 @@
         self.assertLess(sent[0], 0.09)
         self.assertGreaterEqual(sent[1], 0.1)
 
+    def request_read_in_parts(self):
+        with patch("verbenawick.links._links.RECEIVE_BUFFER_BYTES", RECEIVED_BYTES):
+            return self.request()
+
+    def test_answer_is_delivered_although_a_later_send_to_its_sender_fails(self):
+        """Guards against unknown outcomes of requests that a stopping node answered."""
+
+        def handler(peer, message, sent_at):
+            link = next(iter(self.server._links))
+            link.post(Reply(message.call_id - 1, "x" * RECEIVED_BYTES))
+            link.post(Reply(message.call_id, "last"))
+            link.close()
+            # The first one is answered with a reset, which the second one finds.
+            for _ in range(2):
+                self.client.notify(self.client.dialled_links()[0], Reply(0))
+
+        self.answer_with(handler)
+        self.assertEqual("last", self.request_read_in_parts().text)
+        wait_until(lambda: not self.client._links)
+
+    def test_answer_is_delivered_although_a_pong_to_its_sender_fails(self):
+        """Guards against unknown outcomes of requests that a stopping node answered."""
+
+        def handler(peer, message, sent_at):
+            link = next(iter(self.server._links))
+            for _ in range(3):
+                link.ping()
+                link.post(Reply(message.call_id - 1, "x" * RECEIVED_BYTES))
+            link.post(Reply(message.call_id, "last"))
+            link.close()
+
+        self.answer_with(handler)
+        self.assertEqual("last", self.request_read_in_parts().text)
+        wait_until(lambda: not self.client._links)
+
     def finish_server(self):
         self.server_listener.stop()
         started_at = self.clock.now()
