Do not reset a connection whose caller still receives the answer

Callers that read slowly and send the next request before they have the whole answer got a part of that answer and a reset: when the connection was closed at the idle timeout, when the node stopped, and later than 1 s after an answer that announced the close.

The end of an answer waits in the send buffer of the kernel, so the node took the connection for idle. It was closed in both directions, and the kernel answers bytes that arrive after that with a reset, which discards the send buffer. Lingering after an announced close had the same end after 1 s.

A connection whose answer is not acknowledged yet is now closed for sending only, and received from until the caller closes it, or for 1 s in which the caller has received all or nothing. The request that crossed the close is not passed on.

Callers that read as fast as the node sends are not concerned. The users' probes have no such callers, so this is not shown to be a case of their report.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -11,15 +11,16 @@
 
 import math
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 from http.client import HTTPMessage
 
-from eventlet import Timeout, wsgi
+from eventlet import Timeout, sleep, spawn, wsgi
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from verbenawick.calls._connection_ends import ConnectionEnd, EndCause
 from verbenawick.runtime._polling import is_readable
+from verbenawick.runtime._sockets import unacknowledged_bytes
 
 # Limit on a request line and header fields together. Platforms allow 16 KiB of header
 # fields, of which one may take all.
@@ -37,6 +38,8 @@
 LINGER_S = 1.0
 # Ends at which the caller may still be sending.
 LINGERING_CAUSES = frozenset({EndCause.ANNOUNCED, EndCause.INVALID})
+# Ends that the caller does not expect while it receives the last response.
+UNEXPECTED_CAUSES = frozenset({EndCause.IDLE, EndCause.STOPPED})
 
 # Status that an application gives to a request whose caller has closed the connection.
 CALLER_LEFT_STATUS = "499 Caller Closed"
@@ -174,15 +177,34 @@
 def _linger(sock, *, max_bytes: float = math.inf) -> None:
     """Send the end of the connection, and receive until the caller closes it too.
 
-    Stops after `max_bytes` or `LINGER_S`.
+    Stops after `max_bytes`, or after `LINGER_S` in which the caller has received all
+    that was sent or nothing of it.
 
     The kernel resets a connection that is closed with unread bytes, and the reset
-    discards what the caller has not read yet.
+    discards what the caller has not received yet.
     """
     sock.shutdown(socket.SHUT_WR)
-    with Timeout(LINGER_S, False):
-        while max_bytes > 0 and (data := sock.recv(65_536)):
-            max_bytes -= len(data)
+    for period_s in _lingering_periods(sock):
+        with Timeout(period_s, False):
+            while max_bytes > 0 and (data := sock.recv(65_536)):
+                max_bytes -= len(data)
+            return
+
+
+def _lingering_periods(sock) -> Iterator[float]:
+    """Yield the durations to wait, in seconds, while the caller receives what was sent.
+
+    Raises
+    ------
+    OSError
+        The connection is closed.
+    """
+    left_bytes = unacknowledged_bytes(sock)
+    while True:
+        yield LINGER_S
+        earlier_bytes, left_bytes = left_bytes, unacknowledged_bytes(sock)
+        if not 0 < left_bytes < earlier_bytes:
+            return
 
 
 class CallerProtocol(wsgi.HttpProtocol):
@@ -236,10 +258,10 @@
         self._connections.add(self)
         try:
             self._serve_until_end()
-            max_bytes = self._max_lingering_bytes()
-            if max_bytes:
-                # An error means that the caller has closed the connection.
-                with suppress(OSError):
+            # An error means that the caller has closed the connection.
+            with suppress(OSError):
+                max_bytes = self._max_lingering_bytes()
+                if max_bytes:
                     self.wfile.flush()
                     _linger(self.connection, max_bytes=max_bytes)
         finally:
@@ -249,7 +271,11 @@
         if self._is_body_refused:
             # The caller may read the response only after it has sent the body.
             return math.inf
-        return MAX_DISCARDED_BYTES if self._end_cause in LINGERING_CAUSES else 0
+        lingers = self._end_cause in LINGERING_CAUSES or (
+            self._end_cause in UNEXPECTED_CAUSES
+            and unacknowledged_bytes(self.connection) > 0
+        )
+        return MAX_DISCARDED_BYTES if lingers else 0
 
     def _serve_until_end(self) -> None:
         try:
@@ -331,8 +357,8 @@
             announced = EndCause.ANNOUNCED
             self._end_cause = announced if self._was_announced else EndCause.INVALID
 
-    def serve_arrived_request(self) -> None:
-        """Keep the connection open if a request arrived on it that was not read yet.
+    def prepare_stop(self) -> None:
+        """Keep the connection open if a request or a response is on its way.
 
         Called immediately before the server stops, which shuts down all connections
         that it takes for idle.
@@ -342,6 +368,18 @@
         if is_readable(self.connection.fileno()):
             self._outlives_server = True
             self.conn_state[2] = wsgi.STATE_REQUEST
+        elif unacknowledged_bytes(self.connection):
+            # After a shutdown of both directions, the next request would reset the
+            # connection, which discards the rest of the response.
+            self.conn_state[2] = wsgi.STATE_REQUEST
+            spawn(self._end_after_response)
+
+    def _end_after_response(self) -> None:
+        with suppress(OSError):
+            self.connection.shutdown(socket.SHUT_WR)
+            for period_s in _lingering_periods(self.connection):
+                sleep(period_s)
+            self.connection.shutdown(socket.SHUT_RDWR)
 
     def _has_next_request(self) -> bool:
         """Return whether bytes of a further request have arrived.
--- a/src/verbenawick/calls/_entry_server.py
+++ b/src/verbenawick/calls/_entry_server.py
@@ -127,7 +127,7 @@
         self._listener.close_after_accepting()
         self._serve_last_requests(min(LAST_REQUESTS_S, timeout_s))
         for connection in self._connections:
-            connection.serve_arrived_request()
+            connection.prepare_stop()
         # Ends the accept loop. eventlet then closes idle connections and waits for the
         # active ones.
         self._thread.kill()
--- a/src/verbenawick/runtime/_sockets.py
+++ b/src/verbenawick/runtime/_sockets.py
@@ -1,6 +1,7 @@
 """Listening sockets of a node, and the state of connected ones."""
 
 import errno
+import os
 import struct
 from dataclasses import dataclass
 from fcntl import ioctl
@@ -117,5 +118,8 @@
     OSError
         The socket is closed.
     """
-    buffer = ioctl(sock.fileno(), TIOCOUTQ, struct.pack("i", 0))
+    fileno = sock.fileno()
+    if fileno < 0:
+        raise OSError(errno.EBADF, os.strerror(errno.EBADF))
+    buffer = ioctl(fileno, TIOCOUTQ, struct.pack("i", 0))
     return struct.unpack("i", buffer)[0]
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -2,13 +2,14 @@
 
 import time
 from contextlib import suppress
+from typing import ClassVar
 
 import eventlet
 from eventlet.green import socket
 from testtools import TestCase
 
 from tests.call_support import free_port, responses_until_close, wait_until
-from verbenawick.calls._caller_protocol import CALLER_LEFT_STATUS
+from verbenawick.calls._caller_protocol import CALLER_LEFT_STATUS, LINGER_S
 from verbenawick.calls._connection_ends import ENDS_BY_CAUSE, EndCause
 from verbenawick.calls._entry_server import LAST_REQUESTS_S, EntryServer
 from verbenawick.runtime._calls_in_flight import CallsInFlight
@@ -17,6 +18,9 @@
 CALL_S = 0.1
 GRACE_S = 0.5
 LARGE_BODY = b"x" * 8_000_000
+# Fits into the send buffer of a connection, but not into `RECEIVE_BUFFER_BYTES`.
+BUFFERED_BODY = b"x" * 1_000_000
+RECEIVE_BUFFER_BYTES = 65_536
 
 
 def request(path: str, body: bytes | None = None) -> bytes:
@@ -31,6 +35,8 @@
 class _Application:
     """Application that records the paths of its calls, which take `CALL_S` each."""
 
+    _bodies_by_path: ClassVar = {"/large": LARGE_BODY, "/buffered": BUFFERED_BODY}
+
     def __init__(self):
         self.paths = []
         self._calls = CallsInFlight()
@@ -45,8 +51,8 @@
             return [b""]
         with self._calls.enter():
             eventlet.sleep(CALL_S)
-        is_large = environ["PATH_INFO"] == "/large"
-        body = LARGE_BODY if is_large else environ["PATH_INFO"].encode()
+        path = environ["PATH_INFO"]
+        body = self._bodies_by_path.get(path, path.encode())
         start_response("200 OK", [("Content-Length", str(len(body)))])
         return [body]
 
@@ -84,6 +90,25 @@
         self.addCleanup(sock.close)
         return sock
 
+    def request_buffered(self, request_bytes):
+        """Return a connection whose response is sent and not received yet."""
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.connect(self.address)
+        sock.sendall(request_bytes)
+        wait_until(lambda: any(c._responses for c in self.server._connections))
+        return sock
+
+    def assert_buffered_body_follows(self, sock):
+        """Assert that the response of `request_buffered` arrives as a whole."""
+        received = b""
+        with eventlet.Timeout(5):
+            while data := sock.recv(65_536):
+                received += data
+        body = received.partition(b"\r\n\r\n")[2]
+        self.assertEqual(len(BUFFERED_BODY), len(body))
+
     def start_stop(self, *, grace_s=GRACE_S):
         """Return the green thread that stops the server."""
         stop = eventlet.spawn(self.server.stop, grace_s=grace_s, timeout_s=5)
@@ -201,6 +226,40 @@
         self.assertEqual(len(LARGE_BODY), len(body))
         self.assertEqual(["/large"], self.application.paths)
 
+    def test_a_request_that_crosses_a_stop_does_not_reset_an_earlier_answer(self):
+        """Guards against a reset that discards an answer sent before the stop."""
+        sock = self.request_buffered(request("/buffered"))
+        stop = self.start_stop(grace_s=0)
+        eventlet.sleep(LAST_REQUESTS_S + CALL_S)
+        sock.sendall(request("/2"))
+        self.assert_buffered_body_follows(sock)
+        with eventlet.Timeout(2 * LINGER_S):
+            self.assertTrue(stop.wait())
+        self.assertEqual(["/buffered"], self.application.paths)
+
+    def test_a_request_that_crosses_an_idle_close_does_not_reset_the_answer(self):
+        """Guards against a reset that discards an answer still being received."""
+        self.idle_timeout_s = 0.2
+        sock = self.request_buffered(request("/buffered"))
+        eventlet.sleep(2 * self.idle_timeout_s)
+        sock.sendall(request("/2"))
+        self.assert_buffered_body_follows(sock)
+        self.assertEqual(["/buffered"], self.application.paths)
+
+    def test_a_request_that_crosses_the_close_does_not_reset_a_slow_answer(self):
+        """Guards against a reset while the caller still receives the last answer."""
+        self.start_stop()
+        sock = self.request_buffered(request("/buffered"))
+        received = 0
+        with eventlet.Timeout(10):
+            # Takes twice as long as the server waits for the close of the caller.
+            while data := sock.recv(len(BUFFERED_BODY) // 20):
+                received += len(data)
+                eventlet.sleep(LINGER_S / 10)
+                with suppress(OSError):
+                    sock.sendall(b"\r\n")
+        self.assertTrue(received > len(BUFFERED_BODY))
+
     def test_stop_does_not_wait_for_callers_that_keep_their_connection(self):
         """Guards against stops that last until idle callers close."""
         sock = self.connect()
