--- a/tests/test_mesh_upstream_channels.py
+++ b/tests/test_mesh_upstream_channels.py
@@ -266,6 +266,12 @@
         self.assertEqual(0, self.channels.open_count)
         self.assertEqual(b"b", self.exchange("q2").body)
 
+    def test_answer_of_an_upstream_that_does_not_read_on_arrives_in_time(self):
+        """Guards against waiting until a request is sent that nobody reads."""
+        self.script(["request", answer("q1", b"a"), 2.0])
+        long = {"method": "POST", "body": b"x" * UNBUFFERED_BYTES, "timeout_s": 0.5}
+        self.assertEqual(b"a", self.exchange(**long).body)
+
     def test_answer_without_a_length_is_not_whole_if_the_request_was_reset(self):
         """Guards against a truncated answer whose reset was reported to the sender."""
         head = b"HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\n\r\n"
