--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -1,14 +1,18 @@
 """Test the start of the daemon on the platform, in a separate process."""
 
 import json
+import shlex
 import subprocess
 import sys
+import tomllib
 from contextlib import suppress
+from pathlib import Path
 from threading import Timer
 
 from tests.call_support import free_port
 
 STOP_TIMEOUT_S = 30
+DEPLOY_FILE = Path(__file__).resolve().parent.parent / "deploy" / "system.toml"
 # The daemon patches the standard library on import, so it must not be imported here.
 SCRIPT = """
 import json
@@ -139,6 +143,15 @@
     assert run.returncode == 0, run.stderr
 
 
+def test_deployed_node_starts_the_interpreter_without_site():
+    """Guards against a longer time in which SIGHUP ends a starting node."""
+    (role,) = tomllib.loads(DEPLOY_FILE.read_text())["roles"].values()
+    command = shlex.split(role["run"])
+    flags = [sys.executable, *command[1 : command.index("-m")]]
+    script = "import sys; sys.exit('site' in sys.modules)"
+    assert subprocess.run([*flags, "-c", script]).returncode == 0
+
+
 def test_further_stop_signals_do_not_change_the_exit_code(tmp_path):
     """Guards against a clean stop that looks like a crash."""
     node = subprocess.Popen(
