Reject settings that are nested too deeply

Callers saw nothing at once, but the node no longer took changes of its settings, such as another address of its upstream, and a start with such a file ended with a traceback and exit code 1.

Cause: the parser raises RecursionError, which ended the task that reloads the settings.

Evidence: a real process whose file was replaced by 100,000 brackets logged neither the rejection nor the valid file after it. The test failed before (RecursionError).

--- a/src/verbenawick/settings/_json_settings.py
+++ b/src/verbenawick/settings/_json_settings.py
@@ -41,6 +41,10 @@
         return json5.loads(text, object_pairs_hook=_reject_duplicate_keys)
     except (OSError, ValueError) as error:
         raise SettingsError(f"{path}: {error}", step="settings.read") from error
+    except RecursionError:
+        raise SettingsError(
+            f"{path}: values are nested too deeply", step="settings.read"
+        ) from None
 
 
 def _reject_duplicate_keys(pairs: list[tuple[str, object]]) -> dict[str, object]:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -62,6 +62,11 @@
         )
         self.assertThat(str(error), Contains("twice"))
 
+    def test_values_nested_too_deeply_are_a_settings_error(self):
+        """Guards against a node that no longer reloads its settings."""
+        error = self.assertRaises(SettingsError, self.load, "[" * 5000)
+        self.assertThat(str(error), Contains("nested"))
+
     def test_an_unreadable_file_is_a_settings_error(self):
         """The error for a missing file contains its name."""
         error = self.assertRaises(SettingsError, load_settings, Path("no/such.json5"))
