Log the error that ends a node

Cause: an uncaught error reached the interpreter, which wrote a traceback to standard error only, and the lines that were still buffered were lost.

Both tests failed before.

--- a/src/verbenawick/platform/_daemon.py
+++ b/src/verbenawick/platform/_daemon.py
@@ -22,7 +22,9 @@
 from verbenawick.errors import SettingsError
 from verbenawick.mesh._log_output import LogOutput, configure_log_output
 from verbenawick.mesh._settings import load_mesh_settings
+from verbenawick.platform._events import NodeFailed
 from verbenawick.platform._node_server import NodeServer
+from verbenawick.runtime._events import emit
 from verbenawick.runtime._signals import ignore_signals
 
 # After start-up few long-lived objects become garbage, so full collections are made
@@ -40,13 +42,26 @@
     SettingsError
         The settings are invalid; no socket was opened.
     """
+    output = LogOutput()
+    configure_log_output(output, node_id="", level="INFO")
+    eventlet.spawn_n(output.run)
+    try:
+        _run(path, output)
+    except Exception as error:
+        emit(NodeFailed(repr(error)))
+        raise
+    finally:
+        output.flush()
+    ignore_signals((*STOP_SIGNALS, signal.SIGHUP))
+    return 0
+
+
+def _run(path: Path, output: LogOutput) -> None:
     reload_causes: list[str] = []
     signal.signal(signal.SIGHUP, lambda number, frame: reload_causes.append("signal"))
     fingerprint = _file_fingerprint(path)
     settings = load_mesh_settings(path)
-    output = LogOutput()
     configure_log_output(output, node_id=settings.node_id, level=settings.log_level)
-    eventlet.spawn_n(output.run)
     server = NodeServer(settings)
     stop_requested = Event()
 
@@ -65,9 +80,6 @@
     gc.enable()
     stop_requested.wait()
     server.stop()
-    output.flush()
-    ignore_signals((*STOP_SIGNALS, signal.SIGHUP))
-    return 0
 
 
 def _watch_settings(
--- a/src/verbenawick/platform/_events.py
+++ b/src/verbenawick/platform/_events.py
@@ -44,3 +44,11 @@
     kind: str
     after: str
     objects: int
+
+
+@register_event(758, level="ERROR")
+@dataclass(frozen=True, slots=True)
+class NodeFailed(Event):
+    """The process ends because of an error; its exit code is not 0."""
+
+    error: str
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -2,6 +2,7 @@
 
 import json
 import shlex
+import socket
 import subprocess
 import sys
 import tomllib
@@ -131,6 +132,24 @@
     )
 
 
+def run_node(settings_path):
+    """Run a node until it ends by itself, and return the ended process."""
+    return subprocess.run(
+        [sys.executable, "-W", "ignore", "-m", "verbenawick.platform"]
+        + ["--settings", str(settings_path)],
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+
+
+def failure_of(run):
+    """Return the log line with the error that ended a node."""
+    lines = [json.loads(line) for line in run.stdout.splitlines()]
+    (failure,) = (line for line in lines if line["name"] == "NodeFailed")
+    return failure
+
+
 def test_signal_that_settings_changed_does_not_end_a_starting_node(tmp_path):
     """Guards against nodes that end when a change of their settings meets a start."""
     run = run_node_script(START_SCRIPT, tmp_path)
@@ -152,6 +171,26 @@
     assert subprocess.run([*flags, "-c", script]).returncode == 0
 
 
+def test_node_that_ends_by_itself_logs_the_error(tmp_path):
+    """Guards against processes that end without a log line."""
+    path = Path(write_settings(tmp_path))
+    address = json.loads(path.read_text())["metrics_address"]
+    host, _, port = address.rpartition(":")
+    with socket.create_server((host, int(port))):
+        run = run_node(path)
+    assert run.returncode == 1
+    assert address in failure_of(run)["error"]
+
+
+def test_node_with_invalid_settings_logs_the_error(tmp_path):
+    """Guards against processes that end without a log line."""
+    path = tmp_path / "node.json5"
+    path.write_text("{")
+    run = run_node(path)
+    assert run.returncode == 2
+    assert "node.json5" in failure_of(run)["error"]
+
+
 def test_further_stop_signals_do_not_change_the_exit_code(tmp_path):
     """Guards against a clean stop that looks like a crash."""
     node = subprocess.Popen(
