Wait at the start of a node for its settings and its addresses

Callers saw refused connections while the process of a node ended at its start and was started again.

Cause: the start gave up at the first attempt if the settings file was still being written (exit code 2), or if one of its addresses was in use (exit code 1), for example by the local end of another connection.

Now both are tried again, for 1 s and 10 s. The handlers of the stop signals are set before, and a node that is to stop while it waits opens no listener.

--- a/src/verbenawick/mesh/_settings.py
+++ b/src/verbenawick/mesh/_settings.py
@@ -90,15 +90,20 @@
     stop_grace_s: Seconds = 6.0
     log_level: str = "INFO"
 
+    @property
+    def listener_addresses(self) -> tuple[str, ...]:
+        """Return the addresses at which the node listens."""
+        return tuple(getattr(self, name) for name in _LISTENER_NAMES)
 
-_ADDRESS_NAMES = (
+
+_LISTENER_NAMES = (
     "call_address",
     "peer_address",
     "readiness_address",
     "report_address",
     "metrics_address",
-    "store_address",
 )
+_ADDRESS_NAMES = (*_LISTENER_NAMES, "store_address")
 
 
 def is_mesh_settings(value: object) -> bool:
--- a/src/verbenawick/platform/_daemon.py
+++ b/src/verbenawick/platform/_daemon.py
@@ -16,21 +16,28 @@
 import gc
 import signal
 from pathlib import Path
+from time import monotonic
 
 from eventlet.event import Event
 
 from verbenawick.errors import SettingsError
 from verbenawick.mesh._log_output import LogOutput, configure_log_output
-from verbenawick.mesh._settings import load_mesh_settings
-from verbenawick.platform._events import NodeFailed
+from verbenawick.mesh._settings import MeshSettings, load_mesh_settings
+from verbenawick.platform._events import AddressesUsed, NodeFailed
 from verbenawick.platform._node_server import NodeServer
 from verbenawick.runtime._events import emit
 from verbenawick.runtime._signals import ignore_signals
+from verbenawick.runtime._sockets import is_used
 
 # After start-up few long-lived objects become garbage, so full collections are made
 # rare.
 GC_THRESHOLDS = (20_000, 20, 100)
 SETTINGS_POLL_INTERVAL_S = 1.0
+# Longest wait at the start for a settings file that is still being written, and for
+# addresses that another process or connection uses.
+SETTINGS_WAIT_S = 1.0
+ADDRESS_WAIT_S = 10.0
+START_RETRY_INTERVAL_S = 0.05
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -59,10 +66,6 @@
 def _run(path: Path, output: LogOutput) -> None:
     reload_causes: list[str] = []
     signal.signal(signal.SIGHUP, lambda number, frame: reload_causes.append("signal"))
-    fingerprint = _file_fingerprint(path)
-    settings = load_mesh_settings(path)
-    configure_log_output(output, node_id=settings.node_id, level=settings.log_level)
-    server = NodeServer(settings)
     stop_requested = Event()
 
     def request_stop(number, frame):
@@ -71,6 +74,12 @@
 
     for number in STOP_SIGNALS:
         signal.signal(number, request_stop)
+    fingerprint, settings = _load_complete_settings(path)
+    configure_log_output(output, node_id=settings.node_id, level=settings.log_level)
+    _wait_for_addresses(settings, stop_requested)
+    if stop_requested.ready():
+        return
+    server = NodeServer(settings)
     server.start()
     eventlet.spawn_n(_watch_settings, server, path, reload_causes, fingerprint)
     # A collection first would take a tenth of the processor time of the start, and free
@@ -82,6 +91,33 @@
     server.stop()
 
 
+def _load_complete_settings(path: Path) -> tuple[tuple[int, int], MeshSettings]:
+    """Return the fingerprint of the settings file and the settings."""
+    deadline = monotonic() + SETTINGS_WAIT_S
+    while True:
+        fingerprint = _file_fingerprint(path)
+        try:
+            return fingerprint, load_mesh_settings(path)
+        except SettingsError:
+            if monotonic() >= deadline:
+                raise
+        eventlet.sleep(START_RETRY_INTERVAL_S)
+
+
+def _wait_for_addresses(settings: MeshSettings, stop_requested: Event) -> None:
+    """Wait until the listeners can be opened, a stop is requested, or for some time."""
+    deadline = monotonic() + ADDRESS_WAIT_S
+    is_logged = False
+    while monotonic() < deadline and not stop_requested.ready():
+        used = [a for a in settings.listener_addresses if is_used(a)]
+        if not used:
+            return
+        if not is_logged:
+            is_logged = True
+            emit(AddressesUsed(",".join(used)))
+        eventlet.sleep(START_RETRY_INTERVAL_S)
+
+
 def _watch_settings(
     server: NodeServer,
     path: Path,
--- a/src/verbenawick/platform/_events.py
+++ b/src/verbenawick/platform/_events.py
@@ -52,3 +52,11 @@
     """The process ends because of an error; its exit code is not 0."""
 
     error: str
+
+
+@register_event(759, level="WARNING")
+@dataclass(frozen=True, slots=True)
+class AddressesUsed(Event):
+    """The node waits with its start, since its addresses are in use."""
+
+    addresses: str
--- a/src/verbenawick/runtime/_sockets.py
+++ b/src/verbenawick/runtime/_sockets.py
@@ -7,6 +7,7 @@
 from termios import TIOCOUTQ
 
 import eventlet
+from eventlet.green import socket
 
 from verbenawick.errors import ListenError
 from verbenawick.runtime._events import Event, emit, register_event
@@ -73,6 +74,18 @@
         ) from error
 
 
+def is_used(address: str) -> bool:
+    """Return whether another socket prevents listening on an address."""
+    host, _, port = address.rpartition(":")
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((host, int(port)))
+        except OSError as error:
+            return error.errno == errno.EADDRINUSE
+    return False
+
+
 def accept(sock, *, waits: bool = True):
     """Return the next connection of a listening green socket and its address.
 
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -9,10 +9,15 @@
 from contextlib import suppress
 from pathlib import Path
 from threading import Timer
+from time import sleep
 
 from tests.call_support import free_port
 
 STOP_TIMEOUT_S = 30
+# Longer than the imports of a node take.
+WAIT_S = 0.8
+# An address for documentation, which no machine has.
+FOREIGN_ADDRESS = "192.0.2.1:7000"
 DEPLOY_FILE = Path(__file__).resolve().parent.parent / "deploy" / "system.toml"
 # The daemon patches the standard library on import, so it must not be imported here.
 SCRIPT = """
@@ -103,14 +108,14 @@
 """
 
 
-def write_settings(tmp_path):
+def write_settings(tmp_path, **changes):
     """Write the settings of a node; its store's address refuses connections."""
     names = ("call", "peer", "readiness", "report", "metrics", "store")
     settings = {f"{name}_address": f"127.0.0.1:{free_port()}" for name in names}
     settings |= {"node_id": "n-1", "data_centre": "dc1", "region": "north"}
     settings["upstream"] = {"service": "s", "address": f"127.0.0.1:{free_port()}"}
     path = tmp_path / "node.json5"
-    path.write_text(json.dumps(settings))
+    path.write_text(json.dumps(settings | changes))
     return str(path)
 
 
@@ -143,6 +148,22 @@
     )
 
 
+def started_node(settings_path):
+    """Start a node process whose log lines can be read."""
+    return subprocess.Popen(
+        [sys.executable, "-W", "ignore", "-m", "verbenawick.platform"]
+        + ["--settings", str(settings_path)],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+
+
+def wait_for_start(node):
+    """Read log lines until the node listens on all its addresses."""
+    while "MeshNodeStarted" not in (line := node.stdout.readline()):
+        assert line, "the node ended"
+
+
 def failure_of(run):
     """Return the log line with the error that ended a node."""
     lines = [json.loads(line) for line in run.stdout.splitlines()]
@@ -173,13 +194,51 @@
 
 def test_node_that_ends_by_itself_logs_the_error(tmp_path):
     """Guards against processes that end without a log line."""
-    path = Path(write_settings(tmp_path))
-    address = json.loads(path.read_text())["metrics_address"]
-    host, _, port = address.rpartition(":")
-    with socket.create_server((host, int(port))):
-        run = run_node(path)
+    path = Path(write_settings(tmp_path, metrics_address=FOREIGN_ADDRESS))
+    run = run_node(path)
     assert run.returncode == 1
-    assert address in failure_of(run)["error"]
+    assert FOREIGN_ADDRESS in failure_of(run)["error"]
+
+
+def test_node_waits_for_settings_that_are_being_written(tmp_path):
+    """Guards against a start that ends while the platform writes the settings."""
+    path = Path(write_settings(tmp_path))
+    content = path.read_text()
+    path.write_text(content[: len(content) // 2])
+    with started_node(path) as node:
+        sleep(WAIT_S)
+        path.write_text(content)
+        wait_for_start(node)
+        node.kill()
+
+
+def test_node_waits_for_addresses_in_use(tmp_path):
+    """Guards against a start that ends while connections of others use its ports."""
+    path = Path(write_settings(tmp_path))
+    host, _, port = json.loads(path.read_text())["report_address"].rpartition(":")
+    with (
+        socket.create_server((host, 0)) as server,
+        socket.create_connection(
+            server.getsockname(), source_address=(host, int(port))
+        ) as connection,
+        started_node(path) as node,
+    ):
+        assert "AddressesUsed" in node.stdout.readline()
+        # Closed by the other side first, which then waits in TIME_WAIT.
+        server.accept()[0].close()
+        connection.close()
+        wait_for_start(node)
+        node.kill()
+
+
+def test_node_that_waits_for_addresses_stops_at_once(tmp_path):
+    """Guards against a stop request that is ignored during a wait."""
+    path = Path(write_settings(tmp_path))
+    host, _, port = json.loads(path.read_text())["call_address"].rpartition(":")
+    with socket.create_server((host, int(port))), started_node(path) as node:
+        assert "AddressesUsed" in node.stdout.readline()
+        node.terminate()
+        assert node.wait(timeout=5) == 0
 
 
 def test_node_with_invalid_settings_logs_the_error(tmp_path):
@@ -193,15 +252,8 @@
 
 def test_further_stop_signals_do_not_change_the_exit_code(tmp_path):
     """Guards against a clean stop that looks like a crash."""
-    node = subprocess.Popen(
-        [sys.executable, "-W", "ignore", "-m", "verbenawick.platform"]
-        + ["--settings", write_settings(tmp_path)],
-        stdout=subprocess.PIPE,
-        text=True,
-    )
-    with node:
-        while "MeshNodeStarted" not in node.stdout.readline():
-            assert node.poll() is None
+    with started_node(write_settings(tmp_path)) as node:
+        wait_for_start(node)
         watchdog = Timer(STOP_TIMEOUT_S, node.kill)
         watchdog.start()
         # The end of the interpreter takes some milliseconds.
