Don't reuse channels opened while the upstream's address changes

After a change of the settings callers could see a retry or 503 for requests that the node sent to the upstream at the previous address.

Cause: the generation of a channel was read after its connection was open, so one to the previous address counted as one to the new address.

Evidence: the test failed before (one channel stayed open). Exchanges in progress were not cut before either (test_exchange_in_progress_completes_at_the_previous_address).

--- a/src/verbenawick/mesh/_upstream_channels.py
+++ b/src/verbenawick/mesh/_upstream_channels.py
@@ -457,6 +457,8 @@
 
     def _open(self) -> _Channel:
         self._open_count += 1
+        # The address may change while the channel is being opened.
+        generation = self._generation
         try:
             sock = socket.create_connection(self._target, CONNECT_TIMEOUT_S)
             sock.settimeout(None)
@@ -471,7 +473,7 @@
                 ) from error
             raise
         self._metrics.count(CHANNELS_OPENED)
-        return _Channel(sock, self._generation, self._buffered)
+        return _Channel(sock, generation, self._buffered)
 
     def _release(self, channel: _Channel, answer: RawAnswer | None) -> None:
         channel.reader.free_body()
--- a/tests/test_mesh_upstream_channels.py
+++ b/tests/test_mesh_upstream_channels.py
@@ -365,6 +365,16 @@
         self.assertEqual(b"a", thread.wait().body)
         self.assertEqual(0, self.channels.open_count)
 
+    def test_channel_that_opens_during_a_change_of_address_is_not_reused(self):
+        """Guards against requests that reach the upstream at the previous address."""
+        self.script(["request", answer("q1", b"a"), 1.0])
+        with slow_connections(0.1):
+            thread = eventlet.spawn(self.exchange, "q1")
+            eventlet.sleep(0.05)
+            self.channels.change_address("127.0.0.1:1")
+            self.assertEqual(b"a", thread.wait().body)
+        self.assertEqual(0, self.channels.open_count)
+
     def test_request_is_sent_unchanged(self):
         """Method, target, headers and body reach the upstream as given."""
         self.script(["request", answer("q1", b""), 1.0])
