--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -35,6 +35,7 @@
 )
 from verbenawick.mesh._node_events import (
     ConfigurationInForce,
+    LeaveNotKept,
     MeshNodeStarted,
     MeshNodeStopped,
     MeshNodeStopping,
@@ -62,8 +63,11 @@
 from verbenawick.runtime._metrics import MetricSet
 
 INCARNATION_BITS = 48
-# Nodes on the same site accept in milliseconds; a VM that is powered off never does.
+# Time for which calls wait for a link. Nodes on the same site accept in milliseconds; a
+# VM that is powered off never does.
 DIAL_TIMEOUT_S = 0.5
+# Time for which a connector waits for a link, which takes two round trips.
+CONNECT_TIMEOUT_S = 1.5
 SILENCE_CHECK_INTERVAL_S = 0.15
 # A delay of this length at a node makes its peers ping it.
 STALL_LOGGED_S = 0.25
@@ -75,6 +79,8 @@
 # Longest wait for the record of a leave before it is acknowledged. An upstream expects
 # the acknowledgement within 1 s.
 LEAVE_STORED_TIMEOUT_S = 0.6
+# Longest wait for a peer that knows the leave if the store does not.
+LEAVE_RECEIPT_TIMEOUT_S = 0.25
 # Timeout for answering and delivering the last messages of the links during shutdown.
 # A message can wait for most of a second in the queue of a full link.
 LINK_FINISH_TIMEOUT_S = 1.5
@@ -163,6 +169,7 @@
             clock=self.clock,
             metrics=self.metrics,
             dial_timeout_s=DIAL_TIMEOUT_S,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
             ping_interval_s=IDLE_PING_INTERVAL_S,
             on_link_open=self._on_link_open,
             # Traffic inside a data centre is free, so it is not compressed.
@@ -189,7 +196,9 @@
             on_crash=self._on_crash,
             observe=self.metrics_page.observe_upstream,
         )
-        self._connectors = PeerConnectors(self.links, random=self.random)
+        self._connectors = PeerConnectors(
+            self.links, random=self.random, opening_timeout_s=DIAL_TIMEOUT_S
+        )
         self.standing_links = StandingLinks(
             self._connectors, node_id=settings.node_id, endpoints=self.endpoints
         )
@@ -404,15 +413,22 @@
         self._connectors.close()
         self.links.close()
 
-    def store_leave(self) -> None:
-        """Wait until the record says that the upstream is leaving, if it is.
+    def keep_leave(self) -> bool:
+        """Return whether others know that the upstream is leaving, if it is.
 
-        Without the record, a process that is started after this one was killed would
-        send requests to the upstream again. If the store is unavailable, the wait ends
-        after `LEAVE_STORED_TIMEOUT_S`.
+        Otherwise, a process that is started after this one was killed would send
+        requests to the upstream again. Waits until the record says so or, after
+        `LEAVE_STORED_TIMEOUT_S` without the store, until a peer knows it.
         """
-        if self.upstream.is_leaving:
-            self._publisher.flush(timeout_s=LEAVE_STORED_TIMEOUT_S)
+        if not self.upstream.is_leaving:
+            return True
+        if self._publisher.flush(timeout_s=LEAVE_STORED_TIMEOUT_S):
+            return True
+        self._notify_state()
+        if self.links.await_any_receipt(timeout_s=LEAVE_RECEIPT_TIMEOUT_S):
+            return True
+        emit(LeaveNotKept(self.upstream.upstream_id, self.upstream.born_ms))
+        return False
 
     def reload(self, settings: MeshSettings, *, cause: str) -> None:
         """Apply the changed settings that do not require a restart."""
