--- a/src/verbenawick/links/_call_links.py
+++ b/src/verbenawick/links/_call_links.py
@@ -149,9 +149,7 @@
     Parameters
     ----------
     dial_timeout_s : float
-        Timeout for opening a link that a request waits for.
-    connect_timeout_s : float
-        Timeout for opening a link in `connect`; by default `dial_timeout_s`.
+        Timeout for opening a link.
     on_link_open : callable
         Called with each new link, dialled or accepted.
     is_compressed_to : callable
@@ -166,13 +164,11 @@
         metrics: MetricSet,
         delay_for: Callable[[str], float] = lambda ip: 0.0,
         dial_timeout_s: float = DIAL_TIMEOUT_S,
-        connect_timeout_s: float = 0.0,
         ping_interval_s: float = PING_INTERVAL_S,
         on_link_open: Callable[[Link], None] = lambda link: None,
         is_compressed_to: Callable[[Member], bool] = lambda member: False,
     ):
         self._dial_timeout_s = dial_timeout_s
-        self._connect_timeout_s = connect_timeout_s
         self._ping_interval_s = ping_interval_s
         self._on_link_open = on_link_open
         self._is_compressed_to = is_compressed_to
@@ -227,8 +223,7 @@
         LinkClosedError
             The node is currently unreachable.
         """
-        timeout_s = self._connect_timeout_s or self._dial_timeout_s
-        self._link_to(member, self._clock.now() + timeout_s)
+        self._link_to(member, self._clock.now() + self._dial_timeout_s)
 
     def is_connected(self, member: Member) -> bool:
         """Return whether a dialled link to `member` is open.
@@ -403,9 +398,7 @@
             Whether to raise `PeerSilentError` when `check_silence` finds the peer to be
             silent. The request is then still pending.
         """
-        link = self._link_to(
-            member, min(deadline, self._clock.now() + self._dial_timeout_s)
-        )
+        link = self._link_to(member, deadline)
         pending = PendingRequest(link, message, self._clock.now(), reports_silence)
         self._pending_by_call_id[message.call_id] = pending
         try:
@@ -619,7 +612,7 @@
             # has ended.
             peer.closed.send(True)
         peer.link = None
-        timeout_s = deadline - now
+        timeout_s = min(self._dial_timeout_s, deadline - now)
         if timeout_s <= 0:
             raise LinkClosedError(
                 "deadline passed while the link was being opened",
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -63,11 +63,8 @@
 from verbenawick.runtime._metrics import MetricSet
 
 INCARNATION_BITS = 48
-# Time for which calls wait for a link. Nodes on the same site accept in milliseconds; a
-# VM that is powered off never does.
+# Nodes on the same site accept in milliseconds; a VM that is powered off never does.
 DIAL_TIMEOUT_S = 0.5
-# Time for which a connector waits for a link, which takes two round trips.
-CONNECT_TIMEOUT_S = 1.5
 SILENCE_CHECK_INTERVAL_S = 0.15
 # A delay of this length at a node makes its peers ping it.
 STALL_LOGGED_S = 0.25
@@ -169,7 +166,6 @@
             clock=self.clock,
             metrics=self.metrics,
             dial_timeout_s=DIAL_TIMEOUT_S,
-            connect_timeout_s=CONNECT_TIMEOUT_S,
             ping_interval_s=IDLE_PING_INTERVAL_S,
             on_link_open=self._on_link_open,
             # Traffic inside a data centre is free, so it is not compressed.
@@ -196,9 +192,7 @@
             on_crash=self._on_crash,
             observe=self.metrics_page.observe_upstream,
         )
-        self._connectors = PeerConnectors(
-            self.links, random=self.random, opening_timeout_s=DIAL_TIMEOUT_S
-        )
+        self._connectors = PeerConnectors(self.links, random=self.random)
         self.standing_links = StandingLinks(
             self._connectors, node_id=settings.node_id, endpoints=self.endpoints
         )
--- a/src/verbenawick/mesh/_peer_connectors.py
+++ b/src/verbenawick/mesh/_peer_connectors.py
@@ -1,6 +1,5 @@
 """Tasks that keep links to other nodes open, so that calls need not dial."""
 
-import math
 from random import Random
 
 import eventlet
@@ -17,19 +16,10 @@
 
 
 class PeerConnectors:
-    """Runs one task per node, which redials with exponential backoff.
+    """Runs one task per node, which redials with exponential backoff."""
 
-    Parameters
-    ----------
-    opening_timeout_s : float
-        Time after which calls no longer wait for a first dial, which goes on.
-    """
-
-    def __init__(
-        self, links: CallLinks, *, random: Random, opening_timeout_s: float = math.inf
-    ):
+    def __init__(self, links: CallLinks, *, random: Random):
         self._links = links
-        self._opening_timeout_s = opening_timeout_s
         self._random = random
         self._tasks_by_node_id: dict[str, tuple[str, object]] = {}
         self._first_dials_by_node_id: dict[str, Event] = {}
@@ -49,15 +39,11 @@
             # caller makes.
             eventlet.spawn_n(task.kill)
         first_dial = self._first_dials_by_node_id[member.node_id] = Event()
-        if self._opening_timeout_s < math.inf:
-            eventlet.spawn_after(
-                self._opening_timeout_s, self._end_first_dial, first_dial
-            )
         task = eventlet.spawn(self._maintain_link, member, first_dial)
         self._tasks_by_node_id[member.node_id] = (member.peer_address, task)
 
     def wait_for_first_dial(self, node_id: str, *, timeout_s: float) -> None:
-        """Wait until a first dial has succeeded, failed or taken too long."""
+        """Wait until the first dial of a connector has succeeded or failed."""
         first_dial = self._first_dials_by_node_id.get(node_id)
         if first_dial is not None:
             first_dial.wait(timeout=timeout_s)
@@ -69,8 +55,7 @@
     def is_opening(self, node_id: str) -> bool:
         """Return whether the first dial of a connector is in progress.
 
-        False during further dials, and if the first one takes long, since the node is
-        then probably down.
+        False during further dials, since the node is then probably down.
         """
         first_dial = self._first_dials_by_node_id.get(node_id)
         return first_dial is not None and not first_dial.ready()
