Let the call in flight of a test outlast the stop's grace, however long that takes

Cause, in the test: its call took 0.15 s, and the stop had to begin before that, after another caller's call. Otherwise the answer is written before the stop and rightly does not announce the close.

The call now ends only when the late one has been answered.

--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -2,10 +2,12 @@
 
 import time
 from dataclasses import replace
+from functools import partial
 from http.client import HTTPException, parse_headers
 
 import eventlet
 from eventlet import patcher
+from eventlet.event import Event
 from eventlet.green import socket
 from testtools import TestCase
 
@@ -606,7 +608,16 @@
     def test_a_stop_interrupts_no_call(self):
         """Calls in flight finish, and new ones are served in the grace period only."""
         self.start()
-        self.caller.send("GET", "/a?delay_ms=150")
+        late_answered = Event()
+
+        def respond_last(respond, environ, *rest):
+            if environ["PATH_INFO"] == "/last":
+                late_answered.wait()
+            return respond(environ, *rest)
+
+        for upstream in self.mesh.upstreams:
+            upstream._respond = partial(respond_last, upstream._respond)
+        self.caller.send("GET", "/last")
         wait_until(lambda: any(u.running for u in self.mesh.upstreams))
         idle = self.new_caller()
         idle.call("GET", "/a")
@@ -614,6 +625,8 @@
         eventlet.sleep(0)
         late = self.new_caller().call("GET", "/a")
         self.assertEqual((200, "close"), (late.status, late.headers["Connection"]))
+        self.assertFalse(stop.dead)
+        late_answered.send()
         response = self.caller.receive()
         self.assertEqual((200, 200), (response.status, len(response.body)))
         self.assertEqual("close", response.headers["Connection"])
