Deliver the last answers while slow links take them

Callers got 502 for requests that had been answered when the answer still waited in the queue of a slow link: a stopping node closed its links 1.5 s after its last call at the latest, and discarded their queues, although its grace had not ended. The limit exists for peers that do not respond.

The limit now holds only while the peers acknowledge nothing of what is sent to them; otherwise the node waits for as long as its grace allows. The kernel is asked for that each 0.1 s. The bytes in the queue of a link count as unsent until the kernel has taken them, not only until the writer has begun with them.

A second test shows that a peer that takes nothing still ends the wait.

The project's own interface has the same limit and uses the same wait.

--- a/src/verbenawick/links/_call_links.py
+++ b/src/verbenawick/links/_call_links.py
@@ -1,5 +1,6 @@
 """Pool of call links to other nodes, which matches answers with requests."""
 
+import math
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
@@ -37,6 +38,8 @@
 DIAL_TIMEOUT_S = 1.0
 
 FINISH_POLL_INTERVAL_S = 0.01
+# Interval at which a stopping node asks the kernel what its peers have acknowledged.
+DELIVERY_CHECK_INTERVAL_S = 0.1
 
 # A peer with pending requests that sends nothing for this long is pinged.
 PROBE_AFTER_S = 0.25
@@ -116,6 +119,40 @@
     unsent_bytes: int
 
 
+class _Delivery:
+    """Delivery of the last messages on the links of a stopping node."""
+
+    def __init__(
+        self, links: set[Link], clock: Clock, timeout_s: float, idle_timeout_s: float
+    ):
+        self._links = links
+        self._clock = clock
+        self._deadline = clock.now() + timeout_s
+        self._idle_timeout_s = idle_timeout_s
+        self._idle_since = clock.now()
+        self._next_check_at = clock.now() + DELIVERY_CHECK_INTERVAL_S
+        # Acknowledged bytes of the links with unacknowledged ones.
+        self._acknowledged_by_link: dict[Link, int] = {}
+
+    def continues(self) -> bool:
+        """Return whether to wait longer for the peers."""
+        now = self._clock.now()
+        if now >= self._next_check_at:
+            self._next_check_at = now + DELIVERY_CHECK_INTERVAL_S
+            self._check(now)
+        return now < min(self._deadline, self._idle_since + self._idle_timeout_s)
+
+    def _check(self, now: float) -> None:
+        if any(
+            link.acknowledged_bytes > earlier
+            for link, earlier in self._acknowledged_by_link.items()
+        ):
+            self._idle_since = now
+        self._acknowledged_by_link = {
+            link: link.acknowledged_bytes for link in self._links if link.unsent_bytes
+        }
+
+
 def _is_cancellable(message: Message) -> bool:
     # The owner of an idempotency key continues until the deadline: a recorded response
     # can answer a retry, while a cancelled execution has an unknown outcome.
@@ -430,16 +467,23 @@
         if self._pending_by_call_id.pop(pending.message.call_id, None) is not None:
             self._send_cancel(pending.link, pending.message)
 
-    def finish(self, *, timeout_s: float) -> None:
+    def finish(self, *, timeout_s: float, idle_timeout_s: float = math.inf) -> None:
         """Close all links once the messages of both directions have been handled.
 
         No more links are dialled from then on, since the close would wait for them too.
         Call it when this node has told the others that it accepts no more requests.
         The pong to a ping follows all requests that a peer sent before it read that,
         so they are still answered.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait.
+        idle_timeout_s : float
+            Longest wait in which the peers acknowledge nothing of what is sent to them.
         """
         self._is_finishing = True
-        deadline = self._clock.now() + timeout_s
+        delivery = _Delivery(self._links, self._clock, timeout_s, idle_timeout_s)
         for link in list(self._links):
             with suppress(LinkClosedError, LinkOverflowError):
                 link.ping()
@@ -448,15 +492,16 @@
                 not self._running
                 and not any(link.has_unanswered_ping for link in self._links)
             ),
-            deadline,
+            delivery,
         )
         for link in list(self._links):
             link.finish()
-        self._wait_until(lambda: not self._links, deadline)
+        self._wait_until(lambda: not self._links, delivery)
         self.close()
 
-    def _wait_until(self, condition: Callable[[], bool], deadline: float) -> None:
-        while not condition() and self._clock.now() < deadline:
+    @staticmethod
+    def _wait_until(condition: Callable[[], bool], delivery: _Delivery) -> None:
+        while not condition() and delivery.continues():
             eventlet.sleep(FINISH_POLL_INTERVAL_S)
 
     def close(self) -> None:
--- a/src/verbenawick/links/_links.py
+++ b/src/verbenawick/links/_links.py
@@ -221,6 +221,13 @@
             return 0
         return self._send_queue_bytes + unacknowledged_bytes(self._sock)
 
+    @property
+    def acknowledged_bytes(self) -> int:
+        """Bytes that were sent and that the peer has acknowledged."""
+        if not self.is_open:
+            return self.bytes_sent
+        return self.bytes_sent - unacknowledged_bytes(self._sock)
+
     @property
     def last_received_at(self) -> float:
         """Time on the monotonic clock at which data was last received."""
@@ -429,9 +436,7 @@
                 wait_s = send_at - self._clock.now()
                 if wait_s > 0:
                     eventlet.sleep(wait_s)
-                self._send_queue_bytes -= len(data)
-                self._sock.sendall(data)
-                self.bytes_sent += len(data)
+                self._send_all(memoryview(data))
             if self._is_finishing:
                 self._end_sending()
         except OSError as error:
@@ -439,6 +444,13 @@
         finally:
             self._is_writing = False
 
+    def _send_all(self, data: memoryview) -> None:
+        while data:
+            sent = self._sock.send(data)
+            self.bytes_sent += sent
+            self._send_queue_bytes -= sent
+            data = data[sent:]
+
 
 def dial_link(
     address: str,
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -75,9 +75,9 @@
 # Longest wait for the record of a leave before it is acknowledged. An upstream expects
 # the acknowledgement within 1 s.
 LEAVE_STORED_TIMEOUT_S = 0.6
-# Timeout for answering and delivering the last messages of the links during shutdown.
-# A message can wait for most of a second in the queue of a full link.
-LINK_FINISH_TIMEOUT_S = 1.5
+# Longest wait during shutdown for peers that take none of the last messages of their
+# links. A message can wait for most of a second in the queue of a full link.
+LINK_IDLE_TIMEOUT_S = 1.5
 # Part of the stop grace period that is reserved for closing sockets before the platform
 # kills the process.
 STOP_MARGIN_S = 0.5
@@ -389,8 +389,8 @@
         # Otherwise other nodes would open new links while the last ones are closed.
         self._link_server.stop()
         self._connectors.close()
-        left_s = max(min(deadline - self.clock.now(), LINK_FINISH_TIMEOUT_S), 0.0)
-        self.links.finish(timeout_s=left_s)
+        left_s = max(deadline - self.clock.now(), 0.0)
+        self.links.finish(timeout_s=left_s, idle_timeout_s=LINK_IDLE_TIMEOUT_S)
         self.close()
         all_calls_ended = all_calls_ended and not self.gateway.in_flight
         emit(MeshNodeStopped(all_calls_ended))
--- a/src/verbenawick/node/_node.py
+++ b/src/verbenawick/node/_node.py
@@ -53,8 +53,8 @@
 CLAIM_POLL_INTERVAL_S = 0.02
 # Delay before sockets are closed, so that the last messages are sent.
 CLOSE_DELAY_S = 0.3
-# Timeout for answering and delivering the last messages of the call links.
-LINK_FINISH_TIMEOUT_S = 1.5
+# Longest wait for peers that take none of the last messages of their call links.
+LINK_IDLE_TIMEOUT_S = 1.5
 MAX_ADMIN_CONNECTIONS = 16
 HEALTH_REPORT_INTERVAL_S = 0.5
 
@@ -408,7 +408,9 @@
         eventlet.sleep(CLOSE_DELAY_S)
         self.probe.stop()
         self.links.stop()
-        self.call_links.finish(timeout_s=LINK_FINISH_TIMEOUT_S)
+        self.call_links.finish(
+            timeout_s=timing.longest_call_s, idle_timeout_s=LINK_IDLE_TIMEOUT_S
+        )
         self.tracer.shutdown()
         emit(NodeStopped(self.settings.node_id, all_ended, handed_over))
 
--- a/tests/test_call_links.py
+++ b/tests/test_call_links.py
@@ -4,6 +4,7 @@
 from unittest.mock import patch
 
 import eventlet
+from eventlet.green import socket
 from testtools import TestCase
 
 from tests.call_support import free_port, member, wait_until
@@ -23,6 +24,7 @@
 
 SHORT_PING_INTERVAL_S = 0.05
 RECEIVED_BYTES = 1000
+LINK_BUFFER_BYTES = 65_536
 
 
 @register_message(9101)
@@ -297,6 +299,24 @@
         self.finish_server()
         self.assertEqual("last", thread.wait().text)
 
+    def test_finish_delivers_answers_while_a_slow_link_takes_them(self):
+        """Guards against cutting the answers of a stopping node at a fixed time."""
+        proxy = SilentProxy(self.peer.peer_address)
+        self.addCleanup(proxy.close)
+        self.peer = replace(self.peer, peer_address=proxy.address)
+        self.answer_with(lambda peer, message, at: Reply(message.call_id, message.text))
+        self.request()
+        link = next(iter(self.server._links))
+        link._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, LINK_BUFFER_BYTES)
+        for sock in proxy._sockets:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, LINK_BUFFER_BYTES)
+        text = "x" * 30 * LINK_BUFFER_BYTES
+        thread = eventlet.spawn(self.request, Question(next_call_id(), text), 10)
+        wait_until(lambda: link._send_queue_bytes)
+        proxy.delay_s = 0.05
+        self.server.finish(timeout_s=8.0, idle_timeout_s=0.5)
+        self.assertEqual(text, thread.wait().text)
+
     def test_finish_ends_early_unless_a_peer_does_not_respond(self):
         """Guards against a stop that always takes its whole timeout."""
         self.answer_with(lambda peer, message, at: Reply(message.call_id))
@@ -325,6 +345,15 @@
         self.assertGreaterEqual(self.finish_server(), 2.0)
         wait_until(lambda: not self.server._links)
 
+    def test_finish_waits_no_longer_for_a_peer_that_takes_nothing(self):
+        """Guards against a stop that uses its whole grace for a node that hangs."""
+        self.answer_with(lambda peer, message, at: Reply(message.call_id))
+        self.request()
+        self.client.dialled_links()[0]._is_finishing = True
+        with eventlet.Timeout(2.0):
+            self.server.finish(timeout_s=8.0, idle_timeout_s=0.5)
+        wait_until(lambda: not self.server._links)
+
 
 class UnansweredPingTest(CallLinksTestCase):
     """Links whose peer answers no pings for several intervals, as when it is paused."""
