Give up opening a channel before the deadline of its call

The attempt now ends as early before the deadline as a wait for a slot (0.05 s), but is given 0.05 s at least, since a busy process sees a connection late.

The new test fills the queue of a listener: the attempt ended 0.6 s after the deadline before, and before the deadline after.

The gateway of the project's own interface still connects for up to 1 s.

--- a/src/verbenawick/mesh/_slot_queue.py
+++ b/src/verbenawick/mesh/_slot_queue.py
@@ -29,7 +29,7 @@
 # A queued call is granted a slot only if at least this fraction of the average service
 # time is left before the deadline.
 MIN_SERVICE_SHARE_LEFT = 0.5
-# Least time before its deadline at which a queued call is refused. Covers two transits
+# Least time before its deadline at which a waiting call is refused. Covers two transits
 # between regions and the delays of both processes, after which its entry gives up.
 REFUSAL_MARGIN_S = 0.05
 # Maximum queue length, in calls per slot.
--- a/src/verbenawick/mesh/_upstream_channels.py
+++ b/src/verbenawick/mesh/_upstream_channels.py
@@ -30,6 +30,7 @@
 )
 from verbenawick.links._call_messages import MAX_MESSAGE_BODY_BYTES
 from verbenawick.mesh._model import Headers
+from verbenawick.mesh._slot_queue import REFUSAL_MARGIN_S
 from verbenawick.runtime._clock import Clock
 from verbenawick.runtime._concurrent_send import ConcurrentSend, sending
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
@@ -40,6 +41,8 @@
 RECEIVE_BUFFER_BYTES = 32_768
 # Connecting takes about 1 ms, since the upstream is on the same VM.
 CONNECT_TIMEOUT_S = 1.0
+# Least timeout, also close to the deadline, since a busy process is late itself.
+MIN_CONNECT_TIMEOUT_S = 0.05
 # Limits on what one exchange may receive, so that no upstream can fill the memory. A
 # body has to fit into a message between nodes.
 MAX_BODY_BYTES = MAX_MESSAGE_BODY_BYTES
@@ -433,9 +436,12 @@
                 step="upstream.connect",
                 peer=self._address,
             )
-        channel = self._open()
+        left_s = deadline - REFUSAL_MARGIN_S - self._clock.now()
+        channel = self._open(
+            timeout_s=min(max(left_s, MIN_CONNECT_TIMEOUT_S), CONNECT_TIMEOUT_S)
+        )
         try:
-            # Opening a channel can take up to a second.
+            # Another green thread can delay this one past the deadline.
             self._check_deadline(deadline)
         except DeadlineUnreachableError:
             self._discard(channel)
@@ -455,10 +461,10 @@
         channel.reader.start_exchange()
         return channel
 
-    def _open(self) -> _Channel:
+    def _open(self, *, timeout_s: float) -> _Channel:
         self._open_count += 1
         try:
-            sock = socket.create_connection(self._target, CONNECT_TIMEOUT_S)
+            sock = socket.create_connection(self._target, timeout_s)
             sock.settimeout(None)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except BaseException as error:
--- a/tests/test_mesh_upstream_channels.py
+++ b/tests/test_mesh_upstream_channels.py
@@ -345,6 +345,19 @@
         eventlet.sleep(0.05)
         self.assertEqual(1, len(self.requests))
 
+    def test_channel_that_does_not_open_is_given_up_before_the_deadline(self):
+        """Guards against 504 for requests that were never sent."""
+        full = eventlet.listen(("127.0.0.1", 0), backlog=0)
+        self.addCleanup(full.close)
+        address = full.getsockname()
+        # Takes the only place for a connection that is not accepted.
+        self.addCleanup(socket.create_connection(address).close)
+        self.channels = self.channels_to(f"127.0.0.1:{address[1]}")
+        deadline = self.clock.now() + 0.4
+        self.assertRaises(UpstreamUnreachableError, self.exchange, deadline=deadline)
+        self.assertLess(self.clock.now(), deadline)
+        self.assertEqual(0, self.channels.open_count)
+
     def test_changed_address_closes_idle_channels(self):
         """A channel to the previous address would reach a different upstream."""
         self.script(["request", answer("q1", b"a"), "request", 1.0])
