Do not take a caller that receives a slow answer for idle

Callers that took longer than the idle timeout to receive an answer found their connection closed after it, and a request that they had sent meanwhile was closed unread.

The idle time was counted from the moment at which the last byte was written to the kernel, which may hold megabytes that the caller has not received.

At the idle timeout, a connection whose answer is not acknowledged is now waited on once more, as long as the caller received some of it since the timeout before.

Evidence: the test failed before (end of the connection in place of the answer).

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -427,16 +427,23 @@
         return line
 
     def _read_line_before_timeout(self):
-        try:
-            return super()._read_request_line()
-        except TimeoutError:
-            # After a standstill of the process, the hub fires its timers before it
-            # looks for bytes that have arrived.
-            if self._unread_bytes() or not is_readable(self.connection.fileno()):
-                raise
-        # The stream refuses to be read after a timeout.
-        self.rfile = self.connection.makefile("rb", self.rbufsize)
-        return super()._read_request_line()
+        unreceived_bytes = math.inf
+        while True:
+            try:
+                return super()._read_request_line()
+            except TimeoutError:
+                left_bytes = unacknowledged_bytes(self.connection)
+                # The caller is not idle while it receives the last response. After a
+                # standstill of the process, the hub fires its timers before it looks
+                # for bytes that have arrived.
+                is_idle = not 0 < left_bytes < unreceived_bytes and not is_readable(
+                    self.connection.fileno()
+                )
+                if is_idle or self._unread_bytes():
+                    raise
+            unreceived_bytes = left_bytes
+            # The stream refuses to be read after a timeout.
+            self.rfile = self.connection.makefile("rb", self.rbufsize)
 
     def parse_request(self) -> bool:
         """Parse the request head that begins with ``raw_requestline``.
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -239,13 +239,28 @@
 
     def test_a_request_that_crosses_an_idle_close_does_not_reset_the_answer(self):
         """Guards against a reset that discards an answer still being received."""
-        self.idle_timeout_s = 0.2
+        self.idle_timeout_s = LINGER_S / 10
         sock = self.request_buffered(request("/buffered"))
-        eventlet.sleep(2 * self.idle_timeout_s)
+        # Some timeouts find that the kernel has received bytes, which nobody reads.
+        eventlet.sleep(6 * self.idle_timeout_s)
         sock.sendall(request("/2"))
         self.assert_buffered_body_follows(sock)
         self.assertEqual(["/buffered"], self.application.paths)
 
+    def test_a_caller_that_receives_a_slow_answer_is_not_idle(self):
+        """Guards against closing a connection before its answer was received."""
+        self.idle_timeout_s = 0.2
+        sock = self.request_buffered(request("/buffered"))
+        received = b""
+        with eventlet.Timeout(10):
+            # Takes four times as long as the idle timeout.
+            while len(received) < len(BUFFERED_BODY):
+                received += sock.recv(len(BUFFERED_BODY) // 20)
+                eventlet.sleep(self.idle_timeout_s / 5)
+            sock.sendall(request("/2"))
+            received += sock.recv(65_536)
+        self.assertTrue(received.endswith(b"/2"))
+
     def test_a_request_that_crosses_the_close_does_not_reset_a_slow_answer(self):
         """Guards against a reset while the caller still receives the last answer."""
         self.start_stop()
