Do not reset the answer of a caller that sends a line break behind its request

Some clients send a line break after a body that is not part of it. If their request asked for the close of the connection, a large answer was cut.

The connection was closed in both directions as soon as the answer had been written to the kernel, so the line break, which was unread or arrived later, reset it, and the reset discards what the caller has not received. Such a connection is now received from as well while its answer is not acknowledged.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -38,8 +38,8 @@
 LINGER_S = 1.0
 # Ends at which the caller may still be sending.
 LINGERING_CAUSES = frozenset({EndCause.ANNOUNCED, EndCause.INVALID})
-# Ends that the caller does not expect while it receives the last response.
-UNEXPECTED_CAUSES = frozenset({EndCause.IDLE, EndCause.STOPPED})
+# Ends at which the caller may still receive the last response.
+RECEIVING_CAUSES = frozenset({EndCause.CALLER_ASKED, EndCause.IDLE, EndCause.STOPPED})
 
 # Status that an application gives to a request whose caller has closed the connection.
 CALLER_LEFT_STATUS = "499 Caller Closed"
@@ -272,7 +272,7 @@
             # The caller may read the response only after it has sent the body.
             return math.inf
         lingers = self._end_cause in LINGERING_CAUSES or (
-            self._end_cause in UNEXPECTED_CAUSES
+            self._end_cause in RECEIVING_CAUSES
             and unacknowledged_bytes(self.connection) > 0
         )
         return MAX_DISCARDED_BYTES if lingers else 0
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -97,7 +97,8 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         sock.connect(self.address)
         sock.sendall(request_bytes)
-        wait_until(lambda: any(c._responses for c in self.server._connections))
+        wait_until(lambda: self.application.paths)
+        eventlet.sleep(2 * CALL_S)
         return sock
 
     def assert_buffered_body_follows(self, sock):
@@ -247,6 +248,15 @@
         self.assert_buffered_body_follows(sock)
         self.assertEqual(["/buffered"], self.application.paths)
 
+    def test_an_empty_line_after_the_last_request_does_not_reset_the_answer(self):
+        """Guards against a reset by clients that end a body with a line break."""
+        asking = request("/buffered").replace(
+            b"Host: a", b"Host: a\r\nConnection: close"
+        )
+        sock = self.request_buffered(asking)
+        sock.sendall(b"\r\n")
+        self.assert_buffered_body_follows(sock)
+
     def test_a_caller_that_receives_a_slow_answer_is_not_idle(self):
         """Guards against closing a connection before its answer was received."""
         self.idle_timeout_s = 0.2
