--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -38,8 +38,8 @@
 LINGER_S = 1.0
 # Ends at which the caller may still be sending.
 LINGERING_CAUSES = frozenset({EndCause.ANNOUNCED, EndCause.INVALID})
-# Ends that the caller does not expect while it receives the last response.
-UNEXPECTED_CAUSES = frozenset({EndCause.IDLE, EndCause.STOPPED})
+# Ends at which the caller may still receive the last response.
+RECEIVING_CAUSES = frozenset({EndCause.CALLER_ASKED, EndCause.IDLE, EndCause.STOPPED})
 
 # Status that an application gives to a request whose caller has closed the connection.
 CALLER_LEFT_STATUS = "499 Caller Closed"
@@ -272,7 +272,7 @@
             # The caller may read the response only after it has sent the body.
             return math.inf
         lingers = self._end_cause in LINGERING_CAUSES or (
-            self._end_cause in UNEXPECTED_CAUSES
+            self._end_cause in RECEIVING_CAUSES
             and unacknowledged_bytes(self.connection) > 0
         )
         return MAX_DISCARDED_BYTES if lingers else 0
@@ -427,16 +427,23 @@
         return line
 
     def _read_line_before_timeout(self):
-        try:
-            return super()._read_request_line()
-        except TimeoutError:
-            # After a standstill of the process, the hub fires its timers before it
-            # looks for bytes that have arrived.
-            if self._unread_bytes() or not is_readable(self.connection.fileno()):
-                raise
-        # The stream refuses to be read after a timeout.
-        self.rfile = self.connection.makefile("rb", self.rbufsize)
-        return super()._read_request_line()
+        unreceived_bytes = math.inf
+        while True:
+            try:
+                return super()._read_request_line()
+            except TimeoutError:
+                left_bytes = unacknowledged_bytes(self.connection)
+                # The caller is not idle while it receives the last response. After a
+                # standstill of the process, the hub fires its timers before it looks
+                # for bytes that have arrived.
+                is_idle = not 0 < left_bytes < unreceived_bytes and not is_readable(
+                    self.connection.fileno()
+                )
+                if is_idle or self._unread_bytes():
+                    raise
+            unreceived_bytes = left_bytes
+            # The stream refuses to be read after a timeout.
+            self.rfile = self.connection.makefile("rb", self.rbufsize)
 
     def parse_request(self) -> bool:
         """Parse the request head that begins with ``raw_requestline``.
