Stop a node of the own interface gracefully on SIGHUP

Callers lost their connections and the answers to calls in progress when a node got SIGHUP, for example as its terminal was closed.

Cause: only SIGTERM and SIGINT had handlers; the default action of SIGHUP ends the process. A node that was started with SIGHUP ignored still ignores it.

Evidence: test_hangup_stops_a_node_cleanly failed before with exit code -1. The node reads its settings only at its start, so there is nothing to reload.

--- a/src/verbenawick/node/_daemon.py
+++ b/src/verbenawick/node/_daemon.py
@@ -18,11 +18,11 @@
 # A full collection traverses all long-lived objects, few of which become garbage after
 # start-up, so it runs rarely. The younger generations are collected more often.
 GC_THRESHOLDS = (5_000, 20, 100)
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 def run_node(path: Path) -> int:
-    """Run a node until SIGTERM or SIGINT; return the exit code.
+    """Run a node until SIGTERM, SIGINT or SIGHUP; return the exit code.
 
     Parameters
     ----------
@@ -44,7 +44,12 @@
             stop_signal.send(number)
 
     for number in STOP_SIGNALS:
-        signal.signal(number, on_signal)
+        # `nohup` starts a node that outlives its terminal.
+        is_nohup = number is signal.SIGHUP and (
+            signal.getsignal(number) is signal.SIG_IGN
+        )
+        if not is_nohup:
+            signal.signal(number, on_signal)
     node.start()
     gc.collect()
     gc.freeze()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -107,3 +107,31 @@
                 log = (deployment.folder / f"node-{vm.node_id}.log").read_text()
                 self.assertNotIn("Traceback", log)
                 self.assertNotIn(" ERROR ", log)
+
+    def is_up(self, vm):
+        try:
+            self.http.request("GET", f"http://{vm.admin_address}/status")
+        except HTTPError:
+            return False
+        return True
+
+    def test_hangup_stops_a_node_cleanly(self):
+        """Guards against calls that are cut off when a terminal is closed."""
+        with run_deployment(PLAN) as deployment:
+            vm = deployment.vms[0]
+            deployment.start_node(vm)
+            self.wait_until(lambda: self.is_up(vm))
+            deployment.signal(f"node:{vm.node_id}", signal.SIGHUP)
+            self.assertEqual(0, deployment.wait(f"node:{vm.node_id}"))
+
+    def test_node_started_with_nohup_ignores_a_hangup(self):
+        """Guards against nodes that end with the terminal that started them."""
+        earlier = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        self.addCleanup(signal.signal, signal.SIGHUP, earlier)
+        with run_deployment(PLAN) as deployment:
+            vm = deployment.vms[0]
+            deployment.start_node(vm)
+            self.wait_until(lambda: self.is_up(vm))
+            deployment.signal(f"node:{vm.node_id}", signal.SIGHUP)
+            time.sleep(1)
+            self.assertTrue(self.is_up(vm))
