Follow the clock of a peer that falls behind

Callers saw 504 for requests at which the upstream was at work, long before their timeout, on nodes whose VM's clock had fallen behind that of the upstream's VM: slewed by NTP, unsynchronised for hours, or stopped in a pause of the VM.

A gateway translates the deadline of a call with the largest difference of the two clocks that it has seen, since delays in transit only lower it. It kept that for as long as both processes ran, so each deadline was too early by all that the peer's clock had lost since.

Now the estimate falls by 1 % of the time in which no call shows it. A call that is delayed after an idle minute gains 0.6 s at most.

The tests failed before: 1 ms and 400 ms of 1 s were passed on.

--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -43,6 +43,10 @@
 
 # Weight of a new outcome in the moving average of the upstream's failure rate.
 FAILURE_WEIGHT = 0.1
+# Rate at which the estimated offset of a peer's clock falls while all calls seem to be
+# delayed, in seconds per second. The clocks of two VMs diverge when one is slewed or
+# paused.
+CLOCK_OFFSET_DECAY = 0.01
 
 RUNS = register_metric(
     "mesh.gateway_runs", MetricKind.COUNTER, "calls", "Calls sent to the own upstream"
@@ -217,7 +221,8 @@
         self._sent_non_idempotent: set[int] = set()
         # Fingerprints of the calls that the upstream is running, by `id()` of the call.
         self._running_fingerprints: dict[int, bytes] = {}
-        self._clock_offset_by_peer: dict[tuple[str, int], float] = {}
+        # Offset and the local time at which it was estimated.
+        self._clock_offset_by_peer: dict[tuple[str, int], tuple[float, float]] = {}
         self._limited_upstream_id = upstream.upstream_id
         self._is_grant_scheduled = False
 
@@ -576,13 +581,15 @@
         """Return the estimated offset of the peer's clock from the local clock.
 
         Transit delay only lowers the measured difference, so the largest difference
-        seen is the best estimate. A call that was delayed in transit therefore does not
-        gain time.
+        seen is the best estimate. It falls slowly, to follow a clock that has fallen
+        behind. A call that was delayed in transit therefore gains little time.
         """
         return self._record_clock_offset(peer, call.sent_at - self._clock.now())
 
     def _record_clock_offset(self, peer: NodeIdentity, seen: float) -> float:
         key = (peer.node_id, peer.incarnation)
-        offset = max(self._clock_offset_by_peer.get(key, seen), seen)
-        self._clock_offset_by_peer[key] = offset
+        now = self._clock.now()
+        known, known_at = self._clock_offset_by_peer.get(key, (seen, now))
+        offset = max(known - CLOCK_OFFSET_DECAY * (now - known_at), seen)
+        self._clock_offset_by_peer[key] = offset, now
         return offset
--- a/tests/test_mesh_gateway.py
+++ b/tests/test_mesh_gateway.py
@@ -11,6 +11,7 @@
     UpstreamUnreachableError,
     WrongServiceError,
 )
+from verbenawick.links._component import NodeIdentity
 from verbenawick.mesh._crash_guard import CRASH_THRESHOLD, CrashGuard
 from verbenawick.mesh._gateway import MeshGateway, fingerprint_of
 from verbenawick.mesh._local_upstream import LocalUpstream
@@ -22,6 +23,7 @@
 from verbenawick.runtime._metrics import MetricSet
 
 ADDRESS = "10.0.0.1:80"
+PEER = NodeIdentity("n2", 1, "c", "dc1", "r1", "10.0.0.2:80")
 
 
 def report(sequence: int, *, is_draining: bool = False) -> StatusReport:
@@ -226,3 +228,47 @@
         self.assertEqual(1, len(self.channels.sent))
         left_ms = int(self.channels.sent[0][1]["Deadline-Remaining"])
         self.assertLessEqual(left_ms, 3000)
+
+    def call_from_peer(self, peer_now: float) -> int:
+        """Handle a call sent now, of 1 s by the peer's clock; return the ms passed on.
+
+        Returns 0 if the gateway sends nothing.
+        """
+        self.channels.sent.clear()
+        message = call(
+            sent_at=peer_now, deadline=peer_now + 1, objective_at=peer_now + 0.5
+        )
+        self.gateway.on_call(PEER, message, self.clock.now())
+        if not self.channels.sent:
+            return 0
+        return int(self.channels.sent[0][1]["Deadline-Remaining"])
+
+    def test_deadline_follows_a_peer_whose_clock_falls_behind(self):
+        """Guards against calls that are broken off long before their deadline."""
+        slowness = 100e-6
+        peer_now = 5000.0
+        for _ in range(2000):
+            self.clock.advance(10.0)
+            peer_now += 10.0 * (1 - slowness)
+            left_ms = self.call_from_peer(peer_now)
+        self.assertGreaterEqual(left_ms, 990)
+
+    def test_deadline_recovers_after_the_pause_of_a_peers_vm(self):
+        """Guards against calls that are broken off early until a node restarts."""
+        peer_now = 5000.0
+        self.call_from_peer(peer_now)
+        self.clock.advance(0.6)
+        for _ in range(120):
+            self.clock.advance(1.0)
+            peer_now += 1.0
+            left_ms = self.call_from_peer(peer_now)
+        self.assertGreaterEqual(left_ms, 990)
+
+    def test_call_that_was_delayed_in_transit_gains_little_time(self):
+        """Guards against runs for callers that have given up."""
+        peer_now = 5000.0
+        self.call_from_peer(peer_now)
+        self.clock.advance(5.0)
+        # Sent 0.5 s ago.
+        left_ms = self.call_from_peer(peer_now + 4.5)
+        self.assertLessEqual(left_ms, 560)
