Run nothing for callers that have left before they were read

An upstream ran requests whose callers had given up and closed the connection before the node read them, unsafe ones too, and nobody got their answers. It happened where requests wait at the listener: while a process has no descriptors left, stands still, or starts under load.

The watcher of callers looked for the first time 0.2 s after a call had begun, and an unsafe call that has been sent is not cancelled any more. Now it also looks before the call begins, which takes one poll.

Evidence: 24 real nodes, 240 requesters, RLIMIT_NOFILE of the nodes lowered and raised at random, stops, trials at a load average of 16 to 20. The test failed before.

--- a/src/verbenawick/runtime/_caller_watcher.py
+++ b/src/verbenawick/runtime/_caller_watcher.py
@@ -4,6 +4,7 @@
 
 import eventlet
 from eventlet.greenthread import getcurrent
+from greenlet import GreenletExit
 
 from verbenawick.runtime._polling import closed_by_peer
 
@@ -25,8 +26,13 @@
 
     @contextmanager
     def watch(self, sock):
-        """Raise `GreenletExit` in this green thread if the peer closes `sock`."""
+        """Raise `GreenletExit` in this green thread if the peer closes `sock`.
+
+        It is raised at once if the peer gave up while its request waited to be read.
+        """
         fileno = sock.fileno()
+        if closed_by_peer([fileno]):
+            raise GreenletExit
         self._threads_by_fileno[fileno] = getcurrent()
         if not self._is_running:
             self._is_running = True
--- a/tests/test_caller_watcher.py
+++ b/tests/test_caller_watcher.py
@@ -1,5 +1,7 @@
 """Tests of the cancellation of calls whose caller closed its connection."""
 
+from contextlib import suppress
+
 import eventlet
 from eventlet.green import socket
 from greenlet import GreenletExit
@@ -60,3 +62,17 @@
         eventlet.sleep(0.3)
         ended = [f"{name} cancelled" for name in "abcde"]
         self.assertEqual([*ended, "patient answered"], sorted(self.ended))
+
+    def test_a_call_whose_caller_has_left_does_not_begin(self):
+        """Guards against runs for callers that gave up while their request waited."""
+        caller, sock = self.connect()
+        caller.sendall(b"request")
+        caller.close()
+        begun = []
+
+        def call():
+            with suppress(GreenletExit), self.watcher.watch(sock):
+                begun.append("call")
+
+        eventlet.spawn(call).wait()
+        self.assertEqual([], begun)
