Bound the time that a delayed call gains on an idle link

The estimated offset of a peer's clock fell by 1 % of the time since the last call, so that a call that was held in transit after two idle minutes gained up to 1.2 s: its upstream got that much more than the caller had left (BUDGET allows 0.5 s). One call now lowers the estimate by 0.2 s at most; a clock that has fallen behind further is followed within a few calls.

The test failed before: 1000 ms were passed on of 100 ms left.

--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -51,6 +51,9 @@
 # delayed, in seconds per second. The clocks of two VMs diverge when one is slewed or
 # paused.
 CLOCK_OFFSET_DECAY = 0.01
+# Most that one call lowers the estimate, which is the time that a delayed call can gain
+# on a link without earlier calls. Upstreams may get 0.5 s more than their caller has.
+MAX_OFFSET_FALL_S = 0.2
 
 RUNS = register_metric(
     "mesh.gateway_runs", MetricKind.COUNTER, "calls", "Calls sent to the own upstream"
@@ -604,6 +607,7 @@
         key = (peer.node_id, peer.incarnation)
         now = self._clock.now()
         known, known_at = self._clock_offset_by_peer.get(key, (seen, now))
-        offset = max(known - CLOCK_OFFSET_DECAY * (now - known_at), seen)
+        fall_s = min(CLOCK_OFFSET_DECAY * (now - known_at), MAX_OFFSET_FALL_S)
+        offset = max(known - fall_s, seen)
         self._clock_offset_by_peer[key] = offset, now
         return offset
--- a/tests/test_mesh_gateway.py
+++ b/tests/test_mesh_gateway.py
@@ -277,3 +277,12 @@
         # Sent 0.5 s ago.
         left_ms = self.call_from_peer(peer_now + 4.5)
         self.assertLessEqual(left_ms, 560)
+
+    def test_call_that_was_delayed_on_an_idle_link_gains_little_time(self):
+        """Guards against handing upstreams more time than the callers have left."""
+        peer_now = 5000.0
+        self.call_from_peer(peer_now)
+        self.clock.advance(120.0)
+        # Sent 0.9 s ago.
+        left_ms = self.call_from_peer(peer_now + 119.1)
+        self.assertLessEqual(left_ms, 310)
