Check all links once two peers have become silent

Callers got 504 for one unsafe request on each connection between nodes that had gone silent, long after the others had been replaced: a link that carries no call shows its silence only when the next call is sent on it.

One silent peer, for example a paused VM, causes no pings of other links, so that the cost does not grow with VMs times pauses.

Evidence: test_connections_that_were_lost_together_are_found_on_idle_links failed before (two of four links stayed open).

--- a/src/verbenawick/links/_call_links.py
+++ b/src/verbenawick/links/_call_links.py
@@ -1,5 +1,6 @@
 """Pool of call links to other nodes, which matches answers with requests."""
 
+import math
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
@@ -43,6 +44,9 @@
 # A peer with pending requests that sends nothing for this long, not even a pong, is
 # unreachable or frozen.
 SILENCE_TIMEOUT_S = 0.7
+# If two peers become silent within this time, the links to all peers are checked: their
+# connections may have been lost together, which idle links do not show.
+COMMON_LOSS_WINDOW_S = 2.0
 # Last requests of a link that are compared with a new one.
 MAX_RECENT_REQUESTS = 64
 
@@ -186,6 +190,9 @@
         self._recent_ids_by_link: dict[Link, deque[int]] = {}
         # Links without pending requests that have to answer a ping, and since when.
         self._checked_since_by_link: dict[Link, float] = {}
+        # Peer that became silent last, and when.
+        self._last_silent_peer: _Peer | None = None
+        self._last_silence_at = -math.inf
         self._is_finishing = False
 
     def register_handler(
@@ -310,6 +317,7 @@
             if not peer.silent_since:
                 peer.silent_since = peer.probed_at
                 changes.append(self._peer_silence(peer, now, is_silent=True))
+                self._on_silence(peer, now)
             self._report_silence(link)
             if not any(
                 pending.link is link for pending in self._pending_by_call_id.values()
@@ -317,6 +325,16 @@
                 link.close("peer did not respond to pings")
         return changes
 
+    def _on_silence(self, peer: _Peer, now: float) -> None:
+        """Check all dialled links if another peer became silent a short time ago."""
+        earlier, silent_at = self._last_silent_peer, self._last_silence_at
+        self._last_silent_peer, self._last_silence_at = peer, now
+        if earlier is peer or now - silent_at > COMMON_LOSS_WINDOW_S:
+            return
+        for link in self.dialled_links():
+            # Pinged in the next check unless it has received something just now.
+            self._checked_since_by_link.setdefault(link, now - PROBE_AFTER_S)
+
     def _peer_silence(self, peer: _Peer, now: float, *, is_silent: bool) -> PeerSilence:
         link = peer.link
         return PeerSilence(
--- a/tests/test_call_links.py
+++ b/tests/test_call_links.py
@@ -10,6 +10,7 @@
 from verbenawick.errors import AnswerLostError, LinkClosedError, PeerSilentError
 from verbenawick.links._call_links import (
     ANSWERS_DROPPED,
+    PROBE_AFTER_S,
     SILENCE_TIMEOUT_S,
     CallLinks,
 )
@@ -490,6 +491,52 @@
         self.wait_until_silent()
         self.assertFalse(link.is_open)
 
+    def open_proxied_links(self, count):
+        """Return proxies to the peer, each of them with an idle link through it."""
+        proxies = [SilentProxy(self.peer.peer_address) for _ in range(count)]
+        for proxy in proxies:
+            self.addCleanup(proxy.close)
+            self.peer = member("server", port=proxy.address.rpartition(":")[2])
+            self.open_link()
+        return proxies
+
+    def links_through(self, proxies):
+        peers = self.client._peers_by_address
+        return [peers[proxy.address].link for proxy in proxies]
+
+    def test_connections_that_were_lost_together_are_found_on_idle_links(self):
+        """Guards against a request that is lost on each of the silent links."""
+        proxies = self.open_proxied_links(5)
+        for proxy in proxies[1:]:
+            proxy.silence()
+        eventlet.sleep(PROBE_AFTER_S)
+        working, *silent = self.links_through(proxies)
+        for link in silent[:2]:
+            self.client.check(link)
+        end = self.clock.now() + 3 * SILENCE_TIMEOUT_S
+        while any(link.is_open for link in silent) and self.clock.now() < end:
+            eventlet.sleep(0.05)
+            self.check()
+        self.assertEqual([False] * 4, [link.is_open for link in silent])
+        self.assertTrue(working.is_open)
+
+    def test_idle_links_are_not_pinged_because_of_one_silent_peer(self):
+        """Guards against pings between all nodes whenever one of them is paused."""
+        proxies = self.open_proxied_links(3)
+        proxies[0].silence()
+        silent, *idle = self.links_through(proxies)
+        pings = []
+        for link in idle:
+            link.ping = lambda: pings.append(1)
+        eventlet.sleep(PROBE_AFTER_S)
+        self.client.check(silent)
+        end = self.clock.now() + 2 * SILENCE_TIMEOUT_S
+        while self.clock.now() < end:
+            eventlet.sleep(0.05)
+            self.check()
+        self.assertFalse(silent.is_open)
+        self.assertEqual([], pings)
+
     def test_checked_link_that_answers_stays_open(self):
         """Guards against closing a link because no request is pending on it."""
         link = self.open_link()
