--- a/src/verbenawick/calls/_upstream.py
+++ b/src/verbenawick/calls/_upstream.py
@@ -35,6 +35,11 @@
 # Connecting normally takes about 1 ms. An upstream that accepts no connection within
 # this time counts as unreachable.
 CONNECT_TIMEOUT_S = 1.0
+# Least timeout, also close to the deadline, since a busy process is late itself.
+MIN_CONNECT_TIMEOUT_S = 0.05
+# Time before the deadline at which an attempt to connect ends, so that the entry gets
+# the refusal before it gives up.
+REFUSAL_MARGIN_S = 0.05
 
 # Limit on the lines of a response: its head, interim responses, chunk sizes and
 # trailers. Each byte of the body allows `MAX_FRAMING_RATIO` bytes more.
@@ -118,10 +123,11 @@
     """urllib3 connection on an eventlet socket, without monkey patching."""
 
     idle_until = 0.0
+    connect_timeout_s = CONNECT_TIMEOUT_S
     response: StandardResponse | None = None
 
     def _new_conn(self):
-        sock = socket.create_connection((self.host, self.port), CONNECT_TIMEOUT_S)
+        sock = socket.create_connection((self.host, self.port), self.connect_timeout_s)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         # No timeout per read: the deadline of the call limits the whole exchange.
         sock.settimeout(None)
@@ -302,9 +308,12 @@
                 step="upstream.connect",
                 peer=self._address,
             )
-        connection = self._open()
+        left_s = deadline - REFUSAL_MARGIN_S - self._clock.now()
+        connection = self._open(
+            timeout_s=min(max(left_s, MIN_CONNECT_TIMEOUT_S), CONNECT_TIMEOUT_S)
+        )
         try:
-            # Opening a connection can take up to a second.
+            # Another green thread can delay this one past the deadline.
             self._check_deadline(deadline)
         except DeadlineUnreachableError:
             self._discard(connection)
@@ -319,8 +328,9 @@
                 peer=self._address,
             )
 
-    def _open(self) -> _Connection:
+    def _open(self, *, timeout_s: float) -> _Connection:
         connection = _Connection(self._host, self._port)
+        connection.connect_timeout_s = timeout_s
         self._open_count += 1
         try:
             connection.connect()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -212,6 +212,18 @@
         )
         self.assertEqual(0, self.standin.counters()["started"])
 
+    def test_connection_that_does_not_open_is_given_up_before_the_deadline(self):
+        """Guards against an unknown outcome of requests that were never sent."""
+        full = eventlet.listen(("127.0.0.1", 0), backlog=0)
+        self.addCleanup(full.close)
+        address = full.getsockname()
+        # Takes the only place for a connection that is not accepted.
+        self.addCleanup(socket.create_connection(address).close)
+        self.connect(f"127.0.0.1:{address[1]}")
+        deadline = self.clock.now() + 0.4
+        self.assertRaises(UpstreamUnreachableError, self.exchange, timeout_s=0.4)
+        self.assertLess(self.clock.now(), deadline)
+
     def test_nothing_is_sent_if_the_deadline_passes_while_a_connection_opens(self):
         """Guards against a run after the deadline, reported as unknown."""
         connect = socket.create_connection
