Let no call last longer than a stop waits for it

A stop of a node of the project's own interface waits `timing.longest_call_s` for the calls in flight, and so does a later owner of an idempotency key before it takes the key over. Nothing bounded the calls: with a shorter setting, or a policy whose timeout is longer than the default of 30 s, callers could lose their connection without an answer when the process ended. That such a call also runs twice follows from the wait for the key; it is not shown.

The entry now shortens the deadline of each call to that duration.

The new test sets 0.3 s and sends reads of 0.8 s with a timeout of 3 s of the policy or the caller: answered 200 after 0.8 s before, 504 after 0.3 s now.

--- a/src/verbenawick/calls/_entry.py
+++ b/src/verbenawick/calls/_entry.py
@@ -11,6 +11,7 @@
 from verbenawick.calls._dispatch import Call, Dispatcher
 from verbenawick.calls._entry_request import (
     MAX_KEY_LENGTH,
+    MAX_TIMEOUT_S,
     compute_fingerprint,
     forwarded_headers,
     parse_attempt,
@@ -97,6 +98,9 @@
     table : callable
         Returns the `RoutingTable` in force, None before the first one. A call is served
         with the table that was in force when it arrived.
+    longest_call_s : float
+        Maximum duration of a call, whatever its caller and the policy say. A stop waits
+        as long, and so do later owners of an idempotency key.
     """
 
     def __init__(
@@ -110,7 +114,9 @@
         metrics: MetricSet,
         clock: Clock,
         is_quarantined: Callable[[bytes], bool] = lambda fingerprint: False,
+        longest_call_s: float = MAX_TIMEOUT_S,
     ):
+        self._longest_call_s = longest_call_s
         self._node_id = node_id
         self._service_id = service_id
         self._table = table
@@ -207,7 +213,7 @@
             raise KeyRequiredError(
                 f"{method} needs an Idempotency-Key", step="entry.headers"
             )
-        timeout_s = parse_timeout(environ, policy)
+        timeout_s = min(parse_timeout(environ, policy), self._longest_call_s)
         body = read_body(environ, min(policy.max_body_bytes, MAX_MESSAGE_BODY_BYTES))
         fingerprint = compute_fingerprint(self._service_id, method, target, body)
         if self._is_quarantined(fingerprint):
--- a/src/verbenawick/node/_node.py
+++ b/src/verbenawick/node/_node.py
@@ -283,6 +283,7 @@
             metrics=self.metrics,
             clock=self.clock,
             is_quarantined=self.quarantine.is_refused,
+            longest_call_s=settings.timing.longest_call_s,
         )
         self.entry = EntryServer(self.entry_application, metrics=self.metrics)
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -264,6 +264,14 @@
         self.assertEqual((200, "complete"), (response.status, response.outcome))
         self.assertEqual(0, self.mesh.upstreams[0].cancelled)
 
+    def test_a_call_ends_after_the_longest_duration_that_a_stop_waits_for(self):
+        """Guards against connections that end with the process, without an answer."""
+        self.start(nodes=1, policy=ServicePolicy("p", timeout_s=3.0))
+        self.node.entry._longest_call_s = 0.3
+        for headers in ({}, {"Request-Timeout": "3000"}):
+            response = self.caller.call("GET", "/a?delay_ms=800", headers=headers)
+            self.assertEqual((504, "unknown"), (response.status, response.outcome))
+
     def test_a_slow_read_without_retry_budget_gets_its_whole_deadline(self):
         """Guards against cancelling a run that no retry replaces."""
         self.start(policy=ServicePolicy("p", retry_budget=0.0))
