Let a standstill not end the calls of the test of the watcher

Its calls took 0.1 s, so that they ended before the watcher looked at them if the process stood still for so long.

The calls that are to be cancelled now last until they are, and the test waits for the end of all calls instead of 0.3 s.

--- a/tests/test_caller_watcher.py
+++ b/tests/test_caller_watcher.py
@@ -5,6 +5,7 @@
 from greenlet import GreenletExit
 from testtools import TestCase
 
+from tests.call_support import wait_until
 from verbenawick.runtime._caller_watcher import CallerWatcher
 
 
@@ -30,10 +31,10 @@
                 if sock.fileno() == fileno:
                     return sock
 
-    def call(self, name, sock, on_cancel=lambda: None):
+    def call(self, name, sock, on_cancel=lambda: None, duration_s=10):
         try:
             with self.watcher.watch(sock):
-                eventlet.sleep(0.1)
+                eventlet.sleep(duration_s)
             self.ended.append(f"{name} answered")
         except GreenletExit:
             self.ended.append(f"{name} cancelled")
@@ -47,7 +48,8 @@
             fileno = socks[-1].fileno()
             threads[-1].kill()
             socks[-1].close()
-            eventlet.spawn(self.call, "patient", self.accept_on(fileno))
+            sock = self.accept_on(fileno)
+            eventlet.spawn(self.call, "patient", sock, duration_s=0.1)
 
         threads = [eventlet.spawn(self.call, "a", socks[0], replace_last)]
         threads += [
@@ -57,6 +59,6 @@
         eventlet.sleep(0)
         for caller in callers:
             caller.shutdown(socket.SHUT_RDWR)
-        eventlet.sleep(0.3)
+        wait_until(lambda: len(self.ended) == len(threads) + 1)
         ended = [f"{name} cancelled" for name in "abcde"]
         self.assertEqual([*ended, "patient answered"], sorted(self.ended))
