Serve a request that put off the announced close of its connection

A caller that was sending its next request while the last answer of a stopping node was written got an answer without `Connection: close`, and the end of the connection in place of an answer to that request if its request line was not complete 0.5 s after the close of the listener.

The beginning of the request was taken from the socket into the buffer, so at the end of the accept loop the connection seemed to be idle.

Such a connection now stays open for the request. As with a request whose head has begun, the stop waits for it within its grace.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -243,6 +243,9 @@
         self._requests = 0
         self._responses = 0
         self._was_announced = False
+        # Whether the last response did not announce the end, since a further request
+        # had begun to arrive.
+        self._has_begun_request = False
         # Whether the last response came before the body of its request was read.
         self._is_body_refused = False
         self._end_cause = EndCause.BROKEN
@@ -318,6 +321,7 @@
         unless a further request has arrived, which is served first.
         """
         self._requests += 1
+        self._has_begun_request = False
         self._end_cause = EndCause.BROKEN
         application = self.application
         body = self.environ["wsgi.input"]
@@ -334,6 +338,7 @@
             if self._is_stopping() and not asked_for_end:
                 has_next = body.is_read and self._has_next_request()
                 self.close_connection = not has_next
+                self._has_begun_request = has_next
                 has_left = status == CALLER_LEFT_STATUS
                 self._was_announced = not has_next and not has_left
             return chunks
@@ -365,7 +370,7 @@
         """
         if self.conn_state[2] != wsgi.STATE_IDLE:
             return
-        if is_readable(self.connection.fileno()):
+        if self._has_begun_request or is_readable(self.connection.fileno()):
             self._outlives_server = True
             self.conn_state[2] = wsgi.STATE_REQUEST
         elif unacknowledged_bytes(self.connection):
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -145,6 +145,16 @@
         eventlet.spawn_after(2 * CALL_S, sock.sendall, b"bc")
         self.assertEqual([b"/1", b"/2"], self.receive_until_close(sock))
 
+    def test_a_request_that_has_begun_when_the_accept_loop_ends_is_answered(self):
+        """Guards against cutting a request that put off the announced close."""
+        sock = self.connect()
+        sock.sendall(request("/1"))
+        wait_until(lambda: self.application.paths)
+        self.start_stop(grace_s=0)
+        sock.sendall(request("/2")[:5])
+        eventlet.spawn_after(LAST_REQUESTS_S + CALL_S, sock.sendall, request("/2")[5:])
+        self.assertEqual([b"/1", b"/2"], self.receive_until_close(sock))
+
     def test_requests_that_wait_behind_another_at_the_close_are_answered(self):
         """Guards against cutting requests that were read before the listener closed."""
         sock = self.connect()
