Pass on the response of an upstream when a stop ends its call

A read whose upstream had failed, and that was being retried when its entry's grace ended, was answered 504 in place of the response that the upstream had given: the end of the call did not look at the results of its earlier offers.

The test failed before ([500] != [504]).

--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -317,6 +317,9 @@
         try:
             return self._dispatch_in(race, progress, call, route, forwarded)
         except _StopReached:
+            if progress.has_response:
+                response, offers = progress.unknown, progress.offers
+                return self._completed(call, route, forwarded, response, offers)
             result = CallResult(CallOutcome.UNKNOWN, CallTimeoutError.code)
             return self._unknown(call, route, forwarded, result, progress.offers)
         finally:
--- a/tests/test_mesh_silent_peer.py
+++ b/tests/test_mesh_silent_peer.py
@@ -253,6 +253,29 @@
         # The request may run to its end, since it may have had its effect.
         self.assertEqual(1, self.silent.server.node.gateway.in_flight)
 
+    def test_failed_response_is_passed_on_before_its_entry_ends(self):
+        """Guards against a 504 in place of a response that an upstream gave."""
+        self.cluster.configure(
+            route(
+                "r-a", "/archive/", service="archive", max_attempts=4, timeout_ms=6000
+            ),
+            service("archive"),
+        )
+        node = self.entry.server.node
+        wait_until(lambda: node.entry.configuration.version == 2, 2)
+        self.allow_retries(2)
+        self.silent.upstream.service_time_s = 5.0
+        _, results = self.start_call(Deadline_Remaining="6000")
+        failing, slow = self.add_idle_gateway(), self.add_idle_gateway()
+        failing.upstream.status = 500
+        slow.upstream.service_time_s = 5.0
+        # Offered last: an avoided gateway is used only if there is no other.
+        node.endpoints.get(slow.node_id).avoided_until = math.inf
+        wait_until(lambda: slow.upstream.runs_by_request["q"])
+        node.settings = replace(node.settings, stop_grace_s=2.0)
+        self.entry.server.stop()
+        self.assertEqual([500], [status for status, _ in results])
+
     def test_read_in_its_gateway_is_answered_before_its_entry_ends(self):
         """Guards against connections that end with the process, without an answer."""
         self.entry.upstream.service_time_s = 5.0
