--- a/src/verbenawick/mesh/_messages.py
+++ b/src/verbenawick/mesh/_messages.py
@@ -19,6 +19,8 @@
         The caller's id of this attempt.
     caller_service : str
         Service of the upstream on the VM where the call began.
+    workspace : str
+        Name of the caller's workspace; empty without one.
     sent_at, deadline, objective_at : float
         Times on the sender's clock.
     """
@@ -37,6 +39,7 @@
     sent_at: float
     deadline: float
     objective_at: float
+    workspace: str = ""
 
 
 @register_message(91)
--- a/src/verbenawick/mesh/_model.py
+++ b/src/verbenawick/mesh/_model.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from verbenawick.workspaces._model import Workspaces
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -33,6 +35,8 @@
     max_attempts : int
         Maximum number of upstreams that one request may reach, including those that
         refuse it.
+    is_anonymous : bool
+        Whether callers need no key of a workspace.
     """
 
     name: str
@@ -44,6 +48,7 @@
     objective_s: float
     priority: int
     max_attempts: int
+    is_anonymous: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +78,8 @@
     ----------
     revision : int
         Revision of the store object that holds this version.
+    workspaces : Workspaces or None
+        None if the configuration has none; callers need no key then.
     """
 
     version: int
@@ -80,6 +87,7 @@
     routes: tuple[MeshRoute, ...]
     services_by_name: dict[str, ServiceSpec]
     limits: RequestLimits = RequestLimits()
+    workspaces: Workspaces | None = None
 
 
 class UpstreamState(StrEnum):
@@ -160,6 +168,8 @@
         How long the caller waits; None if the request does not say.
     arrived_at : float
         Time of arrival on the local clock.
+    key_digest : bytes or None
+        Digest of the key that the caller sent, None without one.
     """
 
     call_id: str
@@ -172,6 +182,7 @@
     body: bytes
     caller_timeout_s: float | None
     arrived_at: float
+    key_digest: bytes | None = None
 
 
 class CallOutcome(StrEnum):
--- /dev/null
+++ b/src/verbenawick/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces: the groups of callers that a configuration knows, and their keys."""
