Write the log of a node with the unpatched os.write

A node whose log was closed while it ran ended with exit code 1 and a traceback after SIGTERM (RuntimeError: Second simultaneous write on fileno 1), and one with /dev/null as its output failed in the same way within a second.

Cause: `monkey_patch(thread=False)` patches all other modules, so `os.write` waited in the hub for the descriptor before each line, once in the task of the log and once more in the last flush. The log output makes its descriptor non-blocking and needs no wait. `os` and `subprocess`, which no node uses, are patched no longer; a line of the log is one system call instead of a stat, two epoll_ctl, a wait and the write.

With the sources before, a node process with a closed pipe ended with code 1 and the traceback above; now it ends with code 0 (the test does the same).

--- a/src/verbenawick/platform/_daemon.py
+++ b/src/verbenawick/platform/_daemon.py
@@ -10,8 +10,9 @@
 
 # Locks stay those of the standard library: the node has one thread and never switches
 # green threads while it holds one. Replacing them would traverse all objects in memory,
-# which takes a fifth of the processor time of a start.
-eventlet.monkey_patch(thread=False)
+# which takes a fifth of the processor time of a start. A node starts no processes, and
+# its log is written without waiting, which a patched `os.write` does for each line.
+eventlet.monkey_patch(select=True, socket=True, time=True)
 
 import gc
 import signal
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -300,3 +300,13 @@
         "verbenawick.calls._entry_server",
         "verbenawick.calls._http_messages",
     }
+
+
+def test_node_with_closed_log_stops(tmp_path):
+    """Guards against nodes that wait for a log that nobody reads."""
+    with started_node(write_settings(tmp_path)) as node:
+        wait_for_start(node)
+        node.stdout.close()
+        sleep(WAIT_S)
+        node.terminate()
+        assert node.wait(STOP_TIMEOUT_S) == 0
