Let the upstream ignore the deadline in the test of the longest call

Cause: the stand-in of the upstream answers 504 at the deadline that it is given, which is in whole milliseconds and so up to 1 ms earlier than the node's own. The answer of the upstream and the node's own timeout race.

The upstream ignores the deadline now, so only the node can end the call in time, which is what the test guards.

--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -293,7 +293,9 @@
         self.start(nodes=1, policy=ServicePolicy("p", timeout_s=3.0))
         self.node.entry._longest_call_s = 0.3
         for headers in ({}, {"Request-Timeout": "3000"}):
-            response = self.caller.call("GET", "/a?delay_ms=800", headers=headers)
+            # An upstream that answers at the deadline would be as early as the node.
+            target = "/a?delay_ms=800&deadline=ignored"
+            response = self.caller.call("GET", target, headers=headers)
             self.assertEqual((504, "unknown"), (response.status, response.outcome))
 
     def test_a_slow_read_without_retry_budget_gets_its_whole_deadline(self):
