Require the key of a workspace where the configuration has some

Cause: configurations with workspaces were served as if they had none: any caller was served, the key was passed on to the upstream, and the upstream got no name of a workspace, or one that the caller wrote.

Change: the decoder of documents reads workspaces and anonymous routes. The entry looks up the digest of a call's key after the route is found; an unknown or missing key is answered 401, for a call with a body before the body is received. A call that comes with a key is refused on an anonymous route too if no workspace holds the key. The header with the key and the name of a workspace that a caller wrote are dropped at the border, and the gateway adds the name of the workspace. A workspace's priority replaces that of the route. A document in which two workspaces hold one key, or with an invalid number, is refused as a whole; the reason names the workspace and the field and no key.

Without workspaces in the configuration, headers and calls are handled as before.

--- a/src/verbenawick/calls/_http_messages.py
+++ b/src/verbenawick/calls/_http_messages.py
@@ -47,6 +47,11 @@
     return min(limits_s)
 
 
+def has_body(environ) -> bool:
+    """Return whether a request has a body, which may be empty."""
+    return "CONTENT_LENGTH" in environ or "HTTP_TRANSFER_ENCODING" in environ
+
+
 def read_body(
     environ, max_bytes: int, *, reserve: Callable[[int], None] = lambda count: None
 ) -> bytes:
@@ -57,9 +62,9 @@
     reserve : callable
         Called before bytes of the body are kept; may raise a `CallError`.
     """
-    length = environ.get("CONTENT_LENGTH")
-    if length is None and "HTTP_TRANSFER_ENCODING" not in environ:
+    if not has_body(environ):
         return b""
+    length = environ.get("CONTENT_LENGTH")
     too_large = RequestTooLargeError(
         f"request body exceeds {max_bytes} bytes", step="entry.body"
     )
--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -379,6 +379,16 @@
     http_status = 404
 
 
+@register_error("call.unknown-key")
+class UnknownKeyError(CallNotRunError):
+    """The request has no key of a workspace although its route needs one.
+
+    Also if it has one that is in no workspace of the configuration in force.
+    """
+
+    http_status = 401
+
+
 @register_error("call.bad-request")
 class BadCallError(CallNotRunError):
     """A request header has an invalid value, or the body is incomplete."""
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -33,6 +33,7 @@
     PeerSilentError,
     PeerUnreachableError,
     QuarantinedError,
+    UnknownKeyError,
     WrongServiceError,
 )
 from verbenawick.links._call_links import CallLinks, PendingRequest
@@ -65,6 +66,8 @@
 from verbenawick.runtime._events import Event as LogEvent
 from verbenawick.runtime._events import emit, register_event
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
+from verbenawick.workspaces._authentication import find_workspace
+from verbenawick.workspaces._model import Workspace
 
 # Maximum number of gateways to which one call is offered. A refusal by a gateway is
 # cheap, since the upstream does no work for it.
@@ -105,6 +108,12 @@
 RETRIES = register_metric(
     "mesh.calls_repeated", MetricKind.COUNTER, "calls", "Further arrivals of calls"
 )
+KEY_REFUSALS = register_metric(
+    "mesh.calls_without_key",
+    MetricKind.COUNTER,
+    "calls",
+    "Calls refused since no workspace holds their key",
+)
 
 
 @register_event(730, level="WARNING")
@@ -124,6 +133,17 @@
     retry_after_s: float
 
 
+@register_event(731)
+@dataclass(frozen=True, slots=True)
+class KeyRefused(LogEvent):
+    """A call was refused because of its key; `version` is the one in force."""
+
+    request: str
+    route: str
+    version: int
+    reason: str
+
+
 class _StopReached(GreenletExit):
     """Ends a call whose deadline is after the end of the stopping node."""
 
@@ -275,6 +295,12 @@
         route = self._index.match(call.host, call.path)
         if route is None:
             return CallResult(CallOutcome.NOT_RUN, NoRouteError.code)
+        workspace = None
+        if self._configuration.workspaces is not None:
+            try:
+                workspace = self._find_workspace(route, call.key_digest)
+            except UnknownKeyError as error:
+                return self._refuse_key(call.call_id, route, error)
         service = self._rotation.choose(route)
         left_s = route.timeout_s
         if call.caller_timeout_s is not None:
@@ -293,10 +319,11 @@
             call.headers,
             call.body,
             route.is_idempotent,
-            route.priority,
+            _priority_of(route, workspace),
             call.arrived_at,
             call.arrived_at + left_s,
             call.arrived_at + min(route.objective_s, left_s),
+            workspace.name if workspace else "",
         )
         self._budget.count_request(service, self._clock.now())
         fingerprint = fingerprint_of(forwarded)
@@ -307,6 +334,43 @@
             self._guard.record_completion(fingerprint)
         return result
 
+    def refuse_unread(
+        self, request_id: str, host: str, path: str, key_digest: bytes | None
+    ) -> CallResult | None:
+        """Return the refusal of a call whose body need not be read for it.
+
+        Returns
+        -------
+        CallResult or None
+            None if the body has to be read first.
+        """
+        if self._configuration is None or self._configuration.workspaces is None:
+            return None
+        route = self._index.match(host, path)
+        if route is None:
+            return None
+        try:
+            self._find_workspace(route, key_digest)
+        except UnknownKeyError as error:
+            self._metrics.count(CALLS)
+            return self._refuse_key(request_id, route, error)
+        return None
+
+    def _find_workspace(
+        self, route: MeshRoute, key_digest: bytes | None
+    ) -> Workspace | None:
+        return find_workspace(
+            self._configuration.workspaces, key_digest, is_anonymous=route.is_anonymous
+        )
+
+    def _refuse_key(
+        self, request_id: str, route: MeshRoute, error: UnknownKeyError
+    ) -> CallResult:
+        self._metrics.count(KEY_REFUSALS)
+        version = self._configuration.version
+        emit(KeyRefused(request_id, route.name, version, error.message))
+        return CallResult(CallOutcome.NOT_RUN, error.code)
+
     def _dispatch(
         self, call: IncomingCall, route: MeshRoute, forwarded: ForwardedCall
     ) -> CallResult:
@@ -661,3 +725,9 @@
             answer.failure_rate,
         ),
     )
+
+
+def _priority_of(route: MeshRoute, workspace: Workspace | None) -> int:
+    if workspace is None or workspace.priority is None:
+        return route.priority
+    return workspace.priority
--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -144,7 +144,13 @@
         ...
 
     def request_headers(
-        self, headers: Headers, *, caller_service: str, upstream_id: str, left_s: float
+        self,
+        headers: Headers,
+        *,
+        caller_service: str,
+        upstream_id: str,
+        left_s: float,
+        workspace: str,
     ) -> Headers:
         """Return request headers that allow only `upstream_id` to run the request."""
         ...
@@ -483,6 +489,7 @@
             caller_service=call.caller_service,
             upstream_id=upstream_id,
             left_s=max(ends_by - self._clock.now(), 0.001),
+            workspace=call.workspace,
         )
 
         def before_send() -> None:
--- a/src/verbenawick/platform/_calls.py
+++ b/src/verbenawick/platform/_calls.py
@@ -7,6 +7,7 @@
 from verbenawick.errors import errors_by_code
 from verbenawick.mesh._model import CallOutcome, CallResult, Headers, IncomingCall
 from verbenawick.mesh._upstream_channels import AnswerKind, RawAnswer
+from verbenawick.workspaces._model import digest_key
 
 REQUEST_ID_HEADER = "Attempt-Id"
 # Milliseconds that the sender still waits; a duration, not a point in time.
@@ -14,6 +15,10 @@
 # Id of the only upstream that may run the request.
 EXPECTED_UPSTREAM_HEADER = "Target-Instance"
 CALLER_SERVICE_HEADER = "Caller-Service"
+# Name of the caller's workspace.
+WORKSPACE_HEADER = "Tenant-Id"
+KEY_HEADER = "Authorization"
+KEY_SCHEME = "bearer"
 NOT_RUN_HEADER = "Not-Executed"
 UPSTREAM_ID_HEADER = "Instance-Id"
 # Running requests, queued requests and slots, separated by commas.
@@ -37,11 +42,15 @@
     }
 )
 _DROPPED_REQUEST_HEADERS = HOP_BY_HOP_HEADERS | _OVERWRITTEN_HEADERS
+# Not forwarded either where the configuration has workspaces.
+_WORKSPACE_HEADERS = frozenset({WORKSPACE_HEADER.lower(), KEY_HEADER.lower()})
 _DROPPED_RESPONSE_HEADERS = HOP_BY_HOP_HEADERS | {"content-length", "date"}
 
 _MISDIRECTED_STATUS = 421
 _UNAVAILABLE_STATUS = 503
+_UNAUTHORIZED_STATUS = 401
 _STATUS_BY_NOT_RUN_CODE = {
+    "call.unknown-key": _UNAUTHORIZED_STATUS,
     "call.no-route": 404,
     "call.bad-request": 400,
     "call.request-too-large": 413,
@@ -53,10 +62,21 @@
 
 
 def decode_call(
-    environ, body: bytes, *, caller_service: str, now: float
+    environ,
+    body: bytes,
+    *,
+    caller_service: str,
+    now: float,
+    has_workspaces: bool = False,
 ) -> IncomingCall:
     """Return the call described by a WSGI environment.
 
+    Parameters
+    ----------
+    has_workspaces : bool
+        Whether the configuration in force has workspaces. Their keys and the name of a
+        workspace that the caller wrote are not forwarded.
+
     Raises
     ------
     HeaderError
@@ -65,7 +85,7 @@
     request_id = environ.get("HTTP_ATTEMPT_ID", "")
     if not request_id:
         raise HeaderError(f"{REQUEST_ID_HEADER} is missing")
-    path = environ.get("RAW_PATH_INFO") or environ["PATH_INFO"]
+    path = path_of(environ)
     query = environ.get("QUERY_STRING")
     return IncomingCall(
         request_id,
@@ -73,16 +93,36 @@
         environ["REQUEST_METHOD"],
         f"{path}?{query}" if query else path,
         path,
-        environ.get("HTTP_HOST", "").partition(":")[0],
-        _forwarded_headers(environ),
+        host_of(environ),
+        _forwarded_headers(environ, has_workspaces=has_workspaces),
         body,
         _parse_remaining_time_s(environ),
         now,
+        key_digest_of(environ) if has_workspaces else None,
     )
 
 
-def _forwarded_headers(environ) -> Headers:
+def path_of(environ) -> str:
+    """Return the path of a request as the caller encoded it."""
+    return environ.get("RAW_PATH_INFO") or environ["PATH_INFO"]
+
+
+def host_of(environ) -> str:
+    """Return the host that a request names, without a port."""
+    return environ.get("HTTP_HOST", "").partition(":")[0]
+
+
+def key_digest_of(environ) -> bytes | None:
+    """Return the digest of the key in a request, None if it has none."""
+    scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").strip().partition(" ")
+    key = key.strip()
+    return digest_key(key) if key and scheme.lower() == KEY_SCHEME else None
+
+
+def _forwarded_headers(environ, *, has_workspaces: bool) -> Headers:
     dropped = _DROPPED_REQUEST_HEADERS
+    if has_workspaces:
+        dropped = dropped | _WORKSPACE_HEADERS
     connection = environ.get("HTTP_CONNECTION")
     if connection and connection.lower() not in ("keep-alive", "close"):
         # Connection names further hop-by-hop headers, which must not be forwarded.
@@ -125,6 +165,8 @@
     if request_id:
         headers.append((REQUEST_ID_HEADER, request_id))
     status = http_status_of(result)
+    if status == _UNAUTHORIZED_STATUS:
+        headers.append(("WWW-Authenticate", "Bearer"))
     if status == _UNAVAILABLE_STATUS:
         headers.append(("Retry-After", f"{max(result.retry_after_s, 0.01):.3f}"))
     return _status_line(status), headers, body
@@ -150,15 +192,25 @@
     id_header = REQUEST_ID_HEADER.lower()
 
     def request_headers(
-        self, headers: Headers, *, caller_service: str, upstream_id: str, left_s: float
+        self,
+        headers: Headers,
+        *,
+        caller_service: str,
+        upstream_id: str,
+        left_s: float,
+        workspace: str = "",
     ) -> Headers:
         """Return the headers of a request that only `upstream_id` may run."""
-        return (
+        headers = (
             *headers,
             (CALLER_SERVICE_HEADER, caller_service),
             (REMAINING_TIME_HEADER, str(max(int(left_s * 1000), 1))),
             (EXPECTED_UPSTREAM_HEADER, upstream_id),
         )
+        if not workspace:
+            return headers
+        # Headers are written in Latin-1.
+        return (*headers, (WORKSPACE_HEADER, workspace.encode().decode("latin-1")))
 
     def classify(self, answer: RawAnswer, *, request_id: str) -> AnswerKind:
         """Return how an answer relates to the request with `request_id`."""
--- a/src/verbenawick/platform/_documents.py
+++ b/src/verbenawick/platform/_documents.py
@@ -1,5 +1,7 @@
 """Decoders of the platform's configuration document and status reports."""
 
+from hashlib import blake2b
+
 import msgspec
 
 from verbenawick.mesh._model import (
@@ -12,10 +14,19 @@
 )
 from verbenawick.mesh._record_check import MAX_INTEGER, MAX_SLOTS
 from verbenawick.platform._json import decode_json
+from verbenawick.workspaces._model import (
+    Workspace,
+    WorkspaceKeys,
+    check_workspace,
+    digest_key,
+    index_workspaces,
+)
 
 _IDEMPOTENT_REQUEST_KIND = "safe"
+_WORKSPACE_TYPE = "tenants"
+_SPEC_DIGEST_BYTES = 16
 
-_Decoded = MeshRoute | ServiceSpec | RequestLimits | None
+_Decoded = MeshRoute | ServiceSpec | RequestLimits | WorkspaceKeys | None
 
 
 class _ResourceMetadata(msgspec.Struct):
@@ -50,6 +61,14 @@
     target_latency_ms: float | None = None
     max_attempts: int = 1
     priority: int = 0
+    allow_anonymous: bool = False
+
+
+class _WorkspaceSpec(msgspec.Struct):
+    api_keys: list[str] = msgspec.field(default_factory=list)
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
 
 
 class _ServiceSpec(msgspec.Struct):
@@ -79,6 +98,7 @@
 
 _document_decoder = msgspec.json.Decoder(_Document)
 _route_decoder = msgspec.json.Decoder(_RouteSpec)
+_workspace_decoder = msgspec.json.Decoder(_WorkspaceSpec)
 _service_decoder = msgspec.json.Decoder(_ServiceSpec)
 _limits_decoder = msgspec.json.Decoder(_LimitsSpec)
 _report_decoder = msgspec.json.Decoder(_Report)
@@ -106,8 +126,9 @@
         routes = []
         services = {}
         limits = RequestLimits()
+        workspaces = []
         for resource in document.resources:
-            key = (resource.resource_type, resource.metadata.name, bytes(resource.spec))
+            key = (resource.resource_type, resource.metadata.name, _spec_key(resource))
             value = known.get(key)
             if value is None:
                 value = _decode_resource(resource)
@@ -118,10 +139,18 @@
                 services[value.name] = value
             elif isinstance(value, RequestLimits):
                 limits = value
-        self._decoded_by_resource = decoded_by_resource
-        return MeshConfiguration(
-            document.version, revision, tuple(routes), services, limits
+            elif isinstance(value, WorkspaceKeys):
+                workspaces.append(value)
+        configuration = MeshConfiguration(
+            document.version,
+            revision,
+            tuple(routes),
+            services,
+            limits,
+            index_workspaces(workspaces) if workspaces else None,
         )
+        self._decoded_by_resource = decoded_by_resource
+        return configuration
 
 
 def decode_configuration(data: bytes, revision: int) -> MeshConfiguration:
@@ -129,6 +158,14 @@
     return ConfigurationDecoder().decode(data, revision)
 
 
+def _spec_key(resource: _Resource) -> bytes:
+    """Return what tells the spec of a resource from others; it holds no key."""
+    spec = bytes(resource.spec)
+    if resource.resource_type == _WORKSPACE_TYPE:
+        return blake2b(spec, digest_size=_SPEC_DIGEST_BYTES).digest()
+    return spec
+
+
 def _decode_resource(resource: _Resource) -> _Decoded:
     """Return the decoded resource, None if its type is not known."""
     name = resource.metadata.name
@@ -137,6 +174,8 @@
     if resource.resource_type == "services":
         spec = decode_json(resource.spec, _service_decoder)
         return ServiceSpec(name, spec.health_path, spec.max_connections)
+    if resource.resource_type == _WORKSPACE_TYPE:
+        return _decode_workspace(name, resource.spec)
     if resource.resource_type == "limits":
         spec = decode_json(resource.spec, _limits_decoder)
         return RequestLimits(
@@ -168,9 +207,20 @@
         objective_s,
         spec.priority,
         spec.max_attempts,
+        spec.allow_anonymous,
     )
 
 
+def _decode_workspace(name: str, data: msgspec.Raw) -> WorkspaceKeys:
+    try:
+        spec = decode_json(data, _workspace_decoder)
+        workspace = Workspace(name, spec.priority, spec.rate_per_s, spec.burst)
+        check_workspace(workspace)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise ValueError(f"workspace {name!r}: {error}") from None
+    return WorkspaceKeys(workspace, frozenset(map(digest_key, spec.api_keys)))
+
+
 def decode_report(upstream_id: str, data: bytes) -> StatusReport:
     """Return the status report in a request body.
 
--- a/src/verbenawick/platform/_servers.py
+++ b/src/verbenawick/platform/_servers.py
@@ -6,7 +6,7 @@
 from greenlet import GreenletExit
 
 from verbenawick.calls._caller_protocol import CALLER_LEFT_STATUS
-from verbenawick.calls._http_messages import read_body
+from verbenawick.calls._http_messages import has_body, read_body
 from verbenawick.errors import CallError
 from verbenawick.mesh._body_memory import BodyMemory, receive_body
 from verbenawick.mesh._entry import MeshEntry
@@ -18,6 +18,9 @@
     HeaderError,
     decode_call,
     encode_result,
+    host_of,
+    key_digest_of,
+    path_of,
 )
 from verbenawick.platform._documents import decode_report
 from verbenawick.platform._events import CallBroken, ReportInvalid
@@ -98,11 +101,18 @@
     def _serve(self, environ, now: float) -> CallResult:
         configuration = self._entry.configuration
         limits = configuration.limits if configuration else RequestLimits()
+        refusal = self._refuse_unread(environ)
+        if refusal is not None:
+            return refusal
         with self._bodies.reservation() as reserve:
             try:
                 body = receive_body(environ, limits, reserve)
                 call = decode_call(
-                    environ, body, caller_service=self._caller_service(), now=now
+                    environ,
+                    body,
+                    caller_service=self._caller_service(),
+                    now=now,
+                    has_workspaces=self._has_workspaces,
                 )
             except CallError as error:
                 retry_after_s = getattr(error, "retry_after_s", 0.0)
@@ -114,6 +124,22 @@
             with self._watcher.watch(environ["eventlet.input"].get_socket()):
                 return self._entry.serve(call)
 
+    @property
+    def _has_workspaces(self) -> bool:
+        configuration = self._entry.configuration
+        return configuration is not None and configuration.workspaces is not None
+
+    def _refuse_unread(self, environ) -> CallResult | None:
+        """Return the refusal of a call for its key, before its body is received."""
+        if not self._has_workspaces or not has_body(environ):
+            return None
+        return self._entry.refuse_unread(
+            environ.get("HTTP_ATTEMPT_ID", ""),
+            host_of(environ),
+            path_of(environ),
+            key_digest_of(environ),
+        )
+
 
 def report_application(
     upstream: LocalUpstream,
--- a/src/verbenawick/workspaces/_model.py
+++ b/src/verbenawick/workspaces/_model.py
@@ -1,12 +1,16 @@
 """Data model of workspaces and the digests of their keys."""
 
+import math
 import secrets
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
 # Random for each process, so that digests in memory reveal no keys.
 _SALT = secrets.token_bytes(16)
 _DIGEST_BYTES = 16
+MAX_NAME_LENGTH = 256
+MAX_PRIORITY = 2**31
 
 
 def digest_key(key: str) -> bytes:
@@ -41,3 +45,55 @@
 
     by_name: dict[str, Workspace] = field(default_factory=dict)
     by_key_digest: dict[bytes, Workspace] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class WorkspaceKeys:
+    """A workspace and the digests of its keys."""
+
+    workspace: Workspace
+    key_digests: frozenset[bytes]
+
+
+def check_workspace(workspace: Workspace) -> None:
+    """Raise `ValueError` if `workspace` is invalid, naming the field."""
+    name, priority = workspace.name, workspace.priority
+    # The name is sent to upstreams in a header.
+    if not 0 < len(name) <= MAX_NAME_LENGTH or not _is_text(name):
+        raise ValueError(
+            f"name does not have 1 to {MAX_NAME_LENGTH} printable characters"
+        )
+    if priority is not None and abs(priority) > MAX_PRIORITY:
+        raise ValueError("priority is out of range")
+    for field_name in ("rate_per_s", "burst"):
+        value = getattr(workspace, field_name)
+        if not 0 <= value < math.inf:
+            raise ValueError(f"{field_name} is not a finite number of at least 0")
+
+
+def _is_text(name: str) -> bool:
+    return name.isprintable() and name == name.strip()
+
+
+def index_workspaces(entries: Iterable[WorkspaceKeys]) -> Workspaces:
+    """Return the workspaces by name and by digest of a key.
+
+    Raises
+    ------
+    ValueError
+        Two workspaces have the same name or hold the same key.
+    """
+    workspaces = Workspaces()
+    for entry in entries:
+        workspace = entry.workspace
+        if workspace.name in workspaces.by_name:
+            raise ValueError(f"two workspaces are named {workspace.name!r}")
+        workspaces.by_name[workspace.name] = workspace
+        for digest in entry.key_digests:
+            holder = workspaces.by_key_digest.setdefault(digest, workspace)
+            if holder is not workspace:
+                raise ValueError(
+                    f"workspaces {holder.name!r} and {workspace.name!r} hold the same "
+                    "key"
+                )
+    return workspaces
--- a/tests/test_platform_wire_format.py
+++ b/tests/test_platform_wire_format.py
@@ -13,8 +13,14 @@
     decode_call,
     encode_result,
     http_status_of,
+    key_digest_of,
 )
-from verbenawick.platform._documents import decode_configuration, decode_report
+from verbenawick.platform._documents import (
+    ConfigurationDecoder,
+    decode_configuration,
+    decode_report,
+)
+from verbenawick.workspaces._model import Workspace, digest_key
 
 REPORT = {
     "service": "s",
@@ -160,6 +166,80 @@
             )
 
 
+class WorkspaceDocumentTest(TestCase):
+    """Workspaces in configuration documents."""
+
+    def workspace(self, name="w", **spec) -> dict:
+        return {"resource_type": "tenants", "metadata": {"name": name}, "spec": spec}
+
+    def decode(self, *workspaces: dict, decode=decode_configuration):
+        content = json.loads(document(ROUTE))
+        content["resources"] += workspaces
+        return decode(json.dumps(content).encode(), 1)
+
+    def test_documents_without_workspaces_need_no_keys(self):
+        """Deployments without workspaces are served as before."""
+        self.assertIsNone(self.decode().workspaces)
+        self.assertFalse(self.decode().routes[0].is_anonymous)
+
+    def test_workspaces_and_anonymous_routes(self):
+        """Fields of later releases are ignored."""
+        configuration = self.decode(
+            self.workspace(
+                "w1", api_keys=["a", "b"], priority=0, rate_per_s=7, burst=3.5, new=1
+            ),
+            self.workspace("w2", api_keys=["c"]),
+        )
+        workspaces = configuration.workspaces
+        first, second = Workspace("w1", 0, 7.0, 3.5), Workspace("w2")
+        self.assertEqual({"w1": first, "w2": second}, workspaces.by_name)
+        expected = {"a": first, "b": first, "c": second}
+        self.assertEqual(
+            {digest_key(key): value for key, value in expected.items()},
+            workspaces.by_key_digest,
+        )
+        route = decode_configuration(document({**ROUTE, "allow_anonymous": True}), 1)
+        self.assertTrue(route.routes[0].is_anonymous)
+
+    def test_invalid_workspaces_are_located_without_their_keys(self):
+        """Keys in the reason of a rejected document would get into logs."""
+        key = "k-secret"
+        for place, workspaces in (
+            ("'w'.*rate_per_s", [self.workspace(api_keys=[key], rate_per_s=-1)]),
+            ("'w'.*rate_per_s", [self.workspace(api_keys=[key], rate_per_s=None)]),
+            ("'w'.*burst", [self.workspace(api_keys=[key], burst="1")]),
+            ("'w'.*priority", [self.workspace(api_keys=[key], priority=2**70)]),
+            ("'w'.*api_keys", [self.workspace(api_keys=key)]),
+            ("'w'.*api_keys", [self.workspace(api_keys=[key, 7])]),
+            ("'w'.*api_keys", [self.workspace(api_keys=[[key]])]),
+            ("name", [self.workspace("a\nb", api_keys=[key])]),
+            (
+                "'v' and 'w'",
+                [self.workspace("v", api_keys=[key]), self.workspace(api_keys=[key])],
+            ),
+        ):
+            error = self.assertRaises(ValueError, self.decode, *workspaces)
+            self.assertRegex(str(error), place)
+            self.assertNotIn(key, str(error))
+
+    def test_changed_keys_are_decoded_again(self):
+        """The decoder keeps resources that are the same in the next document."""
+        decode = ConfigurationDecoder().decode
+        for key in ("k1", "k2", "k1"):
+            configuration = self.decode(self.workspace(api_keys=[key]), decode=decode)
+            self.assertEqual(
+                [digest_key(key)], list(configuration.workspaces.by_key_digest)
+            )
+
+    def test_decoder_keeps_no_keys(self):
+        """Guards against keys in memory dumps and in the text of objects."""
+        decoder = ConfigurationDecoder()
+        decoded = self.decode(
+            self.workspace(api_keys=["k-secret"]), decode=decoder.decode
+        )
+        self.assertNotIn("k-secret", repr(decoded) + repr(vars(decoder)))
+
+
 class CallTest(TestCase):
     """Headers of requests and responses."""
 
@@ -175,8 +255,8 @@
         }
         return {**environ, **changes}
 
-    def decode(self, environ):
-        return decode_call(environ, b"", caller_service="own", now=5.0)
+    def decode(self, environ, **options):
+        return decode_call(environ, b"", caller_service="own", now=5.0, **options)
 
     def test_request_is_forwarded_unchanged(self):
         """Percent-encoding in path and query is preserved."""
@@ -212,6 +292,50 @@
         for name in ("Target-Instance", "Deadline-Remaining", "X-Hop", "Connection"):
             self.assertNotIn(name, names)
 
+    def test_keys_are_not_forwarded(self):
+        """Upstreams get the name of the workspace and no key, whatever was sent."""
+        environ = self.environ(
+            ("authorization", "Bearer k1"),
+            ("tenant-id", "forged"),
+            HTTP_AUTHORIZATION="Bearer k1",
+        )
+        call = self.decode(environ, has_workspaces=True)
+        self.assertEqual(digest_key("k1"), call.key_digest)
+        self.assertNotIn("k1", repr(call))
+        for workspace, expected in (("w", ["w"]), ("", []), ("ä", ["Ã¤"])):
+            sent = PlatformUpstreamProtocol().request_headers(
+                call.headers,
+                caller_service="s",
+                upstream_id="u1",
+                left_s=0.5,
+                workspace=workspace,
+            )
+            named = [v for n, v in sent if n.lower() in ("tenant-id", "authorization")]
+            self.assertEqual(expected, named)
+
+    def test_headers_are_forwarded_without_workspaces(self):
+        """Without workspaces, these headers belong to the upstreams."""
+        headers = (("Authorization", "Basic x"), ("Tenant-Id", "t"))
+        call = self.decode(self.environ(*headers, HTTP_AUTHORIZATION="Basic x"))
+        self.assertIsNone(call.key_digest)
+        self.assertEqual(headers, call.headers[-2:])
+
+    def test_key_of_a_request(self):
+        """Only a single key of the scheme counts as one."""
+        for text, key in (
+            ("Bearer k1", "k1"),
+            ("bearer   k1 ", "k1"),
+            ("Bearer", None),
+            ("Bearer ", None),
+            ("Basic k1", None),
+            ("k1", None),
+            ("", None),
+            ("Bearer k1,Bearer k2", "k1,Bearer k2"),
+        ):
+            digest = key_digest_of({"HTTP_AUTHORIZATION": text})
+            self.assertEqual(digest_key(key) if key else None, digest, text)
+        self.assertIsNone(key_digest_of({}))
+
     def test_deadline_header(self):
         """An invalid value is ignored, so that the timeout of the route applies."""
         for text, expected in (
@@ -239,6 +363,8 @@
             (not_run, "call.quarantined", 503),
             (not_run, "call.deadline-unreachable", 503),
             (not_run, "call.no-route", 404),
+            (not_run, "call.unknown-key", 401),
+            (unknown, "call.unknown-key", 502),
             (not_run, "call.bad-request", 400),
             (not_run, "call.request-too-large", 413),
             (unknown, "call.timeout", 504),
