Hold fewer copies of a configuration while it changes

A node peaked 6 to 7 MB above its calm size at changes of 2,200 routes: a response of the store was held twice by urllib3, a document once more for its decoding; a delta copied the base, its parts and the result, and its encoder split both whole documents. The decoder kept the spec of each resource to recognise it, and each route its own host, target and times.

A response with a length is read at once; the document of the store is copied once; a delta is assembled from views, and only what lies between the common ends of two documents is split. Specs are recognised by a digest, and equal values of routes are one object.

--- a/src/verbenawick/mesh/_document_delta.py
+++ b/src/verbenawick/mesh/_document_delta.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from functools import cached_property
+from os.path import commonprefix
 from struct import Struct
 from zlib import compress, decompress, decompressobj
 from zlib import error as zlib_error
@@ -31,6 +32,7 @@
 # Documents are compared in the chunks between these bytes: each resource of a JSON
 # document has a few.
 _CHUNK_START = b"{"
+_BLOCK_BYTES = 4096
 
 _MARK = b"\x01vwd"
 _HEADER = Struct(f">4sQ{DIGEST_BYTES}s{DIGEST_BYTES}s")
@@ -74,15 +76,71 @@
 
 def _find_steps(base: bytes, new: bytes) -> Iterator[_Step]:
     """Yield the steps that assemble the chunks of `new`, each with a chunk start."""
-    base_chunks = base.split(_CHUNK_START)
+    # Most changes leave both ends alone. Only the parts between them are split.
+    head = _common_head(base, new)
+    tail = _common_tail(base, new, after=head)
+    base_end, new_end = len(base) - tail, len(new) - tail
+    if head:
+        yield 0, head
+    yield from _find_changed_steps(
+        _split_chunks(base[head:base_end], is_end=not tail),
+        _split_chunks(new[head:new_end], is_end=not tail),
+        offset=head,
+    )
+    if tail:
+        yield base_end, tail + len(_CHUNK_START)
+
+
+def _common_head(base: bytes, new: bytes) -> int:
+    """Return the length of the whole chunks with which both documents begin."""
+    length = 0
+    while (block := base[length : length + _BLOCK_BYTES]) and (
+        block == new[length : length + _BLOCK_BYTES]
+    ):
+        length += len(block)
+    length += len(commonprefix((block, new[length : length + _BLOCK_BYTES])))
+    return base.rfind(_CHUNK_START, 0, length) + 1
+
+
+def _common_tail(base: bytes, new: bytes, *, after: int) -> int:
+    """Return the length of the whole chunks with which both documents end.
+
+    Parameters
+    ----------
+    after : int
+        Length of the common head, which is not part of the tail.
+    """
+    limit = min(len(base), len(new)) - after
+    length = 0
+    while length < limit:
+        size = min(_BLOCK_BYTES, limit - length)
+        blocks = [d[len(d) - length - size : len(d) - length] for d in (base, new)]
+        if blocks[0] != blocks[1]:
+            length += len(commonprefix([block[::-1] for block in blocks]))
+            break
+        length += size
+    start = base.find(_CHUNK_START, len(base) - length) + 1
+    return len(base) - start if start else 0
+
+
+def _split_chunks(part: bytes, *, is_end: bool) -> list[bytes]:
+    """Return the chunks of a part of a document, which ends with a chunk start."""
+    chunks = part.split(_CHUNK_START)
+    # The last chunk of a document has no chunk start.
+    return chunks if is_end else chunks[:-1]
+
+
+def _find_changed_steps(
+    base_chunks: list[bytes], new_chunks: list[bytes], *, offset: int
+) -> Iterator[_Step]:
     index_by_chunk = {chunk: index for index, chunk in enumerate(base_chunks)}
-    offsets = [0]
+    offsets = [offset]
     for chunk in base_chunks:
         offsets.append(offsets[-1] + len(chunk) + len(_CHUNK_START))
     literals: list[bytes] = []
     # Chunks of the base to copy before `literals`.
     first = end = 0
-    for chunk in new.split(_CHUNK_START):
+    for chunk in new_chunks:
         # After a changed chunk, the next one probably follows its counterpart.
         index = end + len(literals)
         if index >= len(base_chunks) or base_chunks[index] != chunk:
@@ -151,7 +209,7 @@
             step="delta.base",
         )
     steps = _decode_steps(encoded[_HEADER.size :])
-    document = Document(_assemble(base.data + _CHUNK_START, steps))
+    document = Document(_assemble(base.data, steps))
     if document.digest != digest:
         raise DigestMismatchError(
             f"the document has digest {document.digest.hex()}, expected {digest.hex()}",
@@ -174,22 +232,31 @@
 
 
 def _assemble(base: bytes, steps: list[_Step]) -> bytes:
+    """Return the document that the steps assemble, without its last chunk start."""
     parts = []
     left = MAX_DOCUMENT_BYTES
+    # Views, since a document is large and most of it is copied from the base.
+    view = memoryview(base)
     for step in steps:
         if isinstance(step, bytes):
-            part = step
+            copied, literal = b"", step
         else:
             offset, length = step
-            part = base[offset : offset + length] if offset >= 0 else b""
-            if len(part) != length:
+            # A chunk start follows the base.
+            has_end = offset >= 0 and offset + length == len(base) + 1
+            literal = _CHUNK_START if has_end and length else b""
+            length -= len(literal)
+            copied = view[offset : offset + length] if offset >= 0 else b""
+            if len(copied) != length:
                 raise DocumentError(
                     f"the base has no {length} bytes at {offset}", step="delta.copy"
                 )
-        left -= len(part)
+        left -= len(copied) + len(literal)
         if left < 0:
             raise DocumentError(
                 f"the document exceeds {MAX_DOCUMENT_BYTES} bytes", step="delta.size"
             )
-        parts.append(part)
-    return b"".join(parts).removesuffix(_CHUNK_START)
+        parts += [part for part in (copied, literal) if part]
+    if parts and parts[-1][-1:] == _CHUNK_START:
+        parts[-1] = parts[-1][:-1]
+    return b"".join(parts)
--- a/src/verbenawick/platform/_documents.py
+++ b/src/verbenawick/platform/_documents.py
@@ -1,6 +1,7 @@
 """Decoders of the platform's configuration document and status reports."""
 
 from hashlib import blake2b
+from typing import TypeVar
 
 import msgspec
 
@@ -25,6 +26,8 @@
 _IDEMPOTENT_REQUEST_KIND = "safe"
 _WORKSPACE_TYPE = "tenants"
 _SPEC_DIGEST_BYTES = 16
+# Values of routes that are kept to be shared: hosts, targets and times.
+MAX_SHARED_VALUES = 4096
 
 _Decoded = MeshRoute | ServiceSpec | RequestLimits | WorkspaceKeys | None
 
@@ -96,6 +99,9 @@
     born: int = 0
 
 
+_T = TypeVar("_T")
+_shared_values: dict = {}
+
 _document_decoder = msgspec.json.Decoder(_Document)
 _route_decoder = msgspec.json.Decoder(_RouteSpec)
 _workspace_decoder = msgspec.json.Decoder(_WorkspaceSpec)
@@ -160,10 +166,7 @@
 
 def _spec_key(resource: _Resource) -> bytes:
     """Return what tells the spec of a resource from others; it holds no key."""
-    spec = bytes(resource.spec)
-    if resource.resource_type == _WORKSPACE_TYPE:
-        return blake2b(spec, digest_size=_SPEC_DIGEST_BYTES).digest()
-    return spec
+    return blake2b(resource.spec, digest_size=_SPEC_DIGEST_BYTES).digest()
 
 
 def _decode_resource(resource: _Resource) -> _Decoded:
@@ -195,11 +198,12 @@
         targets = (RouteTarget(spec.service, 1.0),)
     else:
         raise ValueError(f"route {name} has no service")
-    timeout_s = spec.timeout_ms / 1000
-    objective_s = (spec.target_latency_ms or spec.timeout_ms) / 1000
+    targets = _share(targets)
+    timeout_s = _share(spec.timeout_ms / 1000)
+    objective_s = _share((spec.target_latency_ms or spec.timeout_ms) / 1000)
     return MeshRoute(
         name,
-        spec.host,
+        _share(spec.host),
         spec.path_prefix,
         targets,
         spec.kind == _IDEMPOTENT_REQUEST_KIND,
@@ -211,6 +215,16 @@
     )
 
 
+def _share(value: _T) -> _T:
+    """Return an equal value that other routes hold, which saves half of their memory.
+
+    The values that have been shared are forgotten when they become many.
+    """
+    if len(_shared_values) >= MAX_SHARED_VALUES:
+        _shared_values.clear()
+    return _shared_values.setdefault(value, value)
+
+
 def _decode_workspace(name: str, data: msgspec.Raw) -> WorkspaceKeys:
     try:
         spec = decode_json(data, _workspace_decoder)
--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -1,5 +1,6 @@
 """HTTP client of the platform's store, which holds objects by kind and name."""
 
+import math
 from collections.abc import Callable
 from http.client import HTTPException
 from time import monotonic
@@ -216,11 +217,12 @@
         for item in reversed(items):
             if item.metadata.name != CONFIGURATION_NAME:
                 continue
+            document = bytes(item.spec)
             configuration = decode_stored_configuration(
-                bytes(item.spec), item.metadata.revision, decode=self._decode
+                document, item.metadata.revision, decode=self._decode
             )
             if configuration is not None:
-                return ConfigurationChange(current, configuration, bytes(item.spec))
+                return ConfigurationChange(current, configuration, document)
         return ConfigurationChange(current, None)
 
     def read_records(self, *, allow_stale: bool) -> RecordChange:
@@ -413,7 +415,11 @@
                     method, path, body=data, headers=headers, preload_content=False
                 )
                 response = connection.getresponse()
-                content = response.read(MAX_RESPONSE_BYTES + 1)
+                # With a limit, urllib3 holds a second copy of the content.
+                has_length = (response.length_remaining or math.inf) <= (
+                    MAX_RESPONSE_BYTES
+                )
+                content = response.read(None if has_length else MAX_RESPONSE_BYTES + 1)
             if len(content) > MAX_RESPONSE_BYTES:
                 raise _ResponseTooLargeError(
                     f"response exceeds {MAX_RESPONSE_BYTES} bytes"
