Follow a store that comes back from an older copy

When the store came back from an older copy, its revisions went back and were given out again.

The client of the store reads `Store-Era` and returns positions, one number that orders by era and then revision; so followers, relays, publishers and messages compare as before, and a store without eras has the same numbers as before. An answer of an earlier era is no answer, a watch or a condition of an earlier era is refused without a call. The relay reads the records once and sends the differences, which the other nodes apply without a call; a node whose record is unharmed makes none. Records that the copy lacks stay in use for 3 s while their nodes are linked. A configuration of a lower version was and is not put in force.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -182,6 +182,18 @@
     world.store.compact_history()
 
 
+@register_fault()
+def store_comes_back(world, random, duration_s):
+    """Lose what was written to the store in a while; the operator writes it again."""
+    copy = world.store.take_copy()
+    eventlet.sleep(duration_s)
+    content = world.store.get("config", "main")["spec"]
+    world.store.come_back(copy)
+    eventlet.sleep(random.random())
+    if world.store.get("config", "main")["spec"]["version"] < content["version"]:
+        world.store.put("config", "main", content)
+
+
 @register_fault()
 def store_connection(world, random, duration_s):
     """Disturb the connections of some nodes to the store."""
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -466,8 +466,18 @@
                 if endpoint.node_id not in records:
                     self._on_record(endpoint.node_id, None)
         for node_id, record in records.items():
+            if record is None and change.is_restored and self._is_linked(node_id):
+                continue
             self._on_record(node_id, record)
 
+    def _is_linked(self, node_id: str) -> bool:
+        endpoint = self.endpoints.get(node_id)
+        return (
+            endpoint is not None
+            and node_id != self.settings.node_id
+            and self.links.is_connected(endpoint.member)
+        )
+
     def _on_record(self, node_id: str, record: UpstreamRecord | None) -> None:
         if node_id == self.settings.node_id:
             self._publisher.on_stored(record)
--- a/src/verbenawick/mesh/_publisher.py
+++ b/src/verbenawick/mesh/_publisher.py
@@ -99,7 +99,10 @@
             return
         known_revision = self._stored.revision if self._stored else 0
         if record is None or record.revision > known_revision:
-            if record != self._stored:
+            if record is not None and self._is_stored(record):
+                # The store came back with the record at another revision.
+                self._stored = record
+            elif record != self._stored:
                 self._is_stored_known = False
                 self.wake()
 
@@ -142,7 +145,14 @@
             return desired is None and self._stored is None
         if desired is None or self._stored is None:
             return desired is self._stored
-        return replace(desired, revision=self._stored.revision) == self._stored
+        return self._is_stored(desired)
+
+    def _is_stored(self, record: UpstreamRecord) -> bool:
+        """Return whether the stored record is `record`, at whatever revision."""
+        stored = self._stored
+        return (
+            stored is not None and replace(record, revision=stored.revision) == stored
+        )
 
     def _write_once(self) -> None:
         self._is_writing, self._revision_during_write = True, 0.0
--- a/src/verbenawick/mesh/_record_follower.py
+++ b/src/verbenawick/mesh/_record_follower.py
@@ -1,7 +1,7 @@
 """Task that follows the upstream records, through the relay or in the store."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 import eventlet
@@ -25,11 +25,14 @@
     encode_records,
 )
 from verbenawick.mesh._state_store import RecordChange, StateStore
+from verbenawick.mesh._store_era import era_of
 from verbenawick.runtime._clock import Clock
 from verbenawick.runtime._events import Event, emit, register_event
 
 # Changes in quick succession are fetched and sent together.
 RECORDS_BATCH_DELAY_S = 0.3
+# Nodes write the records that an older copy of the store lacks within two seconds.
+RESTORE_GRACE_S = 3.0
 
 
 @register_event(747, level="WARNING")
@@ -90,6 +93,9 @@
         self._relay_valid_until = float("-inf")
         self._contact_valid_until = float("-inf")
         self._source = ""
+        self._era = 0
+        # When the records that an older copy of the store lacks are given up.
+        self._restore_until = float("inf")
 
     def send_beacons(self) -> None:
         """Send beacons while this node is the relay, until the thread is killed."""
@@ -108,6 +114,7 @@
             self._catch_up(beacon)
         if self._revision >= beacon.revision:
             self._revision = max(self._revision, beacon.position)
+            self._era = era_of(self._revision)
 
     @property
     def record_count(self) -> int:
@@ -147,15 +154,27 @@
         return self._revision < self._relay_revision
 
     def _poll(self) -> bool:
+        if self._clock.now() >= self._restore_until:
+            self._restore_until = float("inf")
+            records = dict(self._table.by_node_id)
+            self._apply(RecordChange(self._revision, records, is_complete=True))
         if not self._revision:
             # A stale answer may be older than the history that the store has kept, so
             # that the watch from its revision would fail again.
             change = self._store.read_records(allow_stale=not self._is_history_gone)
             self._is_history_gone = False
+            base = self._changed_revision
+            if self._is_of_new_era(change.revision):
+                # The other nodes apply the differences without a call to the store.
+                records = self._table.changes_to(change.records_by_node_id)
+                change = RecordChange(change.revision, records, is_complete=False)
             has_changed = self._update(change)
             if self._is_relay():
                 self._contact_valid_until = self._clock.now() + CONTACT_VALID_S
-                self._send_beacon()
+                if has_changed and not change.is_complete:
+                    self._send_changes(base, change)
+                else:
+                    self._send_beacon()
             return has_changed
         if self._is_relay():
             self._set_source("relay")
@@ -180,16 +199,19 @@
         if not self._update(change):
             return False
         if self._is_relay():
-            records = encode_records(change.records_by_node_id)
-            if len(records) > MAX_UPDATE_BYTES:
-                records = b""
-            self._send(
-                RecordBeacon(
-                    base, change.revision, change.revision, self._table.digest, records
-                )
-            )
+            self._send_changes(base, change)
         return True
 
+    def _send_changes(self, base: int, change: RecordChange) -> None:
+        records = encode_records(change.records_by_node_id)
+        if len(records) > MAX_UPDATE_BYTES:
+            records = b""
+        self._send(
+            RecordBeacon(
+                base, change.revision, change.revision, self._table.digest, records
+            )
+        )
+
     def _send_beacon(self) -> None:
         if self._is_relay():
             revision = self._changed_revision
@@ -199,6 +221,10 @@
                 )
             )
 
+    def _is_of_new_era(self, revision: int) -> bool:
+        """Return whether the store came back from an older copy since the last one."""
+        return bool(self._table.by_node_id) and era_of(revision) > self._era
+
     def _set_source(self, source: str) -> None:
         if self._source != source:
             self._source = source
@@ -210,7 +236,11 @@
             # Stale answer: older than a revision that was already processed.
             return False
         has_records = bool(change.records_by_node_id)
+        if self._is_of_new_era(change.revision) and not change.is_complete:
+            change = replace(change, is_restored=True)
+            self._restore_until = self._clock.now() + RESTORE_GRACE_S
         self._revision = change.revision
+        self._era = era_of(change.revision)
         if has_records or change.is_complete:
             self._changed_revision = change.revision
             if change.is_complete:
--- a/src/verbenawick/mesh/_record_relay.py
+++ b/src/verbenawick/mesh/_record_relay.py
@@ -6,7 +6,7 @@
 store: a node that missed a change, or receives no beacons, watches the store itself.
 """
 
-from dataclasses import astuple, dataclass, fields
+from dataclasses import astuple, dataclass, fields, replace
 from zlib import compress, decompressobj
 from zlib import error as zlib_error
 
@@ -18,6 +18,7 @@
 from verbenawick.links._messages import Message, register_message
 from verbenawick.mesh._model import UpstreamRecord
 from verbenawick.mesh._record_check import check_record
+from verbenawick.mesh._store_era import revision_of
 
 BEACON_INTERVAL_S = 1.0
 # Two beacons may be lost before all nodes watch the store.
@@ -105,6 +106,22 @@
         self.digest = 0
         self.by_node_id.clear()
 
+    def changes_to(
+        self, records_by_node_id: dict[str, UpstreamRecord | None]
+    ) -> dict[str, UpstreamRecord | None]:
+        """Return what differs in `records_by_node_id`, apart from the era.
+
+        None stands for a record that is not in it.
+        """
+        changes: dict[str, UpstreamRecord | None] = dict.fromkeys(
+            self.by_node_id.keys() - records_by_node_id.keys()
+        )
+        for node_id, record in records_by_node_id.items():
+            known = self.by_node_id.get(node_id)
+            if known is None or _without_era(known) != _without_era(record):
+                changes[node_id] = record
+        return changes
+
     def put(self, node_id: str, record: UpstreamRecord | None) -> None:
         """Replace the record of a node, or remove it if `record` is None."""
         # The exclusive or removes the hash of the previous record.
@@ -116,8 +133,15 @@
             self.digest ^= _hash_of(node_id, record)
 
 
+def _without_era(record: UpstreamRecord) -> UpstreamRecord:
+    """Return a record to compare; most are the same in an older copy of the store."""
+    return replace(record, revision=revision_of(record.revision))
+
+
 def _hash_of(node_id: str, record: UpstreamRecord) -> int:
-    return xxh3_64_intdigest(f"{node_id} {record.revision}".encode())
+    # All values, since revisions are given out again after a store came back.
+    values = astuple(_without_era(record))
+    return xxh3_64_intdigest(repr((node_id, values)).encode())
 
 
 def encode_records(records_by_node_id: dict[str, UpstreamRecord | None]) -> bytes:
--- a/src/verbenawick/mesh/_state_store.py
+++ b/src/verbenawick/mesh/_state_store.py
@@ -35,20 +35,27 @@
         Records that were read or changed; None for a deleted record.
     is_complete : bool
         Whether all records are included, so that missing ones have been deleted.
+    is_restored : bool
+        Whether these are differences to an older copy with which the store came back.
+        Records that it lost are written again by their nodes.
     """
 
     revision: int
     records_by_node_id: dict[str, UpstreamRecord | None]
     is_complete: bool
+    is_restored: bool = False
 
 
 class StateStore(Protocol):
     """Store client with blocking calls; each task uses a separate instance.
 
+    Revisions are positions, which order eras of the store; see `_store_era`.
+
     Every call raises `StoreUnavailableError` if it had no effect or no result. A write
     raises `StoreAnswerLostError` if it may have taken effect, and `StoreConditionError`
     if the stored revision differs from the expected one. A watch raises
-    `StoreHistoryGoneError` if the store has discarded the changes after its revision.
+    `StoreHistoryGoneError` if the store has discarded the changes after its revision,
+    or has come back from an older copy.
     """
 
     @property
--- a/src/verbenawick/platform/_node_server.py
+++ b/src/verbenawick/platform/_node_server.py
@@ -10,6 +10,7 @@
 from verbenawick.mesh._model import RequestLimits
 from verbenawick.mesh._node import SHUTDOWN_DELAY_S, MeshNode
 from verbenawick.mesh._settings import MeshSettings
+from verbenawick.mesh._store_era import LatestEra
 from verbenawick.platform._calls import PlatformUpstreamProtocol
 from verbenawick.platform._documents import ConfigurationDecoder
 from verbenawick.platform._objects import PlatformStore, decode_stored_configuration
@@ -46,7 +47,11 @@
         self.node = MeshNode(
             settings,
             open_store=partial(
-                PlatformStore, settings.store_address, decode=decode, metrics=metrics
+                PlatformStore,
+                settings.store_address,
+                decode=decode,
+                metrics=metrics,
+                latest_era=LatestEra(),
             ),
             metrics=metrics,
             protocol=PlatformUpstreamProtocol(),
--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -26,6 +26,13 @@
 )
 from verbenawick.mesh._record_check import check_record
 from verbenawick.mesh._state_store import ConfigurationChange, RecordChange
+from verbenawick.mesh._store_era import (
+    MAX_ERA,
+    LatestEra,
+    era_of,
+    position_of,
+    revision_of,
+)
 from verbenawick.platform._documents import decode_configuration
 from verbenawick.platform._events import ListingCut, ObjectInvalid
 from verbenawick.platform._json import decode_json
@@ -34,6 +41,7 @@
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 from verbenawick.runtime._polling import is_readable
 
+ERA_HEADER = "Store-Era"
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 # Kind owned by this project, with one object for each node and its upstream.
@@ -159,7 +167,8 @@
 class PlatformStore:
     """Client of the platform's store that implements `StateStore`.
 
-    Uses a single connection, so each green thread needs its own instance.
+    Uses a single connection, so each green thread needs its own instance. All revisions
+    that it takes and returns are positions; see `verbenawick.mesh._store_era`.
 
     Parameters
     ----------
@@ -171,6 +180,8 @@
         Counts the calls by purpose.
     clock : Clock
         Measures how long the connection is idle; `BootClock` if None.
+    latest_era : LatestEra
+        Shared by the clients of a node, so that each knows what one of them has seen.
     """
 
     def __init__(
@@ -180,7 +191,11 @@
         decode: DocumentDecoder = decode_configuration,
         metrics: MetricSet | None = None,
         clock: Clock | None = None,
+        latest_era: LatestEra | None = None,
     ):
+        self._latest_era = latest_era or LatestEra()
+        # Era of the last answer.
+        self._era = 0
         self._metrics = metrics or MetricSet()
         self._clock = clock or BootClock()
         self._idle_until = 0.0
@@ -219,7 +234,7 @@
                 continue
             document = bytes(item.spec)
             configuration = decode_stored_configuration(
-                document, item.metadata.revision, decode=self._decode
+                document, self._position(item), decode=self._decode
             )
             if configuration is not None:
                 return ConfigurationChange(current, configuration, document)
@@ -246,14 +261,15 @@
         """Create a record and return its revision."""
         body = {"metadata": {"name": record.node_id}, "spec": _record_spec(record)}
         answer = self._write("POST", f"/objects/{RECORD_KIND}", body, "store.create")
-        return _decode_revision(answer)
+        return self._decode_position(answer)
 
     def replace_record(self, record: UpstreamRecord) -> int:
         """Replace the record of `record.revision` and return the new revision."""
-        metadata = {"name": record.node_id, "revision": record.revision}
+        revision = self._expected_revision(record.revision, "store.replace")
+        metadata = {"name": record.node_id, "revision": revision}
         body = {"metadata": metadata, "spec": _record_spec(record)}
         path = f"/objects/{RECORD_KIND}/{quote(record.node_id)}"
-        return _decode_revision(self._write("PUT", path, body, "store.replace"))
+        return self._decode_position(self._write("PUT", path, body, "store.replace"))
 
     def read_record(self, node_id: str) -> UpstreamRecord | None:
         """Return the current record of a node."""
@@ -277,12 +293,13 @@
                 "",
                 UpstreamState.UNKNOWN,
                 0,
-                revision=item.metadata.revision,
+                revision=self._position(item),
             )
         return record
 
     def delete_record(self, node_id: str, revision: int) -> None:
         """Delete the record of a node if it has `revision`."""
+        revision = self._expected_revision(revision, "store.delete")
         path = f"/objects/{RECORD_KIND}/{quote(node_id)}?revision={revision}"
         self._write("DELETE", path, None, "store.delete", missing_ok=True)
 
@@ -305,7 +322,7 @@
                 spec.state,
                 spec.slots,
                 spec.born_ms,
-                item.metadata.revision,
+                self._position(item),
             )
             check_record(record)
         except (msgspec.MsgspecError, ValueError) as error:
@@ -326,9 +343,12 @@
             if allow_stale:
                 query["allow_stale"] = "1"
             listing = self._read(kind, query, _Listing, "store.list")
+            position = position_of(listing.current_rev, era=self._era)
+            if revision and era_of(position) != era_of(revision):
+                raise self._unavailable_error("pages are of two eras", "store.list")
             # The revision of the first page, so that a watch from it also reports
             # changes made between the pages.
-            revision = revision or listing.current_rev
+            revision = revision or position
             objects += self._decode_items(kind, listing.items, _Object)
             if not listing.more:
                 return objects, revision, True
@@ -340,7 +360,14 @@
     def _watch(
         self, kind: str, revision: int, wait_s: float, *, allow_stale: bool
     ) -> tuple[list[_Event], int]:
-        query = {"watch": str(revision), "wait_ms": str(int(wait_s * 1000))}
+        era = era_of(revision)
+        # A revision of an earlier era may have been given out again.
+        if era < self._latest_era.value:
+            raise self._era_error("store.watch")
+        query = {
+            "watch": str(revision_of(revision)),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
         if allow_stale:
             query["allow_stale"] = "1"
         changes = self._read(
@@ -350,7 +377,10 @@
             "store.watch",
             timeout_s=wait_s + WATCH_RESPONSE_TIMEOUT_S,
         )
-        return self._decode_items(kind, changes.events, _Event), changes.current_rev
+        if era != self._era:
+            raise self._era_error("store.watch")
+        position = position_of(changes.current_rev, era=era)
+        return self._decode_items(kind, changes.events, _Event), position
 
     def _decode_items(
         self, kind: str, items: list[msgspec.Raw], item_type: type
@@ -433,10 +463,45 @@
             self.close()
             raise
         self._idle_until = self._clock.now() + MAX_IDLE_S
+        self._observe_era(response.headers.get(ERA_HEADER), method, step)
         if (response.headers.get("Connection") or "").lower() == "close":
             self.close()
         return response.status, content
 
+    def _observe_era(self, value: str | None, method: str, step: str) -> None:
+        """Note the era of an answer; one of an earlier era is no answer."""
+        is_valid = value is not None and value.isascii() and value.isdigit()
+        era = int(value) if is_valid and len(value) <= len(str(MAX_ERA)) else 0
+        # An answer without an era is not from the store itself, or it has none.
+        if not 0 < era <= MAX_ERA:
+            era = self._latest_era.value
+        if not self._latest_era.observe(era):
+            self.close()
+            reason = f"the answer is of era {era}, not {self._latest_era.value}"
+            if method == "GET":
+                raise self._unavailable_error(reason, step)
+            raise self._answer_lost_error(reason, step)
+        self._era = era
+
+    def _expected_revision(self, position: int, step: str) -> int:
+        """Return the revision for the condition of a write."""
+        if era_of(position) < self._latest_era.value:
+            raise StoreConditionError(
+                "the expected revision is of an earlier era",
+                step=step,
+                peer=self._address,
+            )
+        return revision_of(position)
+
+    def _position(self, item: _Object) -> int:
+        return position_of(item.metadata.revision, era=self._era)
+
+    def _decode_position(self, data: bytes) -> int:
+        try:
+            return self._position(decode_json(data, msgspec.json.Decoder(_Object)))
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise StoreAnswerLostError(f"invalid response: {error}") from error
+
     def _connect(self, step: str) -> _StoreConnection:
         if self._connection is not None and (
             self._clock.now() > self._idle_until or not _is_reusable(self._connection)
@@ -465,6 +530,11 @@
         except (msgspec.MsgspecError, ValueError) as error:
             raise self._unavailable_error(f"invalid response: {error}", step) from error
 
+    def _era_error(self, step: str) -> StoreHistoryGoneError:
+        return StoreHistoryGoneError(
+            "the store came back from an older copy", step=step
+        )
+
     def _unavailable_error(self, reason: str, step: str) -> StoreUnavailableError:
         self._metrics.count(FAILURES)
         return StoreUnavailableError(reason, step=step, peer=self._address)
@@ -510,10 +580,3 @@
         record.slots,
         record.born_ms,
     )
-
-
-def _decode_revision(data: bytes) -> int:
-    try:
-        return decode_json(data, msgspec.json.Decoder(_Object)).metadata.revision
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise StoreAnswerLostError(f"invalid response: {error}") from error
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -39,9 +39,17 @@
 
 @dataclass(slots=True)
 class StandinPlatformStore:
-    """WSGI application that keeps objects in memory, by kind and name."""
+    """WSGI application that keeps objects in memory, by kind and name.
+
+    Attributes
+    ----------
+    era : int
+        Named in all answers; rises each time the store comes back from an older copy.
+        Not named if 0.
+    """
 
     revision: int = 1
+    era: int = 0
     faults: StoreFaults = field(default_factory=StoreFaults)
     calls: list[tuple[str, str]] = field(default_factory=list)
     queries: list[dict[str, str]] = field(default_factory=list)
@@ -90,6 +98,17 @@
         self.oldest_revision = self.revision
         self._wake_watches()
 
+    def take_copy(self) -> tuple[int, dict[tuple[str, str], dict]]:
+        """Return a copy of the store, with which it may come back."""
+        return self.revision, dict(self._objects)
+
+    def come_back(self, copy: tuple[int, dict[tuple[str, str], dict]]) -> None:
+        """Lose everything that was written after `copy`."""
+        self.revision, self._objects = copy[0], dict(copy[1])
+        self._history = [row for row in self._history if row[0] <= self.revision]
+        self.era += 1
+        self._wake_watches()
+
     def __call__(self, environ, start_response):
         """Serve one call."""
         method = environ["REQUEST_METHOD"]
@@ -101,7 +120,7 @@
             eventlet.sleep(0.05)
         eventlet.sleep(self.faults.delay_s)
         if self.faults.status:
-            return _make_response(
+            return self._make_response(
                 start_response, self.faults.status, {"error": "fault"}
             )
         if method == "GET":
@@ -112,7 +131,7 @@
             status, content = self._write(method, parts[1:], query, body)
             while self.faults.withholds_write_responses:
                 eventlet.sleep(0.05)
-        return _make_response(start_response, status, content)
+        return self._make_response(start_response, status, content)
 
     def _read(self, parts, query):
         kind = parts[0]
@@ -135,17 +154,20 @@
 
     def _watch(self, kind: str, revision: int, wait_s: float):
         with eventlet.Timeout(wait_s, False):
-            while revision >= self.oldest_revision:
+            while self._has_history(revision):
                 if self._events_since(kind, revision):
                     break
                 self._change_event.wait()
-        if revision < self.oldest_revision:
+        if not self._has_history(revision):
             return 410, {"error": "gone"}
         # A change can coincide with the timeout. A response with its revision but
         # without its event would hide the change from the follower for good.
         events = self._events_since(kind, revision)
         return 200, {"events": events, "current_rev": self.revision}
 
+    def _has_history(self, revision: int) -> bool:
+        return self.oldest_revision <= revision <= self.revision
+
     def _events_since(self, kind: str, revision: int) -> list[dict]:
         return [
             {"object": item, "deleted": is_deleted}
@@ -184,11 +206,13 @@
         event, self._change_event = self._change_event, Event()
         event.send(True)
 
-
-def _make_response(start_response, status: int, content: object):
-    body = json.dumps(content).encode()
-    start_response(
-        f"{status} Status",
-        [("Content-Type", "application/json"), ("Content-Length", str(len(body)))],
-    )
-    return [body]
+    def _make_response(self, start_response, status: int, content: object):
+        body = json.dumps(content).encode()
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ]
+        if self.era:
+            headers.append(("Store-Era", str(self.era)))
+        start_response(f"{status} Status", headers)
+        return [body]
