--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,6 +19,7 @@
     "bench.membership",
     "bench.memory",
     "bench.recovery",
+    "bench.requests",
 )
 
 
