Reject answers of upstreams whose status is no status

Callers saw: after a head `HTTP/1.1 000 X` or `099 X` the next answer on the channel, a 200, was given to the caller; without one the call waited until the channel or its time ended. `600` and `999` were given to the caller as they are.

Cause: every status below 200 was taken for an interim answer, and none above 599 was rejected.

Change: the parser's callback rejects such a head, which ends the channel and the call as one that may have run.

--- a/src/verbenawick/calls/_http_messages.py
+++ b/src/verbenawick/calls/_http_messages.py
@@ -47,6 +47,11 @@
     return min(limits_s)
 
 
+def is_status(status: int) -> bool:
+    """Return whether an answer can have `status`; any other one is no answer."""
+    return 100 <= status <= 599
+
+
 def has_body(environ) -> bool:
     """Return whether a request has a body, which may be empty."""
     return "CONTENT_LENGTH" in environ or "HTTP_TRANSFER_ENCODING" in environ
--- a/src/verbenawick/mesh/_upstream_channels.py
+++ b/src/verbenawick/mesh/_upstream_channels.py
@@ -19,7 +19,7 @@
 from eventlet.green import socket
 from httptools import HttpParserError, HttpResponseParser
 
-from verbenawick.calls._http_messages import idle_time_s
+from verbenawick.calls._http_messages import idle_time_s, is_status
 from verbenawick.errors import (
     BadCallError,
     BadResponseError,
@@ -74,6 +74,9 @@
 )
 
 
+_FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
+
+
 class AnswerKind(StrEnum):
     """Relation of an answer from the upstream to the request that was sent."""
 
@@ -180,12 +183,17 @@
 
     def on_headers_complete(self) -> None:
         answer = self.current
-        answer.status = self._parser.get_status_code()
-        answer.keeps_channel = self._parser.should_keep_alive()
+        status = self._parser.get_status_code()
         names = {name.lower() for name, _ in answer.headers}
+        if not is_status(status):
+            version = self._parser.get_http_version()
+            raise ValueError(f"'HTTP/{version} {status:03}' is no status of an answer")
+        if status < 200 and not names.isdisjoint(_FRAMING_HEADERS):
+            raise ValueError(f"interim answer {status} with the length of a body")
+        answer.status = status
+        answer.keeps_channel = self._parser.should_keep_alive()
         answer.has_length = (
-            "content-length" in names
-            or "transfer-encoding" in names
+            not names.isdisjoint(_FRAMING_HEADERS)
             or answer.status in (204, 304)
             or answer.status < 200
         )
--- a/tests/test_mesh_upstream_channels.py
+++ b/tests/test_mesh_upstream_channels.py
@@ -40,6 +40,12 @@
 # More than the kernel buffers on a connection that nobody reads.
 UNBUFFERED_BYTES = 16 * 1024 * 1024
 
+# None of them is the status of an answer.
+INVALID_STATUSES = (
+    *(b"000", b"001", b"099", b"600", b"999", b"0", b"99", b"1000", b"2000", b"20"),
+    *(b"-200", b"+200", b"2OO", b"101", b"0200", b"2_0", b""),
+)
+
 
 def answer(request_id: str, body: bytes, *headers: str, status=200) -> bytes:
     """Return an answer with a Content-Length header."""
@@ -192,6 +198,42 @@
             self.assertRaises(error, self.exchange)
             self.assertEqual(0, self.channels.open_count, steps)
 
+    def test_answer_with_an_invalid_status_is_none_and_hides_no_other(self):
+        """Guards against an answer that is taken for another, or waited for in vain."""
+        heads = [b"HTTP/1.1 %s X" % s for s in INVALID_STATUSES]
+        heads += [
+            b"HTTP/1.1 103 X\r\nTransfer-Encoding: chunked",
+            b"HTTP/1.1 100 X\r\nContent-Length: 5",
+        ]
+        steps = []
+        for head in heads:
+            for end in (b"\r\n\r\n", b"\r\nAttempt-Id: q1\r\n\r\n"):
+                steps += [
+                    (head + end, "request"),
+                    (head + end + answer("q1", b"a"), "request"),
+                ]
+                # The rest of the head comes later.
+                steps.append((head[:11], 0.01, head[11:] + end + answer("q1", b"a")))
+        self.script(*[["request", *row] for row in steps])
+        for row in steps:
+            with eventlet.Timeout(1.0):
+                error = self.assertRaises(BadResponseError, self.exchange)
+            self.assertEqual("unknown", error.outcome)
+            self.assertEqual(0, self.channels.open_count, row)
+
+    def test_reason_of_an_invalid_status_names_its_bytes(self):
+        """Operators need them to tell a broken upstream from a broken node."""
+        self.script(["request", b"HTTP/1.1 099 X\r\n\r\n", "request"])
+        error = self.assertRaises(BadResponseError, self.exchange)
+        self.assertIn("HTTP/1.1 099", error.message)
+
+    def test_interim_answers_are_skipped(self):
+        """An upstream may send them although the node asked for none."""
+        interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nX: 1\r\n\r\n"
+        self.script(["request", interim + answer("q1", b"a"), 1.0])
+        self.assertEqual(b"a", self.exchange().body)
+        self.assertEqual(1, self.channels.open_count)
+
     def test_duplicate_answer_directly_after_the_first(self):
         """It belongs to no request, so the channel is not reused."""
         twice = answer("q1", b"a") + answer("q1", b"a")
