Reject status lines that are none on all HTTP clients

Callers of the project's own interface got an answer with status 600 or 999, and forms such as `+200` counted as 200. The clients of both stores took such responses for answers too: a read was empty or done, a write counted as done.

Cause: `http.client` takes any number up to 999 that Python's `int` takes.

Evidence: the new tests of 17 statuses failed before for the upstream connections (600 was returned), for the platform's store (a list was returned) and for the product's store (an object was returned). They pass now.

Change: a response class that reads the status line strictly, used by the three clients. The connection ends with it, a read is unavailable, and a write has an unknown outcome. The clients of the platform's store and the upstream channels share the rule for a status.

--- a/src/verbenawick/calls/_upstream.py
+++ b/src/verbenawick/calls/_upstream.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from http.client import HTTPException, IncompleteRead
-from http.client import HTTPResponse as StandardResponse
 
 from eventlet import Timeout
 from eventlet.green import socket
@@ -29,6 +28,7 @@
 from verbenawick.runtime._concurrent_send import sending
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 from verbenawick.runtime._polling import is_readable
+from verbenawick.runtime._strict_response import StrictResponse
 
 NOT_RUN_HEADER = "upstream-not-run"
 
@@ -124,7 +124,7 @@
 
     idle_until = 0.0
     connect_timeout_s = CONNECT_TIMEOUT_S
-    response: StandardResponse | None = None
+    response: StrictResponse | None = None
 
     def _new_conn(self):
         sock = socket.create_connection((self.host, self.port), self.connect_timeout_s)
@@ -257,10 +257,10 @@
         while self._idle:
             self._discard(self._idle.popleft())
 
-    def _read_head(self, connection: _Connection, method: str) -> StandardResponse:
+    def _read_head(self, connection: _Connection, method: str) -> StrictResponse:
         # http.client's response raises on a short body. urllib3's wrapper would only
         # add content decoding, which a proxy must not do.
-        response = StandardResponse(connection.sock, method=method)
+        response = StrictResponse(connection.sock, method=method)
         response.fp = _ResponseStream(response.fp)
         connection.response = response
         response.begin()
@@ -269,7 +269,7 @@
         return response
 
     def _read_response(
-        self, response: StandardResponse, max_body_bytes: int
+        self, response: StrictResponse, max_body_bytes: int
     ) -> UpstreamResponse:
         if response.length is None and not response.chunked:
             raise HTTPException(
@@ -371,11 +371,11 @@
     """Raised by the timer of an exchange when the deadline passes."""
 
 
-def _is_refusal(response: StandardResponse) -> bool:
+def _is_refusal(response: StrictResponse) -> bool:
     return response.status == 503 and response.getheader(NOT_RUN_HEADER) == "1"
 
 
-def _keeps_connection(response: StandardResponse) -> bool:
+def _keeps_connection(response: StrictResponse) -> bool:
     """Return whether the upstream keeps the connection open after `response`.
 
     `will_close` considers only the first of several ``Connection`` fields, and none in
@@ -400,7 +400,7 @@
     return f"{head}\r\n\r\n".encode("latin-1")
 
 
-def _read_chunks(response: StandardResponse, max_body_bytes: int) -> bytes:
+def _read_chunks(response: StrictResponse, max_body_bytes: int) -> bytes:
     parts = []
     size = 0
     # `read` with a size raises IncompleteRead if a chunked body is truncated.
--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -32,6 +32,7 @@
 from verbenawick.runtime._events import emit
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 from verbenawick.runtime._polling import is_readable
+from verbenawick.runtime._strict_response import StrictResponse
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
@@ -143,6 +144,8 @@
 class _StoreConnection(HTTPConnection):
     """urllib3 connection that uses a green socket."""
 
+    response_class = StrictResponse
+
     def _new_conn(self):
         sock = socket.create_connection((self.host, self.port), CONNECT_TIMEOUT_S)
         sock.settimeout(None)
--- a/src/verbenawick/store/_store.py
+++ b/src/verbenawick/store/_store.py
@@ -18,6 +18,7 @@
     StoreValueTooLargeError,
 )
 from verbenawick.links._component import StoreObject
+from verbenawick.runtime._strict_response import StrictResponse
 
 MAX_VALUE_BYTES = 1_000_000
 DEFAULT_TIMEOUT_S = 2.0
@@ -89,6 +90,8 @@
 
 
 class _CountingConnection(HTTPConnection):
+    response_class = StrictResponse
+
     def __init__(self, *args, traffic: Traffic, **kwargs):
         super().__init__(*args, **kwargs)
         self._traffic = traffic
--- a/tests/call_support.py
+++ b/tests/call_support.py
@@ -29,6 +29,11 @@
 from verbenawick.runtime._metrics import MetricSet
 
 SERVICE = "archivo"
+# None of them is the status of an answer.
+INVALID_STATUSES = (
+    *(b"000", b"001", b"099", b"600", b"999", b"0", b"99", b"1000", b"2000", b"20"),
+    *(b"-200", b"+200", b"2OO", b"101", b"0200", b"2_0", b""),
+)
 
 
 def _read_first_ephemeral_port() -> int:
--- a/tests/test_mesh_upstream_channels.py
+++ b/tests/test_mesh_upstream_channels.py
@@ -11,7 +11,7 @@
 from greenlet import GreenletExit
 from testtools import TestCase
 
-from tests.call_support import wait_until
+from tests.call_support import INVALID_STATUSES, wait_until
 from verbenawick.errors import (
     BadCallError,
     BadResponseError,
@@ -40,12 +40,6 @@
 # More than the kernel buffers on a connection that nobody reads.
 UNBUFFERED_BYTES = 16 * 1024 * 1024
 
-# None of them is the status of an answer.
-INVALID_STATUSES = (
-    *(b"000", b"001", b"099", b"600", b"999", b"0", b"99", b"1000", b"2000", b"20"),
-    *(b"-200", b"+200", b"2OO", b"101", b"0200", b"2_0", b""),
-)
-
 
 def answer(request_id: str, body: bytes, *headers: str, status=200) -> bytes:
     """Return an answer with a Content-Length header."""
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -1,6 +1,7 @@
 """Client of the platform's store, and the task that writes the record of a node."""
 
 import json
+from functools import partial
 from random import Random
 
 import eventlet
@@ -8,7 +9,7 @@
 from testtools import TestCase
 
 from standins.platform_store import StandinPlatformStore
-from tests.call_support import wait_until
+from tests.call_support import INVALID_STATUSES, wait_until
 from tests.mesh_cluster import CONFIG_KIND, RECORD_KIND, limits, route, service
 from tests.record_fields import RECORD_FIELDS_OUT_OF_RANGE
 from tests.silent_proxy import SilentProxy
@@ -172,6 +173,19 @@
         eventlet.sleep(0.05)
         self.assertEqual(9, client.read_records(allow_stale=False).revision)
 
+    def test_response_with_an_invalid_status_is_none_and_hides_no_other(self):
+        """Guards against a call that is taken for done, or for answered."""
+        old = listing_response(5)
+        for status in INVALID_STATUSES:
+            bad = old.replace(b"200", status)
+            client = self.serve_raw((bad + old, False), (bad, False), (old, False))
+            read = partial(client.read_records, allow_stale=False)
+            error = self.assertRaises(StoreUnavailableError, read)
+            self.assertIn(status.decode(), error.message)
+            self.assertRaises(StoreAnswerLostError, client.create_record, record())
+            # The connections before have ended with the invalid status.
+            self.assertEqual(5, read().revision)
+
     def test_response_that_ends_at_any_byte_is_an_error(self):
         """Guards against part of a response that is taken for the whole."""
         whole = listing_response(5)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -2,15 +2,18 @@
 
 import json
 import os
+import socket
 import subprocess
 import sys
 import threading
 from contextlib import ExitStack
+from functools import partial
 
 import urllib3
 from testtools import TestCase
 
 from standins.store import ObjectStore, StoreApplication, running_store
+from tests.call_support import INVALID_STATUSES
 from verbenawick.errors import (
     ListenError,
     StoreAnswerLostError,
@@ -226,6 +229,39 @@
         self.set_faults(outage=False)
         self.assertEqual(0, self.client.get("a/1").version)
 
+    def test_response_with_an_invalid_status_is_none(self):
+        """Guards against a write that is taken for accepted."""
+        for status in INVALID_STATUSES:
+            response = b"HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n" % status
+            for request, expected in (
+                (partial(self.client_of(response).get, "a"), StoreUnavailableError),
+                (
+                    partial(
+                        self.client_of(response).update, "a", b"", expected_version=0
+                    ),
+                    StoreAnswerLostError,
+                ),
+            ):
+                self.assertRaises(expected, request)
+
+    def client_of(self, response: bytes) -> StoreClient:
+        """Return a client of a store that sends `response` to the first request."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.resources.callback(listener.close)
+
+        def serve():
+            sock, _ = listener.accept()
+            with sock:
+                sock.recv(65_536)
+                sock.sendall(response)
+                sock.recv(65_536)
+
+        threading.Thread(target=serve, daemon=True).start()
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        client = StoreClient(address, timeout_s=0.3)
+        self.resources.callback(client.close)
+        return client
+
     def test_missing_listener_raises_unavailable(self):
         self.resources.close()
         self.assertRaises(
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -8,7 +8,7 @@
 from testtools import TestCase
 
 from standins.upstream import StandinUpstream
-from tests.call_support import free_port, wait_until
+from tests.call_support import INVALID_STATUSES, free_port, wait_until
 from verbenawick.calls._upstream import CONNECTIONS_OPENED, UpstreamConnections
 from verbenawick.calls._upstream_probe import UpstreamProbe
 from verbenawick.errors import (
@@ -316,6 +316,17 @@
             probe = UpstreamProbe(self.upstream._address, on_result=lambda is_ok: None)
             self.assertEqual(end == len(whole), not probe.probe(), whole[:end])
 
+    def test_a_response_with_an_invalid_status_is_none_and_hides_no_other(self):
+        """Guards against a response that is taken for another one."""
+        for status in INVALID_STATUSES:
+            head = b"HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n" % status
+            for rest in (b"", head.replace(status, b"200", 1)):
+                self.serve_once(head + rest, closes=False)
+                error = self.assertRaises(BadResponseError, self.exchange)
+                self.assertEqual("unknown", error.outcome)
+                self.assertIn(status.decode(), error.message)
+                self.assertEqual(0, self.upstream.open_count, head)
+
     def test_responses_without_end_are_rejected_early(self):
         """Guards against an upstream that fills the memory of its node."""
         ok = b"HTTP/1.1 200 OK\r\n"
