Reject answers of other nodes whose status is no status

A caller got any status that a faulty node or one of another release sent in the answer to a forwarded call.

Cause: the messages with an answer checked the type of the status only.

Evidence: the new test sends 0, 99, 101, 600, 999 and -200 over a real link in the answers of both call interfaces; the first was delivered before. It passes now.

Change: both messages check the status of a complete answer. A received one that is invalid ends the link like any invalid message, which event 101 logs with the status; the calls on the link fail as ones that may have run.

--- a/src/verbenawick/links/_call_messages.py
+++ b/src/verbenawick/links/_call_messages.py
@@ -70,6 +70,18 @@
     version: int
 
 
+def check_answer_status(status: int, *, is_complete: bool) -> None:
+    """Raise `ValueError` if no answer of a call can have `status`.
+
+    Parameters
+    ----------
+    is_complete : bool
+        Whether the answer is a response of an upstream.
+    """
+    if is_complete and not 200 <= status <= 599:
+        raise ValueError(f"{status} is no status of a response")
+
+
 @register_message(51)
 @dataclass(frozen=True, slots=True)
 class CallAnswer(Message):
@@ -91,6 +103,10 @@
     body: bytes
     upstream_node_id: str
 
+    def __post_init__(self):
+        is_complete = self.outcome is Outcome.COMPLETE
+        check_answer_status(self.status, is_complete=is_complete)
+
 
 @register_message(52)
 @dataclass(frozen=True, slots=True)
--- a/src/verbenawick/mesh/_messages.py
+++ b/src/verbenawick/mesh/_messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from verbenawick.links._call_messages import check_answer_status
 from verbenawick.links._messages import Message, register_message
 from verbenawick.mesh._model import CallOutcome, Headers, UpstreamState
 
@@ -61,6 +62,10 @@
     service_s: float
     failure_rate: float
 
+    def __post_init__(self):
+        is_complete = self.outcome is CallOutcome.COMPLETE
+        check_answer_status(self.status, is_complete=is_complete)
+
 
 @register_message(92)
 @dataclass(frozen=True, slots=True)
--- a/tests/test_call_links.py
+++ b/tests/test_call_links.py
@@ -1,6 +1,7 @@
 """Tests of requests and answers between nodes over real sockets."""
 
 from dataclasses import dataclass, replace
+from functools import partial
 from unittest.mock import patch
 
 import eventlet
@@ -16,10 +17,18 @@
     SILENCE_TIMEOUT_S,
     CallLinks,
 )
-from verbenawick.links._call_messages import CallCancel, CallRequest, next_call_id
+from verbenawick.links._call_messages import (
+    CallAnswer,
+    CallCancel,
+    CallRequest,
+    Outcome,
+    next_call_id,
+)
 from verbenawick.links._component import NodeIdentity
 from verbenawick.links._links import CALL_CHANNEL, LinkServer
 from verbenawick.links._messages import Message, register_message
+from verbenawick.mesh._messages import ForwardedAnswer, ForwardedCall
+from verbenawick.mesh._model import CallOutcome
 from verbenawick.runtime._clock import MonotonicClock
 from verbenawick.runtime._metrics import MetricSet
 
@@ -69,6 +78,29 @@
     return CallRequest(**{**fields, **changes})
 
 
+def forwarded_call() -> ForwardedCall:
+    """Return a call between the nodes of a mesh."""
+    return ForwardedCall(
+        *(next_call_id(), "q", "s", "s", "r", "GET", "/", (), b"", True, 0),
+        *(0.0, 1.0, 1.0),
+    )
+
+
+def forwarded_answer(outcome: CallOutcome, status: int) -> ForwardedAnswer:
+    """Return an answer between the nodes of a mesh."""
+    return ForwardedAnswer(
+        0, outcome, "", status, (), b"", True, 0.0, 0, 0, 1, 0.1, 0.0
+    )
+
+
+def reply_with(answer, status: int, peer, message, sent_at):
+    """Return a copy of `answer` with `status` to the call in `message`."""
+    answer = replace(answer, call_id=message.call_id)
+    # The constructor rejects statuses that a node of another release may send.
+    object.__setattr__(answer, "status", status)
+    return answer
+
+
 class CallLinksTestCase(TestCase):
     """Base class with a client and a server connected by call links."""
 
@@ -182,6 +214,23 @@
         next(iter(self.server._running))[0].close()
         self.assertRaises(AnswerLostError, thread.wait)
 
+    def test_answer_with_an_invalid_status_ends_its_call_and_link(self):
+        """Guards against a status that no response can have at the caller."""
+        for request, answer in (
+            (call_request(), CallAnswer(0, Outcome.COMPLETE, "", 200, (), b"", "n")),
+            (forwarded_call(), forwarded_answer(CallOutcome.COMPLETE, 200)),
+        ):
+            for status in (0, 99, 101, 600, 999, -200):
+                self.answer_with(partial(reply_with, answer, status), type(request))
+                self.assertRaises(AnswerLostError, self.request, request)
+
+    def test_answer_of_a_call_that_did_not_run_has_no_status(self):
+        """Such an answer is no response, whichever way the call failed."""
+        answer = forwarded_answer(CallOutcome.NOT_RUN, 0)
+        self.answer_with(partial(reply_with, answer, 0), ForwardedCall)
+        outcome = self.request(forwarded_call()).outcome
+        self.assertEqual(CallOutcome.NOT_RUN, outcome)
+
     def test_an_address_that_belongs_to_another_node_is_not_used(self):
         """Guards against calls to a node that reuses the address of a departed one."""
         wrong = member("departed", port=self.peer.peer_address.rpartition(":")[2])
