Run safe requests of one connection side by side

Callers that send several safe requests at once waited for the sum of their times: each request was read only after the one before it had been answered.

Change: while a safe request runs, further safe requests that have arrived whole are started in green threads of their own; the connection answers them in order. One with a body, with an upgrade, with another method or behind a request that asks for the end of the connection waits for its turn as before, and none is read ahead while the server stops. If the caller leaves, or an answer fails, the requests behind it are cancelled. One green thread polls all connections with a running request, so a caller that never sends ahead costs one receive per request.

The watcher of callers now keeps calls by their green thread, since one connection may have several.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -5,20 +5,32 @@
 ambiguous heads that allow request smuggling, such as a Content-Length beside a chunked
 body.
 
+Safe requests that arrive while a safe request runs are started beside it, see
+`verbenawick.calls._read_ahead`, and answered in order. All others wait for their turn.
+
 The connection ends with a response that announces it, and nothing is served after that.
 eventlet would keep it, or drop requests that have arrived, when the server stops.
 """
 
 import math
 import socket
+from collections import deque
 from collections.abc import Callable, Iterator
-from contextlib import suppress
+from contextlib import nullcontext, suppress
 from http.client import HTTPMessage
 
 from eventlet import Timeout, sleep, spawn, wsgi
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from verbenawick.calls._connection_ends import ConnectionEnd, EndCause
+from verbenawick.calls._read_ahead import (
+    MAX_REQUESTS_AHEAD,
+    SAFE_METHODS,
+    ReadAhead,
+    RequestAhead,
+    run_ahead,
+    split_head,
+)
 from verbenawick.runtime._polling import is_readable
 from verbenawick.runtime._sockets import unacknowledged_bytes
 
@@ -44,6 +56,11 @@
 # Status that an application gives to a request whose caller has closed the connection.
 CALLER_LEFT_STATUS = "499 Caller Closed"
 
+# Headers of requests that are not read ahead.
+_BODY_HEADERS = ("content-length", "transfer-encoding", "expect", "upgrade")
+# Attributes that describe the request which is served now.
+_REQUEST_ATTRIBUTES = ("command", "path", "request_version", "headers")
+
 _EMPTY_LINES = (b"\r\n", b"\n")
 _HEAD_TERMINATORS = (*_EMPTY_LINES, b"")
 
@@ -221,6 +238,9 @@
         Returns whether the server is stopping.
     on_end : callable
         Called with the `ConnectionEnd` when the connection has ended.
+    read_ahead : ReadAhead or None
+        Finds requests that run beside the one that is answered next; None to run all
+        of them one after the other.
     """
 
     def __init__(
@@ -232,7 +252,12 @@
         idle_timeout_s: Callable[[], float] | None = None,
         is_stopping: Callable[[], bool] = lambda: False,
         on_end: Callable[[ConnectionEnd], None] = lambda end: None,
+        read_ahead: ReadAhead | None = None,
     ):
+        self._read_ahead = read_ahead
+        self._requests_ahead: deque[RequestAhead] = deque()
+        # The request that is served now, if it was started ahead.
+        self._current_ahead: RequestAhead | None = None
         self._connections = set() if connections is None else connections
         self._idle_timeout_s = idle_timeout_s
         self._is_stopping = is_stopping
@@ -269,6 +294,16 @@
                     _linger(self.connection, max_bytes=max_bytes)
         finally:
             self._connections.discard(self)
+            self._cancel_requests_ahead()
+
+    def _cancel_requests_ahead(self) -> None:
+        """Cancel the requests that will not be answered."""
+        left = [self._current_ahead, *self._requests_ahead]
+        self._current_ahead = None
+        self._requests_ahead.clear()
+        for request in left:
+            if request is not None:
+                request.thread.kill()
 
     def _max_lingering_bytes(self) -> float:
         if self._is_body_refused:
@@ -290,7 +325,7 @@
                     self._requests,
                     self._responses,
                     self._was_announced,
-                    bool(self._unread_bytes()),
+                    bool(self._requests_ahead or self._unread_bytes()),
                 )
             )
 
@@ -334,7 +369,8 @@
                 status = status_line
                 return start_response(status_line, headers, exc_info)
 
-            chunks = application(environ, start)
+            with self._reading_ahead(is_last=asked_for_end):
+                chunks = self._run(application, environ, start)
             if self._is_stopping() and not asked_for_end:
                 has_next = body.is_read and self._has_next_request()
                 self.close_connection = not has_next
@@ -362,6 +398,79 @@
             announced = EndCause.ANNOUNCED
             self._end_cause = announced if self._was_announced else EndCause.INVALID
 
+    def _run(self, application, environ, start_response):
+        request = self._current_ahead
+        if request is None:
+            return application(environ, start_response)
+        answer = request.thread.wait()
+        self._current_ahead = None
+        start_response(answer.status, answer.headers)
+        return answer.chunks
+
+    def _reading_ahead(self, *, is_last: bool):
+        """Return a context in which further requests are started beside this one."""
+        if self._read_ahead is None or is_last or not self._is_safe():
+            return nullcontext()
+        # Requests in the buffer do not make the connection readable.
+        self._start_ahead()
+        return self._read_ahead.watch(self.connection.fileno(), self._start_ahead)
+
+    def _is_safe(self) -> bool:
+        return (
+            self.command in SAFE_METHODS
+            and self.request_version == "HTTP/1.1"
+            and not any(name in self.headers for name in _BODY_HEADERS)
+        )
+
+    def _start_ahead(self) -> bool:
+        """Start the safe requests that have arrived, without waiting for more.
+
+        Returns
+        -------
+        bool
+            Whether further requests may be started beside the one that is served.
+        """
+        is_started = False
+        while not self._is_stopping():
+            if len(self._requests_ahead) >= MAX_REQUESTS_AHEAD:
+                return False
+            data = self._unread_bytes()
+            if not data:
+                # Without any bytes, the caller has closed the connection.
+                return is_started
+            lines, head = split_head(data)
+            environ = self._environ_ahead(head) if lines else None
+            if environ is None:
+                return False
+            # These bytes are in the buffer, so the read does not wait.
+            self.rfile.read(len(head))
+            thread = spawn(run_ahead, self.server.app, environ)
+            self._requests_ahead.append(RequestAhead(lines, thread))
+            is_started = True
+        return False
+
+    def _environ_ahead(self, head: bytes) -> dict | None:
+        """Return the environment of a request if it may run before its turn."""
+        request = _RequestHead()
+        try:
+            request.parse(head)
+        except HttpParserError:
+            # Answered with an error at its turn.
+            return None
+        served = {name: getattr(self, name) for name in _REQUEST_ATTRIBUTES}
+        try:
+            self._take(request)
+            is_ahead = request.keeps_connection and self._is_safe()
+            return self.get_environ() if is_ahead else None
+        finally:
+            vars(self).update(served)
+
+    def _take(self, request: _RequestHead) -> None:
+        self.command = request.method
+        self.path = request.target.decode("latin-1")
+        self.request_version = f"HTTP/{request.version}"
+        self.headers = request.headers
+
     def prepare_stop(self) -> None:
         """Keep the connection open if a request or a response is on its way.
 
@@ -391,6 +500,8 @@
 
         Skips empty lines before the request.
         """
+        if self._requests_ahead:
+            return True
         for _ in range(MAX_SKIPPED_READS):
             data = self._unread_bytes()
             request = data.lstrip(b"\r\n")
@@ -416,6 +527,9 @@
         if self._idle_timeout_s is not None:
             # Also the time that responses announce in `Keep-Alive`.
             self.server.keepalive = self._idle_timeout_s()
+        if self._requests_ahead:
+            self._current_ahead = self._requests_ahead.popleft()
+            return self._current_ahead.lines[0]
         try:
             line = self._read_line_before_timeout()
             if line in _EMPTY_LINES:
@@ -474,10 +588,7 @@
         if lines[-1] == b"" or not head.target:
             # The connection was closed before the head was complete.
             return False
-        self.command = head.method
-        self.path = head.target.decode("latin-1")
-        self.request_version = f"HTTP/{head.version}"
-        self.headers = head.headers
+        self._take(head)
         self.close_connection = not head.keeps_connection
         if (
             self.request_version == "HTTP/1.1"
@@ -505,6 +616,8 @@
 
         Unlike eventlet's limit of 8 KiB for a line, only that of the head applies.
         """
+        if self._current_ahead is not None:
+            return self._current_ahead.lines
         lines = [self.raw_requestline]
         left = MAX_HEAD_BYTES - len(self.raw_requestline)
         while lines[-1] not in _HEAD_TERMINATORS:
--- a/src/verbenawick/calls/_entry_server.py
+++ b/src/verbenawick/calls/_entry_server.py
@@ -11,6 +11,7 @@
 
 from verbenawick.calls._caller_protocol import MAX_HEAD_BYTES, CallerProtocol
 from verbenawick.calls._connection_ends import ConnectionEnds
+from verbenawick.calls._read_ahead import ReadAhead
 from verbenawick.runtime._clock import MonotonicClock
 from verbenawick.runtime._graceful_listener import GracefulListener
 from verbenawick.runtime._metrics import MetricSet
@@ -75,6 +76,7 @@
         self._thread = None
         self._connections: set[CallerProtocol] = set()
         self._ends = ConnectionEnds(metrics)
+        self._read_ahead = ReadAhead()
         self._is_stopping = False
         self._clock = MonotonicClock()
 
@@ -97,6 +99,7 @@
                 idle_timeout_s=self._idle_timeout_s,
                 is_stopping=lambda: self._is_stopping,
                 on_end=self._ends.record,
+                read_ahead=self._read_ahead,
             ),
             log_output=False,
             debug=False,
--- a/src/verbenawick/runtime/_caller_watcher.py
+++ b/src/verbenawick/runtime/_caller_watcher.py
@@ -21,7 +21,7 @@
 
     def __init__(self, *, interval_s: float = CHECK_INTERVAL_S):
         self._interval_s = interval_s
-        self._threads_by_fileno: dict[int, object] = {}
+        self._filenos_by_thread: dict[object, int] = {}
         self._is_running = False
 
     @contextmanager
@@ -33,31 +33,35 @@
         fileno = sock.fileno()
         if closed_by_peer([fileno]):
             raise GreenletExit
-        self._threads_by_fileno[fileno] = getcurrent()
+        # A connection may have several calls that run side by side.
+        thread = getcurrent()
+        self._filenos_by_thread[thread] = fileno
         if not self._is_running:
             self._is_running = True
             eventlet.spawn_n(self._run)
         try:
             yield
         finally:
-            self._threads_by_fileno.pop(fileno, None)
+            self._filenos_by_thread.pop(thread, None)
 
     def _run(self) -> None:
         try:
-            while self._threads_by_fileno:
+            while self._filenos_by_thread:
                 eventlet.sleep(self._interval_s)
                 self._cancel_disconnected()
         finally:
             self._is_running = False
 
     def _cancel_disconnected(self) -> None:
+        closed = set(closed_by_peer(set(self._filenos_by_thread.values())))
         disconnected = [
-            (fileno, self._threads_by_fileno[fileno])
-            for fileno in closed_by_peer(self._threads_by_fileno)
+            (thread, fileno)
+            for thread, fileno in self._filenos_by_thread.items()
+            if fileno in closed
         ]
-        for fileno, thread in disconnected:
+        for thread, fileno in disconnected:
             # Each kill lets other green threads run, so the call may have ended and its
             # descriptor may belong to the connection of another caller.
-            if self._threads_by_fileno.get(fileno) is thread:
-                del self._threads_by_fileno[fileno]
+            if self._filenos_by_thread.get(thread) == fileno:
+                del self._filenos_by_thread[thread]
                 eventlet.kill(thread)
--- a/src/verbenawick/runtime/_polling.py
+++ b/src/verbenawick/runtime/_polling.py
@@ -20,6 +20,14 @@
     return bool(poll.poll(0))
 
 
+def readable(filenos: Iterable[int]) -> list[int]:
+    """Return the file descriptors that have bytes, or an end of file, to read."""
+    poll = _select.poll()
+    for fileno in filenos:
+        poll.register(fileno, _select.POLLIN)
+    return [fileno for fileno, _ in poll.poll(0)]
+
+
 def closed_by_peer(filenos: Iterable[int]) -> list[int]:
     """Return the file descriptors whose peer closed the connection."""
     poll = _select.poll()
