Keep and pass on documents without the keys of workspaces

Cause: a node that reads the configuration from the store sends its document to the other nodes and keeps it for deltas, with all keys in it.

Change: the client of the store replaces the keys by their digests before the document goes anywhere. The digest is therefore the same on all nodes instead of salted in each process; keys are random, so their digests need no salt. The decoder takes either form. Documents without workspaces are neither parsed for it nor changed.

Evidence: the test that looks for the key in the change that is handed on failed before.

--- a/src/verbenawick/platform/_documents.py
+++ b/src/verbenawick/platform/_documents.py
@@ -20,10 +20,13 @@
     check_workspace,
     digest_key,
     index_workspaces,
+    parse_key_digest,
 )
 
 _IDEMPOTENT_REQUEST_KIND = "safe"
 _WORKSPACE_TYPE = "tenants"
+_KEYS_FIELD = "api_keys"
+_KEY_DIGESTS_FIELD = "verbenawick_key_digests"
 _SPEC_DIGEST_BYTES = 16
 
 _Decoded = MeshRoute | ServiceSpec | RequestLimits | WorkspaceKeys | None
@@ -69,6 +72,8 @@
     priority: int | None = None
     rate_per_s: float = 0.0
     burst: float = 0.0
+    # In documents for other nodes, in place of the keys; see `hide_keys`.
+    verbenawick_key_digests: list[str] = msgspec.field(default_factory=list)
 
 
 class _ServiceSpec(msgspec.Struct):
@@ -98,6 +103,8 @@
 
 _document_decoder = msgspec.json.Decoder(_Document)
 _route_decoder = msgspec.json.Decoder(_RouteSpec)
+_fields_decoder = msgspec.json.Decoder(dict[str, msgspec.Raw])
+_keys_decoder = msgspec.json.Decoder(list[str])
 _workspace_decoder = msgspec.json.Decoder(_WorkspaceSpec)
 _service_decoder = msgspec.json.Decoder(_ServiceSpec)
 _limits_decoder = msgspec.json.Decoder(_LimitsSpec)
@@ -158,6 +165,42 @@
     return ConfigurationDecoder().decode(data, revision)
 
 
+def hide_keys(data: bytes) -> bytes:
+    """Return a document in which digests replace the keys of workspaces.
+
+    Nodes pass documents on in this form. A document that is invalid or has no keys is
+    returned as it is.
+    """
+    if _WORKSPACE_TYPE.encode() not in data:
+        return data
+    try:
+        document = decode_json(data, _document_decoder)
+        parts = []
+        end = 0
+        for resource in document.resources:
+            spec = bytes(resource.spec)
+            hidden = spec
+            if resource.resource_type == _WORKSPACE_TYPE:
+                hidden = _hide_keys_of_spec(spec)
+            if hidden != spec:
+                start = data.index(spec, end)
+                parts += [data[end:start], hidden]
+                end = start + len(spec)
+    except (msgspec.MsgspecError, ValueError):
+        return data
+    return b"".join((*parts, data[end:]))
+
+
+def _hide_keys_of_spec(spec: bytes) -> bytes:
+    fields = _fields_decoder.decode(spec)
+    keys = fields.pop(_KEYS_FIELD, None)
+    if keys is None:
+        return spec
+    digests = [digest_key(key).hex() for key in _keys_decoder.decode(keys)]
+    fields[_KEY_DIGESTS_FIELD] = msgspec.Raw(msgspec.json.encode(digests))
+    return msgspec.json.encode(fields)
+
+
 def _spec_key(resource: _Resource) -> bytes:
     """Return what tells the spec of a resource from others; it holds no key."""
     spec = bytes(resource.spec)
@@ -216,9 +259,11 @@
         spec = decode_json(data, _workspace_decoder)
         workspace = Workspace(name, spec.priority, spec.rate_per_s, spec.burst)
         check_workspace(workspace)
+        key_digests = set(map(parse_key_digest, spec.verbenawick_key_digests))
     except (msgspec.MsgspecError, ValueError) as error:
         raise ValueError(f"workspace {name!r}: {error}") from None
-    return WorkspaceKeys(workspace, frozenset(map(digest_key, spec.api_keys)))
+    digests = {digest_key(key) for key in spec.api_keys}
+    return WorkspaceKeys(workspace, frozenset(digests | key_digests))
 
 
 def decode_report(upstream_id: str, data: bytes) -> StatusReport:
--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -25,7 +25,7 @@
 )
 from verbenawick.mesh._record_check import check_record
 from verbenawick.mesh._state_store import ConfigurationChange, RecordChange
-from verbenawick.platform._documents import decode_configuration
+from verbenawick.platform._documents import decode_configuration, hide_keys
 from verbenawick.platform._events import ListingCut, ObjectInvalid
 from verbenawick.platform._json import decode_json
 from verbenawick.runtime._clock import BootClock, Clock
@@ -219,11 +219,12 @@
         for item in reversed(items):
             if item.metadata.name != CONFIGURATION_NAME:
                 continue
+            data = hide_keys(bytes(item.spec))
             configuration = decode_stored_configuration(
-                bytes(item.spec), item.metadata.revision, decode=self._decode
+                data, item.metadata.revision, decode=self._decode
             )
             if configuration is not None:
-                return ConfigurationChange(current, configuration, bytes(item.spec))
+                return ConfigurationChange(current, configuration, data)
         return ConfigurationChange(current, None)
 
     def read_records(self, *, allow_stale: bool) -> RecordChange:
--- a/src/verbenawick/workspaces/_model.py
+++ b/src/verbenawick/workspaces/_model.py
@@ -1,25 +1,35 @@
 """Data model of workspaces and the digests of their keys."""
 
 import math
-import secrets
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
-# Random for each process, so that digests in memory reveal no keys.
-_SALT = secrets.token_bytes(16)
+# The same for all nodes, which pass digests on to each other. Keys are random, so their
+# digests need no salt.
+_DIGEST_PURPOSE = b"verbenawick key"
 _DIGEST_BYTES = 16
 MAX_NAME_LENGTH = 256
 MAX_PRIORITY = 2**31
 
 
 def digest_key(key: str) -> bytes:
-    """Return the digest under which a key is looked up in this process."""
+    """Return the digest under which all nodes look up a key."""
     return blake2b(
-        key.encode("utf-8", "replace"), digest_size=_DIGEST_BYTES, key=_SALT
+        key.encode("utf-8", "replace"),
+        digest_size=_DIGEST_BYTES,
+        person=_DIGEST_PURPOSE,
     ).digest()
 
 
+def parse_key_digest(text: str) -> bytes:
+    """Return the digest in its hexadecimal form; raise `ValueError` if it is none."""
+    digest = bytes.fromhex(text)
+    if len(digest) != _DIGEST_BYTES:
+        raise ValueError(f"digest of a key has {len(digest)} bytes")
+    return digest
+
+
 @dataclass(frozen=True, slots=True)
 class Workspace:
     """A workspace of the configuration.
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -96,6 +96,21 @@
         self.assertEqual(1, first.configuration.version)
         self.assertEqual(3, change.configuration.version)
 
+    def test_keys_of_workspaces_are_not_handed_to_other_nodes(self):
+        """The document of a configuration is sent to nodes that do not read it."""
+        content = document(1)
+        spec = {"api_keys": ["k-secret"]}
+        content["resources"].append(
+            {"resource_type": "tenants", "metadata": {"name": "w"}, "spec": spec}
+        )
+        self.standin.put(CONFIG_KIND, "main", content)
+        for change in (
+            self.client.read_configuration(allow_stale=False),
+            self.client.watch_configuration(0, wait_s=1.0),
+        ):
+            self.assertIn("w", change.configuration.workspaces.by_name)
+            self.assertNotIn("k-secret", repr(change))
+
     def test_watch_without_a_change_returns_after_its_wait(self):
         """A watch that never returned would hide a dead connection."""
         revision = self.client.read_configuration(allow_stale=False).revision
--- a/tests/test_platform_wire_format.py
+++ b/tests/test_platform_wire_format.py
@@ -19,6 +19,7 @@
     ConfigurationDecoder,
     decode_configuration,
     decode_report,
+    hide_keys,
 )
 from verbenawick.workspaces._model import Workspace, digest_key
 
@@ -231,6 +232,40 @@
                 [digest_key(key)], list(configuration.workspaces.by_key_digest)
             )
 
+    def test_documents_for_other_nodes_have_digests_instead_of_keys(self):
+        """Guards against keys in messages between nodes and in memory."""
+        content = json.loads(document(ROUTE))
+        content["resources"] += [
+            self.workspace("w1", api_keys=["k-secret", 'a]"é'], rate_per_s=3, new=[1]),
+            self.workspace("w2", api_keys=[]),
+            self.workspace("w3"),
+        ]
+        for indent in (None, 1):
+            data = json.dumps(content, indent=indent).encode()
+            hidden = hide_keys(data)
+            for key in (b"k-secret", b"a]", b"api_keys"):
+                self.assertNotIn(key, hidden)
+            self.assertEqual(
+                decode_configuration(data, 1), decode_configuration(hidden, 1)
+            )
+            self.assertEqual(hidden, hide_keys(hidden))
+
+    def test_documents_without_keys_stay_as_they_are(self):
+        """All nodes have to hold the same bytes, also of an invalid document."""
+        without = json.loads(document(ROUTE))
+        invalid = {**without, "resources": [self.workspace(api_keys=[["k"], 1])]}
+        for content in (without, invalid, ["tenants"], "tenants"):
+            data = json.dumps(content).encode()
+            self.assertEqual(data, hide_keys(data))
+        deep = b'{"tenants":%s}' % (b"[" * 5000)
+        self.assertEqual(deep, hide_keys(deep))
+
+    def test_digests_that_are_none_make_a_document_invalid(self):
+        """A digest of another length would match no key."""
+        for digest in ("x", "00", "00" * 17):
+            spec = {"verbenawick_key_digests": [digest]}
+            self.assertRaises(ValueError, self.decode, self.workspace(**spec))
+
     def test_decoder_keeps_no_keys(self):
         """Guards against keys in memory dumps and in the text of objects."""
         decoder = ConfigurationDecoder()
