--- a/tests/test_mesh_workspaces.py
+++ b/tests/test_mesh_workspaces.py
@@ -164,6 +164,19 @@
         wait_until(lambda: self.status(self.b, OTHER_KEY) == 200, 5)
         self.assertEqual(401, self.status(self.b, KEY))
 
+    def test_key_removed_in_an_outage_is_refused_once_the_store_answers(self):
+        """A node that nobody can tell of a version serves the one it has."""
+        self.cluster.store.faults.status = 503
+        self.configure(workspace("w", OTHER_KEY))
+        for _ in range(5):
+            self.assertEqual(
+                [200, 401], [self.status(self.a, KEY), self.status(self.a, OTHER_KEY)]
+            )
+            eventlet.sleep(0.1)
+        self.cluster.store.faults.status = 0
+        wait_until(lambda: self.status(self.a, OTHER_KEY) == 200, 3)
+        self.assertEqual(401, self.status(self.a, KEY))
+
     def status(self, node, key: str) -> int:
         return self.cluster.call(node, "/archive/1", **bearer(key)).status
 
--- a/tests/test_platform_wire_format.py
+++ b/tests/test_platform_wire_format.py
@@ -146,8 +146,9 @@
 
     def test_unknown_route_kinds_are_not_idempotent(self):
         """Only requests of routes declared idempotent may run twice."""
-        configuration = decode_configuration(document({**ROUTE, "kind": "new"}), 1)
-        self.assertFalse(configuration.routes[0].is_idempotent)
+        for kind in ("new", "upload"):
+            configuration = decode_configuration(document({**ROUTE, "kind": kind}), 1)
+            self.assertFalse(configuration.routes[0].is_idempotent, kind)
 
     def test_invalid_documents_are_rejected(self):
         """A version must never be in force in part."""
