--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -25,13 +25,14 @@
 )
 from verbenawick.mesh._record_check import check_record
 from verbenawick.mesh._state_store import ConfigurationChange, RecordChange
-from verbenawick.platform._documents import decode_configuration
+from verbenawick.platform._documents import decode_configuration, hide_keys
 from verbenawick.platform._events import ListingCut, ObjectInvalid
 from verbenawick.platform._json import decode_json
 from verbenawick.runtime._clock import BootClock, Clock
 from verbenawick.runtime._events import emit
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 from verbenawick.runtime._polling import is_readable
+from verbenawick.runtime._strict_response import StrictResponse
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
@@ -143,6 +144,8 @@
 class _StoreConnection(HTTPConnection):
     """urllib3 connection that uses a green socket."""
 
+    response_class = StrictResponse
+
     def _new_conn(self):
         sock = socket.create_connection((self.host, self.port), CONNECT_TIMEOUT_S)
         sock.settimeout(None)
@@ -216,11 +219,12 @@
         for item in reversed(items):
             if item.metadata.name != CONFIGURATION_NAME:
                 continue
+            data = hide_keys(bytes(item.spec))
             configuration = decode_stored_configuration(
-                bytes(item.spec), item.metadata.revision, decode=self._decode
+                data, item.metadata.revision, decode=self._decode
             )
             if configuration is not None:
-                return ConfigurationChange(current, configuration, bytes(item.spec))
+                return ConfigurationChange(current, configuration, data)
         return ConfigurationChange(current, None)
 
     def read_records(self, *, allow_stale: bool) -> RecordChange:
--- a/tests/test_mesh_upstream_channels.py
+++ b/tests/test_mesh_upstream_channels.py
@@ -11,7 +11,7 @@
 from greenlet import GreenletExit
 from testtools import TestCase
 
-from tests.call_support import wait_until
+from tests.call_support import INVALID_STATUSES, wait_until
 from verbenawick.errors import (
     BadCallError,
     BadResponseError,
@@ -192,6 +192,42 @@
             self.assertRaises(error, self.exchange)
             self.assertEqual(0, self.channels.open_count, steps)
 
+    def test_answer_with_an_invalid_status_is_none_and_hides_no_other(self):
+        """Guards against an answer that is taken for another, or waited for in vain."""
+        heads = [b"HTTP/1.1 %s X" % s for s in INVALID_STATUSES]
+        heads += [
+            b"HTTP/1.1 103 X\r\nTransfer-Encoding: chunked",
+            b"HTTP/1.1 100 X\r\nContent-Length: 5",
+        ]
+        steps = []
+        for head in heads:
+            for end in (b"\r\n\r\n", b"\r\nAttempt-Id: q1\r\n\r\n"):
+                steps += [
+                    (head + end, "request"),
+                    (head + end + answer("q1", b"a"), "request"),
+                ]
+                # The rest of the head comes later.
+                steps.append((head[:11], 0.01, head[11:] + end + answer("q1", b"a")))
+        self.script(*[["request", *row] for row in steps])
+        for row in steps:
+            with eventlet.Timeout(1.0):
+                error = self.assertRaises(BadResponseError, self.exchange)
+            self.assertEqual("unknown", error.outcome)
+            self.assertEqual(0, self.channels.open_count, row)
+
+    def test_reason_of_an_invalid_status_names_its_bytes(self):
+        """Operators need them to tell a broken upstream from a broken node."""
+        self.script(["request", b"HTTP/1.1 099 X\r\n\r\n", "request"])
+        error = self.assertRaises(BadResponseError, self.exchange)
+        self.assertIn("HTTP/1.1 099", error.message)
+
+    def test_interim_answers_are_skipped(self):
+        """An upstream may send them although the node asked for none."""
+        interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nX: 1\r\n\r\n"
+        self.script(["request", interim + answer("q1", b"a"), 1.0])
+        self.assertEqual(b"a", self.exchange().body)
+        self.assertEqual(1, self.channels.open_count)
+
     def test_duplicate_answer_directly_after_the_first(self):
         """It belongs to no request, so the channel is not reused."""
         twice = answer("q1", b"a") + answer("q1", b"a")
