Add the decisions on allowances of workspaces

Cause: a workspace may send a number of requests a second over all nodes, and no node knows what the others admit.

The classes do no I/O and read no clock; nothing uses them yet.

Not measured.

--- /dev/null
+++ b/src/verbenawick/allowances/_model.py
@@ -0,0 +1,61 @@
+"""Groups of workspaces and the times that delegations and grants last."""
+
+from dataclasses import dataclass
+
+from xxhash import xxh3_64_intdigest
+
+from verbenawick.workspaces._model import Workspaces
+
+# Workspaces are divided into this many groups. A node delegates its shares of a whole
+# group at once, so the number of delegations does not grow with the workspaces.
+GROUPS = 8
+# Time from a delegation to its end. After the loss of an owner, its groups are refused
+# for up to this long.
+DELEGATION_S = 2.0
+# Time for which a grant may be used. In a window of W seconds, `rate * (W + GRANT_S)`
+# and the burst are admitted at most.
+GRANT_S = 0.5
+
+
+def group_of(name: str) -> int:
+    """Return the group of a workspace."""
+    return xxh3_64_intdigest(name) % GROUPS
+
+
+def limited_groups(workspaces: Workspaces | None) -> frozenset[int]:
+    """Return the groups with a workspace that has a limit."""
+    if workspaces is None:
+        return frozenset()
+    return frozenset(
+        group_of(workspace.name)
+        for workspace in workspaces.by_name.values()
+        if workspace.rate_per_s > 0
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """One request that may be admitted until `expires_at`."""
+
+    name: str
+    expires_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """Decision about one request.
+
+    Attributes
+    ----------
+    grant : Grant or None
+        Given back if the request does not run; None if there is no limit or the request
+        is refused.
+    code : str
+        Code of the refusal, empty if the request is admitted.
+    retry_after_s : float
+        Time after which the refused request would pass, seconds.
+    """
+
+    grant: Grant | None = None
+    code: str = ""
+    retry_after_s: float = 0.0
--- a/src/verbenawick/errors.py
+++ b/src/verbenawick/errors.py
@@ -461,6 +461,18 @@
     http_status = 422
 
 
+@register_error("call.over-allowance")
+class OverAllowanceError(CallNotRunError):
+    """The workspace of the caller has sent as many requests as it may."""
+
+    http_status = 429
+
+
+@register_error("call.allowance-unknown")
+class AllowanceUnknownError(CallNotRunError):
+    """No node that knows how much the workspace may still send has answered in time."""
+
+
 @register_error("call.claim-refused")
 class ClaimRefusedError(CallNotRunError):
     """The owner of the idempotency key may not claim it now."""
