Refuse calls of a workspace over its allowance with 429

Cause: the allowances of workspaces were decoded and not kept.

Change: the entry asks for a grant once the workspace of a call is known, gives it back if the call ends as not run, and refuses it with 429 and Retry-After otherwise. A stopping node releases what others have delegated to it.

--- a/src/verbenawick/allowances/_allowances.py
+++ b/src/verbenawick/allowances/_allowances.py
@@ -51,9 +51,10 @@
 from verbenawick.runtime._metrics import MetricSet
 from verbenawick.workspaces._model import Workspace, Workspaces
 
-# Longest wait of a call for a grant: two owners are asked.
-GRANT_WAIT_S = 0.3
-ASK_TIMEOUT_S = 0.15
+# Longest wait of a call for a grant, seconds. A packet that is lost is sent again after
+# 0.2 s; the next owner has no shares yet, so it is of use only if the first is lost.
+GRANT_WAIT_S = 0.5
+ASK_TIMEOUT_S = 0.45
 MAX_OWNERS_ASKED = 2
 # Retry-after time if no owner answered, seconds. The next owner has shares when the
 # delegations to the first have ended.
--- a/src/verbenawick/allowances/_model.py
+++ b/src/verbenawick/allowances/_model.py
@@ -19,7 +19,7 @@
 
 def group_of(name: str) -> int:
     """Return the group of a workspace."""
-    return xxh3_64_intdigest(name) % GROUPS
+    return xxh3_64_intdigest(name.encode()) % GROUPS
 
 
 def limited_groups(workspaces: Workspaces | None) -> frozenset[int]:
--- a/src/verbenawick/allowances/_owner.py
+++ b/src/verbenawick/allowances/_owner.py
@@ -20,7 +20,7 @@
 KEPT_FRACTION = 0.5
 # Longest retry-after time, seconds.
 MAX_RETRY_AFTER_S = 2.0
-# Retry-after time while no node has delegated a share to this owner, seconds. The shares
+# Retry-after time while no node has delegated a share to this owner, seconds. Shares
 # that an earlier owner had follow within `DELEGATION_S`.
 TAKEOVER_RETRY_AFTER_S = 0.6
 # Absorbs rounding, so that a request passes when its time has come.
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -20,6 +20,8 @@
 import eventlet
 from greenlet import GreenletExit
 
+from verbenawick.allowances._allowances import Allowances
+from verbenawick.allowances._model import Admission
 from verbenawick.errors import (
     AnswerLostError,
     CallTimeoutError,
@@ -223,6 +225,7 @@
         gateway: MeshGateway,
         budget: RetryBudget,
         guard: CrashGuard,
+        allowances: Allowances,
         clock: Clock,
         random: Random,
         metrics: MetricSet,
@@ -234,6 +237,7 @@
         self._gateway = gateway
         self._budget = budget
         self._guard = guard
+        self._allowances = allowances
         self._clock = clock
         self._random = random
         self._metrics = metrics
@@ -329,9 +333,16 @@
         fingerprint = fingerprint_of(forwarded)
         if self._guard.is_refused(fingerprint, self._clock.now()):
             return self._refusal(call, route, service, QuarantinedError.code, [])
+        admission = Admission()
+        if workspace is not None:
+            admission = self._allowances.admit(workspace, deadline=forwarded.deadline)
+            if admission.code:
+                return self._over_allowance(call, route, forwarded, admission)
         result = self._dispatch(call, route, forwarded)
         if result.outcome is CallOutcome.COMPLETE:
             self._guard.record_completion(fingerprint)
+        elif result.outcome is CallOutcome.NOT_RUN:
+            self._allowances.give_back(admission)
         return result
 
     def refuse_unread(
@@ -689,6 +700,16 @@
         self._log(call, route, forwarded, result, offers, retry_after_s)
         return result
 
+    def _over_allowance(self, call, route, forwarded, admission) -> CallResult:
+        """Return the refusal of a call that its workspace may not send now."""
+        self._metrics.count(REFUSED)
+        # Not bounded like other refusals: the time follows from the allowance.
+        result = CallResult(
+            CallOutcome.NOT_RUN, admission.code, retry_after_s=admission.retry_after_s
+        )
+        self._log(call, route, forwarded, result, [], admission.retry_after_s)
+        return result
+
     def _log(self, call, route, forwarded, result, offers, retry_after_s) -> None:
         now = self._clock.now()
         emit(
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -6,10 +6,12 @@
 
 import eventlet
 
+from verbenawick.allowances._allowances import Allowances
 from verbenawick.calls._entry_server import EntryServer
 from verbenawick.links._call_links import CallLinks, PeerSilence
 from verbenawick.links._component import NodeIdentity
 from verbenawick.links._links import CALL_CHANNEL, Link, LinkServer
+from verbenawick.links._members import Member
 from verbenawick.mesh._address_owners import AddressOwners
 from verbenawick.mesh._beacons import Beacons
 from verbenawick.mesh._configuration_relay import RelayState
@@ -196,6 +198,16 @@
         self.standing_links = StandingLinks(
             self._connectors, node_id=settings.node_id, endpoints=self.endpoints
         )
+        self.allowances = Allowances(
+            node_id=settings.node_id,
+            epoch=self.identity.incarnation,
+            links=self.links,
+            clock=self.clock,
+            metrics=self.metrics,
+            node_ids=lambda: frozenset(e.node_id for e in self.endpoints.all()),
+            is_reachable=self._is_reachable,
+            connect=self._connect,
+        )
         self.entry = MeshEntry(
             node_id=settings.node_id,
             endpoints=self.endpoints,
@@ -209,6 +221,7 @@
                 node_count=lambda: len(self.endpoints),
             ),
             guard=guard,
+            allowances=self.allowances,
             clock=self.clock,
             random=self.random,
             metrics=self.metrics,
@@ -364,6 +377,7 @@
         answer_by = deadline - LAST_ANSWER_MARGIN_S
         self.entry.stop_by(answer_by, last_call_at=now + LAST_CALL_S)
         self.gateway.stop_by(answer_by)
+        self.allowances.release()
         eventlet.spawn_after(
             max(shutdown_delay_s - DRAIN_NOTICE_S, 0.0), self._drain_gateway
         )
@@ -404,6 +418,7 @@
         for task in self._tasks:
             task.kill()
         self._prober.close()
+        self.allowances.close()
         self._connectors.close()
         self.links.close()
 
@@ -454,6 +469,7 @@
                 len(configuration.routes),
             )
         )
+        self.allowances.put_in_force(configuration.workspaces)
         self._beacons.send_if_relay(with_document=True)
         service = configuration.services_by_name.get(self.upstream.service)
         if service is not None:
@@ -515,6 +531,24 @@
             cpu_s = process_time() - cpu_before_s
             emit(ProcessStalled(round(stalled_s, 3), round(cpu_s, 3)))
 
+    def _is_reachable(self, node_id: str) -> bool:
+        """Return whether a link to another node is open or may be opened."""
+        endpoint = self.endpoints.get(node_id)
+        if endpoint is None:
+            return False
+        if self.links.is_connected(endpoint.member):
+            return not self.links.is_silent(endpoint.peer_address)
+        return self.standing_links.may_open(endpoint)
+
+    def _connect(self, node_id: str) -> Member | None:
+        """Return another node after opening a link to it, None if that fails."""
+        endpoint = self.endpoints.get(node_id)
+        if endpoint is None:
+            return None
+        if not self.links.is_connected(endpoint.member):
+            self.standing_links.open(endpoint)
+        return endpoint.member if self.links.is_connected(endpoint.member) else None
+
     def _on_link_open(self, link: Link) -> None:
         self.gateway.on_link_open(link)
         leave = self._leaves.of(link.peer.node_id)
--- a/src/verbenawick/platform/_calls.py
+++ b/src/verbenawick/platform/_calls.py
@@ -48,9 +48,11 @@
 
 _MISDIRECTED_STATUS = 421
 _UNAVAILABLE_STATUS = 503
+_TOO_MANY_REQUESTS_STATUS = 429
 _UNAUTHORIZED_STATUS = 401
 _STATUS_BY_NOT_RUN_CODE = {
     "call.unknown-key": _UNAUTHORIZED_STATUS,
+    "call.over-allowance": _TOO_MANY_REQUESTS_STATUS,
     "call.no-route": 404,
     "call.bad-request": 400,
     "call.request-too-large": 413,
@@ -167,7 +169,7 @@
     status = http_status_of(result)
     if status == _UNAUTHORIZED_STATUS:
         headers.append(("WWW-Authenticate", "Bearer"))
-    if status == _UNAVAILABLE_STATUS:
+    if status in (_UNAVAILABLE_STATUS, _TOO_MANY_REQUESTS_STATUS):
         headers.append(("Retry-After", f"{max(result.retry_after_s, 0.01):.3f}"))
     return _status_line(status), headers, body
 
