Ask the next owner while the first has part of the shares

Change: what an owner with less than 0.9 of the shares refuses is asked of the next one. Calls over an allowance earn no retries of others.

--- a/src/verbenawick/allowances/_allowances.py
+++ b/src/verbenawick/allowances/_allowances.py
@@ -56,6 +56,9 @@
 GRANT_WAIT_S = 0.5
 ASK_TIMEOUT_S = 0.45
 MAX_OWNERS_ASKED = 2
+# While an owner has less than this part of the shares, another one has the rest or will
+# have it: what the first refuses is asked of the next.
+WHOLE_FRACTION = 0.9
 # Retry-after time if no owner answered, seconds. The next owner has shares when the
 # delegations to the first have ended.
 UNKNOWN_RETRY_AFTER_S = 0.6
@@ -201,28 +204,40 @@
         """Ask until no call of the group waits."""
         try:
             while True:
-                self._ask_owners(group, list(self._waiters_by_group.get(group, ())))
-                if not self._waiters_by_group.get(group):
+                self._ask_owners(group, self._unanswered(group))
+                if not self._unanswered(group):
                     return
         finally:
             self._asking_groups.discard(group)
 
+    def _unanswered(self, group: int) -> list[_Waiter]:
+        waiters = self._waiters_by_group.get(group, ())
+        return [waiter for waiter in waiters if not waiter.answered.ready()]
+
     def _ask_owners(self, group: int, waiters: list[_Waiter]) -> None:
         """Ask up to two owners for the calls that wait, and answer these."""
+        code = AllowanceUnknownError.code
+        asked_ids: set[str] = set()
         for _ in range(MAX_OWNERS_ASKED):
             now = self._clock.now()
-            owner_id = self._delegations.owner_to_ask(group, now, self._is_reachable)
+            owners = self._delegations.owners_to_ask(group, now, self._is_reachable)
+            owner_id = next((o for o in owners if o not in asked_ids), None)
             if owner_id is None:
                 break
+            asked_ids.add(owner_id)
             ask = self._ask_for(group, owner_id, waiters, now)
             self._log_owner(group, now)
             answer = self._exchange(owner_id, ask)
-            if answer is not None:
-                self._use(answer, sent_at=now)
-                self._distribute(group, waiters)
-                return
+            if answer is None:
+                continue
+            code = OverAllowanceError.code
+            self._use(answer, sent_at=now)
+            self._distribute(group)
+            waiters = [waiter for waiter in waiters if not waiter.answered.ready()]
+            if not waiters or answer.fraction >= WHOLE_FRACTION:
+                break
         for waiter in waiters:
-            _answer(waiter, AllowanceUnknownError.code)
+            _answer(waiter, code)
 
     def _is_reachable(self, node_id: str) -> bool:
         return node_id == self._node_id or self._is_other_reachable(node_id)
@@ -287,18 +302,14 @@
         for name, (retry_in_s, spacing_s) in answer.refusals_by_name.items():
             self._pool.put_refusal(name, retry_in_s, spacing_s, now)
 
-    def _distribute(self, group: int, asked: list[_Waiter]) -> None:
-        """Answer the calls of an ask, and later ones for which a grant is left."""
+    def _distribute(self, group: int) -> None:
+        """Give the grants to the calls that wait."""
         now = self._clock.now()
-        for waiter in list(self._waiters_by_group.get(group, ())):
-            grant = self._pool.take(waiter.name, now)
-            if grant is None and (
-                waiter in asked or self._pool.is_refusing(waiter.name, now)
-            ):
-                grant = OverAllowanceError.code
-            if grant is not None:
-                self._waiters_by_group[group].remove(waiter)
-                _answer(waiter, grant)
+        for waiter in self._waiters_by_group.get(group, ()):
+            if not waiter.answered.ready():
+                grant = self._pool.take(waiter.name, now)
+                if grant is not None:
+                    _answer(waiter, grant)
 
     def _on_ask(
         self, peer: NodeIdentity, ask: AllowanceAsk, sent_at: float
--- a/src/verbenawick/allowances/_delegations.py
+++ b/src/verbenawick/allowances/_delegations.py
@@ -6,7 +6,7 @@
 """
 
 from collections import deque
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from verbenawick.allowances._model import DELEGATION_S, GROUPS
@@ -96,11 +96,11 @@
         self._clocks_by_owner_id: dict[str, _OwnerClock] = {}
         self._avoided_until_by_owner_id: dict[str, float] = {}
 
-    def put_nodes(self, node_ids: Collection[str], now: float) -> None:
+    def put_nodes(self, node_ids: frozenset[str], now: float) -> None:
         """Set the known nodes, this one included."""
         if self._node_ids == node_ids:
             return
-        self._node_ids = frozenset(node_ids)
+        self._node_ids = node_ids
         self._node_count.put(len(node_ids), now)
         self._ranking_by_group = {
             group: sorted(
@@ -113,32 +113,35 @@
         for node_id in set(self._clocks_by_owner_id) - self._node_ids:
             del self._clocks_by_owner_id[node_id]
 
+    def owners_to_ask(
+        self, group: int, now: float, is_reachable: Callable[[str], bool]
+    ) -> Iterator[str]:
+        """Yield the reachable owners in the order in which they are asked.
+
+        The first is the one that has this node's share, since it has those of most
+        other nodes too.
+        """
+        holder = self.holder(group, now)
+        if holder and self._is_usable(holder, now, is_reachable):
+            yield holder
+        for node_id in self._ranking_by_group.get(group, ()):
+            if node_id != holder and self._is_usable(node_id, now, is_reachable):
+                yield node_id
+
+    def _is_usable(
+        self, node_id: str, now: float, is_reachable: Callable[[str], bool]
+    ) -> bool:
+        avoided_until = self._avoided_until_by_owner_id.get(node_id, now)
+        return avoided_until <= now and is_reachable(node_id)
+
     def _first(
         self, group: int, now: float, is_reachable: Callable[[str], bool]
     ) -> str | None:
         for node_id in self._ranking_by_group.get(group, ()):
-            avoided_until = self._avoided_until_by_owner_id.get(node_id, now)
-            if avoided_until <= now and is_reachable(node_id):
+            if self._is_usable(node_id, now, is_reachable):
                 return node_id
         return None
 
-    def owner_to_ask(
-        self, group: int, now: float, is_reachable: Callable[[str], bool]
-    ) -> str | None:
-        """Return the owner that has this node's share, if it is reachable.
-
-        Else the first reachable one; None without any.
-        """
-        held = self._held_by_group.get(group)
-        if (
-            held is not None
-            and now < held.ends_at
-            and self._avoided_until_by_owner_id.get(held.owner_id, now) <= now
-            and is_reachable(held.owner_id)
-        ):
-            return held.owner_id
-        return self._first(group, now, is_reachable)
-
     def delegate(
         self,
         group: int,
--- a/src/verbenawick/allowances/_messages.py
+++ b/src/verbenawick/allowances/_messages.py
@@ -42,6 +42,8 @@
         Process of the owner; 0 if it grants nothing: it stops, or has no version yet.
     clock : float
         Time at the owner.
+    fraction : float
+        Sum of the shares that nodes have delegated to the owner, at most 1.
     granted_by_name : dict of str to int
         Requests that may be admitted within `GRANT_S` of the ask.
     refusals_by_name : dict of str to tuple of float
@@ -52,6 +54,7 @@
     call_id: int
     epoch: int = 0
     clock: float = 0.0
+    fraction: float = 0.0
     granted_by_name: dict[str, int] = field(default_factory=dict)
     refusals_by_name: dict[str, tuple[float, float]] = field(default_factory=dict)
 
--- a/src/verbenawick/allowances/_owner.py
+++ b/src/verbenawick/allowances/_owner.py
@@ -127,6 +127,7 @@
     delegations_by_node_id: dict[str, _Delegation] = field(default_factory=dict)
     # No delegation ends earlier.
     next_end_at: float = math.inf
+    fraction: float = 0.0
 
     def put(self, node_id: str, delegation: _Delegation, now: float) -> None:
         earlier = self.delegations_by_node_id.get(node_id)
@@ -135,7 +136,7 @@
         self.delegations_by_node_id[node_id] = delegation
         self.next_end_at = min(self.next_end_at, delegation.ends_at)
         if earlier is None or earlier.fraction != delegation.fraction:
-            self._update_fraction(now)
+            self.update_fraction(now)
 
     def expire(self, now: float) -> None:
         """Remove the delegations that have ended, each at its time."""
@@ -148,16 +149,17 @@
         )
         for ends_at, node_id in ended:
             del self.delegations_by_node_id[node_id]
-            self._update_fraction(ends_at)
+            self.update_fraction(ends_at)
         self.next_end_at = min(
             (d.ends_at for d in self.delegations_by_node_id.values()), default=math.inf
         )
 
-    def _update_fraction(self, now: float) -> None:
+    def update_fraction(self, now: float) -> None:
+        """Give all buckets the sum of the shares."""
         shares = (d.fraction for d in self.delegations_by_node_id.values())
-        fraction = min(math.fsum(shares), 1.0)
+        self.fraction = min(math.fsum(shares), 1.0)
         for bucket in self.buckets_by_name.values():
-            bucket.set_fraction(fraction, now)
+            bucket.set_fraction(self.fraction, now)
 
 
 class AllowanceOwner:
@@ -201,7 +203,7 @@
             else:
                 bucket.set_workspace(workspace, now)
             group.buckets_by_name[name] = bucket
-        group._update_fraction(now)
+        group.update_fraction(now)
 
     def release(self) -> None:
         """Grant nothing more; the delegations have ended."""
@@ -234,7 +236,12 @@
             if granted < waiting:
                 refusals_by_name[name] = refusal
         return AllowanceAnswer(
-            ask.call_id, self._epoch, now, granted_by_name, refusals_by_name
+            ask.call_id,
+            self._epoch,
+            now,
+            group.fraction if group else 0.0,
+            granted_by_name,
+            refusals_by_name,
         )
 
     def _group_for(self, node_id: str, ask: AllowanceAsk, now: float) -> _Group | None:
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -329,15 +329,17 @@
             call.arrived_at + min(route.objective_s, left_s),
             workspace.name if workspace else "",
         )
-        self._budget.count_request(service, self._clock.now())
-        fingerprint = fingerprint_of(forwarded)
-        if self._guard.is_refused(fingerprint, self._clock.now()):
-            return self._refusal(call, route, service, QuarantinedError.code, [])
         admission = Admission()
         if workspace is not None:
             admission = self._allowances.admit(workspace, deadline=forwarded.deadline)
             if admission.code:
                 return self._over_allowance(call, route, forwarded, admission)
+        # A call over the allowance of its workspace earns no retries of others.
+        self._budget.count_request(service, self._clock.now())
+        fingerprint = fingerprint_of(forwarded)
+        if self._guard.is_refused(fingerprint, self._clock.now()):
+            self._allowances.give_back(admission)
+            return self._refusal(call, route, service, QuarantinedError.code, [])
         result = self._dispatch(call, route, forwarded)
         if result.outcome is CallOutcome.COMPLETE:
             self._guard.record_completion(fingerprint)
