--- a/src/verbenawick/allowances/_allowances.py
+++ b/src/verbenawick/allowances/_allowances.py
@@ -28,6 +28,7 @@
     AllowanceRelease,
 )
 from verbenawick.allowances._model import (
+    AHEAD_S,
     DELEGATION_S,
     GRANT_S,
     Admission,
@@ -299,6 +300,8 @@
         now = self._clock.now()
         for name, count in answer.granted_by_name.items():
             self._pool.add(name, count, sent_at + GRANT_S, now)
+        for name, count in answer.ahead_by_name.items():
+            self._pool.add(name, count, sent_at + AHEAD_S, now)
         for name, (retry_in_s, spacing_s) in answer.refusals_by_name.items():
             self._pool.put_refusal(name, retry_in_s, spacing_s, now)
 
--- a/src/verbenawick/allowances/_grants.py
+++ b/src/verbenawick/allowances/_grants.py
@@ -8,7 +8,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from verbenawick.allowances._model import GRANT_S, Grant
+from verbenawick.allowances._model import AHEAD_S, Grant
 
 # Time constant of the estimated rate of a workspace at this node, seconds.
 RATE_WINDOW_S = 2.0
@@ -68,9 +68,9 @@
         self._rates_by_name.setdefault(name, _Rate()).count(now)
 
     def expected(self, name: str, now: float) -> int:
-        """Return how many requests are expected in the lifetime of a grant."""
+        """Return how many requests are expected in the lifetime of a grant ahead."""
         rate = self._rates_by_name.get(name)
-        return int(rate.value(now) * GRANT_S) if rate else 0
+        return round(rate.value(now) * AHEAD_S) if rate else 0
 
     def take(self, name: str, now: float) -> Grant | None:
         """Use one grant, the one that expires first; None without one."""
--- a/src/verbenawick/allowances/_messages.py
+++ b/src/verbenawick/allowances/_messages.py
@@ -19,7 +19,7 @@
     delegated_until : float
         End of the delegation on the clock of the owner.
     waiting_by_name, expected_by_name : dict of str to int
-        Requests that wait for a grant, and further ones expected during `GRANT_S`.
+        Requests that wait for a grant, and further ones expected during `AHEAD_S`.
     """
 
     call_id: int
@@ -44,8 +44,9 @@
         Time at the owner.
     fraction : float
         Sum of the shares that nodes have delegated to the owner, at most 1.
-    granted_by_name : dict of str to int
-        Requests that may be admitted within `GRANT_S` of the ask.
+    granted_by_name, ahead_by_name : dict of str to int
+        Requests that may be admitted within `GRANT_S`, and further ones that may be
+        within `AHEAD_S` of the ask.
     refusals_by_name : dict of str to tuple of float
         For each workspace with fewer grants than requests that wait: the time until the
         next request would pass, and the interval between such requests of the node.
@@ -56,6 +57,7 @@
     clock: float = 0.0
     fraction: float = 0.0
     granted_by_name: dict[str, int] = field(default_factory=dict)
+    ahead_by_name: dict[str, int] = field(default_factory=dict)
     refusals_by_name: dict[str, tuple[float, float]] = field(default_factory=dict)
 
 
--- a/src/verbenawick/allowances/_owner.py
+++ b/src/verbenawick/allowances/_owner.py
@@ -6,11 +6,12 @@
 """
 
 import math
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from verbenawick.allowances._messages import AllowanceAnswer, AllowanceAsk
-from verbenawick.allowances._model import group_of
+from verbenawick.allowances._model import AHEAD_S, group_of
 from verbenawick.workspaces._model import Workspace, Workspaces
 
 # A bucket takes whole requests. An owner with at least this part of a small burst may
@@ -37,6 +38,9 @@
         Sum of the shares, at most 1.
     content : float
         Requests that may be granted.
+    ahead : float
+        Grants ahead that may still be used. They take the place of content, so that
+        they and the content together are never more than the depth.
     retry_at : float
         Time at which a request that is refused next would pass.
     granted, refused : int
@@ -47,6 +51,8 @@
     updated_at: float
     fraction: float = 0.0
     content: float = 0.0
+    ahead: float = 0.0
+    ahead_ends: deque[tuple[float, int]] = field(default_factory=deque)
     retry_at: float = 0.0
     granted: int = 0
     refused: int = 0
@@ -64,34 +70,53 @@
 
     def accrue(self, now: float) -> None:
         """Add what has accrued until `now`."""
+        while self.ahead_ends and self.ahead_ends[0][0] <= now:
+            ends_at, count = self.ahead_ends.popleft()
+            self._accrue_with_ahead(ends_at)
+            self.ahead -= count
+        self._accrue_with_ahead(now)
+
+    def _accrue_with_ahead(self, now: float) -> None:
         if now > self.updated_at:
-            gained = (now - self.updated_at) * self.rate_per_s
-            self.content = min(self.content + gained, self.depth)
+            self.content += (now - self.updated_at) * self.rate_per_s
             self.updated_at = now
+        self._cut()
+
+    def _cut(self) -> None:
+        self.content = max(min(self.content, self.depth - self.ahead), 0.0)
 
     def set_fraction(self, fraction: float, now: float) -> None:
         """Change the shares; more shares add no content."""
         self.accrue(now)
         self.fraction = fraction
-        self.content = min(self.content, self.depth)
+        self._cut()
 
     def set_workspace(self, workspace: Workspace, now: float) -> None:
         """Change the limit."""
         self.accrue(now)
         self.workspace = workspace
-        self.content = min(self.content, self.depth)
+        self._cut()
 
-    def grant(self, waiting: int, expected: int, now: float) -> int:
-        """Take grants for requests that wait and, if much is left, for further ones."""
+    def grant(self, waiting: int, now: float) -> int:
+        """Take grants for requests that wait."""
         self.accrue(now)
         granted = min(waiting, int(self.content + EPSILON))
-        if granted == waiting:
-            spare = self.content - granted - self.depth * KEPT_FRACTION
-            granted += max(min(expected, int(spare)), 0)
         self.content -= granted
         self.granted += granted
         return granted
 
+    def grant_ahead(self, expected: int, now: float) -> int:
+        """Take grants for requests to come, while enough is left for others."""
+        self.accrue(now)
+        spare = self.content - self.depth * KEPT_FRACTION
+        granted = max(min(expected, int(spare)), 0)
+        if granted:
+            self.content -= granted
+            self.ahead += granted
+            self.ahead_ends.append((now + AHEAD_S, granted))
+            self.granted += granted
+        return granted
+
     def refuse(self, count: int, nodes: int, now: float) -> tuple[float, float]:
         """Return the retry-after time of the first of `count` requests, and a spacing.
 
@@ -216,7 +241,7 @@
         if not self._is_granting:
             return AllowanceAnswer(ask.call_id)
         group = self._group_for(node_id, ask, now)
-        granted_by_name, refusals_by_name = {}, {}
+        granted_by_name, ahead_by_name, refusals_by_name = {}, {}, {}
         for name in {**ask.waiting_by_name, **ask.expected_by_name}:
             waiting = max(ask.waiting_by_name.get(name, 0), 0)
             expected = max(ask.expected_by_name.get(name, 0), 0)
@@ -227,10 +252,12 @@
                 granted = 0 if is_limited else waiting
                 refusal = (TAKEOVER_RETRY_AFTER_S, 0.0)
             else:
-                granted = bucket.grant(waiting, expected, now)
+                granted = bucket.grant(waiting, now)
                 if granted < waiting:
                     nodes = len(group.delegations_by_node_id)
                     refusal = bucket.refuse(waiting - granted, nodes, now)
+                elif ahead := bucket.grant_ahead(expected, now):
+                    ahead_by_name[name] = ahead
             if granted:
                 granted_by_name[name] = granted
             if granted < waiting:
@@ -241,6 +268,7 @@
             now,
             group.fraction if group else 0.0,
             granted_by_name,
+            ahead_by_name,
             refusals_by_name,
         )
 
