--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -133,6 +133,7 @@
     elapsed_s: float
     left_s: float
     retry_after_s: float
+    workspace: str
 
 
 @register_event(731)
@@ -726,6 +727,7 @@
                 round(now - call.arrived_at, 3),
                 round(forwarded.deadline - now, 3) if forwarded else 0.0,
                 round(retry_after_s, 3),
+                forwarded.workspace if forwarded else "",
             )
         )
 
