--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -20,6 +20,8 @@
 import eventlet
 from greenlet import GreenletExit
 
+from verbenawick.allowances._allowances import Allowances
+from verbenawick.allowances._model import Admission
 from verbenawick.errors import (
     AnswerLostError,
     CallTimeoutError,
@@ -131,6 +133,7 @@
     elapsed_s: float
     left_s: float
     retry_after_s: float
+    workspace: str
 
 
 @register_event(731)
@@ -223,6 +226,7 @@
         gateway: MeshGateway,
         budget: RetryBudget,
         guard: CrashGuard,
+        allowances: Allowances,
         clock: Clock,
         random: Random,
         metrics: MetricSet,
@@ -234,6 +238,7 @@
         self._gateway = gateway
         self._budget = budget
         self._guard = guard
+        self._allowances = allowances
         self._clock = clock
         self._random = random
         self._metrics = metrics
@@ -325,13 +330,22 @@
             call.arrived_at + min(route.objective_s, left_s),
             workspace.name if workspace else "",
         )
+        admission = Admission()
+        if workspace is not None:
+            admission = self._allowances.admit(workspace, deadline=forwarded.deadline)
+            if admission.code:
+                return self._over_allowance(call, route, forwarded, admission)
+        # A call over the allowance of its workspace earns no retries of others.
         self._budget.count_request(service, self._clock.now())
         fingerprint = fingerprint_of(forwarded)
         if self._guard.is_refused(fingerprint, self._clock.now()):
+            self._allowances.give_back(admission)
             return self._refusal(call, route, service, QuarantinedError.code, [])
         result = self._dispatch(call, route, forwarded)
         if result.outcome is CallOutcome.COMPLETE:
             self._guard.record_completion(fingerprint)
+        elif result.outcome is CallOutcome.NOT_RUN:
+            self._allowances.give_back(admission)
         return result
 
     def refuse_unread(
@@ -689,6 +703,16 @@
         self._log(call, route, forwarded, result, offers, retry_after_s)
         return result
 
+    def _over_allowance(self, call, route, forwarded, admission) -> CallResult:
+        """Return the refusal of a call that its workspace may not send now."""
+        self._metrics.count(REFUSED)
+        # Not bounded like other refusals: the time follows from the allowance.
+        result = CallResult(
+            CallOutcome.NOT_RUN, admission.code, retry_after_s=admission.retry_after_s
+        )
+        self._log(call, route, forwarded, result, [], admission.retry_after_s)
+        return result
+
     def _log(self, call, route, forwarded, result, offers, retry_after_s) -> None:
         now = self._clock.now()
         emit(
@@ -703,6 +727,7 @@
                 round(now - call.arrived_at, 3),
                 round(forwarded.deadline - now, 3) if forwarded else 0.0,
                 round(retry_after_s, 3),
+                forwarded.workspace if forwarded else "",
             )
         )
 
