Bring in the version of a service that an operator orders

Cause: orders to bring in a version were not read. Upstreams of the new version got calls like all others from their first report on, whatever they did to callers, and the order stayed without a status.

Change: the package `releases` holds the decisions: the steps of a release, the comparison of the versions by failures and time on each route, the share at each entry and the counts at each gateway. A node follows orders only if its settings have a section `releases`. Without it, records and notices carry no version.

--- a/src/verbenawick/mesh/_beacons.py
+++ b/src/verbenawick/mesh/_beacons.py
@@ -10,7 +10,7 @@
 from verbenawick.links._call_messages import next_call_id
 from verbenawick.links._component import NodeIdentity
 from verbenawick.links._links import Link
-from verbenawick.links._messages import encode_message
+from verbenawick.links._messages import Message, encode_message
 from verbenawick.mesh._configuration_relay import (
     BEACON_INTERVAL_S,
     ConfigurationAnswer,
@@ -125,8 +125,18 @@
 
     def send_records(self, beacon: RecordBeacon) -> None:
         """Send changes of the records as the relay."""
+        self.broadcast(beacon)
+
+    def broadcast(self, message: Message) -> None:
+        """Send a message to the region, and through their leaders to the others."""
         for link in (*self._region_links(), *self._links_to_other_leaders()):
-            self._links.notify(link, beacon)
+            self._links.notify(link, message)
+
+    def forward(self, peer: NodeIdentity, message: Message) -> None:
+        """Send a message that came from another region to this one."""
+        if peer.region != self._region:
+            for link in self._region_links():
+                self._links.notify(link, message)
 
     def query(self, node_id: str) -> ConfigurationAnswer | None:
         """Return the configuration of another node, or None if it is unreachable."""
@@ -147,9 +157,7 @@
         self._follower.on_beacon(peer.node_id, beacon)
 
     def _on_record_beacon(self, peer: NodeIdentity, beacon: RecordBeacon) -> None:
-        if peer.region != self._region:
-            for link in self._region_links():
-                self._links.notify(link, beacon)
+        self.forward(peer, beacon)
         self._record_follower.on_beacon(beacon)
 
     def _send(self, beacon: ConfigurationBeacon, links: list[Link]) -> None:
--- a/src/verbenawick/mesh/_endpoints.py
+++ b/src/verbenawick/mesh/_endpoints.py
@@ -67,6 +67,7 @@
     service: str = ""
     upstream_id: str = ""
     state: UpstreamState = UpstreamState.UNKNOWN
+    version: str = ""
     distance: Distance = Distance.REMOTE
     load: GatewayLoad = field(default_factory=GatewayLoad)
     outstanding_at_load: int = 0
@@ -130,10 +131,17 @@
         endpoint.member = member_of(record)
         self._set_upstream(endpoint, record.service, record.upstream_id)
         endpoint.state = record.state
+        endpoint.version = record.version
         return endpoint
 
     def put_state(
-        self, node_id: str, *, service: str, upstream_id: str, state: UpstreamState
+        self,
+        node_id: str,
+        *,
+        service: str,
+        upstream_id: str,
+        state: UpstreamState,
+        version: str = "",
     ) -> None:
         """Update a gateway from its own notice, which is newer than the store."""
         endpoint = self._by_node_id.get(node_id)
@@ -141,6 +149,7 @@
             return
         self._set_upstream(endpoint, service, upstream_id)
         endpoint.state = state
+        endpoint.version = version
 
     def remove(self, node_id: str) -> None:
         """Remove a gateway."""
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -62,6 +62,7 @@
 from verbenawick.mesh._retry_budget import RetryBudget
 from verbenawick.mesh._route_index import RouteIndex, TargetRotation
 from verbenawick.mesh._standing_links import StandingLinks
+from verbenawick.releases._shares import VersionShares
 from verbenawick.runtime._clock import Clock
 from verbenawick.runtime._events import Event as LogEvent
 from verbenawick.runtime._events import emit, register_event
@@ -211,6 +212,8 @@
     ----------
     gateway : MeshGateway
         Gateway of this node. Calls to the local upstream bypass the links.
+    shares : VersionShares or None
+        Releases in progress; None for none.
     """
 
     def __init__(
@@ -226,7 +229,9 @@
         clock: Clock,
         random: Random,
         metrics: MetricSet,
+        shares: VersionShares | None = None,
     ):
+        self._shares = shares or VersionShares()
         self._node_id = node_id
         self._endpoints = endpoints
         self._links = links
@@ -523,6 +528,7 @@
             and endpoint.node_id not in tried
             and self._is_reachable(endpoint)
         ]
+        ready = self._shares.select(forwarded.service, ready, now)
         usable = [e for e in ready if e.avoided_until <= now] or ready
         candidates = [
             self._endpoints.candidate(
--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -35,6 +35,8 @@
 from verbenawick.mesh._placement import ends_before_stop
 from verbenawick.mesh._slot_queue import SlotQueue, SlotRequest, Verdict
 from verbenawick.mesh._upstream_channels import AnswerKind, RawAnswer, UpstreamChannels
+from verbenawick.releases._shares import VersionShares
+from verbenawick.releases._tally import ReleaseTally
 from verbenawick.runtime._calls_in_flight import CallsInFlight
 from verbenawick.runtime._clock import Clock
 from verbenawick.runtime._events import Event as LogEvent
@@ -199,6 +201,10 @@
         calls that it was running.
     observe : callable
         Called with the time that the upstream took for a call, in seconds.
+    shares : VersionShares or None
+        Releases in progress; None for none.
+    tally : ReleaseTally or None
+        Counts the calls during a release of the upstream's service.
     """
 
     def __init__(
@@ -215,7 +221,11 @@
             [str, tuple[bytes, ...]], None
         ] = lambda process_id, fingerprints: None,
         observe: Callable[[float], None] = lambda seconds: None,
+        shares: VersionShares | None = None,
+        tally: ReleaseTally | None = None,
     ):
+        self._shares = shares or VersionShares()
+        self._tally = tally or ReleaseTally()
         self._observe = observe
         self._node_id = node_id
         self._upstream = upstream
@@ -367,7 +377,7 @@
         try:
             # The upstream's state may have changed while the call was queued.
             self._check_accepts(call, fingerprint, deadline, started_at)
-            kind, answer = self._run(call, fingerprint, deadline)
+            kind, answer = self._run_counted(call, fingerprint, deadline, started_at)
             service_s = self._clock.now() - started_at
             self._observe(service_s)
         finally:
@@ -393,6 +403,24 @@
             self.load(call.route),
         )
 
+    def _run_counted(self, call, fingerprint: bytes, deadline: float, started_at):
+        """Run a call, and count it for a release unless the upstream refused it."""
+        try:
+            kind, answer = self._run(call, fingerprint, deadline)
+        except CallNotRunError:
+            raise
+        except CallError:
+            self._count_for_release(call, started_at, is_failure=True)
+            raise
+        if kind is AnswerKind.MATCHING:
+            is_failure = answer.status >= 500
+            self._count_for_release(call, started_at, is_failure=is_failure)
+        return kind, answer
+
+    def _count_for_release(self, call, started_at: float, *, is_failure: bool) -> None:
+        seconds = self._clock.now() - started_at
+        self._tally.add(call.route, seconds, is_failure=is_failure)
+
     def _check_accepts(
         self, call: ForwardedCall, fingerprint: bytes, deadline: float, now: float
     ) -> None:
@@ -403,6 +431,12 @@
                 step="gateway",
                 peer=self._node_id,
             )
+        if self._shares.is_retired(upstream.service, upstream.version, now):
+            raise DrainingError(
+                f"version {upstream.version} gets no further calls",
+                step="gateway",
+                peer=self._node_id,
+            )
         if call.service != upstream.service:
             raise WrongServiceError(
                 f"this gateway serves {upstream.service}",
--- a/src/verbenawick/mesh/_local_upstream.py
+++ b/src/verbenawick/mesh/_local_upstream.py
@@ -8,7 +8,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from verbenawick.mesh._model import StatusReport, UpstreamRecord, UpstreamState
 from verbenawick.runtime._events import Event, emit, register_event
@@ -74,6 +74,7 @@
     born_ms: int
     sequence: int
     cause: str
+    version: str = ""
 
 
 class LocalUpstream:
@@ -88,6 +89,8 @@
         found that waits for `restore`.
     awaits_record : bool
         Whether an upstream becomes ready only after `restore` or `skip_restore`.
+    keeps_version : bool
+        Whether the version of the upstream is kept, for releases.
     """
 
     def __init__(
@@ -97,12 +100,15 @@
         service: str,
         on_change: Callable[[], None],
         awaits_record: bool = False,
+        keeps_version: bool = False,
     ):
         self.address = address
         self.service = service
         self.upstream_id = ""
         self.state = UpstreamState.UNKNOWN
         self.slots = DEFAULT_SLOTS
+        self.version = ""
+        self._keeps_version = keeps_version
         self._on_change = on_change
         self._sequence = -1
         self._born_ms = 0
@@ -157,8 +163,11 @@
             return
         if _has_left(record, found):
             self._set_draining(found, record)
-        else:
-            self._set_ready(found)
+            return
+        if record is not None and record.upstream_id == found.upstream_id:
+            # A health probe does not tell the version.
+            found = replace(found, version=found.version or record.version)
+        self._set_ready(found)
 
     def skip_restore(self) -> None:
         """Use an upstream that reported itself ready although the store is away.
@@ -204,6 +213,7 @@
                 report.born_ms,
                 report.sequence,
                 "report",
+                report.version if self._keeps_version else "",
             )
         )
 
@@ -314,12 +324,15 @@
     def _set_ready(self, found: ReadyUpstream) -> None:
         self._sequence = found.sequence
         self._born_ms = found.born_ms
+        is_new_version = found.version != self.version
+        self.version = found.version
         self._update(
             UpstreamState.READY,
             found.upstream_id,
             found.service,
             found.slots,
             cause=found.cause,
+            is_new_version=is_new_version,
         )
 
     def _set_draining(
@@ -377,10 +390,17 @@
             )
 
     def _update(
-        self, state: UpstreamState, upstream_id: str, service: str, slots: int, *, cause
+        self,
+        state: UpstreamState,
+        upstream_id: str,
+        service: str,
+        slots: int,
+        *,
+        cause: str,
+        is_new_version: bool = False,
     ) -> None:
         previous = (self.state, self.upstream_id, self.service, self.slots)
-        if (state, upstream_id, service, slots) == previous:
+        if (state, upstream_id, service, slots) == previous and not is_new_version:
             return
         self.state = state
         self.upstream_id = upstream_id
--- a/src/verbenawick/mesh/_messages.py
+++ b/src/verbenawick/mesh/_messages.py
@@ -75,6 +75,8 @@
         Whether the upstream itself announced that it drains or leaves.
     born_ms : int
         Start time of the upstream's process as in `StatusReport`, 0 if unknown.
+    version : str
+        Version of the upstream's software as in `UpstreamRecord`.
     """
 
     service: str
@@ -83,6 +85,7 @@
     slots: int
     is_leaving: bool
     born_ms: int
+    version: str = ""
 
 
 @register_message(102)
--- a/src/verbenawick/mesh/_model.py
+++ b/src/verbenawick/mesh/_model.py
@@ -112,6 +112,8 @@
     born_ms : int
         Start time of the process, Unix time in milliseconds; distinguishes processes
         with the same id. 0 if the report does not contain it.
+    version : str
+        Version of the upstream's software.
     """
 
     upstream_id: str
@@ -122,6 +124,7 @@
     cold_left_s: float
     sequence: int
     born_ms: int
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +137,8 @@
         Start time of the upstream's process as in `StatusReport`, 0 if unknown.
     revision : int
         Revision of the object in the store.
+    version : str
+        Version of the upstream's software; empty where the settings allow no releases.
     """
 
     node_id: str
@@ -146,6 +151,7 @@
     slots: int
     born_ms: int = 0
     revision: int = 0
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -51,6 +51,7 @@
 from verbenawick.mesh._publisher import RecordPublisher
 from verbenawick.mesh._record_follower import RecordFollower
 from verbenawick.mesh._record_remover import RecordRemover
+from verbenawick.mesh._release_task import ReleaseTask
 from verbenawick.mesh._retry_budget import RetryBudget
 from verbenawick.mesh._settings import MeshSettings
 from verbenawick.mesh._standing_links import StandingLinks
@@ -58,6 +59,8 @@
 from verbenawick.mesh._state_store import RecordChange, StateStore
 from verbenawick.mesh._upstream_channels import UpstreamChannels
 from verbenawick.mesh._upstream_prober import UpstreamProber
+from verbenawick.releases._shares import VersionShares
+from verbenawick.releases._tally import ReleaseTally
 from verbenawick.runtime._clock import BootClock
 from verbenawick.runtime._events import emit
 from verbenawick.runtime._metrics import MetricSet
@@ -160,6 +163,7 @@
             service=settings.upstream.service,
             on_change=self._on_upstream_change,
             awaits_record=True,
+            keeps_version=settings.releases is not None,
         )
         self.links = CallLinks(
             self.identity,
@@ -181,6 +185,8 @@
             clock=self.clock,
             metrics=self.metrics,
         )
+        shares = VersionShares()
+        tally = ReleaseTally()
         self.gateway = MeshGateway(
             node_id=settings.node_id,
             upstream=self.upstream,
@@ -191,6 +197,8 @@
             metrics=self.metrics,
             on_crash=self._on_crash,
             observe=self.metrics_page.observe_upstream,
+            shares=shares,
+            tally=tally,
         )
         self._connectors = PeerConnectors(self.links, random=self.random)
         self.standing_links = StandingLinks(
@@ -212,6 +220,7 @@
             clock=self.clock,
             random=self.random,
             metrics=self.metrics,
+            shares=shares,
         )
         self.links.register_handler(
             ForwardedCall,
@@ -293,6 +302,25 @@
             clock=self.clock,
             configuration=lambda: self.entry.configuration,
         )
+        self._release_task = None
+        if settings.releases is not None:
+            self._release_task = ReleaseTask(
+                open_store=open_store,
+                max_exposure=settings.releases.max_exposure,
+                node_id=settings.node_id,
+                region=settings.region,
+                shares=shares,
+                tally=tally,
+                upstream=self.upstream,
+                in_progress=lambda: self.gateway.in_flight,
+                links=self.links,
+                endpoints=self.endpoints,
+                beacons=self._beacons,
+                relay=relay,
+                clock=self.clock,
+                random=self.random,
+                metrics=self.metrics,
+            )
         self._tasks = []
         self._put_own_endpoint()
 
@@ -321,6 +349,7 @@
                 self._beacons.run,
                 self._record_remover.run,
                 self.standing_links.run,
+                *self._release_tasks(),
             )
         ]
         settings = self.settings
@@ -334,6 +363,10 @@
             )
         )
 
+    def _release_tasks(self) -> tuple[Callable[[], None], ...]:
+        task = self._release_task
+        return (task.watch_orders, task.conduct, task.report) if task else ()
+
     def stop(
         self,
         entry_server: EntryServer,
@@ -536,6 +569,7 @@
             service=notice.service,
             upstream_id=notice.upstream_id,
             state=notice.state,
+            version=notice.version,
         )
 
     def _on_crash_notice(self, peer: NodeIdentity, notice: CrashNotice) -> None:
@@ -588,6 +622,7 @@
             self.upstream.slots,
             self.upstream.is_leaving,
             self.upstream.born_ms,
+            self.upstream.version,
         )
 
     def _put_own_endpoint(self) -> None:
@@ -623,6 +658,7 @@
             state,
             upstream.slots,
             upstream.born_ms,
+            version=upstream.version,
         )
 
 
--- a/src/verbenawick/mesh/_record_check.py
+++ b/src/verbenawick/mesh/_record_check.py
@@ -20,6 +20,8 @@
     for field, name in names.items():
         if not 0 < len(name) <= MAX_NAME_LENGTH:
             raise ValueError(f"{field} has {len(name)} characters")
+    if len(record.version) > MAX_NAME_LENGTH:
+        raise ValueError(f"version has {len(record.version)} characters")
     _check_address(record.peer_address)
     if not 1 <= record.slots <= MAX_SLOTS:
         raise ValueError(f"slots are not between 1 and {MAX_SLOTS}")
--- a/src/verbenawick/mesh/_settings.py
+++ b/src/verbenawick/mesh/_settings.py
@@ -53,6 +53,18 @@
     window_s: Seconds = 10.0
 
 
+class ReleaseSettings(_Section):
+    """Bounds on releases of new versions; without them the node follows no orders.
+
+    Attributes
+    ----------
+    max_exposure : float
+        Share of a service's calls that a bad version may get, 0 to 1.
+    """
+
+    max_exposure: Annotated[float, Meta(gt=0, le=1)]
+
+
 class MeshSettings(_Section):
     """Settings of a node.
 
@@ -70,6 +82,8 @@
         HTTP listener that serves metrics in the Prometheus text format.
     store_address : str
         HTTP address of the platform's store.
+    releases : ReleaseSettings or None
+        None if the node follows no orders of releases.
     stop_grace_s : float
         Time between the request to stop and the kill by the platform, seconds.
     log_level : str
@@ -87,6 +101,7 @@
     store_address: str
     upstream: LocalUpstreamSettings
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
+    releases: ReleaseSettings | None = None
     stop_grace_s: Seconds = 6.0
     log_level: str = "INFO"
 
--- a/src/verbenawick/mesh/_state_store.py
+++ b/src/verbenawick/mesh/_state_store.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from verbenawick.mesh._model import MeshConfiguration, UpstreamRecord
+from verbenawick.releases._model import ReleaseOrder, ReleaseStatus
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +43,23 @@
     is_complete: bool
 
 
+@dataclass(frozen=True, slots=True)
+class OrderChange:
+    """Result of a read or a watch of the orders of releases.
+
+    Attributes
+    ----------
+    orders_by_name : dict
+        Orders that were read or changed; None for a deleted one.
+    is_complete : bool
+        Whether all orders are included, so that missing ones have been deleted.
+    """
+
+    revision: int
+    orders_by_name: dict[str, ReleaseOrder | None]
+    is_complete: bool
+
+
 class StateStore(Protocol):
     """Store client with blocking calls; each task uses a separate instance.
 
@@ -96,6 +114,24 @@
         """Delete the record of a node if it has `revision`."""
         ...
 
+    def read_orders(self) -> OrderChange:
+        """Return all orders of releases."""
+        ...
+
+    def watch_orders(self, revision: int, *, wait_s: float) -> OrderChange:
+        """Wait up to `wait_s` for changes of the orders after `revision`."""
+        ...
+
+    def write_order_status(self, order: ReleaseOrder, status: ReleaseStatus) -> int:
+        """Replace the status of the order if it has `order.revision`.
+
+        Returns
+        -------
+        int
+            The new revision of the order.
+        """
+        ...
+
     def close(self) -> None:
         """Close the connection to the store."""
         ...
--- a/src/verbenawick/platform/_documents.py
+++ b/src/verbenawick/platform/_documents.py
@@ -246,4 +246,5 @@
         max(report.cold_left_ms, 0.0) / 1000,
         report.sequence,
         report.born,
+        report.version,
     )
--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -1,6 +1,7 @@
 """HTTP client of the platform's store, which holds objects by kind and name."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from http.client import HTTPException
 from time import monotonic
 from urllib.parse import quote, urlencode
@@ -24,10 +25,20 @@
     UpstreamState,
 )
 from verbenawick.mesh._record_check import check_record
-from verbenawick.mesh._state_store import ConfigurationChange, RecordChange
+from verbenawick.mesh._state_store import (
+    ConfigurationChange,
+    OrderChange,
+    RecordChange,
+)
 from verbenawick.platform._documents import decode_configuration
 from verbenawick.platform._events import ListingCut, ObjectInvalid
 from verbenawick.platform._json import decode_json
+from verbenawick.releases._model import (
+    ReleaseOrder,
+    ReleaseState,
+    ReleaseStatus,
+    check_order,
+)
 from verbenawick.runtime._clock import BootClock, Clock
 from verbenawick.runtime._events import emit
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
@@ -37,6 +48,14 @@
 CONFIGURATION_NAME = "main"
 # Kind owned by this project, with one object for each node and its upstream.
 RECORD_KIND = "verbenawick-upstreams"
+# Kind of the operator's orders to bring in a version of a service.
+ORDER_KIND = "rollouts"
+_STATE_NAMES = {
+    ReleaseState.ACTIVE: "active",
+    ReleaseState.COMPLETED: "completed",
+    ReleaseState.ROLLED_BACK: "rolled_back",
+}
+_STATES_BY_NAME = {name: state for state, name in _STATE_NAMES.items()}
 
 # Time allowed for the response to a watch after the wait of the watch itself. The store
 # answers in milliseconds, so even ten times that would be slow; a lost response must
@@ -134,10 +153,44 @@
     state: UpstreamState
     slots: int
     born_ms: int = 0
+    version: str = ""
+
+
+class _OrderSpec(msgspec.Struct):
+    """Spec of an object of `ORDER_KIND`."""
+
+    service: str
+    target_version: str
+    duration_s: float
+
+
+class _OrderStatus(msgspec.Struct):
+    """Status of an object of `ORDER_KIND`; the fields after the first two are ours."""
+
+    state: str
+    target_version: str
+    share: float = 0.0
+    remaining_s: float = 0.0
+    reason: str = ""
+
+
+class _Order(msgspec.Struct):
+    """An order; `spec` and `status` are decoded later, as in `_Object`."""
+
+    metadata: _Metadata
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+    status: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _OrderEvent(msgspec.Struct):
+    object: _Order
+    deleted: bool = False
 
 
 _named_decoder = msgspec.json.Decoder(_Named)
 _record_spec_decoder = msgspec.json.Decoder(_RecordSpec)
+_order_spec_decoder = msgspec.json.Decoder(_OrderSpec)
+_order_status_decoder = msgspec.json.Decoder(_OrderStatus | None)
 
 
 class _StoreConnection(HTTPConnection):
@@ -284,6 +337,40 @@
         path = f"/objects/{RECORD_KIND}/{quote(node_id)}?revision={revision}"
         self._write("DELETE", path, None, "store.delete", missing_ok=True)
 
+    def read_orders(self) -> OrderChange:
+        """Return all orders of releases."""
+        items, current, _ = self._list(ORDER_KIND, allow_stale=False, item_type=_Order)
+        orders = {item.metadata.name: _decode_order(item) for item in items}
+        orders = {name: order for name, order in orders.items() if order}
+        return OrderChange(current, orders, is_complete=True)
+
+    def watch_orders(self, revision: int, *, wait_s: float) -> OrderChange:
+        """Wait up to `wait_s` for changes after `revision` and return them."""
+        events, current = self._watch(
+            ORDER_KIND, revision, wait_s, allow_stale=False, event_type=_OrderEvent
+        )
+        orders = {}
+        for event in events:
+            order = None if event.deleted else _decode_order(event.object)
+            if order is not None or event.deleted:
+                orders[event.object.metadata.name] = order
+        return OrderChange(current, orders, is_complete=False)
+
+    def write_order_status(self, order: ReleaseOrder, status: ReleaseStatus) -> int:
+        """Replace the status of the order of `order.revision`; return the new one."""
+        body = {
+            "metadata": {"name": order.name, "revision": order.revision},
+            "status": _OrderStatus(
+                _STATE_NAMES[status.state],
+                status.target_version,
+                round(status.share, 4),
+                round(status.remaining_s, 3),
+                status.reason,
+            ),
+        }
+        path = f"/objects/{ORDER_KIND}/{quote(order.name)}/status"
+        return _decode_revision(self._write("PUT", path, body, "store.status"))
+
     def close(self) -> None:
         """Close the connection."""
         if self._connection is not None:
@@ -304,6 +391,7 @@
                 spec.slots,
                 spec.born_ms,
                 item.metadata.revision,
+                spec.version,
             )
             check_record(record)
         except (msgspec.MsgspecError, ValueError) as error:
@@ -311,12 +399,14 @@
             return None
         return record
 
-    def _list(self, kind: str, *, allow_stale: bool) -> tuple[list[_Object], int, bool]:
+    def _list(
+        self, kind: str, *, allow_stale: bool, item_type: type = _Object
+    ) -> tuple[list, int, bool]:
         """Return the valid objects of a kind, the revision, and whether all are read.
 
         Without the name of any object of a page, the next page cannot be requested.
         """
-        objects: list[_Object] = []
+        objects = []
         revision = 0
         after = ""
         while True:
@@ -327,7 +417,7 @@
             # The revision of the first page, so that a watch from it also reports
             # changes made between the pages.
             revision = revision or listing.current_rev
-            objects += self._decode_items(kind, listing.items, _Object)
+            objects += self._decode_items(kind, listing.items, item_type)
             if not listing.more:
                 return objects, revision, True
             previous, after = after, _last_name(listing.items)
@@ -336,8 +426,14 @@
                 return objects, revision, False
 
     def _watch(
-        self, kind: str, revision: int, wait_s: float, *, allow_stale: bool
-    ) -> tuple[list[_Event], int]:
+        self,
+        kind: str,
+        revision: int,
+        wait_s: float,
+        *,
+        allow_stale: bool,
+        event_type: type = _Event,
+    ) -> tuple[list, int]:
         query = {"watch": str(revision), "wait_ms": str(int(wait_s * 1000))}
         if allow_stale:
             query["allow_stale"] = "1"
@@ -348,7 +444,7 @@
             "store.watch",
             timeout_s=wait_s + WATCH_RESPONSE_TIMEOUT_S,
         )
-        return self._decode_items(kind, changes.events, _Event), changes.current_rev
+        return self._decode_items(kind, changes.events, event_type), changes.current_rev
 
     def _decode_items(
         self, kind: str, items: list[msgspec.Raw], item_type: type
@@ -503,6 +599,43 @@
         record.state,
         record.slots,
         record.born_ms,
+        record.version,
+    )
+
+
+def _decode_order(item: _Order) -> ReleaseOrder | None:
+    """Return an order, None if it is invalid; an invalid status counts as none."""
+    name = item.metadata.name
+    try:
+        spec = decode_json(item.spec, _order_spec_decoder)
+        order = ReleaseOrder(
+            name,
+            spec.service,
+            spec.target_version,
+            spec.duration_s,
+            item.metadata.revision,
+        )
+        check_order(order)
+    except (msgspec.MsgspecError, ValueError) as error:
+        emit(ObjectInvalid(ORDER_KIND, name, str(error)))
+        return None
+    try:
+        status = decode_json(item.status, _order_status_decoder)
+    except (msgspec.MsgspecError, ValueError) as error:
+        emit(ObjectInvalid(ORDER_KIND, name, f"status: {error}"))
+        return order
+    state = _STATES_BY_NAME.get(status.state) if status else None
+    if state is None:
+        return order
+    return replace(
+        order,
+        status=ReleaseStatus(
+            state,
+            status.target_version,
+            status.share,
+            status.remaining_s,
+            status.reason,
+        ),
     )
 
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -168,6 +168,9 @@
         expected = int(query.get("revision", metadata.get("revision", 0)))
         if expected and expected != current["metadata"]["revision"]:
             return 409, current
+        if parts[2:] == ["status"]:
+            self._put_status(current, body.get("status"))
+            return 200, self._objects[kind, name]
         if method == "DELETE":
             self.remove(kind, name)
             return 200, current
@@ -175,6 +178,14 @@
             self.put(kind, name, body.get("spec"))
         return 200, self._objects[kind, name]
 
+    def _put_status(self, current: dict, status: object) -> None:
+        kind = next(k for k, item in self._objects.items() if item is current)
+        self.revision += 1
+        metadata = {**current["metadata"], "revision": self.revision}
+        item = {**current, "metadata": metadata, "status": status}
+        self._objects[kind] = item
+        self._record_change(kind[0], item, is_deleted=False)
+
     def _record_change(self, kind: str, item: dict, *, is_deleted: bool) -> None:
         self._history.append((self.revision, kind, item, is_deleted))
         del self._history[:-HISTORY_LENGTH]
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -42,6 +42,7 @@
     running: int = 0
     peak_running: int = 0
     sequence: int = 0
+    version: str = "v1"
     born_ms: int = 1
     crashes_on: Callable[[dict], bool] = lambda environ: False
     on_crash: Callable[[], None] = lambda: None
@@ -59,7 +60,7 @@
             "service": self.service,
             "address": address,
             "zone": "zone",
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": state,
             "cold_left_ms": 0,
--- a/tests/mesh_cluster.py
+++ b/tests/mesh_cluster.py
@@ -13,6 +13,7 @@
 from verbenawick.mesh._settings import (
     LocalUpstreamSettings,
     MeshSettings,
+    ReleaseSettings,
     RetryBudgetSettings,
 )
 from verbenawick.platform._node_server import NodeServer
@@ -113,6 +114,7 @@
     resources: list[dict] = field(default_factory=list)
     limits_spec: dict = field(default_factory=dict)
     version: int = 0
+    releases: ReleaseSettings | None = None
     _threads: list = field(default_factory=list)
 
     def __post_init__(self):
@@ -157,6 +159,7 @@
             store_address=self.store_address,
             upstream=LocalUpstreamSettings(service=service_name, address=address),
             retry_budget=RetryBudgetSettings(ratio=0.2, slack=60, window_s=10),
+            releases=self.releases,
         )
         node = ClusterNode(
             NodeServer(settings, shutdown_delay_s=0.2), standin, address, thread
