Give a burst at once again, as the rate says

Cause: spreading a part of the burst over the window was meant to serve workspaces that send evenly.

Change: rate and depth of a bucket are those of the configuration again.

--- a/src/verbenawick/allowances/_owner.py
+++ b/src/verbenawick/allowances/_owner.py
@@ -11,18 +11,14 @@
 from dataclasses import dataclass, field
 
 from verbenawick.allowances._messages import AllowanceAnswer, AllowanceAsk
-from verbenawick.allowances._model import AHEAD_S, GRANT_S, WINDOW_S, group_of
+from verbenawick.allowances._model import AHEAD_S, group_of
 from verbenawick.workspaces._model import Workspace, Workspaces
 
 # A bucket takes whole requests. An owner with at least this part of a small burst may
 # still hold one; fewer than ten owners can have it at once.
 MIN_WHOLE_FRACTION = 0.1
 # Part of a bucket that is kept for requests that wait; the rest may be granted ahead.
-KEPT_FRACTION = 0.3
-# Part of a burst that may be sent at once, and the size up to which all of it may. The
-# rest is spread over the window, so that a workspace which sends evenly has it too.
-AT_ONCE_FRACTION = 0.5
-AT_ONCE_MIN = 10.0
+KEPT_FRACTION = 0.5
 # Longest retry-after time, seconds.
 MAX_RETRY_AFTER_S = 2.0
 # Retry-after time while no node has delegated a share to this owner, seconds. Shares
@@ -32,11 +28,6 @@
 EPSILON = 1e-9
 
 
-def at_once(burst: float) -> float:
-    """Return the part of a burst that may be sent at once."""
-    return max(burst * AT_ONCE_FRACTION, min(burst, AT_ONCE_MIN))
-
-
 @dataclass(slots=True)
 class Bucket:
     """Requests that a workspace may send now, of the shares delegated to this owner.
@@ -69,14 +60,12 @@
     @property
     def rate_per_s(self) -> float:
         """Return the requests per second of the delegated shares."""
-        spread = self.workspace.burst - at_once(self.workspace.burst)
-        rate_per_s = self.workspace.rate_per_s + spread / (WINDOW_S + GRANT_S)
-        return rate_per_s * self.fraction
+        return self.workspace.rate_per_s * self.fraction
 
     @property
     def depth(self) -> float:
         """Return the largest content."""
-        depth = at_once(self.workspace.burst) * self.fraction
+        depth = self.workspace.burst * self.fraction
         return max(depth, 1.0) if self.fraction >= MIN_WHOLE_FRACTION else depth
 
     def accrue(self, now: float) -> None:
