Expect the module that reads requests ahead in a platform node

The test lists the modules of calls/ that a platform node may import at its start: those of the HTTP server that both interfaces share. The server has one more since requests are read ahead; all others stay forbidden. The test failed since then.

--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -299,4 +299,5 @@
         "verbenawick.calls._connection_ends",
         "verbenawick.calls._entry_server",
         "verbenawick.calls._http_messages",
+        "verbenawick.calls._read_ahead",
     }
