Show where a call would go without sending it

`verbenawick ctl route` asks a running node on the platform, at its metrics address, where its entry would send a call now. The answer has the version in force, the route, the workspace of the key, and for each service of the route its share and its gateways: the expected time, failures, load and cost of each, the one to be chosen first, and why the others are passed over. A call that would be refused gives the status, the code and the reason, and exit code 4; a node that does not answer gives 8. The key comes from a file, since arguments are visible to others.

Allowances, the retry budget and quarantined requests are not looked at yet. The module is imported at the first question; a node that is never asked pays nothing.

--- a/src/verbenawick/node/_node_pages.py
+++ b/src/verbenawick/node/_node_pages.py
@@ -13,7 +13,12 @@
 
 
 def read_page(
-    address: str, path: str, query: dict[str, str], *, timeout_s: float
+    address: str,
+    path: str,
+    query: dict[str, str],
+    *,
+    timeout_s: float,
+    headers: dict[str, str] | None = None,
 ) -> Any:
     """Return the JSON value of an operator page.
 
@@ -30,7 +35,7 @@
     http = PoolManager(timeout=Timeout(timeout_s), retries=False)
     url = f"http://{address}{path}?{urlencode(query)}"
     try:
-        response = http.request("GET", url)
+        response = http.request("GET", url, headers=headers)
     except HTTPError as error:
         raise NodePageError(
             f"the node does not answer: {error}; check its admin_address",
--- a/src/verbenawick/operators/_cli.py
+++ b/src/verbenawick/operators/_cli.py
@@ -18,7 +18,10 @@
 
 STORE_VARIABLE = "VERBENAWICK_STORE"
 # Commands that do not need the store.
-LOCAL_COMMANDS = ("check", "explain", "node", "ctl validate", "ctl explain")
+LOCAL_COMMANDS = (
+    *("check", "explain", "node"),
+    *("ctl validate", "ctl explain", "ctl route"),
+)
 INTERRUPTED_TEXT = "interrupted; `ctl history` shows whether a change was accepted"
 
 EXIT_CODES_HELP = "exit codes:\n" + "\n".join(
@@ -149,6 +152,32 @@
         is_json=True,
     )
     _add_explain(commands)
+    _add_route(commands)
+
+
+def _add_route(commands) -> None:
+    route = _add_command(
+        commands,
+        "route",
+        group="ctl",
+        help="show where a node would send a call now and why, without sending it",
+        is_json=True,
+    )
+    route.add_argument(
+        "--node",
+        type=_address,
+        required=True,
+        metavar="IP:PORT",
+        help="metrics_address of the node to ask",
+    )
+    route.add_argument(
+        "--key-file",
+        type=Path,
+        metavar="FILE",
+        help="file with the key of the caller, which arguments would show to others",
+    )
+    route.add_argument("host", metavar="HOST")
+    route.add_argument("path", type=_path, metavar="PATH")
 
 
 def _add_explain(commands) -> None:
@@ -247,6 +276,12 @@
         raise ArgumentTypeError(error.errors()[0]["msg"]) from None
 
 
+def _path(text: str) -> str:
+    if not text.startswith("/"):
+        raise ArgumentTypeError("must begin with a slash")
+    return text
+
+
 def _seconds(text: str) -> float:
     value = float(text)
     if not 0 <= value < float("inf"):
--- a/src/verbenawick/operators/_cli_output.py
+++ b/src/verbenawick/operators/_cli_output.py
@@ -13,6 +13,10 @@
 from verbenawick.runtime._exit_codes import ExitCode, exit_code_of
 
 MAX_SHOWN_NODES = 20
+GATEWAY_COLUMNS = (
+    *("node_id", "distance", "expected_s", "failure_rate", "calls", "slots", "cost"),
+    "passed_over",
+)
 DECISION_COLUMNS = ("event_number", "event_name", "cause", "details")
 
 
@@ -183,3 +187,30 @@
     table = tabulate(rows, names)
     more = len(nodes) - len(rows)
     return f"{table}\nand {more} more" if more > 0 else table
+
+
+def format_preview(preview: dict[str, Any]) -> str:
+    """Return the text about where a node would send a call."""
+    lines = [f"node {preview['node']}"]
+    if configuration := preview.get("configuration"):
+        lines.append(f"version {configuration['version']}")
+    if route := preview.get("route"):
+        lines.append(
+            f"route {route['name']}: prefix {route['path_prefix']}, "
+            f"{'may be repeated' if route['is_idempotent'] else 'runs once at most'}, "
+            f"objective {route['objective_s']} s, timeout {route['timeout_s']} s"
+        )
+    if workspace := preview.get("workspace"):
+        lines.append(f"workspace {workspace['name']}")
+    for service in preview.get("services") or ():
+        lines.append(f"service {service['service']}: {service['share']:.0%} of calls")
+        rows = [
+            [gateway[name] for name in GATEWAY_COLUMNS]
+            for gateway in service["gateways"]
+        ]
+        lines.append(tabulate(rows, headers=GATEWAY_COLUMNS))
+    if refusal := preview["refusal"]:
+        lines.append(
+            f"refused with {refusal['status']}: {refusal['reason']} [{refusal['code']}]"
+        )
+    return "\n".join(lines)
--- a/src/verbenawick/operators/_commands.py
+++ b/src/verbenawick/operators/_commands.py
@@ -7,6 +7,7 @@
 from contextlib import ExitStack
 from dataclasses import replace
 from itertools import chain
+from pathlib import Path
 
 from verbenawick.configuration._acceptance import Acceptor
 from verbenawick.configuration._change_plan import Acceptance
@@ -18,7 +19,7 @@
     read_fleet_status,
     wait_until_in_force,
 )
-from verbenawick.errors import DocumentError
+from verbenawick.errors import DocumentError, SettingsError
 from verbenawick.mesh._settings import is_mesh_settings, validate_mesh_settings
 from verbenawick.node._node_pages import read_page
 from verbenawick.operators._cli_output import (
@@ -27,6 +28,7 @@
     format_acceptance,
     format_decisions,
     format_history,
+    format_preview,
     format_status,
     history_to_dict,
     status_to_dict,
@@ -211,6 +213,31 @@
     return Result(ExitCode.DONE, format_decisions(decisions), data)
 
 
+@register_command("ctl route")
+def preview_route(arguments: Namespace) -> Result:
+    """Show where a node would send a call now, without sending it."""
+    headers = {}
+    if arguments.key_file is not None:
+        headers["Authorization"] = f"Bearer {_read_key(arguments.key_file)}"
+    query = {"host": arguments.host, "path": arguments.path}
+    preview = read_page(
+        arguments.node,
+        "/route",
+        query,
+        timeout_s=arguments.timeout,
+        headers=headers,
+    )
+    exit_code = ExitCode.REFUSED if preview["refusal"] else ExitCode.DONE
+    return Result(exit_code, format_preview(preview), preview)
+
+
+def _read_key(path: Path) -> str:
+    try:
+        return path.read_text().strip()
+    except (OSError, ValueError) as error:
+        raise SettingsError(f"cannot read the key: {error}", step="key.read") from error
+
+
 def _store_client(arguments: Namespace) -> StoreClient:
     return StoreClient(arguments.store, timeout_s=arguments.timeout)
 
--- a/src/verbenawick/platform/_node_server.py
+++ b/src/verbenawick/platform/_node_server.py
@@ -80,7 +80,7 @@
         )
         self._start_auxiliary_server(
             self.settings.metrics_address,
-            metrics_application(node.metrics_page.render),
+            metrics_application(node.metrics_page.render, self._preview),
         )
         node.start()
         self._entry_server.start()
@@ -94,6 +94,26 @@
         )
         self._close_auxiliary_servers()
 
+    def _preview(self, host: str, path: str, key_digest: bytes | None) -> dict:
+        # Imported here because most nodes are never asked.
+        from verbenawick.mesh._route_preview import (
+            GatewayView,
+            PreviewedCall,
+            preview_call,
+        )
+
+        node = self.node
+        view = GatewayView(
+            endpoints=node.endpoints,
+            links=node.links,
+            standing_links=node.standing_links,
+            configuration=lambda: node.entry.configuration,
+            is_stopping=lambda: node.is_stopping,
+        )
+        call = PreviewedCall(host, path, key_digest)
+        preview = preview_call(call, view, node.clock.now())
+        return {"node": self.settings.node_id, **preview}
+
     def _idle_timeout_s(self) -> float:
         configuration = self.node.entry.configuration
         limits = configuration.limits if configuration else RequestLimits()
--- a/src/verbenawick/platform/_servers.py
+++ b/src/verbenawick/platform/_servers.py
@@ -1,6 +1,7 @@
 """WSGI applications of a node: calls, status reports, readiness, metrics."""
 
 from collections.abc import Callable
+from urllib.parse import parse_qsl
 
 import msgspec
 from greenlet import GreenletExit
@@ -30,6 +31,7 @@
 from verbenawick.runtime._events import emit
 
 METRICS_PATH = "/metrics"
+PREVIEW_PATH = "/route"
 # Status reports have a few hundred bytes; the platform limits them to 4 KiB.
 MAX_REPORT_BYTES = 16_384
 # Interval at which calls in flight are checked for callers that disconnected. The
@@ -209,10 +211,27 @@
     return application
 
 
-def metrics_application(render: Callable[[], bytes]):
-    """Return the WSGI application that serves the metrics in text format."""
+def metrics_application(
+    render: Callable[[], bytes],
+    preview: Callable[[str, str, bytes | None], dict],
+):
+    """Return the WSGI application that serves the metrics and previews of calls.
+
+    Parameters
+    ----------
+    render : callable
+        Returns the metrics in text format.
+    preview : callable
+        Returns where a call would go, in types of JSON, given its host, its path and
+        the digest of its key.
+    """
 
     def application(environ, start_response):
+        if environ["PATH_INFO"] == PREVIEW_PATH:
+            query = dict(parse_qsl(environ.get("QUERY_STRING", "")))
+            host, path = query.get("host", ""), query.get("path", "")
+            content = preview(host, path, key_digest_of(environ))
+            return _json_response(start_response, "200 OK", content)
         if environ["PATH_INFO"] != METRICS_PATH:
             return _json_response(
                 start_response, "404 Not Found", {"error": "no such page"}
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -376,10 +376,10 @@
 class TestExplain(CliCase):
     """``ctl explain``, which reads the decisions of a node over HTTP."""
 
-    def serve_page(self, value):
-        """Serve `value` as the page ``/explain``; return the address."""
+    def serve_page(self, value, path="/explain"):
+        """Serve `value` as the page at `path`; return the address."""
         pages = AdminPages()
-        pages.page("/explain")(lambda query: value if "bad" not in query else 1 / 0)
+        pages.page(path)(lambda query: value if "bad" not in query else 1 / 0)
         server = make_server("127.0.0.1", 0, pages, handler_class=QuietHandler)
         thread = threading.Thread(target=server.serve_forever, daemon=True)
         thread.start()
@@ -400,6 +400,33 @@
         self.assertThat(out, Contains("305"))
         self.assertThat(out, Contains("planned"))
 
+    def test_route_of_a_call_is_shown_with_the_exit_code_of_its_outcome(self):
+        """Scripts tell a call that would be refused by the exit code."""
+        page = {"node": "n1", "refusal": None, "configuration": {"version": 7}}
+        refusal = {"status": 401, "code": "call.unknown-key", "reason": "missing"}
+        for value, expected, text in (
+            (page, ExitCode.DONE, "version 7"),
+            ({**page, "refusal": refusal}, ExitCode.REFUSED, "refused with 401"),
+        ):
+            address = self.serve_page(value, "/route")
+            arguments = ("ctl", "route", "--node", address, "h.example", "/a/")
+            exit_code, out, _ = self.run_command(*arguments)
+            self.assertEqual(expected, exit_code)
+            self.assertThat(out, Contains(text))
+            exit_code, out, _ = self.run_command(*arguments, "--json")
+            self.assertEqual(value["refusal"], json.loads(out)["refusal"])
+
+    def test_wrong_arguments_of_a_route_are_told_apart(self):
+        """A relative path, a key that cannot be read, and a node that is down."""
+        node = ("ctl", "route", "--node", "127.0.0.1:1", "h.example")
+        for arguments, expected in (
+            ((*node, "a"), ExitCode.USAGE),
+            ((*node, "/a", "--key-file", "/no/such/file"), ExitCode.REFUSED),
+            ((*node, "/a"), ExitCode.NODE_DOWN),
+        ):
+            exit_code, _, _ = self.run_command(*arguments)
+            self.assertEqual(expected, exit_code)
+
     def test_unreachable_node_is_reported_with_its_own_code(self):
         exit_code, _, err = self.run_command("ctl", "explain", "--node", "127.0.0.1:1")
         self.assertEqual(ExitCode.NODE_DOWN, exit_code)
