Give a caller its idle time after it has received an answer slowly

Callers saw a connection closed a few milliseconds after the end of an answer that took longer than the idle timeout to receive, instead of after the idle time.

Cause: at each timeout the connection counts as idle unless bytes of the answer are still unacknowledged. When the caller acknowledged the last of them between two timeouts, the second one ended the connection at once, however short the pause was.

Change: the period in which the rest was received does not count as idle. A caller that receives its answer within one period is unaffected.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -552,12 +552,14 @@
                 return super()._read_request_line()
             except TimeoutError:
                 left_bytes = unacknowledged_bytes(self.connection)
-                # The caller is not idle while it receives the last response. After a
-                # standstill of the process, the hub fires its timers before it looks
-                # for bytes that have arrived.
-                is_idle = not 0 < left_bytes < unreceived_bytes and not is_readable(
-                    self.connection.fileno()
-                )
+                # The caller is not idle while it receives the last response, nor in
+                # the period in which it received the rest. After a standstill of the
+                # process, the hub fires its timers before it looks for bytes that
+                # have arrived.
+                is_receiving = left_bytes > 0 or unreceived_bytes < math.inf
+                is_idle = not (
+                    is_receiving and left_bytes < unreceived_bytes
+                ) and not is_readable(self.connection.fileno())
                 if is_idle or self._unread_bytes():
                     raise
             unreceived_bytes = left_bytes
