Let calls wait while the shares of a group move to another owner

Change: delegations last 1.5 s instead of 2.5 s, in four groups instead of six. While the owners have less than half of the shares and the owner of the node's own share has just changed, calls wait for a grant for up to 0.5 s instead of being refused at once.

--- a/src/verbenawick/allowances/_allowances.py
+++ b/src/verbenawick/allowances/_allowances.py
@@ -60,6 +60,10 @@
 # While an owner has less than this part of the shares, another one has the rest or will
 # have it: what the first refuses is asked of the next.
 WHOLE_FRACTION = 0.9
+# While the owners that were asked have less than this part, the shares are on their way
+# to one of them, and calls wait for it.
+TAKEOVER_FRACTION = 0.5
+TAKEOVER_POLL_S = 0.1
 # Retry-after time if no owner answered, seconds. The next owner has shares when the
 # delegations to the first have ended.
 UNKNOWN_RETRY_AFTER_S = 0.6
@@ -118,6 +122,7 @@
         self._waiters_by_group: dict[int, list[_Waiter]] = {}
         self._asking_groups: set[int] = set()
         self._holders_by_group: dict[int, str] = {}
+        self._changed_at_by_group: dict[int, float] = {}
         self._next_report_at = 0.0
         self._task = None
         links.register_handler(
@@ -202,12 +207,14 @@
             eventlet.sleep(RENEWAL_CHECK_S)
 
     def _ask_for_waiters(self, group: int) -> None:
-        """Ask until no call of the group waits."""
+        """Ask until no call of the group waits; calls leave after `GRANT_WAIT_S`."""
         try:
             while True:
-                self._ask_owners(group, self._unanswered(group))
+                is_decided = self._ask_owners(group, self._unanswered(group))
                 if not self._unanswered(group):
                     return
+                if not is_decided:
+                    eventlet.sleep(TAKEOVER_POLL_S)
         finally:
             self._asking_groups.discard(group)
 
@@ -215,10 +222,17 @@
         waiters = self._waiters_by_group.get(group, ())
         return [waiter for waiter in waiters if not waiter.answered.ready()]
 
-    def _ask_owners(self, group: int, waiters: list[_Waiter]) -> None:
-        """Ask up to two owners for the calls that wait, and answer these."""
-        code = AllowanceUnknownError.code
+    def _ask_owners(self, group: int, waiters: list[_Waiter]) -> bool:
+        """Ask up to two owners for the calls that wait, and answer these.
+
+        Returns
+        -------
+        bool
+            False if the calls without a grant have to wait until an owner has shares.
+        """
+        fraction = 0.0
         asked_ids: set[str] = set()
+        refusals_by_name: dict[str, tuple[float, float]] = {}
         for _ in range(MAX_OWNERS_ASKED):
             now = self._clock.now()
             owners = self._delegations.owners_to_ask(group, now, self._is_reachable)
@@ -231,14 +245,27 @@
             answer = self._exchange(owner_id, ask)
             if answer is None:
                 continue
-            code = OverAllowanceError.code
+            fraction += answer.fraction
+            refusals_by_name = answer.refusals_by_name
             self._use(answer, sent_at=now)
             self._distribute(group)
             waiters = [waiter for waiter in waiters if not waiter.answered.ready()]
             if not waiters or answer.fraction >= WHOLE_FRACTION:
                 break
+        now = self._clock.now()
+        if fraction < TAKEOVER_FRACTION and self._is_taken_over(group, asked_ids, now):
+            return False
+        for name, (retry_in_s, spacing_s) in refusals_by_name.items():
+            self._pool.put_refusal(name, retry_in_s, spacing_s, now)
         for waiter in waiters:
-            _answer(waiter, code)
+            _answer(waiter, OverAllowanceError.code)
+        return True
+
+    def _is_taken_over(self, group: int, asked_ids: set[str], now: float) -> bool:
+        """Return whether the owner of a group has just changed, or is about to."""
+        if self._delegations.holder(group, now) not in asked_ids:
+            return True
+        return now < self._changed_at_by_group.get(group, now) + DELEGATION_S
 
     def _is_reachable(self, node_id: str) -> bool:
         return node_id == self._node_id or self._is_other_reachable(node_id)
@@ -302,8 +329,6 @@
             self._pool.add(name, count, sent_at + GRANT_S, now)
         for name, count in answer.ahead_by_name.items():
             self._pool.add(name, count, sent_at + AHEAD_S, now)
-        for name, (retry_in_s, spacing_s) in answer.refusals_by_name.items():
-            self._pool.put_refusal(name, retry_in_s, spacing_s, now)
 
     def _distribute(self, group: int) -> None:
         """Give the grants to the calls that wait."""
@@ -329,6 +354,7 @@
         earlier = self._holders_by_group.get(group, "")
         if holder != earlier:
             self._holders_by_group[group] = holder
+            self._changed_at_by_group[group] = now
             emit(AllowanceOwnerChanged(group, holder, earlier))
 
     def _report(self, now: float) -> None:
--- a/src/verbenawick/allowances/_delegations.py
+++ b/src/verbenawick/allowances/_delegations.py
@@ -13,7 +13,7 @@
 from verbenawick.membership._rendezvous import score_of
 
 # A delegation without messages in between is renewed after this time, seconds.
-RENEWAL_S = 1.3
+RENEWAL_S = 0.7
 # An owner that did not answer is not asked for this long, seconds.
 AVOIDANCE_S = 1.0
 # A stopping owner is not asked for this long, seconds: about the time of a restart.
--- a/src/verbenawick/allowances/_model.py
+++ b/src/verbenawick/allowances/_model.py
@@ -8,10 +8,10 @@
 
 # Workspaces are divided into this many groups. A node delegates its shares of a whole
 # group at once, so the number of delegations does not grow with the workspaces.
-GROUPS = 6
+GROUPS = 4
 # Time from a delegation to its end. After the loss of an owner, its groups are refused
 # for up to this long.
-DELEGATION_S = 2.5
+DELEGATION_S = 1.5
 # Time for which the grant of a request that waits may be used. In a window of W
 # seconds, `rate * (W + GRANT_S)` and the burst are admitted at most.
 GRANT_S = 0.5
