Wait for the next owner also after the first was lost

Cause: calls were refused at once as over their allowance if the owner with this node's share did not answer and the next one had no shares.

Change: only owners that answered count; without any, the call gets 503 after its wait.

--- a/src/verbenawick/allowances/_allowances.py
+++ b/src/verbenawick/allowances/_allowances.py
@@ -232,6 +232,7 @@
         """
         fraction = 0.0
         asked_ids: set[str] = set()
+        answered_ids: set[str] = set()
         refusals_by_name: dict[str, tuple[float, float]] = {}
         for _ in range(MAX_OWNERS_ASKED):
             now = self._clock.now()
@@ -245,6 +246,7 @@
             answer = self._exchange(owner_id, ask)
             if answer is None:
                 continue
+            answered_ids.add(owner_id)
             fraction += answer.fraction
             refusals_by_name = answer.refusals_by_name
             self._use(answer, sent_at=now)
@@ -253,17 +255,18 @@
             if not waiters or answer.fraction >= WHOLE_FRACTION:
                 break
         now = self._clock.now()
-        if fraction < TAKEOVER_FRACTION and self._is_taken_over(group, asked_ids, now):
-            return False
+        if fraction < TAKEOVER_FRACTION:
+            if self._is_taken_over(group, answered_ids, now):
+                return False
         for name, (retry_in_s, spacing_s) in refusals_by_name.items():
             self._pool.put_refusal(name, retry_in_s, spacing_s, now)
         for waiter in waiters:
             _answer(waiter, OverAllowanceError.code)
         return True
 
-    def _is_taken_over(self, group: int, asked_ids: set[str], now: float) -> bool:
+    def _is_taken_over(self, group: int, answered_ids: set[str], now: float) -> bool:
         """Return whether the owner of a group has just changed, or is about to."""
-        if self._delegations.holder(group, now) not in asked_ids:
+        if self._delegations.holder(group, now) not in answered_ids:
             return True
         return now < self._changed_at_by_group.get(group, now) + DELEGATION_S
 
--- a/tests/test_allowances_admission.py
+++ b/tests/test_allowances_admission.py
@@ -20,10 +20,15 @@
 
 
 class FakeLinks:
-    """Links to owners that grant up to a number of requests an ask."""
+    """Links to owners that grant up to a number of requests an ask.
+
+    An owner without shares grants nothing until it was asked `asks_without_shares`
+    times.
+    """
 
     def __init__(self, grants: int):
         self.grants = grants
+        self.asks_without_shares = 0
         self.lost_ids: set[str] = set()
         self.asks: list[tuple[str, dict[str, int]]] = []
 
@@ -40,9 +45,14 @@
         if node_id in self.lost_ids:
             raise AnswerLostError("no answer")
         waiting = ask.waiting_by_name.get("acme", 0)
-        granted = min(self.grants, waiting)
+        fraction = float(self.asks_without_shares <= 0)
+        self.asks_without_shares -= bool(waiting)
+        granted = min(self.grants, waiting) if fraction else 0
         refusals_by_name = {"acme": (0.1, 0.1)} if granted < waiting else {}
-        return AllowanceAnswer(1, 5, 0.0, 1.0, {"acme": granted}, {}, refusals_by_name)
+        granted_by_name = {"acme": granted}
+        return AllowanceAnswer(
+            1, 5, 0.0, fraction, granted_by_name, {}, refusals_by_name
+        )
 
 
 class AllowancesTest(TestCase):
@@ -94,6 +104,11 @@
         self.clock.advance(0.1)
         self.assertEqual(AllowanceUnknownError.code, self.admit().code)
 
+    def test_calls_wait_while_the_shares_are_on_their_way(self):
+        """Guards against refusals of all calls of a group that changes its owner."""
+        self.links.asks_without_shares = 3
+        self.assertEqual([""] * 3, self.admit_together(3))
+
     def test_refusal_comes_at_once_with_a_later_time_for_each_call(self):
         """Guards against an ask for each call of a workspace over its allowance."""
         self.links.grants = 0
