--- a/src/verbenawick/allowances/_delegations.py
+++ b/src/verbenawick/allowances/_delegations.py
@@ -14,8 +14,10 @@
 
 # A delegation without messages in between is renewed after this time, seconds.
 RENEWAL_S = 0.7
-# An owner that did not answer is not asked for this long, seconds.
+# An owner that did not answer is not asked for this long, seconds; twice as long each
+# further time, up to the maximum, since calls wait while it is tried again.
 AVOIDANCE_S = 1.0
+MAX_AVOIDANCE_S = 8.0
 # A stopping owner is not asked for this long, seconds: about the time of a restart.
 RELEASED_AVOIDANCE_S = 3.0
 # A lower number of nodes counts after this time, seconds: nodes that others still know
@@ -95,6 +97,8 @@
         self._held_by_group: dict[int, _Held] = {}
         self._clocks_by_owner_id: dict[str, _OwnerClock] = {}
         self._avoided_until_by_owner_id: dict[str, float] = {}
+        # How long an owner was avoided last, until it answers again.
+        self._avoidance_s_by_owner_id: dict[str, float] = {}
 
     def put_nodes(self, node_ids: frozenset[str], now: float) -> None:
         """Set the known nodes, this one included."""
@@ -110,8 +114,13 @@
             )
             for group in range(GROUPS)
         }
-        for node_id in set(self._clocks_by_owner_id) - self._node_ids:
-            del self._clocks_by_owner_id[node_id]
+        for by_owner_id in (
+            self._clocks_by_owner_id,
+            self._avoided_until_by_owner_id,
+            self._avoidance_s_by_owner_id,
+        ):
+            for node_id in set(by_owner_id) - self._node_ids:
+                del by_owner_id[node_id]
 
     def owners_to_ask(
         self, group: int, now: float, is_reachable: Callable[[str], bool]
@@ -187,6 +196,7 @@
         if not epoch:
             self._avoided_until_by_owner_id[owner_id] = now + RELEASED_AVOIDANCE_S
             return
+        self._avoidance_s_by_owner_id.pop(owner_id, None)
         known = self._clocks_by_owner_id.get(owner_id)
         learned_at = now
         if known is not None:
@@ -201,7 +211,10 @@
 
     def on_failure(self, owner_id: str, now: float) -> None:
         """Avoid an owner that did not answer."""
-        self._avoided_until_by_owner_id[owner_id] = now + AVOIDANCE_S
+        earlier_s = self._avoidance_s_by_owner_id.get(owner_id, AVOIDANCE_S / 2)
+        avoidance_s = min(2 * earlier_s, MAX_AVOIDANCE_S)
+        self._avoidance_s_by_owner_id[owner_id] = avoidance_s
+        self._avoided_until_by_owner_id[owner_id] = now + avoidance_s
 
     def on_release(self, owner_id: str, epoch: int, now: float) -> None:
         """End the delegations to a process that grants nothing more."""
--- a/tests/test_allowances_owner.py
+++ b/tests/test_allowances_owner.py
@@ -2,7 +2,12 @@
 
 from testtools import TestCase
 
-from verbenawick.allowances._delegations import NODE_COUNT_FALL_S, NodeCount
+from verbenawick.allowances._delegations import (
+    MAX_AVOIDANCE_S,
+    NODE_COUNT_FALL_S,
+    Delegations,
+    NodeCount,
+)
 from verbenawick.allowances._grants import REFUSAL_HOLD_S, GrantPool
 from verbenawick.allowances._messages import AllowanceAsk
 from verbenawick.allowances._model import AHEAD_S, GRANT_S, Grant, group_of
@@ -129,3 +134,18 @@
         self.assertEqual(9, count.value(1.0 + NODE_COUNT_FALL_S))
         count.put(12, 7.0)
         self.assertEqual(12, count.value(7.0))
+
+
+class DelegationsTest(TestCase):
+    """Owners that are asked."""
+
+    def test_lost_owner_is_tried_less_and_less_often(self):
+        """Guards against calls that wait each second for an owner that is gone."""
+        delegations = Delegations(starts_at=0.0)
+        delegations.put_nodes(frozenset({"a"}), 0.0)
+        tried_at = []
+        for now in range(30):
+            if any(delegations.owners_to_ask(0, now, lambda node_id: True)):
+                tried_at.append(now)
+                delegations.on_failure("a", now)
+        self.assertEqual([0, 1, 3, 7, 15, 15 + MAX_AVOIDANCE_S], tried_at)
