Read the slots from health answers with more than three load figures

Cause: upstreams that share their VM name a fourth figure in Server-Load, how long work takes at the moment. read_health took exactly three figures, so an upstream that became known by a probe had 0 slots there and kept the default of 8.

Change: load_of reads the first three figures, and the fourth where it is valid.

The new test failed before with ('u1', 0) for "3, 0, 8, 140".

--- /dev/null
+++ b/src/verbenawick/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity: how many calls an upstream takes well, and how long they take there."""
--- a/src/verbenawick/platform/_calls.py
+++ b/src/verbenawick/platform/_calls.py
@@ -4,6 +4,7 @@
 from http.client import responses
 
 from verbenawick.calls._http_messages import HOP_BY_HOP_HEADERS
+from verbenawick.capacity._model import UpstreamLoad
 from verbenawick.errors import errors_by_code
 from verbenawick.mesh._model import CallOutcome, CallResult, Headers, IncomingCall
 from verbenawick.mesh._upstream_channels import AnswerKind, RawAnswer
@@ -16,8 +17,10 @@
 CALLER_SERVICE_HEADER = "Caller-Service"
 NOT_RUN_HEADER = "Not-Executed"
 UPSTREAM_ID_HEADER = "Instance-Id"
-# Running requests, queued requests and slots, separated by commas.
+# Running requests, queued requests and slots, separated by commas; from upstreams that
+# share their VM also the time that work takes at the moment, in percent of the usual.
 UPSTREAM_LOAD_HEADER = "Server-Load"
+MAX_COUNT_DIGITS = 6
 # Requests per second that the upstream takes from all nodes together.
 UPSTREAM_RATE_LIMIT_HEADER = "Server-Limit"
 # "1" in all answers of an upstream that leaves.
@@ -110,6 +113,14 @@
     return value if math.isfinite(value) and value >= 0 else None
 
 
+def _parse_count(text: str) -> int | None:
+    """Return the number of at most `MAX_COUNT_DIGITS` digits, None if it is none."""
+    text = text.strip()
+    if not (text.isascii() and text.isdigit()) or len(text) > MAX_COUNT_DIGITS:
+        return None
+    return int(text)
+
+
 def encode_result(result: CallResult, request_id: str) -> tuple[str, list, bytes]:
     """Return the status line, headers and body of the response to a caller."""
     if result.outcome is CallOutcome.COMPLETE:
@@ -182,6 +193,18 @@
             if name.lower() not in dropped
         )
 
+    def load_of(self, answer: RawAnswer) -> UpstreamLoad | None:
+        """Return the load that the upstream names, None if it names none.
+
+        Figures after the fourth are ignored, and so is a fourth one that is invalid.
+        """
+        figures = (answer.header(UPSTREAM_LOAD_HEADER.lower()) or "").split(",")
+        counts = [_parse_count(text) for text in figures[:3]]
+        if len(counts) < 3 or None in counts:
+            return None
+        percent = _parse_number(figures[3]) if len(figures) > 3 else None
+        return UpstreamLoad(*counts, percent / 100 if percent else None)
+
     def rate_limit_of(self, answer: RawAnswer) -> float | None:
         """Return the requests per second that the upstream takes, None if any.
 
@@ -203,6 +226,5 @@
         if answer.status != 200:
             return "", 0
         upstream_id = answer.header(UPSTREAM_ID_HEADER.lower()) or ""
-        parts = (answer.header(UPSTREAM_LOAD_HEADER.lower()) or "").split(",")
-        slots = int(parts[2]) if len(parts) == 3 and parts[2].strip().isdigit() else 0
-        return upstream_id, slots
+        load = self.load_of(answer)
+        return upstream_id, load.slots if load else 0
--- a/tests/test_platform_wire_format.py
+++ b/tests/test_platform_wire_format.py
@@ -292,3 +292,21 @@
         ):
             answer = RawAnswer(200, headers)
             self.assertEqual(is_leaving, protocol.is_leaving(answer), headers)
+
+    def test_health_answer_with_further_load_figures_names_the_slots(self):
+        """Guards against 0 slots from an upstream that shares its VM."""
+        protocol = PlatformUpstreamProtocol()
+        for text, slots in (
+            ("3,0,8", 8),
+            ("3, 0, 8, 140", 8),
+            ("3,0,8,140,1", 8),
+            ("3,0,8,x", 8),
+            ("3,0", 0),
+            ("3,0,x,100", 0),
+            ("3,0,\u00b2,100", 0),
+            ("3,0," + "9" * 5000, 0),
+            ("", 0),
+        ):
+            headers = [("Instance-Id", "u1"), ("Server-Load", text)]
+            answer = RawAnswer(200, headers)
+            self.assertEqual(("u1", slots), protocol.read_health(answer), text[:20])
