Let old reports of a gateway lose weight at the entries

Cause: an entry kept the queue and the service time of a gateway's last answer until the next one came. With many gateways that takes seconds, so an entry stayed away from one that had been full or slow, or kept choosing one that had been idle. A route without answers of a gateway was expected to take the time of any gateway.

Change: GatewayEstimate lets a queue tend to the usual use of the service's slots and a slowness to the usual speed of the upstream, then to that of the others. The moving averages move to the package of the estimate.

Two new tests of Endpoints failed before.

--- a/src/verbenawick/mesh/_endpoints.py
+++ b/src/verbenawick/mesh/_endpoints.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from verbenawick.capacity._gateway_estimate import GatewayEstimate, UsualTimes
+from verbenawick.capacity._moving_average import MovingAverages
 from verbenawick.links._members import Member
 from verbenawick.mesh._model import (
     CallOutcome,
@@ -10,7 +12,6 @@
     UpstreamRecord,
     UpstreamState,
 )
-from verbenawick.mesh._moving_average import MovingAverages
 from verbenawick.mesh._placement import Candidate, Distance
 
 # Service time assumed for an upstream without samples, seconds.
@@ -28,13 +29,10 @@
 # Time for which a gateway is avoided after it was unreachable or accepted no calls,
 # seconds.
 AVOIDANCE_S = 0.5
-MAX_ROUTES = 2000
 # Assumed size of the request and response headers together, bytes.
 ASSUMED_HEADER_BYTES = 600
-# Weights of a new sample in the moving averages, kept per route, of the call size and
-# of the service time over all gateways.
+# Weight of a new sample in the moving averages of the call size, kept per route.
 SIZE_WEIGHT = 0.1
-SERVICE_TIME_WEIGHT = 0.1
 
 
 def member_of(record: UpstreamRecord) -> Member:
@@ -68,10 +66,9 @@
     upstream_id: str = ""
     state: UpstreamState = UpstreamState.UNKNOWN
     distance: Distance = Distance.REMOTE
-    load: GatewayLoad = field(default_factory=GatewayLoad)
+    estimate: GatewayEstimate = field(default_factory=GatewayEstimate)
     outstanding_at_load: int = 0
     starts_by_call: dict[int, CallStart] = field(default_factory=dict)
-    service_s_by_route: dict[str, float] = field(default_factory=dict)
     failure_rate: float = 0.0
     failure_rate_at: float = 0.0
     avoided_until: float = 0.0
@@ -81,11 +78,17 @@
         """Return the address at which the gateway accepts links."""
         return self.member.peer_address
 
-    def current_load(self) -> int:
-        """Return the calls at the gateway: last reported plus those sent since then."""
-        known = self.load.running + self.load.waiting
+    def current_load(self, usual_use: float, now: float) -> float:
+        """Return the calls expected at the gateway, with those sent since it answered.
+
+        Parameters
+        ----------
+        usual_use : float
+            Calls at the gateways of the service, per slot.
+        """
+        expected = self.estimate.expected_calls(usual_use, now)
         since = len(self.starts_by_call) - self.outstanding_at_load
-        return max(known + since, len(self.starts_by_call), 0)
+        return max(expected + since, len(self.starts_by_call), 0)
 
     def current_failure_rate(self, now: float) -> float:
         """Return the failure rate, decayed since the last answer."""
@@ -101,7 +104,7 @@
         self._data_centre = data_centre
         self._region = region
         self._by_node_id: dict[str, Endpoint] = {}
-        self._service_s_by_route = MovingAverages(SERVICE_TIME_WEIGHT)
+        self._usual = UsualTimes()
         self._bytes_by_route = MovingAverages(SIZE_WEIGHT)
 
     def __len__(self) -> int:
@@ -150,7 +153,7 @@
         """Record a call that is about to be sent to a gateway."""
         endpoint = self._by_node_id.get(node_id)
         if endpoint is not None:
-            expected_service_s = self._expected_service_s(endpoint, route)
+            expected_service_s = self._expected_service_s(endpoint, route, now)
             endpoint.starts_by_call[call] = CallStart(now, expected_service_s)
 
     def record_result(
@@ -164,7 +167,7 @@
         if result is None:
             return
         if result.load.slots:
-            self._record_load(endpoint, route, result.load)
+            self._record_load(endpoint, route, result.load, now)
             endpoint.failure_rate = max(
                 result.load.failure_rate, endpoint.current_failure_rate(now)
             )
@@ -195,7 +198,7 @@
         self, endpoint: Endpoint, route: str, now: float, *, is_linked: bool = True
     ) -> Candidate:
         """Return the time and failure rate expected at a gateway for `route`."""
-        service_s = self._expected_service_s(endpoint, route)
+        service_s = self._expected_service_s(endpoint, route, now)
         if endpoint.starts_by_call:
             oldest = next(iter(endpoint.starts_by_call.values()))
             age_s = now - oldest.at
@@ -204,9 +207,11 @@
             if age_s > OVERDUE_FACTOR * oldest.expected_service_s:
                 slowed_s = min(service_s * age_s / oldest.expected_service_s, age_s)
                 service_s = max(service_s, slowed_s)
-        slots = endpoint.load.slots or 1
-        excess = endpoint.current_load() + 1 - slots
-        wait_s = max(excess, 0) * service_s / slots if endpoint.load.slots else 0.0
+        slots = endpoint.estimate.slots
+        wait_s = 0.0
+        if slots:
+            calls = endpoint.current_load(self._usual.use(endpoint.service), now)
+            wait_s = max(calls + 1 - slots, 0) * service_s / slots
         return Candidate(
             endpoint.node_id,
             endpoint.distance,
@@ -215,21 +220,32 @@
             is_linked,
         )
 
-    def _expected_service_s(self, endpoint: Endpoint, route: str) -> float:
-        service_s = endpoint.service_s_by_route.get(route)
+    def _expected_service_s(self, endpoint: Endpoint, route: str, now: float) -> float:
+        service_s = self._usual.service_s(route)
         if service_s is None:
-            service_s = self._service_s_by_route.value(route)
-        return SERVICE_TIME_PRIOR_S if service_s is None else service_s
+            return SERVICE_TIME_PRIOR_S
+        return service_s * endpoint.estimate.expected_slowdown(now)
 
-    def _record_load(self, endpoint: Endpoint, route: str, load: GatewayLoad) -> None:
-        endpoint.load = load
+    def _record_load(
+        self, endpoint: Endpoint, route: str, load: GatewayLoad, now: float
+    ) -> None:
+        calls = load.running + load.waiting
+        is_route_known = self._usual.service_s(route) is not None
+        if load.service_s:
+            self._usual.add(
+                endpoint.service,
+                route,
+                service_s=load.service_s,
+                use=calls / load.slots,
+            )
+        endpoint.estimate.record(
+            calls=calls,
+            slots=load.slots,
+            service_s=load.service_s,
+            usual_service_s=self._usual.service_s(route) if is_route_known else None,
+            now=now,
+        )
         endpoint.outstanding_at_load = len(endpoint.starts_by_call)
-        if not load.service_s:
-            return
-        if len(endpoint.service_s_by_route) >= MAX_ROUTES:
-            endpoint.service_s_by_route.clear()
-        endpoint.service_s_by_route[route] = load.service_s
-        self._service_s_by_route.add(route, load.service_s)
 
     def _set_upstream(self, endpoint: Endpoint, service: str, upstream_id: str) -> None:
         if (endpoint.service, endpoint.upstream_id) == (service, upstream_id):
@@ -237,9 +253,8 @@
         # Statistics of the previous upstream do not apply to its successor.
         endpoint.service = service
         endpoint.upstream_id = upstream_id
-        endpoint.load = GatewayLoad()
+        endpoint.estimate = GatewayEstimate()
         endpoint.outstanding_at_load = 0
-        endpoint.service_s_by_route.clear()
         endpoint.failure_rate = 0.0
 
     def _distance(self, record: UpstreamRecord) -> Distance:
--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -9,6 +9,7 @@
 from eventlet.event import Event
 from xxhash import xxh3_128_digest
 
+from verbenawick.capacity._moving_average import MovingAverage
 from verbenawick.errors import (
     CallError,
     CallNotRunError,
@@ -31,7 +32,6 @@
     GatewayLoad,
     Headers,
 )
-from verbenawick.mesh._moving_average import MovingAverage
 from verbenawick.mesh._placement import ends_before_stop
 from verbenawick.mesh._slot_queue import SlotQueue, SlotRequest, Verdict
 from verbenawick.mesh._upstream_channels import AnswerKind, RawAnswer, UpstreamChannels
--- a/src/verbenawick/mesh/_slot_queue.py
+++ b/src/verbenawick/mesh/_slot_queue.py
@@ -12,7 +12,7 @@
 from enum import StrEnum
 from itertools import count
 
-from verbenawick.mesh._moving_average import MovingAverage, MovingAverages
+from verbenawick.capacity._moving_average import MovingAverage, MovingAverages
 from verbenawick.mesh._request_rate import RequestRate
 
 # Weight of a new sample in the moving averages of the service time, which thus cover
--- a/tests/test_mesh_moving_average.py
+++ b/tests/test_capacity_moving_average.py
@@ -2,7 +2,7 @@
 
 from testtools import TestCase
 
-from verbenawick.mesh._moving_average import MovingAverage, MovingAverages
+from verbenawick.capacity._moving_average import MovingAverage, MovingAverages
 
 
 class MovingAverageTest(TestCase):
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -209,6 +209,28 @@
         self.assertAlmostEqual(0.6, self.expected(0.1).failure_rate)
         self.assertLess(self.expected(10.1).failure_rate, 0.05)
 
+    def test_gateway_that_was_full_or_slow_gets_calls_again(self):
+        """Guards against one old answer that keeps an entry away for ever."""
+        self.put("n3", "u9")
+        for number in range(20):
+            self.end(number, now=0.0, node_id="n3")
+        self.end(50, now=0.1, running=30, service_s=0.5)
+        self.assertGreater(self.expected(0.1).expected_s, 1.0)
+        self.assertLess(self.expected(20.0).expected_s, 0.1)
+
+    def test_speed_of_an_upstream_applies_to_routes_without_answers(self):
+        """Guards against first calls of a route that go to the slowest upstream."""
+        self.put("n3", "u9")
+        for number in range(20):
+            self.end(number, now=0.0, service_s=0.3)
+            self.end(number, now=0.0, service_s=0.1, node_id="n3")
+        self.end(50, now=0.0, service_s=0.01, node_id="n3", route="other")
+        slow, fast = (
+            self.endpoints.candidate(self.endpoints.get(node_id), "other", 0.0)
+            for node_id in ("n2", "n3")
+        )
+        self.assertGreater(slow.expected_s, 1.5 * fast.expected_s)
+
     def test_new_upstream_at_a_node_starts_without_statistics(self):
         """Statistics of a slow upstream do not apply to its successor."""
         self.put("n3", "u9")
