Take no service time from answers by which an upstream refuses a call

What callers saw: while an upstream refused a part of its calls within a millisecond, its gateway expected the others to be as short. It admitted calls that could not complete in time, and told the entries that it was fast.

Cause: each answer counted as a service time, also a refusal and a quick failure.

Fix: only answers of the upstream to this call count, failed ones only if they took longer than expected. The new test failed before: 0.360 s expected instead of 0.4 s after one refusal.

--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -362,8 +362,10 @@
             # The upstream's state may have changed while the call was queued.
             self._check_accepts(call, fingerprint, deadline, started_at)
             kind, answer = self._run(call, fingerprint, deadline)
-            service_s = self._clock.now() - started_at
-            self._observe(service_s)
+            elapsed_s = self._clock.now() - started_at
+            self._observe(elapsed_s)
+            if self._shows_service_time(call.route, kind, answer, elapsed_s):
+                service_s = elapsed_s
         finally:
             self._queue.leave(request, self._clock.now(), service_s=service_s)
             self._schedule_grant()
@@ -387,6 +389,18 @@
             self.load(call.route),
         )
 
+    def _shows_service_time(
+        self, route: str, kind: AnswerKind, answer: RawAnswer, elapsed_s: float
+    ) -> bool:
+        """Return whether the time of an answer tells how long calls take.
+
+        A failed call would have taken at least as long, a refused one says nothing.
+        """
+        if kind is not AnswerKind.MATCHING:
+            return False
+        expected_s = self._queue.service_times.expected_s(route)
+        return answer.status < 500 or elapsed_s > expected_s
+
     def _check_accepts(
         self, call: ForwardedCall, fingerprint: bytes, deadline: float, now: float
     ) -> None:
--- a/tests/test_mesh_gateway.py
+++ b/tests/test_mesh_gateway.py
@@ -120,6 +120,20 @@
     def load_of(self, result):
         return result.load.running, result.load.waiting, result.load.slots
 
+    def test_refusals_of_the_upstream_do_not_count_as_service_times(self):
+        """Guards against a queue that admits calls as if they took a millisecond."""
+        self.channels.while_running = lambda: self.clock.advance(0.4)
+        self.handle()
+        self.channels.while_running = lambda: self.clock.advance(0.001)
+        for kind, status in (
+            (AnswerKind.NOT_RUN, 503),
+            (AnswerKind.MATCHING, 500),
+            (AnswerKind.MATCHING, 504),
+        ):
+            self.channels.kind, self.channels.status = kind, status
+            result = self.handle()
+            self.assertAlmostEqual(0.4, result.load.service_s, msg=(kind, status))
+
     def test_nothing_is_sent_to_an_upstream_that_drains_while_a_channel_opens(self):
         """Opening a channel can take a second; the drain is acknowledged by then."""
         self.channels.while_opening = lambda: self.upstream.on_report(
