Learn how many calls an upstream takes well

Cause: some upstreams slow down before their slots are full. Calls beyond that point make the others slower without any gain, and a gateway always used all slots.

Change: ConcurrencyLimit tries another limit for some service times while calls have been waiting for 1.5 s, compares the times of the calls that began before, in and after the trial, and keeps the limit that serves a tenth more. It is on for upstreams that tell their load. Entries see it as the slots in the load of an answer.

bench decisions gets scenarios with uneven upstreams, a knee, short slow spells and waves.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -70,19 +70,48 @@
     CallKind("step", 0.2, 0.017, 0.06, 0.2, 1, 0.1, 1.5),
 )
 LATE_VALUE_SHARE = 0.3
+# Service times of the slowest and the fastest upstream differ threefold.
+UNEVEN_FACTORS = (0.6, 1.0, 1.8, 1.0, 0.8)
+# Share of the slots in use from which service times rise at a knee.
+KNEE_SHARE = 0.6
+# Spells of slowness of an upstream: share of the time, and length in seconds.
+SPELL_SHARE = 0.15
+SPELL_S = 0.1
+WAVE_PERIOD_S = 6.0
 
 
 @dataclass(frozen=True, slots=True)
 class Scenario:
-    """Offered load as a share of all slots, and the number of slow upstreams.
-
-    The upstreams are slow during the second third of the simulated time.
+    """Offered load and how the upstreams differ.
+
+    Attributes
+    ----------
+    load : float
+        Offered load as a share of all slots.
+    slow_count : int
+        Upstreams that are slower by `slow_factor` in the second third of the time.
+    speed_factors : tuple of float
+        Service times of the upstreams relative to the usual, in turn; random ones
+        between 0.8 and 1.5 if empty.
+    upstreams_per_data_centre : int
+        Each upstream has an entry beside it.
+    knee : float
+        Rise of the service time from `KNEE_SHARE` to all of the slots in use.
+    spell_factor : float
+        Factor of the service time in short spells, `SPELL_SHARE` of the time.
+    wave : float
+        Share by which the demand of a data centre rises and falls, one after the other.
     """
 
     name: str
     load: float
     slow_count: int = 0
     slow_factor: float = 5.0
+    speed_factors: tuple[float, ...] = ()
+    upstreams_per_data_centre: int = 1
+    knee: float = 0.0
+    spell_factor: float = 1.0
+    wave: float = 0.0
 
 
 SCENARIOS = (
@@ -90,6 +119,37 @@
     Scenario("busy", 0.9),
     Scenario("overload", 1.4),
     Scenario("slow upstreams", 0.6, slow_count=2),
+    Scenario("uneven", 0.75, speed_factors=UNEVEN_FACTORS, upstreams_per_data_centre=4),
+    Scenario(
+        "uneven, slow ones",
+        0.6,
+        slow_count=8,
+        speed_factors=UNEVEN_FACTORS,
+        upstreams_per_data_centre=4,
+    ),
+    Scenario(
+        "uneven, knee",
+        0.75,
+        speed_factors=UNEVEN_FACTORS,
+        upstreams_per_data_centre=4,
+        knee=0.5,
+    ),
+    Scenario(
+        "uneven, knee, overload",
+        1.3,
+        speed_factors=UNEVEN_FACTORS,
+        upstreams_per_data_centre=4,
+        knee=1.0,
+    ),
+    Scenario(
+        "uneven, knee, noise, waves",
+        0.75,
+        speed_factors=UNEVEN_FACTORS,
+        upstreams_per_data_centre=4,
+        knee=0.5,
+        spell_factor=2.5,
+        wave=0.55,
+    ),
 )
 
 
@@ -98,7 +158,7 @@
     """A call with the state of all its attempts."""
 
     kind: CallKind
-    data_centre: str
+    node_id: str
     created_at: float
     arrived_at: float = 0.0
     offers: int = 0
@@ -131,6 +191,10 @@
         """Return 0, since service times are not recorded."""
         return 0.0
 
+    def usable_slots(self, route: str, now: float) -> int:
+        """Return the number of slots."""
+        return self.slots
+
     def enter(self, request: SlotRequest, now: float) -> None:
         """Grant a slot, queue the call, or refuse it when the queue is full."""
         if len(self._running) < self.slots:
@@ -156,8 +220,17 @@
     max_waiting = 0
 
 
+class LimitedSlotQueue(SlotQueue):
+    """Slot queue of a node whose upstream tells its load."""
+
+    def __init__(self, *, slots: int):
+        super().__init__(slots=slots)
+        self.learns_limit = True
+
+
 QUEUE_TYPES = {
     "slot queue": SlotQueue,
+    "slot queue, learned limit": LimitedSlotQueue,
     "first in first out": FifoQueue,
     "none": NoQueue,
 }
@@ -228,9 +301,11 @@
 
 
 class Entry:
-    """Entry of one data centre, with its own statistics of the endpoints."""
+    """Entry beside one upstream, with its own statistics of the endpoints."""
 
-    def __init__(self, data_centre: str, random: Random):
+    def __init__(
+        self, data_centre: str, random: Random, data_centres_by_node: dict[str, str]
+    ):
         self.random = random
         self.round_robin_indexes = count()
         self.endpoints = Endpoints(
@@ -238,9 +313,16 @@
             data_centre=data_centre,
             region=data_centre[0],
         )
-        for other in DATA_CENTRES:
+        for node_id, other in data_centres_by_node.items():
             record = UpstreamRecord(
-                other, SERVICE, other, other[0], "", other, UpstreamState.READY, SLOTS
+                node_id,
+                SERVICE,
+                other,
+                other[0],
+                "",
+                node_id,
+                UpstreamState.READY,
+                SLOTS,
             )
             self.endpoints.put_record(record)
 
@@ -269,11 +351,26 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_numbers = count()
         self._call_ids = count()
+        per_data_centre = scenario.upstreams_per_data_centre
+        data_centres_by_node = {
+            f"{data_centre}-{number}": data_centre
+            for number in range(per_data_centre)
+            for data_centre in DATA_CENTRES
+        }
+        self._node_ids = tuple(data_centres_by_node)
+        factors = scenario.speed_factors
         self._service_time_factors = {
-            d: self._random.uniform(0.8, 1.5) for d in DATA_CENTRES
+            node_id: factors[index % len(factors)]
+            if factors
+            else self._random.uniform(0.8, 1.5)
+            for index, node_id in enumerate(self._node_ids)
+        }
+        self._entries = {
+            node_id: Entry(data_centre, Random(seed + 1), data_centres_by_node)
+            for node_id, data_centre in data_centres_by_node.items()
         }
-        self._entries = {d: Entry(d, Random(seed + 1)) for d in DATA_CENTRES}
-        self._queues = {d: queue_type(slots=SLOTS) for d in DATA_CENTRES}
+        self._queues = {n: queue_type(slots=SLOTS) for n in self._node_ids}
+        self._spells: dict[tuple[str, int], bool] = {}
         self.counts: Counter[str] = Counter()
         self.value_totals: dict[str, float] = defaultdict(float)
 
@@ -283,11 +380,11 @@
         mean_service_time_s *= sum(self._service_time_factors.values()) / len(
             self._service_time_factors
         )
-        rate = self._scenario.load * SLOTS * len(DATA_CENTRES) / mean_service_time_s
+        rate = self._scenario.load * SLOTS * len(self._node_ids) / mean_service_time_s
         at = 0.0
         while (at := at + self._random.expovariate(rate)) < self._seconds:
             kind = self._random.choices(CALL_KINDS, [k.share for k in CALL_KINDS])[0]
-            call = Call(kind, self._random.choice(DATA_CENTRES), at)
+            call = Call(kind, self._draw_node(at), at)
             self._schedule(at, lambda call=call: self._arrive(call))
         while self._events:
             self._now, _, action = heappop(self._events)
@@ -301,6 +398,19 @@
             **{name: n / self.counts["calls"] for name, n in self.counts.items()},
         }
 
+    def _draw_node(self, at: float) -> str:
+        """Return the node at which a call arrives."""
+        wave = self._scenario.wave
+        if not wave:
+            return self._random.choice(self._node_ids)
+        weights = [
+            1 + wave * math.sin(2 * math.pi * (at / WAVE_PERIOD_S + position))
+            for position in (i / len(DATA_CENTRES) for i in range(len(DATA_CENTRES)))
+        ]
+        data_centre = self._random.choices(DATA_CENTRES, weights)[0]
+        number = self._random.randrange(self._scenario.upstreams_per_data_centre)
+        return f"{data_centre}-{number}"
+
     def _schedule(self, when: float, action: Callable[[], None]) -> None:
         heappush(self._events, (when, next(self._event_numbers), action))
 
@@ -312,7 +422,7 @@
         self._offer(call)
 
     def _offer(self, call: Call) -> None:
-        entry = self._entries[call.data_centre]
+        entry = self._entries[call.node_id]
         endpoints = [
             e
             for e in entry.endpoints.of_service(SERVICE)
@@ -366,6 +476,9 @@
             * self._slowdown(node_id)
         )
         required_s *= max(self._random.gauss(1.0, 0.35), MIN_SERVICE_TIME_SHARE)
+        required_s *= self._knee_factor(node_id)
+        if self._scenario.spell_factor > 1:
+            required_s = self._time_with_spells(node_id, required_s)
         left_s = max(request.deadline - self._now, 0.0)
 
         def end() -> None:
@@ -383,25 +496,45 @@
 
     def _slowdown(self, node_id: str) -> float:
         is_slow_period = self._seconds / 3 <= self._now < 2 * self._seconds / 3
-        slow_ids = DATA_CENTRES[: self._scenario.slow_count]
+        slow_ids = self._node_ids[: self._scenario.slow_count]
         return (
             self._scenario.slow_factor
             if is_slow_period and node_id in slow_ids
             else 1.0
         )
 
+    def _knee_factor(self, node_id: str) -> float:
+        used_share = self._queues[node_id].running_count / SLOTS
+        excess = max(used_share - KNEE_SHARE, 0.0) / (1 - KNEE_SHARE)
+        return 1 + self._scenario.knee * excess
+
+    def _time_with_spells(self, node_id: str, work_s: float) -> float:
+        """Return the time of a call that begins now and needs `work_s` of work."""
+        elapsed_s = 0.0
+        while work_s > 0:
+            spell = int((self._now + elapsed_s) / SPELL_S)
+            key = (node_id, spell)
+            if key not in self._spells:
+                self._spells[key] = self._random.random() < SPELL_SHARE
+            factor = self._scenario.spell_factor if self._spells[key] else 1.0
+            left_s = (spell + 1) * SPELL_S - self._now - elapsed_s
+            step_s = min(max(left_s, 1e-6), work_s * factor)
+            elapsed_s += step_s
+            work_s -= step_s / factor
+        return elapsed_s
+
     def _load(self, node_id: str, kind: CallKind) -> GatewayLoad:
         queue = self._queues[node_id]
         return GatewayLoad(
             queue.running_count,
             queue.waiting_count,
-            SLOTS,
+            queue.usable_slots(kind.name, self._now),
             queue.expected_service_s(kind.name, self._now),
         )
 
     def _return_result(self, call, node_id, call_id, one_way_s, result) -> None:
         def arrive() -> None:
-            entry = self._entries[call.data_centre]
+            entry = self._entries[call.node_id]
             entry.endpoints.record_result(
                 node_id, call_id, call.kind.name, result, self._now
             )
--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -9,6 +9,7 @@
 from eventlet.event import Event
 from xxhash import xxh3_128_digest
 
+from verbenawick.capacity._model import UpstreamLoad
 from verbenawick.capacity._moving_average import MovingAverage
 from verbenawick.errors import (
     CallError,
@@ -47,6 +48,8 @@
 # that are stopped together get their stop requests at slightly different times, and
 # each entry lets its calls end before its own stop.
 STOP_SKEW_S = 0.2
+# Change of the learned limit that is logged, as a share of the slots.
+NOTABLE_LIMIT_CHANGE = 0.2
 # Rate at which the estimated offset of a peer's clock falls while all calls seem to be
 # delayed, in seconds per second. The clocks of two VMs diverge when one is slewed or
 # paused.
@@ -72,6 +75,20 @@
 )
 
 
+CONCURRENCY_LIMIT = register_metric(
+    "mesh.upstream_concurrency_limit",
+    MetricKind.GAUGE,
+    "calls",
+    "Calls that the own upstream takes well at a time, at most its slots",
+)
+SERVICE_TIME = register_metric(
+    "mesh.upstream_service_time",
+    MetricKind.GAUGE,
+    "seconds",
+    "Expected time of a call at the own upstream, over all routes",
+)
+
+
 @register_event(720, level="WARNING")
 @dataclass(frozen=True, slots=True)
 class GatewayRefused(LogEvent):
@@ -135,6 +152,21 @@
     rate: float
 
 
+@register_event(727)
+@dataclass(frozen=True, slots=True)
+class ConcurrencyLimitChanged(LogEvent):
+    """The number of calls that the upstream is found to take well changed notably.
+
+    `service_s` is the mean time of its recent calls.
+    """
+
+    upstream: str
+    earlier_limit: int
+    limit: int
+    slots: int
+    service_s: float
+
+
 class UpstreamProtocol(Protocol):
     """Protocol of the upstream; implemented by `verbenawick.platform`."""
 
@@ -157,6 +189,10 @@
         """Return the headers of an answer that are forwarded to the caller."""
         ...
 
+    def load_of(self, answer: RawAnswer) -> UpstreamLoad | None:
+        """Return the load that the upstream names, None if it names none."""
+        ...
+
     def rate_limit_of(self, answer: RawAnswer) -> float | None:
         """Return the requests per second that the upstream takes, None if any."""
         ...
@@ -232,6 +268,8 @@
         self._clock_offset_by_peer: dict[tuple[str, int], tuple[float, float]] = {}
         self._limited_upstream_id = upstream.upstream_id
         self._is_grant_scheduled = False
+        # Limit in the last log event about it.
+        self._reported_limit = upstream.slots
 
     @property
     def in_flight(self) -> int:
@@ -266,9 +304,11 @@
         now = self._clock.now()
         self._queue.slots = max(self._upstream.slots, 1)
         if self._upstream.upstream_id != self._limited_upstream_id:
-            # The limit of the previous upstream does not apply to its successor.
+            # The limits of the previous upstream do not apply to its successor.
             self._limited_upstream_id = self._upstream.upstream_id
             self._set_limit(None, now)
+            self._queue.forget_limit()
+            self._reported_limit = self._queue.slots
         if not self._upstream.accepts_work:
             self._queue.refuse_waiting(now)
         self._grant_free_slots()
@@ -369,6 +409,8 @@
         finally:
             self._queue.leave(request, self._clock.now(), service_s=service_s)
             self._schedule_grant()
+            if self._queue.learns_limit:
+                self._report_concurrency_limit()
         if kind is not AnswerKind.MATCHING:
             raise UpstreamShedError(
                 f"upstream answered {answer.status} without running the request",
@@ -489,6 +531,25 @@
                 )
             )
 
+    def _report_concurrency_limit(self) -> None:
+        queue = self._queue
+        limit = queue.limit.learned
+        self._metrics.gauge(CONCURRENCY_LIMIT, limit)
+        self._metrics.gauge(SERVICE_TIME, queue.service_times.mean_s())
+        earlier = self._reported_limit
+        is_notable = abs(limit - earlier) >= NOTABLE_LIMIT_CHANGE * queue.slots
+        if is_notable or (limit == queue.slots and limit != earlier):
+            self._reported_limit = limit
+            emit(
+                ConcurrencyLimitChanged(
+                    self._upstream.upstream_id,
+                    earlier,
+                    limit,
+                    queue.slots,
+                    round(queue.service_times.mean_s(), 4),
+                )
+            )
+
     def _run(self, call: ForwardedCall, fingerprint: bytes, deadline: float):
         upstream_id = self._upstream.upstream_id
         ends_by = min(deadline, self._stop_at)
@@ -539,6 +600,8 @@
         if self._protocol.is_leaving(answer):
             self._upstream.on_leaving(self._upstream.upstream_id)
         self._set_limit(self._protocol.rate_limit_of(answer), self._clock.now())
+        if not self._queue.learns_limit:
+            self._queue.learns_limit = self._protocol.load_of(answer) is not None
         self._grant_free_slots()
 
     def _report_crash(self) -> None:
--- a/src/verbenawick/mesh/_slot_queue.py
+++ b/src/verbenawick/mesh/_slot_queue.py
@@ -12,6 +12,7 @@
 from enum import StrEnum
 from itertools import count
 
+from verbenawick.capacity._concurrency_limit import ConcurrencyLimit
 from verbenawick.capacity._moving_average import MovingAverage, MovingAverages
 from verbenawick.mesh._request_rate import RequestRate
 
@@ -96,13 +97,35 @@
     """Running and queued calls of one upstream; does no I/O and reads no clock."""
 
     def __init__(self, *, slots: int):
-        self.slots = slots
+        self.limit = ConcurrencyLimit(slots)
+        # Set once the upstream tells its load.
+        self.learns_limit = False
+        self._slots = slots
         self.rate = RequestRate()
         self.service_times = ServiceTimes()
         self._running: set[SlotRequest] = set()
         self._waiting: list[SlotRequest] = []
         self._next_arrival_order = count().__next__
 
+    @property
+    def slots(self) -> int:
+        """Return the number of calls that the upstream runs at a time."""
+        return self._slots
+
+    @slots.setter
+    def slots(self, slots: int) -> None:
+        if slots != self._slots:
+            self._slots = slots
+            self.limit.reset(slots)
+
+    def forget_limit(self) -> None:
+        """Forget the limit of an upstream that another one has replaced.
+
+        Its service times are kept, as the best estimate of those of its successor.
+        """
+        self.learns_limit = False
+        self.limit.reset(self._slots)
+
     @property
     def running_count(self) -> int:
         """Return the number of slots in use."""
@@ -139,6 +162,14 @@
             self._running.discard(request)
             if service_s is not None:
                 self.service_times.add(request.route, service_s)
+                if self.learns_limit:
+                    self.limit.add(
+                        request.route,
+                        service_s,
+                        request.started_at,
+                        now,
+                        is_busy=bool(self._waiting),
+                    )
             self.grant_free_slots(now)
         elif request in self._waiting:
             self._waiting.remove(request)
@@ -160,7 +191,7 @@
 
     def next_grant_at(self, now: float) -> float | None:
         """Return when the rate admits the next queued call to a free slot, or None."""
-        if not self._waiting or len(self._running) >= self.slots:
+        if not self._waiting or len(self._running) >= self.limit.value:
             return None
         return now + self.rate.delay_s(now)
 
@@ -170,8 +201,10 @@
             self._refuse(self._waiting.pop(), now)
 
     def usable_slots(self, route: str, now: float) -> int:
-        """Return the slots that the rate of the upstream allows to be in use."""
-        return self.rate.usable_slots(self.slots, self.expected_service_s(route, now))
+        """Return the slots that limit and rate of the upstream allow to be in use."""
+        return self.rate.usable_slots(
+            self.limit.value, self.expected_service_s(route, now)
+        )
 
     def expected_service_s(self, route: str, now: float) -> float:
         """Return the service time of `route`, scaled by the current slowdown."""
@@ -180,7 +213,7 @@
         )
 
     def _can_grant(self, now: float) -> bool:
-        return len(self._running) < self.slots and not self.rate.delay_s(now)
+        return len(self._running) < self.limit.value and not self.rate.delay_s(now)
 
     def _slowdown(self, current_service_s: float) -> float:
         return max(current_service_s / max(self.service_times.mean_s(), 1e-6), 1.0)
@@ -207,9 +240,9 @@
         slowdown = self._slowdown(current_service_s)
         ahead = 0
         for request in ranked:
-            excess = max(len(self._running) + ahead + 1 - self.slots, 0)
+            excess = max(len(self._running) + ahead + 1 - self.limit.value, 0)
             wait_s = max(
-                excess * current_service_s / max(self.slots, 1),
+                excess * current_service_s / max(self.limit.value, 1),
                 self.rate.delay_s(now, ahead + 1),
             )
             needed_s = wait_s + self.service_times.expected_s(request.route) * slowdown
@@ -229,7 +262,7 @@
 
     def _refuse(self, request: SlotRequest, now: float) -> None:
         wait_s = max(
-            len(self._waiting) * self.service_times.mean_s() / max(self.slots, 1),
+            len(self._waiting) * self.service_times.mean_s() / max(self.limit.value, 1),
             self.rate.delay_s(now, len(self._waiting) + 1),
         )
         request.on_verdict(Verdict.REFUSED, max(wait_s, MIN_RETRY_AFTER_S))
--- a/tests/test_mesh_gateway.py
+++ b/tests/test_mesh_gateway.py
@@ -62,6 +62,7 @@
         self.error = None
         self.kind = AnswerKind.MATCHING
         self.status = 200
+        self.headers = ()
 
     def exchange(self, *, target, headers, before_send, **options):
         """Send a request and return its answer."""
@@ -71,7 +72,8 @@
         self.while_running()
         if self.error is not None:
             raise self.error
-        answer = RawAnswer(self.status, [("Attempt-Id", "q1")], bytearray(b"body"))
+        headers = [("Attempt-Id", "q1"), *self.headers]
+        answer = RawAnswer(self.status, headers, bytearray(b"body"))
         return self.kind, answer
 
     def is_reachable(self):
@@ -86,6 +88,7 @@
         super().setUp()
         self.clock = ManualClock()
         self.channels = ScriptedChannels()
+        self.metrics = MetricSet()
         self.guard = CrashGuard()
         self.upstream = LocalUpstream(
             address=ADDRESS, service="s", on_change=lambda: None
@@ -98,7 +101,7 @@
             protocol=PlatformUpstreamProtocol(),
             guard=self.guard,
             clock=self.clock,
-            metrics=MetricSet(),
+            metrics=self.metrics,
         )
 
     def handle(self, **changes):
@@ -134,6 +137,21 @@
             result = self.handle()
             self.assertAlmostEqual(0.4, result.load.service_s, msg=(kind, status))
 
+    def test_limit_is_learned_only_from_an_upstream_that_tells_its_load(self):
+        """Guards against a deployment that pays for a part that it has not."""
+        self.handle()
+        self.assertEqual({}, self.limit_gauges())
+        self.channels.headers = (("Server-Load", "1,0,2,100"),)
+        self.handle()
+        self.assertEqual({"mesh.upstream_concurrency_limit": 2}, self.limit_gauges())
+
+    def limit_gauges(self):
+        return {
+            name: value
+            for name, value in self.metrics.totals().items()
+            if name == "mesh.upstream_concurrency_limit"
+        }
+
     def test_nothing_is_sent_to_an_upstream_that_drains_while_a_channel_opens(self):
         """Opening a channel can take a second; the drain is acknowledged by then."""
         self.channels.while_opening = lambda: self.upstream.on_report(
