Expect the usual use of a gateway before its first answer

What callers saw: refusals and long waits at an upstream that had just joined a busy service.

Cause: without an answer, an entry counted neither a queue nor its own calls in flight, so the new upstream looked idle and every entry sent it all calls until the first answer came back, a service time later.

Fix: until then the slots of its record hold, in use as those of the other gateways. The new test failed before: 0.050 s expected there with eight calls sent, 0.088 s elsewhere.

--- a/src/verbenawick/capacity/_gateway_estimate.py
+++ b/src/verbenawick/capacity/_gateway_estimate.py
@@ -5,6 +5,8 @@
 loses weight with age: the load tends to the usual load of the service, and the time of
 a call to the usual time of its route. A gateway that was slow or full is therefore
 tried again, and entries that have all seen one idle gateway do not keep choosing it.
+A gateway without an answer so far counts as one in usual use, so that it gets its share
+at once and no more.
 """
 
 import math
@@ -56,12 +58,13 @@
     calls : int
         Running and waiting calls at the gateway when it last answered.
     slots : int
-        Calls that its upstream takes well at once; 0 before the first answer.
+        Calls that its upstream takes well at once: its slots until the first answer, 0
+        if unknown.
     """
 
     calls: int = 0
     slots: int = 0
-    reported_at: float = 0.0
+    reported_at: float = -math.inf
     # Service time relative to the usual one of the route at the last answer, and the
     # average of its logarithm.
     slowdown: float = 1.0
--- a/src/verbenawick/mesh/_endpoints.py
+++ b/src/verbenawick/mesh/_endpoints.py
@@ -253,7 +253,7 @@
         # Statistics of the previous upstream do not apply to its successor.
         endpoint.service = service
         endpoint.upstream_id = upstream_id
-        endpoint.estimate = GatewayEstimate()
+        endpoint.estimate = GatewayEstimate(slots=endpoint.member.slots)
         endpoint.outstanding_at_load = 0
         endpoint.failure_rate = 0.0
 
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -218,6 +218,20 @@
         self.assertGreater(self.expected(0.1).expected_s, 1.0)
         self.assertLess(self.expected(20.0).expected_s, 0.1)
 
+    def test_new_upstream_is_not_sent_more_than_its_share_before_its_first_answer(self):
+        """Guards against entries that all send everything to an upstream that joins."""
+        for number in range(40):
+            self.end(number, now=0.0, running=6)
+        self.put("n3", "u9")
+        new = self.endpoints.get("n3")
+        first = self.endpoints.candidate(new, "r", 0.0)
+        self.assertAlmostEqual(self.expected(0.0).expected_s, first.expected_s, 2)
+        for number in range(50, 58):
+            self.endpoints.record_start("n3", number, "r", 0.0)
+        self.assertGreater(
+            self.endpoints.candidate(new, "r", 0.0).expected_s, 2 * first.expected_s
+        )
+
     def test_speed_of_an_upstream_applies_to_routes_without_answers(self):
         """Guards against first calls of a route that go to the slowest upstream."""
         self.put("n3", "u9")
