--- a/bench/plots.py
+++ b/bench/plots.py
@@ -105,7 +105,9 @@
 def draw_decisions(result: dict) -> None:
     """Draw credit and worth of each pair of placement and queue, by scenario."""
     scenarios = list(dict.fromkeys(row["scenario"] for row in result["rows"]))
-    figure, axes = pyplot.subplots(len(scenarios), figsize=(7, 10), sharex=True)
+    figure, axes = pyplot.subplots(
+        len(scenarios), figsize=(7, 2.5 * len(scenarios)), sharex=True
+    )
     for subplot, scenario in zip(axes, scenarios, strict=True):
         rows = [row for row in result["rows"] if row["scenario"] == scenario]
         names = [f"{row['placement']} / {row['queue']}" for row in rows]
