--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -6,15 +6,15 @@
 
 
 def simulate(
-    scenario: str, placement: str, queue: str = "slot queue"
+    scenario: str, placement: str, queue: str = "slot queue", *, seconds: float = 6.0
 ) -> dict[str, float]:
-    """Return the results of six simulated seconds."""
+    """Return the results of some simulated seconds."""
     return Simulation(
         next(s for s in SCENARIOS if s.name == scenario),
         placements_by_name[placement],
         QUEUE_TYPES[queue],
         seed=1,
-        seconds=6.0,
+        seconds=seconds,
     ).run()
 
 
@@ -50,3 +50,18 @@
         lost = results.get("failed", 0.0) + results.get("refused", 0.0)
         self.assertLess(lost, 0.01)
         self.assertGreater(results["in time"], 0.95)
+
+    def test_upstreams_of_different_speed_serve_what_fits(self):
+        """Guards against herds of 24 entries on fast or idle ones of 24 upstreams."""
+        results = simulate("uneven", "expected loss", seconds=3.0)
+        self.assertGreater(results["in time"], 0.99)
+        nearest = simulate("uneven", "nearest", seconds=3.0)
+        self.assertGreater(results["in time"], nearest["in time"])
+
+    def test_learned_limit_keeps_no_room_back_without_a_knee(self):
+        """Guards against trials that cost callers more than they can show."""
+        all_slots = simulate("overload", "expected loss", seconds=10.0)
+        learned = simulate(
+            "overload", "expected loss", "slot queue, learned limit", seconds=10.0
+        )
+        self.assertGreater(learned["credit"], all_slots["credit"] - 0.02)
