--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -45,6 +45,8 @@
 PRICE_BY_DISTANCE = {Distance.REGION: 0.07, Distance.REMOTE: 0.2}
 # Size of an offer that is refused: only the request and a short response.
 OFFER_KILOBYTES = 0.6
+# Workspaces with equal allowances that share the service; "" stands for none.
+WORKSPACES = ("a", "b", "c", "d", "hot")
 # Lower bound of random service times, as a share of the mean.
 MIN_SERVICE_TIME_SHARE = 0.2
 
@@ -101,6 +103,9 @@
         Factor of the service time in short spells, `SPELL_SHARE` of the time.
     wave : float
         Share by which the demand of a data centre rises and falls, one after the other.
+    hot_factor : float
+        What the hot workspace sends in the second third of the time, as a multiple of
+        the usual. Without one, calls have no workspace.
     """
 
     name: str
@@ -112,6 +117,7 @@
     knee: float = 0.0
     spell_factor: float = 1.0
     wave: float = 0.0
+    hot_factor: float = 0.0
 
 
 SCENARIOS = (
@@ -150,6 +156,7 @@
         spell_factor=2.5,
         wave=0.55,
     ),
+    Scenario("hot workspace", 0.7, hot_factor=6.0),
 )
 
 
@@ -160,6 +167,7 @@
     kind: CallKind
     node_id: str
     created_at: float
+    workspace: str = ""
     arrived_at: float = 0.0
     offers: int = 0
     tried_ids: set[str] = field(default_factory=set)
@@ -228,9 +236,19 @@
         self.learns_limit = True
 
 
+class UnsharedQueue(SlotQueue):
+    """Slot queue that does not know the workspaces of calls."""
+
+    def enter(self, request: SlotRequest, now: float) -> None:
+        """Grant a slot to a call, queue it, or refuse it."""
+        request.workspace = ""
+        super().enter(request, now)
+
+
 QUEUE_TYPES = {
     "slot queue": SlotQueue,
     "slot queue, learned limit": LimitedSlotQueue,
+    "without workspaces": UnsharedQueue,
     "first in first out": FifoQueue,
     "none": NoQueue,
 }
@@ -372,6 +390,8 @@
         self._queues = {n: queue_type(slots=SLOTS) for n in self._node_ids}
         self._spells: dict[tuple[str, int], bool] = {}
         self.counts: Counter[str] = Counter()
+        self._asked: Counter[str] = Counter()
+        self._served: Counter[str] = Counter()
         self.value_totals: dict[str, float] = defaultdict(float)
 
     def run(self) -> dict[str, float]:
@@ -382,9 +402,11 @@
         )
         rate = self._scenario.load * SLOTS * len(self._node_ids) / mean_service_time_s
         at = 0.0
-        while (at := at + self._random.expovariate(rate)) < self._seconds:
+        while (at := at + self._random.expovariate(rate * self._hot_load(at))) < (
+            self._seconds
+        ):
             kind = self._random.choices(CALL_KINDS, [k.share for k in CALL_KINDS])[0]
-            call = Call(kind, self._draw_node(at), at)
+            call = Call(kind, self._draw_node(at), at, self._choose_workspace(at))
             self._schedule(at, lambda call=call: self._arrive(call))
         while self._events:
             self._now, _, action = heappop(self._events)
@@ -395,6 +417,10 @@
             / total_value,
             "credit": self.value_totals["credit"] / total_value,
             "price": self.value_totals["price"] / total_value,
+            "worst workspace": min(
+                (self._served[w] / n for w, n in self._asked.items() if w != "hot"),
+                default=0.0,
+            ),
             **{name: n / self.counts["calls"] for name, n in self.counts.items()},
         }
 
@@ -411,12 +437,30 @@
         number = self._random.randrange(self._scenario.upstreams_per_data_centre)
         return f"{data_centre}-{number}"
 
+    def _is_second_third(self, at: float) -> bool:
+        return self._seconds / 3 <= at < 2 * self._seconds / 3
+
+    def _hot_load(self, at: float) -> float:
+        """Return the offered load at a time as a multiple of the usual."""
+        if not self._scenario.hot_factor or not self._is_second_third(at):
+            return 1.0
+        return (len(WORKSPACES) - 1 + self._scenario.hot_factor) / len(WORKSPACES)
+
+    def _choose_workspace(self, at: float) -> str:
+        if not self._scenario.hot_factor:
+            return ""
+        weights = [1.0] * len(WORKSPACES)
+        if self._is_second_third(at):
+            weights[-1] = self._scenario.hot_factor
+        return self._random.choices(WORKSPACES, weights)[0]
+
     def _schedule(self, when: float, action: Callable[[], None]) -> None:
         heappush(self._events, (when, next(self._event_numbers), action))
 
     def _arrive(self, call: Call) -> None:
         if not call.has_retried:
             self.counts["calls"] += 1
+            self._asked[call.workspace] += 1
             self.value_totals["owed"] += call.kind.value
         call.arrived_at = self._now
         self._offer(call)
@@ -465,6 +509,7 @@
             call.created_at + kind.objective_s,
             call.created_at + kind.deadline_s,
             decide,
+            call.workspace,
         )
         queue.enter(request, self._now)
 
@@ -495,13 +540,9 @@
         self._schedule(self._now + min(required_s, left_s), end)
 
     def _slowdown(self, node_id: str) -> float:
-        is_slow_period = self._seconds / 3 <= self._now < 2 * self._seconds / 3
         slow_ids = self._node_ids[: self._scenario.slow_count]
-        return (
-            self._scenario.slow_factor
-            if is_slow_period and node_id in slow_ids
-            else 1.0
-        )
+        is_slow = self._is_second_third(self._now) and node_id in slow_ids
+        return self._scenario.slow_factor if is_slow else 1.0
 
     def _knee_factor(self, node_id: str) -> float:
         used_share = self._queues[node_id].running_count / SLOTS
@@ -566,9 +607,11 @@
         if not is_served or elapsed_s > kind.deadline_s:
             self.counts["failed"] += 1
         elif elapsed_s > kind.objective_s:
+            self._served[call.workspace] += 1
             self.counts["late"] += 1
             self.value_totals["credit"] += LATE_VALUE_SHARE * kind.value
         else:
+            self._served[call.workspace] += 1
             self.counts["in time"] += 1
             self.value_totals["credit"] += kind.value
 
@@ -614,6 +657,7 @@
 
 def _mean_results(simulation_results: list[dict[str, float]]) -> dict[str, float]:
     names = ("worth", "credit", "price", "in time", "late", "refused", "failed")
+    names += ("worst workspace",)
     return {
         n: sum(p.get(n, 0.0) for p in simulation_results) / len(simulation_results)
         for n in names
--- a/src/verbenawick/mesh/_endpoints.py
+++ b/src/verbenawick/mesh/_endpoints.py
@@ -204,9 +204,21 @@
             endpoint.avoided_until = now + AVOIDANCE_S
 
     def candidate(
-        self, endpoint: Endpoint, route: str, now: float, *, is_linked: bool = True
+        self,
+        endpoint: Endpoint,
+        route: str,
+        now: float,
+        *,
+        is_linked: bool = True,
+        goes_first: bool = False,
     ) -> Candidate:
-        """Return the time and failure rate expected at a gateway for `route`."""
+        """Return the time and failure rate expected at a gateway for `route`.
+
+        Parameters
+        ----------
+        goes_first : bool
+            Whether the gateway grants the call its next free slot.
+        """
         service_s = self._expected_service_s(endpoint, route, now)
         if endpoint.starts_by_call:
             oldest = next(iter(endpoint.starts_by_call.values()))
@@ -220,7 +232,10 @@
         wait_s = 0.0
         if slots:
             calls = endpoint.current_load(self._usual.use(endpoint.service), now)
-            wait_s = max(calls + 1 - slots, 0) * service_s / slots
+            excess = max(calls + 1 - slots, 0)
+            if goes_first:
+                excess = min(excess, 1)
+            wait_s = excess * service_s / slots
         return Candidate(
             endpoint.node_id,
             endpoint.distance,
