--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -480,6 +480,24 @@
         expected_s = self._queue.service_times.expected_s(route)
         return answer.status < 500 or elapsed_s > expected_s
 
+    def _run_counted(self, call, fingerprint: bytes, deadline: float, started_at):
+        """Run a call, and count it for a release unless the upstream refused it."""
+        try:
+            kind, answer = self._run(call, fingerprint, deadline)
+        except CallNotRunError:
+            raise
+        except CallError:
+            self._count_for_release(call, started_at, is_failure=True)
+            raise
+        if kind is AnswerKind.MATCHING:
+            is_failure = answer.status >= 500
+            self._count_for_release(call, started_at, is_failure=is_failure)
+        return kind, answer
+
+    def _count_for_release(self, call, started_at: float, *, is_failure: bool) -> None:
+        seconds = self._clock.now() - started_at
+        self._tally.add(call.route, seconds, is_failure=is_failure)
+
     def _check_accepts(
         self, call: ForwardedCall, fingerprint: bytes, deadline: float, now: float
     ) -> None:
