--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -9,6 +9,8 @@
 from eventlet.event import Event
 from xxhash import xxh3_128_digest
 
+from verbenawick.capacity._model import UpstreamLoad
+from verbenawick.capacity._moving_average import MovingAverage
 from verbenawick.errors import (
     CallError,
     CallNotRunError,
@@ -31,15 +33,18 @@
     GatewayLoad,
     Headers,
 )
-from verbenawick.mesh._moving_average import MovingAverage
 from verbenawick.mesh._placement import ends_before_stop
 from verbenawick.mesh._slot_queue import SlotQueue, SlotRequest, Verdict
 from verbenawick.mesh._upstream_channels import AnswerKind, RawAnswer, UpstreamChannels
+from verbenawick.releases._shares import VersionShares
+from verbenawick.releases._tally import ReleaseTally
 from verbenawick.runtime._calls_in_flight import CallsInFlight
 from verbenawick.runtime._clock import Clock
 from verbenawick.runtime._events import Event as LogEvent
 from verbenawick.runtime._events import emit, register_event
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
+from verbenawick.sharing._fair_shares import weights_by_workspace
+from verbenawick.workspaces._model import Workspaces
 
 # Weight of a new outcome in the moving average of the upstream's failure rate.
 FAILURE_WEIGHT = 0.1
@@ -47,6 +52,8 @@
 # that are stopped together get their stop requests at slightly different times, and
 # each entry lets its calls end before its own stop.
 STOP_SKEW_S = 0.2
+# Change of the learned limit that is logged, as a share of the slots.
+NOTABLE_LIMIT_CHANGE = 0.2
 # Rate at which the estimated offset of a peer's clock falls while all calls seem to be
 # delayed, in seconds per second. The clocks of two VMs diverge when one is slewed or
 # paused.
@@ -72,13 +79,32 @@
 )
 
 
+CONCURRENCY_LIMIT = register_metric(
+    "mesh.upstream_concurrency_limit",
+    MetricKind.GAUGE,
+    "calls",
+    "Calls that the own upstream takes well at a time, at most its slots",
+)
+SERVICE_TIME = register_metric(
+    "mesh.upstream_service_time",
+    MetricKind.GAUGE,
+    "seconds",
+    "Expected time of a call at the own upstream, over all routes",
+)
+
+
 @register_event(720, level="WARNING")
 @dataclass(frozen=True, slots=True)
 class GatewayRefused(LogEvent):
-    """The gateway refused a call without sending it to the upstream."""
+    """The gateway refused a call without sending it to the upstream.
+
+    `priority` and `workspace` are what the call competed for a slot with.
+    """
 
     request: str
     route: str
+    workspace: str
+    priority: int
     code: str
     upstream: str
     state: str
@@ -135,6 +161,21 @@
     rate: float
 
 
+@register_event(727)
+@dataclass(frozen=True, slots=True)
+class ConcurrencyLimitChanged(LogEvent):
+    """The number of calls that the upstream is found to take well changed notably.
+
+    `service_s` is the mean time of its recent calls.
+    """
+
+    upstream: str
+    earlier_limit: int
+    limit: int
+    slots: int
+    service_s: float
+
+
 class UpstreamProtocol(Protocol):
     """Protocol of the upstream; implemented by `verbenawick.platform`."""
 
@@ -163,6 +204,10 @@
         """Return the headers of an answer that are forwarded to the caller."""
         ...
 
+    def load_of(self, answer: RawAnswer) -> UpstreamLoad | None:
+        """Return the load that the upstream names, None if it names none."""
+        ...
+
     def rate_limit_of(self, answer: RawAnswer) -> float | None:
         """Return the requests per second that the upstream takes, None if any."""
         ...
@@ -199,6 +244,10 @@
         calls that it was running.
     observe : callable
         Called with the time that the upstream took for a call, in seconds.
+    shares : VersionShares or None
+        Releases in progress; None for none.
+    tally : ReleaseTally or None
+        Counts the calls during a release of the upstream's service.
     """
 
     def __init__(
@@ -215,7 +264,11 @@
             [str, tuple[bytes, ...]], None
         ] = lambda process_id, fingerprints: None,
         observe: Callable[[float], None] = lambda seconds: None,
+        shares: VersionShares | None = None,
+        tally: ReleaseTally | None = None,
     ):
+        self._shares = shares or VersionShares()
+        self._tally = tally or ReleaseTally()
         self._observe = observe
         self._node_id = node_id
         self._upstream = upstream
@@ -238,6 +291,17 @@
         self._clock_offset_by_peer: dict[tuple[str, int], tuple[float, float]] = {}
         self._limited_upstream_id = upstream.upstream_id
         self._is_grant_scheduled = False
+        # Limit in the last log event about it.
+        self._reported_limit = upstream.slots
+
+    def put_workspaces(self, workspaces: Workspaces) -> None:
+        """Share the slots between `workspaces`, in proportion to their allowances."""
+        self._queue.fair_shares.weight_by_workspace = weights_by_workspace(workspaces)
+
+    @property
+    def running_count(self) -> int:
+        """Return the number of calls that the own upstream is running."""
+        return self._queue.running_count
 
     @property
     def in_flight(self) -> int:
@@ -272,9 +336,11 @@
         now = self._clock.now()
         self._queue.slots = max(self._upstream.slots, 1)
         if self._upstream.upstream_id != self._limited_upstream_id:
-            # The limit of the previous upstream does not apply to its successor.
+            # The limits of the previous upstream do not apply to its successor.
             self._limited_upstream_id = self._upstream.upstream_id
             self._set_limit(None, now)
+            self._queue.forget_limit()
+            self._reported_limit = self._queue.slots
         if not self._upstream.accepts_work:
             self._queue.refuse_waiting(now)
         self._grant_free_slots()
@@ -359,7 +425,12 @@
         self._check_accepts(call, fingerprint, deadline, now)
         ends_by = min(deadline, self._stop_at)
         request = SlotRequest(
-            call.route, call.priority, objective_at, ends_by, lambda *verdict: None
+            call.route,
+            call.priority,
+            objective_at,
+            ends_by,
+            lambda *verdict: None,
+            call.workspace,
         )
         self._wait_for_slot(request, now)
         started_at = self._clock.now()
@@ -367,12 +438,16 @@
         try:
             # The upstream's state may have changed while the call was queued.
             self._check_accepts(call, fingerprint, deadline, started_at)
-            kind, answer = self._run(call, fingerprint, deadline)
-            service_s = self._clock.now() - started_at
-            self._observe(service_s)
+            kind, answer = self._run_counted(call, fingerprint, deadline, started_at)
+            elapsed_s = self._clock.now() - started_at
+            self._observe(elapsed_s)
+            if self._shows_service_time(call.route, kind, answer, elapsed_s):
+                service_s = elapsed_s
         finally:
             self._queue.leave(request, self._clock.now(), service_s=service_s)
             self._schedule_grant()
+            if self._queue.learns_limit:
+                self._report_concurrency_limit()
         if kind is not AnswerKind.MATCHING:
             raise UpstreamShedError(
                 f"upstream answered {answer.status} without running the request",
@@ -393,6 +468,36 @@
             self.load(call.route),
         )
 
+    def _shows_service_time(
+        self, route: str, kind: AnswerKind, answer: RawAnswer, elapsed_s: float
+    ) -> bool:
+        """Return whether the time of an answer tells how long calls take.
+
+        A failed call would have taken at least as long, a refused one says nothing.
+        """
+        if kind is not AnswerKind.MATCHING:
+            return False
+        expected_s = self._queue.service_times.expected_s(route)
+        return answer.status < 500 or elapsed_s > expected_s
+
+    def _run_counted(self, call, fingerprint: bytes, deadline: float, started_at):
+        """Run a call, and count it for a release unless the upstream refused it."""
+        try:
+            kind, answer = self._run(call, fingerprint, deadline)
+        except CallNotRunError:
+            raise
+        except CallError:
+            self._count_for_release(call, started_at, is_failure=True)
+            raise
+        if kind is AnswerKind.MATCHING:
+            is_failure = answer.status >= 500
+            self._count_for_release(call, started_at, is_failure=is_failure)
+        return kind, answer
+
+    def _count_for_release(self, call, started_at: float, *, is_failure: bool) -> None:
+        seconds = self._clock.now() - started_at
+        self._tally.add(call.route, seconds, is_failure=is_failure)
+
     def _check_accepts(
         self, call: ForwardedCall, fingerprint: bytes, deadline: float, now: float
     ) -> None:
@@ -403,6 +508,12 @@
                 step="gateway",
                 peer=self._node_id,
             )
+        if self._shares.is_retired(upstream.service, upstream.version, now):
+            raise DrainingError(
+                f"version {upstream.version} gets no further calls",
+                step="gateway",
+                peer=self._node_id,
+            )
         if call.service != upstream.service:
             raise WrongServiceError(
                 f"this gateway serves {upstream.service}",
@@ -481,6 +592,25 @@
                 )
             )
 
+    def _report_concurrency_limit(self) -> None:
+        queue = self._queue
+        limit = queue.limit.learned
+        self._metrics.gauge(CONCURRENCY_LIMIT, limit)
+        self._metrics.gauge(SERVICE_TIME, queue.service_times.mean_s())
+        earlier = self._reported_limit
+        is_notable = abs(limit - earlier) >= NOTABLE_LIMIT_CHANGE * queue.slots
+        if is_notable or (limit == queue.slots and limit != earlier):
+            self._reported_limit = limit
+            emit(
+                ConcurrencyLimitChanged(
+                    self._upstream.upstream_id,
+                    earlier,
+                    limit,
+                    queue.slots,
+                    round(queue.service_times.mean_s(), 4),
+                )
+            )
+
     def _run(self, call: ForwardedCall, fingerprint: bytes, deadline: float):
         upstream_id = self._upstream.upstream_id
         ends_by = min(deadline, self._stop_at)
@@ -532,6 +662,8 @@
         if self._protocol.is_leaving(answer):
             self._upstream.on_leaving(self._upstream.upstream_id)
         self._set_limit(self._protocol.rate_limit_of(answer), self._clock.now())
+        if not self._queue.learns_limit:
+            self._queue.learns_limit = self._protocol.load_of(answer) is not None
         self._grant_free_slots()
 
     def _report_crash(self) -> None:
@@ -570,6 +702,8 @@
                 GatewayRefused(
                     call.request_id,
                     call.route,
+                    call.workspace,
+                    call.priority,
                     error.code,
                     self._upstream.upstream_id,
                     self._upstream.state,
--- a/src/verbenawick/mesh/_messages.py
+++ b/src/verbenawick/mesh/_messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from verbenawick.links._call_messages import check_answer_status
 from verbenawick.links._messages import Message, register_message
 from verbenawick.mesh._model import CallOutcome, Headers, UpstreamState
 
@@ -61,6 +62,10 @@
     service_s: float
     failure_rate: float
 
+    def __post_init__(self):
+        is_complete = self.outcome is CallOutcome.COMPLETE
+        check_answer_status(self.status, is_complete=is_complete)
+
 
 @register_message(92)
 @dataclass(frozen=True, slots=True)
@@ -75,6 +80,8 @@
         Whether the upstream itself announced that it drains or leaves.
     born_ms : int
         Start time of the upstream's process as in `StatusReport`, 0 if unknown.
+    version : str
+        Version of the upstream's software as in `UpstreamRecord`.
     """
 
     service: str
@@ -83,6 +90,7 @@
     slots: int
     is_leaving: bool
     born_ms: int
+    version: str = ""
 
 
 @register_message(102)
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -6,10 +6,12 @@
 
 import eventlet
 
+from verbenawick.allowances._allowances import Allowances
 from verbenawick.calls._entry_server import EntryServer
 from verbenawick.links._call_links import CallLinks, PeerSilence
 from verbenawick.links._component import NodeIdentity
 from verbenawick.links._links import CALL_CHANNEL, Link, LinkServer
+from verbenawick.links._members import Member
 from verbenawick.mesh._address_owners import AddressOwners
 from verbenawick.mesh._beacons import Beacons
 from verbenawick.mesh._configuration_relay import RelayState
@@ -51,6 +53,7 @@
 from verbenawick.mesh._publisher import RecordPublisher
 from verbenawick.mesh._record_follower import RecordFollower
 from verbenawick.mesh._record_remover import RecordRemover
+from verbenawick.mesh._release_task import ReleaseTask
 from verbenawick.mesh._retry_budget import RetryBudget
 from verbenawick.mesh._settings import MeshSettings
 from verbenawick.mesh._standing_links import StandingLinks
@@ -58,6 +61,8 @@
 from verbenawick.mesh._state_store import RecordChange, StateStore
 from verbenawick.mesh._upstream_channels import UpstreamChannels
 from verbenawick.mesh._upstream_prober import UpstreamProber
+from verbenawick.releases._shares import VersionShares
+from verbenawick.releases._tally import ReleaseTally
 from verbenawick.runtime._clock import BootClock
 from verbenawick.runtime._events import emit
 from verbenawick.runtime._metrics import MetricSet
@@ -160,6 +165,7 @@
             service=settings.upstream.service,
             on_change=self._on_upstream_change,
             awaits_record=True,
+            keeps_version=settings.releases is not None,
         )
         self.links = CallLinks(
             self.identity,
@@ -181,6 +187,8 @@
             clock=self.clock,
             metrics=self.metrics,
         )
+        shares = VersionShares()
+        tally = ReleaseTally()
         self.gateway = MeshGateway(
             node_id=settings.node_id,
             upstream=self.upstream,
@@ -191,11 +199,23 @@
             metrics=self.metrics,
             on_crash=self._on_crash,
             observe=self.metrics_page.observe_upstream,
+            shares=shares,
+            tally=tally,
         )
         self._connectors = PeerConnectors(self.links, random=self.random)
         self.standing_links = StandingLinks(
             self._connectors, node_id=settings.node_id, endpoints=self.endpoints
         )
+        self.allowances = Allowances(
+            node_id=settings.node_id,
+            epoch=self.identity.incarnation,
+            links=self.links,
+            clock=self.clock,
+            metrics=self.metrics,
+            node_ids=lambda: frozenset(e.node_id for e in self.endpoints.all()),
+            is_reachable=self._is_reachable,
+            connect=self._connect,
+        )
         self.entry = MeshEntry(
             node_id=settings.node_id,
             endpoints=self.endpoints,
@@ -209,9 +229,11 @@
                 node_count=lambda: len(self.endpoints),
             ),
             guard=guard,
+            allowances=self.allowances,
             clock=self.clock,
             random=self.random,
             metrics=self.metrics,
+            shares=shares,
         )
         self.links.register_handler(
             ForwardedCall,
@@ -293,6 +315,25 @@
             clock=self.clock,
             configuration=lambda: self.entry.configuration,
         )
+        self._release_task = None
+        if settings.releases is not None:
+            self._release_task = ReleaseTask(
+                open_store=open_store,
+                max_exposure=settings.releases.max_exposure,
+                node_id=settings.node_id,
+                region=settings.region,
+                shares=shares,
+                tally=tally,
+                upstream=self.upstream,
+                in_progress=lambda: self.gateway.in_flight,
+                links=self.links,
+                endpoints=self.endpoints,
+                beacons=self._beacons,
+                relay=relay,
+                clock=self.clock,
+                random=self.random,
+                metrics=self.metrics,
+            )
         self._tasks = []
         self._put_own_endpoint()
 
@@ -321,6 +362,7 @@
                 self._beacons.run,
                 self._record_remover.run,
                 self.standing_links.run,
+                *self._release_tasks(),
             )
         ]
         settings = self.settings
@@ -334,6 +376,10 @@
             )
         )
 
+    def _release_tasks(self) -> tuple[Callable[[], None], ...]:
+        task = self._release_task
+        return (task.watch_orders, task.conduct, task.report) if task else ()
+
     def stop(
         self,
         entry_server: EntryServer,
@@ -364,6 +410,7 @@
         answer_by = deadline - LAST_ANSWER_MARGIN_S
         self.entry.stop_by(answer_by, last_call_at=now + LAST_CALL_S)
         self.gateway.stop_by(answer_by)
+        self.allowances.release()
         eventlet.spawn_after(
             max(shutdown_delay_s - DRAIN_NOTICE_S, 0.0), self._drain_gateway
         )
@@ -404,6 +451,7 @@
         for task in self._tasks:
             task.kill()
         self._prober.close()
+        self.allowances.close()
         self._connectors.close()
         self.links.close()
 
@@ -454,6 +502,7 @@
                 len(configuration.routes),
             )
         )
+        self.allowances.put_in_force(configuration.workspaces)
         self._beacons.send_if_relay(with_document=True)
         service = configuration.services_by_name.get(self.upstream.service)
         if service is not None:
@@ -525,6 +574,24 @@
             cpu_s = process_time() - cpu_before_s
             emit(ProcessStalled(round(stalled_s, 3), round(cpu_s, 3)))
 
+    def _is_reachable(self, node_id: str) -> bool:
+        """Return whether a link to another node is open or may be opened."""
+        endpoint = self.endpoints.get(node_id)
+        if endpoint is None:
+            return False
+        if self.links.is_connected(endpoint.member):
+            return not self.links.is_silent(endpoint.peer_address)
+        return self.standing_links.may_open(endpoint)
+
+    def _connect(self, node_id: str) -> Member | None:
+        """Return another node after opening a link to it, None if that fails."""
+        endpoint = self.endpoints.get(node_id)
+        if endpoint is None:
+            return None
+        if not self.links.is_connected(endpoint.member):
+            self.standing_links.open(endpoint)
+        return endpoint.member if self.links.is_connected(endpoint.member) else None
+
     def _on_link_open(self, link: Link) -> None:
         self.gateway.on_link_open(link)
         leave = self._leaves.of(link.peer.node_id)
@@ -546,6 +613,7 @@
             service=notice.service,
             upstream_id=notice.upstream_id,
             state=notice.state,
+            version=notice.version,
         )
 
     def _on_crash_notice(self, peer: NodeIdentity, notice: CrashNotice) -> None:
@@ -598,6 +666,7 @@
             self.upstream.slots,
             self.upstream.is_leaving,
             self.upstream.born_ms,
+            self.upstream.version,
         )
 
     def _put_own_endpoint(self) -> None:
@@ -633,6 +702,7 @@
             state,
             upstream.slots,
             upstream.born_ms,
+            version=upstream.version,
         )
 
 
