Delegate nothing to an owner that does not answer

Cause: each try of the lost owner delegated the shares to it again, so they moved to the next one only at 4 s instead of at most 1.5 s after the last answer.

Change: an owner that did not answer is neither asked for calls nor delegated to until it answers a probe. test_lost_owner_keeps_a_share_only_until_the_delegation_ends failed before: the share was still with the lost owner.

--- a/src/verbenawick/allowances/_allowances.py
+++ b/src/verbenawick/allowances/_allowances.py
@@ -203,6 +203,10 @@
                     self._asking_groups.add(group)
                     self._metrics.count(RENEWALS)
                     eventlet.spawn(self._ask_for_waiters, group)
+            for owner_id in self._delegations.owners_to_probe(now):
+                eventlet.spawn(
+                    self._exchange, owner_id, AllowanceAsk(next_call_id(), 0)
+                )
             self._report(now)
             eventlet.sleep(RENEWAL_CHECK_S)
 
--- a/src/verbenawick/allowances/_delegations.py
+++ b/src/verbenawick/allowances/_delegations.py
@@ -14,8 +14,8 @@
 
 # A delegation without messages in between is renewed after this time, seconds.
 RENEWAL_S = 0.7
-# An owner that did not answer is not asked for this long, seconds; twice as long each
-# further time, up to the maximum, since calls wait while it is tried again.
+# An owner that did not answer is probed after this time, seconds, and then after twice
+# the time before, up to the maximum. It is not asked for calls until it answers.
 AVOIDANCE_S = 1.0
 MAX_AVOIDANCE_S = 8.0
 # A stopping owner is not asked for this long, seconds: about the time of a restart.
@@ -97,8 +97,8 @@
         self._held_by_group: dict[int, _Held] = {}
         self._clocks_by_owner_id: dict[str, _OwnerClock] = {}
         self._avoided_until_by_owner_id: dict[str, float] = {}
-        # How long an owner was avoided last, until it answers again.
-        self._avoidance_s_by_owner_id: dict[str, float] = {}
+        # Time between the probes of the owners that did not answer.
+        self._probe_interval_s_by_owner_id: dict[str, float] = {}
 
     def put_nodes(self, node_ids: frozenset[str], now: float) -> None:
         """Set the known nodes, this one included."""
@@ -117,7 +117,7 @@
         for by_owner_id in (
             self._clocks_by_owner_id,
             self._avoided_until_by_owner_id,
-            self._avoidance_s_by_owner_id,
+            self._probe_interval_s_by_owner_id,
         ):
             for node_id in set(by_owner_id) - self._node_ids:
                 del by_owner_id[node_id]
@@ -141,7 +141,11 @@
         self, node_id: str, now: float, is_reachable: Callable[[str], bool]
     ) -> bool:
         avoided_until = self._avoided_until_by_owner_id.get(node_id, now)
-        return avoided_until <= now and is_reachable(node_id)
+        return (
+            avoided_until <= now
+            and node_id not in self._probe_interval_s_by_owner_id
+            and is_reachable(node_id)
+        )
 
     def _first(
         self, group: int, now: float, is_reachable: Callable[[str], bool]
@@ -196,7 +200,7 @@
         if not epoch:
             self._avoided_until_by_owner_id[owner_id] = now + RELEASED_AVOIDANCE_S
             return
-        self._avoidance_s_by_owner_id.pop(owner_id, None)
+        self._probe_interval_s_by_owner_id.pop(owner_id, None)
         known = self._clocks_by_owner_id.get(owner_id)
         learned_at = now
         if known is not None:
@@ -210,11 +214,23 @@
         self._clocks_by_owner_id[owner_id] = _OwnerClock(epoch, learned_at, clock, now)
 
     def on_failure(self, owner_id: str, now: float) -> None:
-        """Avoid an owner that did not answer."""
-        earlier_s = self._avoidance_s_by_owner_id.get(owner_id, AVOIDANCE_S / 2)
-        avoidance_s = min(2 * earlier_s, MAX_AVOIDANCE_S)
-        self._avoidance_s_by_owner_id[owner_id] = avoidance_s
-        self._avoided_until_by_owner_id[owner_id] = now + avoidance_s
+        """Avoid an owner that did not answer until it answers a probe."""
+        earlier_s = self._probe_interval_s_by_owner_id.get(owner_id, AVOIDANCE_S / 2)
+        interval_s = min(2 * earlier_s, MAX_AVOIDANCE_S)
+        self._probe_interval_s_by_owner_id[owner_id] = interval_s
+        self._avoided_until_by_owner_id[owner_id] = now + interval_s
+
+    def owners_to_probe(self, now: float) -> list[str]:
+        """Return the owners to probe now; each is returned once an interval."""
+        due_ids = [
+            owner_id
+            for owner_id in self._probe_interval_s_by_owner_id
+            if self._avoided_until_by_owner_id[owner_id] <= now
+        ]
+        for owner_id in due_ids:
+            interval_s = self._probe_interval_s_by_owner_id[owner_id]
+            self._avoided_until_by_owner_id[owner_id] = now + interval_s
+        return due_ids
 
     def on_release(self, owner_id: str, epoch: int, now: float) -> None:
         """End the delegations to a process that grants nothing more."""
--- a/tests/test_allowances_bound.py
+++ b/tests/test_allowances_bound.py
@@ -173,6 +173,11 @@
     @rule(node_id=nodes, waiting=waiting_requests, is_admitting=st.booleans())
     def exchange(self, node_id, waiting, is_admitting):
         """Ask and get the answer at once; admit what was granted, or keep it."""
+        process, now = self.processes_by_id[node_id], self.at(node_id)
+        for owner_id in process.delegations.owners_to_probe(now):
+            if owner_id in NODE_IDS and not {node_id, owner_id} & self.cut_ids:
+                probe = Sent(process, owner_id, AllowanceAsk(1, GROUP), now)
+                self.receive(self.answered(probe))
         sent = self.ask(node_id, waiting)
         if sent is None:
             return
--- a/tests/test_allowances_owner.py
+++ b/tests/test_allowances_owner.py
@@ -139,13 +139,35 @@
 class DelegationsTest(TestCase):
     """Owners that are asked."""
 
-    def test_lost_owner_is_tried_less_and_less_often(self):
+    def setUp(self):
+        super().setUp()
+        self.delegations = Delegations(starts_at=0.0)
+        self.delegations.put_nodes(frozenset({"a", "b"}), 0.0)
+
+    def owners(self, now: float) -> list[str]:
+        """Return the owners that are asked for calls."""
+        return list(self.delegations.owners_to_ask(0, now, lambda node_id: True))
+
+    def test_lost_owner_is_probed_less_and_less_often(self):
         """Guards against calls that wait each second for an owner that is gone."""
-        delegations = Delegations(starts_at=0.0)
-        delegations.put_nodes(frozenset({"a"}), 0.0)
-        tried_at = []
+        first_id, next_id = self.owners(0.0)
+        self.delegations.on_failure(first_id, 0.0)
+        probed_at = []
         for now in range(30):
-            if any(delegations.owners_to_ask(0, now, lambda node_id: True)):
-                tried_at.append(now)
-                delegations.on_failure("a", now)
-        self.assertEqual([0, 1, 3, 7, 15, 15 + MAX_AVOIDANCE_S], tried_at)
+            self.assertEqual([next_id], self.owners(now))
+            if self.delegations.owners_to_probe(now):
+                probed_at.append(now)
+                self.delegations.on_failure(first_id, now)
+        self.assertEqual([1, 3, 7, 15, 15 + MAX_AVOIDANCE_S], probed_at)
+
+    def test_lost_owner_keeps_a_share_only_until_the_delegation_ends(self):
+        """Guards against each try of a lost owner renewing the delegation to it."""
+        first_id, next_id = self.owners(0.0)
+        for owner_id in (first_id, next_id):
+            self.delegations.on_answer(owner_id, 5, 0.0, sent_at=0.0, now=0.0)
+        self.delegations.delegate(0, first_id, 0.0, lambda node_id: True)
+        self.delegations.on_failure(first_id, 0.4)
+        for now in (1.4, 1.6):
+            self.delegations.delegate(0, first_id, now, lambda node_id: True)
+            self.delegations.delegate(0, next_id, now, lambda node_id: True)
+        self.assertEqual(next_id, self.delegations.holder(0, 1.7))
