Keep the usual use of the slots by data centre

What callers saw: in a wave of demand, calls refused while another region had room.

Cause: the use to which old reports tend was that of the whole service. An entry hears mostly of the near gateways, so in a wave it took the far ones to be as full as those, also the ones that it had never asked.

Fix: use by service and data centre, forgotten without answers, so that a data centre without any counts as unused.

--- a/src/verbenawick/capacity/_gateway_estimate.py
+++ b/src/verbenawick/capacity/_gateway_estimate.py
@@ -2,11 +2,11 @@
 
 Load: many entries share many gateways, so that one entry hears of a gateway only now
 and then, while queues build up and end within tenths of a second. What was reported
-loses weight with age: the load tends to the usual load of the service, and the time of
-a call to the usual time of its route. A gateway that was slow or full is therefore
-tried again, and entries that have all seen one idle gateway do not keep choosing it.
-A gateway without an answer so far counts as one in usual use, so that it gets its share
-at once and no more.
+loses weight with age: the load tends to the usual one of the service in the data
+centre, and the time of a call to the usual time of its route. A gateway that was slow or
+full is therefore tried again, and entries that have all seen one idle gateway do not
+keep choosing it. A gateway without an answer so far counts as one in usual use, so that
+it gets its share at once and no more.
 """
 
 import math
@@ -21,32 +21,65 @@
 SLOWNESS_HALF_LIFE_S = 2.0
 # Half-life of the usual speed of an upstream without answers, seconds.
 SPEED_HALF_LIFE_S = 10.0
+# Half-life of the usual use of gateways without answers, seconds.
+USE_HALF_LIFE_S = 3.0
 # Weights of a new answer in the moving averages: of the time of a route over all
-# gateways, of the use of a service's slots, and of the speed of an upstream.
+# gateways, of the use of the slots, and of the speed of an upstream.
 SERVICE_TIME_WEIGHT = 0.1
 USE_WEIGHT = 0.05
 SPEED_WEIGHT = 0.1
 
 
+@dataclass(slots=True)
+class _Use:
+    average: MovingAverage
+    added_at: float
+
+
 class UsualTimes:
-    """Usual time of the calls of each route and use of the slots of each service."""
+    """Usual time of the calls of each route and use of the slots of each group.
+
+    A group is the gateways of a service in a data centre, since demand may be high in
+    one data centre and low in another.
+    """
 
     def __init__(self):
         self._service_s_by_route = MovingAverages(SERVICE_TIME_WEIGHT)
-        self._use_by_service = MovingAverages(USE_WEIGHT)
+        self._use_by_group: dict[tuple[str, str], _Use] = {}
 
-    def add(self, service: str, route: str, *, service_s: float, use: float) -> None:
+    def add(
+        self,
+        group: tuple[str, str],
+        route: str,
+        *,
+        service_s: float,
+        use: float,
+        now: float,
+    ) -> None:
         """Add what the answer of a gateway reported."""
         self._service_s_by_route.add(route, service_s)
-        self._use_by_service.add(service, use)
+        known = self._use_by_group.get(group)
+        if known is None:
+            average = MovingAverage(USE_WEIGHT)
+            known = self._use_by_group[group] = _Use(average, now)
+        known.average.add(use)
+        known.added_at = now
 
     def service_s(self, route: str) -> float | None:
         """Return the usual time of a call of `route`, None if it is unknown."""
         return self._service_s_by_route.value(route)
 
-    def use(self, service: str) -> float:
-        """Return the calls of `service` at its gateways, per slot."""
-        return self._use_by_service.value(service) or 0.0
+    def use(self, group: tuple[str, str], now: float) -> float:
+        """Return the calls at the gateways of a group, per slot.
+
+        A group without answers for some time, or at all, counts as unused, so that one
+        that was full is tried again.
+        """
+        known = self._use_by_group.get(group)
+        if known is None:
+            return 0.0
+        age_s = max(now - known.added_at, 0.0)
+        return known.average.value * 0.5 ** (age_s / USE_HALF_LIFE_S)
 
 
 @dataclass(slots=True)
--- a/src/verbenawick/mesh/_endpoints.py
+++ b/src/verbenawick/mesh/_endpoints.py
@@ -78,13 +78,18 @@
         """Return the address at which the gateway accepts links."""
         return self.member.peer_address
 
+    @property
+    def group(self) -> tuple[str, str]:
+        """Return service and data centre, whose gateways usually have similar load."""
+        return self.service, self.member.data_centre
+
     def current_load(self, usual_use: float, now: float) -> float:
         """Return the calls expected at the gateway, with those sent since it answered.
 
         Parameters
         ----------
         usual_use : float
-            Calls at the gateways of the service, per slot.
+            Calls at the gateways of its group, per slot.
         """
         expected = self.estimate.expected_calls(usual_use, now)
         since = len(self.starts_by_call) - self.outstanding_at_load
@@ -210,7 +215,7 @@
         slots = endpoint.estimate.slots
         wait_s = 0.0
         if slots:
-            calls = endpoint.current_load(self._usual.use(endpoint.service), now)
+            calls = endpoint.current_load(self._usual.use(endpoint.group, now), now)
             wait_s = max(calls + 1 - slots, 0) * service_s / slots
         return Candidate(
             endpoint.node_id,
@@ -233,10 +238,11 @@
         is_route_known = self._usual.service_s(route) is not None
         if load.service_s:
             self._usual.add(
-                endpoint.service,
+                endpoint.group,
                 route,
                 service_s=load.service_s,
                 use=calls / load.slots,
+                now=now,
             )
         endpoint.estimate.record(
             calls=calls,
--- a/tests/test_capacity_gateway_estimate.py
+++ b/tests/test_capacity_gateway_estimate.py
@@ -50,11 +50,13 @@
         estimate.record(calls=2, slots=8, service_s=0.0, usual_service_s=None, now=0.0)
         self.assertAlmostEqual(3.0, estimate.expected_slowdown(0.0))
 
-    def test_usual_times_are_kept_by_route_and_use_by_service(self):
-        """Guards against short calls that are expected to take as long as long ones."""
+    def test_usual_times_are_kept_by_route_and_use_by_data_centre(self):
+        """Guards against calls refused in a wave while another region has room."""
         usual = UsualTimes()
-        usual.add("s", "short", service_s=0.01, use=0.5)
-        usual.add("t", "long", service_s=1.0, use=2.0)
+        usual.add(("s", "a"), "short", service_s=0.01, use=2.0, now=0.0)
+        usual.add(("s", "b"), "long", service_s=1.0, use=0.5, now=0.0)
         self.assertEqual(0.01, usual.service_s("short"))
         self.assertIsNone(usual.service_s("new"))
-        self.assertEqual((0.5, 2.0, 0.0), tuple(map(usual.use, ("s", "t", "u"))))
+        groups = (("s", "a"), ("s", "b"), ("s", "c"), ("t", "a"))
+        self.assertEqual([2.0, 0.5, 0.0, 0.0], [usual.use(g, 0.0) for g in groups])
+        self.assertLess(usual.use(("s", "a"), 10.0), 0.5)
