--- a/src/verbenawick/capacity/_gateway_estimate.py
+++ b/src/verbenawick/capacity/_gateway_estimate.py
@@ -3,8 +3,8 @@
 Load: many entries share many gateways, so that one entry hears of a gateway only now
 and then, while queues build up and end within tenths of a second. What was reported
 loses weight with age: the load tends to the usual one of the service in the data
-centre, and the time of a call to the usual time of its route. A gateway that was slow or
-full is therefore tried again, and entries that have all seen one idle gateway do not
+centre, and the time of a call to the usual time of its route. A gateway that was slow
+or full is therefore tried again, and entries that have all seen one idle gateway do not
 keep choosing it. A gateway without an answer so far counts as one in usual use, so that
 it gets its share at once and no more.
 """
