--- a/tests/test_mesh_gateway.py
+++ b/tests/test_mesh_gateway.py
@@ -1,5 +1,6 @@
 """Tests of the calls a gateway sends to its upstream and the results it returns."""
 
+from loguru import logger
 from testtools import TestCase
 
 from verbenawick.errors import (
@@ -81,6 +82,16 @@
         return True
 
 
+class FixedLimit:
+    """Test double for `ConcurrencyLimit` that has learned a given limit."""
+
+    def __init__(self, limit):
+        self.learned = self.value = limit
+
+    def add(self, *sample, is_busy):
+        """Learn nothing from a completed call."""
+
+
 class MeshGatewayTest(TestCase):
     """A gateway whose upstream is ready and has two slots."""
 
@@ -145,6 +156,18 @@
         self.handle()
         self.assertEqual({"mesh.upstream_concurrency_limit": 2}, self.limit_gauges())
 
+    def test_operators_see_a_limit_that_changes_notably(self):
+        """Guards against calls that wait beside free slots for no visible reason."""
+        numbers = []
+        handler = logger.add(lambda line: numbers.append(line.record["extra"]["event"]))
+        self.addCleanup(logger.remove, handler)
+        self.channels.headers = (("Server-Load", "1,0,2,100"),)
+        for limit, expected in ((2, 0), (1, 1), (1, 1), (2, 2)):
+            self.gateway._queue.limit = FixedLimit(limit)
+            self.handle()
+            self.assertEqual(limit, self.limit_gauges().popitem()[1])
+            self.assertEqual(expected, numbers.count(727), limit)
+
     def limit_gauges(self):
         return {
             name: value
