Share slots between workspaces and serve steps of running calls first

- Where the configuration has workspaces, calls without a key count as steps, at most as many at a time as the own upstream is running calls.
They go first and get further offers up to a higher cost.
- Workspaces of one priority share the slots in proportion to their allowances; calls of one that is above its share go after the others.
- A route or priority that is served less than 0.3 as often as all goes first for up to a quarter of the slots.
- The wait of a queued call was estimated from the mean time of all calls and the ages of the running ones, so long calls of another route got short calls refused.
- A full queue refused the newest call instead of the last in its order.

--- a/src/verbenawick/mesh/_endpoints.py
+++ b/src/verbenawick/mesh/_endpoints.py
@@ -192,9 +192,21 @@
             endpoint.avoided_until = now + AVOIDANCE_S
 
     def candidate(
-        self, endpoint: Endpoint, route: str, now: float, *, is_linked: bool = True
+        self,
+        endpoint: Endpoint,
+        route: str,
+        now: float,
+        *,
+        is_linked: bool = True,
+        goes_first: bool = False,
     ) -> Candidate:
-        """Return the time and failure rate expected at a gateway for `route`."""
+        """Return the time and failure rate expected at a gateway for `route`.
+
+        Parameters
+        ----------
+        goes_first : bool
+            Whether the gateway grants the call its next free slot.
+        """
         service_s = self._expected_service_s(endpoint, route)
         if endpoint.starts_by_call:
             oldest = next(iter(endpoint.starts_by_call.values()))
@@ -206,6 +218,8 @@
                 service_s = max(service_s, slowed_s)
         slots = endpoint.load.slots or 1
         excess = endpoint.current_load() + 1 - slots
+        if goes_first:
+            excess = min(excess, 1)
         wait_s = max(excess, 0) * service_s / slots if endpoint.load.slots else 0.0
         return Candidate(
             endpoint.node_id,
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -66,12 +66,17 @@
 from verbenawick.runtime._events import Event as LogEvent
 from verbenawick.runtime._events import emit, register_event
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
+from verbenawick.sharing._steps import STEP_PRIORITY, StepRecognition
 from verbenawick.workspaces._authentication import find_workspace
 from verbenawick.workspaces._model import Workspace
 
 # Maximum number of gateways to which one call is offered. A refusal by a gateway is
 # cheap, since the upstream does no work for it.
 MAX_OFFERS = 4
+# Maximum expected cost of a further offer of a step, as for `MAX_FURTHER_OFFER_COST`. A
+# refused step also loses the call that waits for it, so only an offer that is expected
+# to miss the deadline is not worth it.
+MAX_FURTHER_STEP_COST = 1.4
 # Bounds of the retry-after time sent to a refused caller, seconds.
 MIN_RETRY_AFTER_S = 0.03
 MAX_RETRY_AFTER_S = 1.0
@@ -108,6 +113,12 @@
 RETRIES = register_metric(
     "mesh.calls_repeated", MetricKind.COUNTER, "calls", "Further arrivals of calls"
 )
+STEPS = register_metric(
+    "mesh.step_calls",
+    MetricKind.COUNTER,
+    "calls",
+    "Calls of the own upstream that count as steps of calls that it is running",
+)
 KEY_REFUSALS = register_metric(
     "mesh.calls_without_key",
     MetricKind.COUNTER,
@@ -238,6 +249,7 @@
         self._random = random
         self._metrics = metrics
         self._rotation = TargetRotation()
+        self._steps = StepRecognition()
         self._configuration: MeshConfiguration | None = None
         self._index: RouteIndex | None = None
         self._stop_at = math.inf
@@ -264,6 +276,8 @@
         self._index = RouteIndex(configuration)
         self._rotation.retain({route.name for route in configuration.routes})
         self._configuration = configuration
+        if configuration.workspaces is not None:
+            self._gateway.put_workspaces(configuration.workspaces)
         return True
 
     def stop_by(self, deadline: float, *, last_call_at: float) -> None:
@@ -295,12 +309,28 @@
         route = self._index.match(call.host, call.path)
         if route is None:
             return CallResult(CallOutcome.NOT_RUN, NoRouteError.code)
-        workspace = None
-        if self._configuration.workspaces is not None:
-            try:
-                workspace = self._find_workspace(route, call.key_digest)
-            except UnknownKeyError as error:
-                return self._refuse_key(call.call_id, route, error)
+        if self._configuration.workspaces is None:
+            return self._serve(call, route, None, route.priority)
+        try:
+            workspace = self._find_workspace(route, call.key_digest)
+        except UnknownKeyError as error:
+            return self._refuse_key(call.call_id, route, error)
+        if workspace is not None:
+            return self._serve(call, route, workspace, _priority_of(route, workspace))
+        running_calls = self._gateway.running_count
+        with self._steps.handle(running_calls=running_calls) as is_step:
+            if is_step:
+                self._metrics.count(STEPS)
+            priority = STEP_PRIORITY if is_step else route.priority
+            return self._serve(call, route, None, priority)
+
+    def _serve(
+        self,
+        call: IncomingCall,
+        route: MeshRoute,
+        workspace: Workspace | None,
+        priority: int,
+    ) -> CallResult:
         service = self._rotation.choose(route)
         left_s = route.timeout_s
         if call.caller_timeout_s is not None:
@@ -319,7 +349,7 @@
             call.headers,
             call.body,
             route.is_idempotent,
-            _priority_of(route, workspace),
+            priority,
             call.arrived_at,
             call.arrived_at + left_s,
             call.arrived_at + min(route.objective_s, left_s),
@@ -440,7 +470,7 @@
         endpoint = self._choose(
             forwarded,
             progress.tried,
-            max_cost=MAX_FURTHER_OFFER_COST if is_refused else math.inf,
+            max_cost=_max_offer_cost(forwarded, is_refused=is_refused),
         )
         if endpoint is not None:
             self._charge_retry(forwarded, progress)
@@ -530,6 +560,7 @@
                 forwarded.route,
                 now,
                 is_linked=self._is_linked(endpoint),
+                goes_first=forwarded.priority == STEP_PRIORITY,
             )
             for endpoint in usable
         ]
@@ -727,7 +758,13 @@
     )
 
 
-def _priority_of(route: MeshRoute, workspace: Workspace | None) -> int:
-    if workspace is None or workspace.priority is None:
-        return route.priority
-    return workspace.priority
+def _max_offer_cost(forwarded: ForwardedCall, *, is_refused: bool) -> float:
+    if not is_refused:
+        return math.inf
+    if forwarded.priority == STEP_PRIORITY:
+        return MAX_FURTHER_STEP_COST
+    return MAX_FURTHER_OFFER_COST
+
+
+def _priority_of(route: MeshRoute, workspace: Workspace) -> int:
+    return route.priority if workspace.priority is None else workspace.priority
--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -40,6 +40,8 @@
 from verbenawick.runtime._events import Event as LogEvent
 from verbenawick.runtime._events import emit, register_event
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
+from verbenawick.sharing._fair_shares import weights_by_workspace
+from verbenawick.workspaces._model import Workspaces
 
 # Weight of a new outcome in the moving average of the upstream's failure rate.
 FAILURE_WEIGHT = 0.1
@@ -75,10 +77,15 @@
 @register_event(720, level="WARNING")
 @dataclass(frozen=True, slots=True)
 class GatewayRefused(LogEvent):
-    """The gateway refused a call without sending it to the upstream."""
+    """The gateway refused a call without sending it to the upstream.
+
+    `priority` and `workspace` are what the call competed for a slot with.
+    """
 
     request: str
     route: str
+    workspace: str
+    priority: int
     code: str
     upstream: str
     state: str
@@ -239,6 +246,15 @@
         self._limited_upstream_id = upstream.upstream_id
         self._is_grant_scheduled = False
 
+    def put_workspaces(self, workspaces: Workspaces) -> None:
+        """Share the slots between `workspaces`, in proportion to their allowances."""
+        self._queue.fair_shares.weight_by_workspace = weights_by_workspace(workspaces)
+
+    @property
+    def running_count(self) -> int:
+        """Return the number of calls that the own upstream is running."""
+        return self._queue.running_count
+
     @property
     def in_flight(self) -> int:
         """Return the number of calls that the gateway is handling."""
@@ -359,7 +375,12 @@
         self._check_accepts(call, fingerprint, deadline, now)
         ends_by = min(deadline, self._stop_at)
         request = SlotRequest(
-            call.route, call.priority, objective_at, ends_by, lambda *verdict: None
+            call.route,
+            call.priority,
+            objective_at,
+            ends_by,
+            lambda *verdict: None,
+            call.workspace,
         )
         self._wait_for_slot(request, now)
         started_at = self._clock.now()
@@ -570,6 +591,8 @@
                 GatewayRefused(
                     call.request_id,
                     call.route,
+                    call.workspace,
+                    call.priority,
                     error.code,
                     self._upstream.upstream_id,
                     self._upstream.state,
--- a/src/verbenawick/mesh/_slot_queue.py
+++ b/src/verbenawick/mesh/_slot_queue.py
@@ -1,10 +1,10 @@
 """Priority queue for the slots of the local upstream, with admission control.
 
-Handles temporary overload, when a service has more requests than slots. Calls that can
-still meet their objective are served first, ordered by priority. A call that cannot
-complete before its deadline is refused on arrival instead of timing out in the queue.
-The same holds while the upstream takes fewer requests a second than its slots could
-serve.
+Handles temporary overload, when a service has more requests than slots. Steps of
+running calls are served first, then calls that can still meet their objective, by
+priority and by the fair shares of their workspaces. A call that cannot complete before
+its deadline is refused on arrival instead of timing out in the queue. The same holds
+while the upstream takes fewer requests a second than its slots could serve.
 """
 
 from collections.abc import Callable
@@ -14,6 +14,10 @@
 
 from verbenawick.mesh._moving_average import MovingAverage, MovingAverages
 from verbenawick.mesh._request_rate import RequestRate
+from verbenawick.sharing._fair_shares import FairShares
+from verbenawick.sharing._served_shares import Group, ServedShares
+from verbenawick.sharing._slot_forecast import SlotForecast
+from verbenawick.sharing._steps import STEP_PRIORITY
 
 # Weight of a new sample in the moving averages of the service time, which thus cover
 # about the last 10 calls.
@@ -61,9 +65,20 @@
     objective_at: float
     deadline: float
     on_verdict: Callable[[Verdict, float], None]
+    workspace: str = ""
     arrival_order: int = 0
     started_at: float = 0.0
 
+    @property
+    def is_step(self) -> bool:
+        """Return whether a running call waits for this one."""
+        return self.priority == STEP_PRIORITY
+
+    @property
+    def groups(self) -> tuple[Group, ...]:
+        """Return the groups whose served share counts for this call."""
+        return self.route, self.priority
+
 
 @dataclass(slots=True)
 class ServiceTimes:
@@ -102,6 +117,8 @@
         self._running: set[SlotRequest] = set()
         self._waiting: list[SlotRequest] = []
         self._next_arrival_order = count().__next__
+        self.fair_shares = FairShares()
+        self._served_shares = ServedShares()
 
     @property
     def running_count(self) -> int:
@@ -119,9 +136,6 @@
         if not self._waiting and self._can_grant(now):
             self._grant(request, now)
             return
-        if len(self._waiting) >= MAX_WAITING_PER_SLOT * self.slots:
-            self._refuse(request, now)
-            return
         self._waiting.append(request)
         self._refuse_deadline_misses(now)
 
@@ -146,11 +160,12 @@
     def grant_free_slots(self, now: float) -> None:
         """Grant free slots to queued calls."""
         while self._waiting and self._can_grant(now):
-            request = min(self._waiting, key=lambda r: self._rank(r, now))
+            request = self._ranked(now)[0]
             self._waiting.remove(request)
             if now > self.wait_until(request):
                 self._refuse(request, now)
                 continue
+            self._served_shares.add(request.groups, is_served=True, now=now)
             self._grant(request, now)
 
     def wait_until(self, request: SlotRequest) -> float:
@@ -193,41 +208,103 @@
         age_s = sum(now - request.started_at for request in self._running)
         return max(mean_s, age_s / len(self._running))
 
-    def _rank(self, request: SlotRequest, now: float) -> tuple[bool, int, float, int]:
+    def _slowdown_of_running(self, now: float) -> float:
+        """Return how much longer than usual the running calls take, at least 1.
+
+        Their ages are compared with the times of their own routes, since long calls do
+        not show that the upstream is slow.
+        """
+        if not self._running:
+            return 1.0
+        age_s = sum(now - request.started_at for request in self._running)
+        usual_s = self._running_service_s() * len(self._running)
+        return max(age_s / max(usual_s, 1e-6), 1.0)
+
+    def _running_service_s(self) -> float:
+        """Return the mean expected service time of the running calls."""
+        if not self._running:
+            return self.service_times.mean_s()
+        total_s = sum(self.service_times.expected_s(r.route) for r in self._running)
+        return total_s / len(self._running)
+
+    def _ranked(self, now: float) -> list[SlotRequest]:
+        """Return the queued calls in the order in which they are served."""
+        ranked = sorted(self._waiting, key=lambda request: self._rank(request, now))
+        self._advance_short_group(ranked)
+        return ranked
+
+    def _advance_short_group(self, ranked: list[SlotRequest]) -> None:
+        """Move the first call of a group that is served too rarely behind the steps.
+
+        Only one call moves, so that the others do not lengthen the expected wait of
+        more urgent calls.
+        """
+        is_short_by_groups: dict[tuple[Group, ...], bool] = {}
+        step_count = sum(request.is_step for request in ranked)
+        for index in range(step_count, len(ranked)):
+            groups = ranked[index].groups
+            if groups not in is_short_by_groups:
+                is_short_by_groups[groups] = self._served_shares.is_short(groups)
+            if is_short_by_groups[groups]:
+                ranked.insert(step_count, ranked.pop(index))
+                return
+
+    def _rank(
+        self, request: SlotRequest, now: float
+    ) -> tuple[bool, bool, int, int, float, int]:
         is_late = (
             now + self.service_times.expected_s(request.route) > request.objective_at
         )
-        return (is_late, request.priority, request.objective_at, request.arrival_order)
+        return (
+            not request.is_step,
+            is_late,
+            request.priority,
+            self._excess(request, now),
+            request.objective_at,
+            request.arrival_order,
+        )
+
+    def _excess(self, request: SlotRequest, now: float) -> int:
+        if not request.workspace:
+            return 0
+        mean_s = self.service_times.mean_s()
+        return self.fair_shares.excess(request.workspace, mean_s, now)
 
     def _refuse_deadline_misses(self, now: float) -> None:
         """Refuse the queued calls that are expected to miss their deadline."""
-        ranked = sorted(self._waiting, key=lambda request: self._rank(request, now))
         # Computed once: the running calls do not change inside the loop.
-        current_service_s = self._current_service_s(now)
-        slowdown = self._slowdown(current_service_s)
+        slowdown = self._slowdown_of_running(now)
+        forecast = SlotForecast(
+            slots=self.slots,
+            running=len(self._running),
+            service_s=self._running_service_s() * slowdown,
+        )
         ahead = 0
-        for request in ranked:
-            excess = max(len(self._running) + ahead + 1 - self.slots, 0)
-            wait_s = max(
-                excess * current_service_s / max(self.slots, 1),
-                self.rate.delay_s(now, ahead + 1),
-            )
-            needed_s = wait_s + self.service_times.expected_s(request.route) * slowdown
-            is_late = now + needed_s > request.objective_at
+        for request in self._ranked(now):
+            wait_s = max(forecast.wait_s(), self.rate.delay_s(now, ahead + 1))
+            service_s = self.service_times.expected_s(request.route) * slowdown
+            needed_s = wait_s + service_s
+            is_late = now + needed_s > request.objective_at and not request.is_step
             share = ADMITTED_SHARE_LATE if is_late else ADMITTED_SHARE
-            if needed_s > share * (request.deadline - now):
+            is_full = ahead >= MAX_WAITING_PER_SLOT * self.slots
+            if is_full or needed_s > share * (request.deadline - now):
                 self._waiting.remove(request)
                 self._refuse(request, now)
             else:
+                forecast.add(service_s)
                 ahead += 1
 
     def _grant(self, request: SlotRequest, now: float) -> None:
         request.started_at = now
         self.rate.take(now)
+        if request.workspace:
+            service_s = self.service_times.expected_s(request.route)
+            self.fair_shares.charge(request.workspace, service_s, now)
         self._running.add(request)
         request.on_verdict(Verdict.GRANTED, 0.0)
 
     def _refuse(self, request: SlotRequest, now: float) -> None:
+        self._served_shares.add(request.groups, is_served=False, now=now)
         wait_s = max(
             len(self._waiting) * self.service_times.mean_s() / max(self.slots, 1),
             self.rate.delay_s(now, len(self._waiting) + 1),
--- a/tests/test_mesh_workspaces.py
+++ b/tests/test_mesh_workspaces.py
@@ -193,6 +193,31 @@
                 )
                 self.assertEqual(503, answer.status)
 
+    def test_step_of_a_running_call_goes_before_waiting_calls(self):
+        """The run of the call that waits for the step would be wasted."""
+        for node in (self.a, self.b):
+            node.upstream.service_time_s = 0.4
+        ended = []
+
+        def call(name: str, node, path: str, **headers) -> None:
+            self.assertEqual(200, self.cluster.call(node, path, **headers).status)
+            ended.append(name)
+
+        running = self.b.upstream.slots
+        calls = [
+            eventlet.spawn(call, "new", self.b, f"/booking/{index}", **bearer(KEY))
+            for index in range(2 * running)
+        ]
+        calls.append(eventlet.spawn(call, "run", self.a, "/archive/1", **bearer(KEY)))
+        wait_until(lambda: self.a.upstream.running == 1, 2)
+        wait_until(lambda: self.b.upstream.running == running, 2)
+        calls.append(eventlet.spawn(call, "step", self.a, "/open/1"))
+        for thread in calls:
+            thread.wait()
+        self.assertEqual("new", ended[-1])
+        page = self.cluster.get(self.a.server.settings.metrics_address, "/metrics")
+        self.assertIn("verbenawick_mesh_step_calls_total 1.0", page)
+
     def test_without_workspaces_calls_are_forwarded_as_before(self):
         """The header with a key then belongs to the upstream."""
         version = self.configure()
