--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -45,6 +45,8 @@
 PRICE_BY_DISTANCE = {Distance.REGION: 0.07, Distance.REMOTE: 0.2}
 # Size of an offer that is refused: only the request and a short response.
 OFFER_KILOBYTES = 0.6
+# Workspaces with equal allowances that share the service; "" stands for none.
+WORKSPACES = ("a", "b", "c", "d", "hot")
 # Lower bound of random service times, as a share of the mean.
 MIN_SERVICE_TIME_SHARE = 0.2
 
@@ -76,13 +78,16 @@
 class Scenario:
     """Offered load as a share of all slots, and the number of slow upstreams.
 
-    The upstreams are slow during the second third of the simulated time.
+    The upstreams are slow, and the hot workspace sends its multiple of the usual,
+    during the second third of the simulated time. Without a hot workspace, calls have
+    none at all.
     """
 
     name: str
     load: float
     slow_count: int = 0
     slow_factor: float = 5.0
+    hot_factor: float = 0.0
 
 
 SCENARIOS = (
@@ -90,6 +95,7 @@
     Scenario("busy", 0.9),
     Scenario("overload", 1.4),
     Scenario("slow upstreams", 0.6, slow_count=2),
+    Scenario("hot workspace", 0.7, hot_factor=6.0),
 )
 
 
@@ -100,6 +106,7 @@
     kind: CallKind
     data_centre: str
     created_at: float
+    workspace: str = ""
     arrived_at: float = 0.0
     offers: int = 0
     tried_ids: set[str] = field(default_factory=set)
@@ -156,8 +163,18 @@
     max_waiting = 0
 
 
+class UnsharedQueue(SlotQueue):
+    """Slot queue that does not know the workspaces of calls."""
+
+    def enter(self, request: SlotRequest, now: float) -> None:
+        """Grant a slot to a call, queue it, or refuse it."""
+        request.workspace = ""
+        super().enter(request, now)
+
+
 QUEUE_TYPES = {
     "slot queue": SlotQueue,
+    "without workspaces": UnsharedQueue,
     "first in first out": FifoQueue,
     "none": NoQueue,
 }
@@ -275,6 +292,8 @@
         self._entries = {d: Entry(d, Random(seed + 1)) for d in DATA_CENTRES}
         self._queues = {d: queue_type(slots=SLOTS) for d in DATA_CENTRES}
         self.counts: Counter[str] = Counter()
+        self._asked: Counter[str] = Counter()
+        self._served: Counter[str] = Counter()
         self.value_totals: dict[str, float] = defaultdict(float)
 
     def run(self) -> dict[str, float]:
@@ -285,9 +304,12 @@
         )
         rate = self._scenario.load * SLOTS * len(DATA_CENTRES) / mean_service_time_s
         at = 0.0
-        while (at := at + self._random.expovariate(rate)) < self._seconds:
+        while (at := at + self._random.expovariate(rate * self._hot_load(at))) < (
+            self._seconds
+        ):
             kind = self._random.choices(CALL_KINDS, [k.share for k in CALL_KINDS])[0]
-            call = Call(kind, self._random.choice(DATA_CENTRES), at)
+            workspace = self._choose_workspace(at)
+            call = Call(kind, self._random.choice(DATA_CENTRES), at, workspace)
             self._schedule(at, lambda call=call: self._arrive(call))
         while self._events:
             self._now, _, action = heappop(self._events)
@@ -298,15 +320,37 @@
             / total_value,
             "credit": self.value_totals["credit"] / total_value,
             "price": self.value_totals["price"] / total_value,
+            "worst workspace": min(
+                (self._served[w] / n for w, n in self._asked.items() if w != "hot"),
+                default=0.0,
+            ),
             **{name: n / self.counts["calls"] for name, n in self.counts.items()},
         }
 
+    def _is_second_third(self, at: float) -> bool:
+        return self._seconds / 3 <= at < 2 * self._seconds / 3
+
+    def _hot_load(self, at: float) -> float:
+        """Return the offered load at a time as a multiple of the usual."""
+        if not self._scenario.hot_factor or not self._is_second_third(at):
+            return 1.0
+        return (len(WORKSPACES) - 1 + self._scenario.hot_factor) / len(WORKSPACES)
+
+    def _choose_workspace(self, at: float) -> str:
+        if not self._scenario.hot_factor:
+            return ""
+        weights = [1.0] * len(WORKSPACES)
+        if self._is_second_third(at):
+            weights[-1] = self._scenario.hot_factor
+        return self._random.choices(WORKSPACES, weights)[0]
+
     def _schedule(self, when: float, action: Callable[[], None]) -> None:
         heappush(self._events, (when, next(self._event_numbers), action))
 
     def _arrive(self, call: Call) -> None:
         if not call.has_retried:
             self.counts["calls"] += 1
+            self._asked[call.workspace] += 1
             self.value_totals["owed"] += call.kind.value
         call.arrived_at = self._now
         self._offer(call)
@@ -355,6 +399,7 @@
             call.created_at + kind.objective_s,
             call.created_at + kind.deadline_s,
             decide,
+            call.workspace,
         )
         queue.enter(request, self._now)
 
@@ -382,13 +427,9 @@
         self._schedule(self._now + min(required_s, left_s), end)
 
     def _slowdown(self, node_id: str) -> float:
-        is_slow_period = self._seconds / 3 <= self._now < 2 * self._seconds / 3
         slow_ids = DATA_CENTRES[: self._scenario.slow_count]
-        return (
-            self._scenario.slow_factor
-            if is_slow_period and node_id in slow_ids
-            else 1.0
-        )
+        is_slow = self._is_second_third(self._now) and node_id in slow_ids
+        return self._scenario.slow_factor if is_slow else 1.0
 
     def _load(self, node_id: str, kind: CallKind) -> GatewayLoad:
         queue = self._queues[node_id]
@@ -433,9 +474,11 @@
         if not is_served or elapsed_s > kind.deadline_s:
             self.counts["failed"] += 1
         elif elapsed_s > kind.objective_s:
+            self._served[call.workspace] += 1
             self.counts["late"] += 1
             self.value_totals["credit"] += LATE_VALUE_SHARE * kind.value
         else:
+            self._served[call.workspace] += 1
             self.counts["in time"] += 1
             self.value_totals["credit"] += kind.value
 
@@ -481,6 +524,7 @@
 
 def _mean_results(simulation_results: list[dict[str, float]]) -> dict[str, float]:
     names = ("worth", "credit", "price", "in time", "late", "refused", "failed")
+    names += ("worst workspace",)
     return {
         n: sum(p.get(n, 0.0) for p in simulation_results) / len(simulation_results)
         for n in names
