--- a/src/verbenawick/allowances/_delegations.py
+++ b/src/verbenawick/allowances/_delegations.py
@@ -16,7 +16,7 @@
 RENEWAL_S = 0.7
 # An owner that did not answer is probed after this time, seconds, and then after twice
 # the time before, up to the maximum. It is not asked for calls until it answers.
-AVOIDANCE_S = 1.0
+AVOIDANCE_S = 0.25
 MAX_AVOIDANCE_S = 8.0
 # A stopping owner is not asked for this long, seconds: about the time of a restart.
 RELEASED_AVOIDANCE_S = 3.0
--- a/tests/test_allowances_owner.py
+++ b/tests/test_allowances_owner.py
@@ -153,12 +153,13 @@
         first_id, next_id = self.owners(0.0)
         self.delegations.on_failure(first_id, 0.0)
         probed_at = []
-        for now in range(30):
+        for now in (quarter / 4 for quarter in range(100)):
             self.assertEqual([next_id], self.owners(now))
             if self.delegations.owners_to_probe(now):
                 probed_at.append(now)
                 self.delegations.on_failure(first_id, now)
-        self.assertEqual([1, 3, 7, 15, 15 + MAX_AVOIDANCE_S], probed_at)
+        expected = [0.25, 0.75, 1.75, 3.75, 7.75, 15.75, 15.75 + MAX_AVOIDANCE_S]
+        self.assertEqual(expected, probed_at)
 
     def test_lost_owner_keeps_a_share_only_until_the_delegation_ends(self):
         """Guards against each try of a lost owner renewing the delegation to it."""
