--- a/tests/test_sharing_load.py
+++ b/tests/test_sharing_load.py
@@ -189,7 +189,7 @@
         for _ in range(SLOTS):
             queue.enter(SlotRequest("long", 2, 4.0, 6.0, lambda *verdict: None), 0.0)
         verdicts = []
-        for _ in range(4):
+        for _ in range(6):
             request = SlotRequest(
                 "step", STEP_PRIORITY, 0.8, 1.3, lambda *verdict: verdicts.append(1)
             )
