Keep a stored end of a release, and conduct releases while the store is away

A leader that had been suspended wrote `completed` over the `rolled_back` of its successor. One failed write stopped the judging and the beacons until the store answered, so that nothing was rolled back meanwhile. With the store away, several steps became one. The time left was stored with each step only, so that changes of the leader prolonged a release. A release without any report counted as idle. In the last step, all calls were refused when the upstreams of the version were lost. Old ends were announced by each new relay. A version that turned bad late was judged by the sum of its calls.

A stored end is final now, unless the store came back from an older copy. Steps are decided once the one before is stored, by a task that does not wait for the store. Reports tell whether a gateway knew that it accepts no further calls, and the recent calls are judged besides all. A step waits for upstreams. A node that was restarted keeps the version of its upstream from its record.

Also from the review: a call whose caller leaves before its first offer gives its request back to the allowance of its workspace. A node counts the wait before it delegates shares from the begin of its process, which is after the end of the earlier one, instead of from the end of its imports.

--- a/src/verbenawick/allowances/_allowances.py
+++ b/src/verbenawick/allowances/_allowances.py
@@ -93,6 +93,9 @@
     connect : callable
         Returns the member of another node after opening a link if there is none; None
         if there is still none.
+    process_began_at : float or None
+        When this process began, which is after the end of the node's earlier one; now
+        if None.
     """
 
     def __init__(
@@ -106,6 +109,7 @@
         node_ids: Callable[[], frozenset[str]],
         is_reachable: Callable[[str], bool],
         connect: Callable[[str], Member | None],
+        process_began_at: float | None = None,
     ):
         self._node_id = node_id
         self._epoch = epoch
@@ -116,7 +120,8 @@
         self._is_other_reachable = is_reachable
         self._connect = connect
         self._owner = AllowanceOwner(epoch=epoch)
-        self._delegations = Delegations(starts_at=clock.now() + DELEGATION_S)
+        began_at = clock.now() if process_began_at is None else process_began_at
+        self._delegations = Delegations(starts_at=began_at + DELEGATION_S)
         self._pool = GrantPool()
         self._groups: frozenset[int] = frozenset()
         self._waiters_by_group: dict[int, list[_Waiter]] = {}
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -376,11 +376,17 @@
         if self._guard.is_refused(fingerprint, self._clock.now()):
             self._allowances.give_back(admission)
             return self._refusal(call, route, service, QuarantinedError.code, [])
-        result = self._dispatch(call, route, forwarded)
+        progress = _Progress()
+        outcome = CallOutcome.UNKNOWN
+        try:
+            result = self._dispatch(call, route, forwarded, progress)
+            outcome = result.outcome
+        finally:
+            # Also when the caller leaves before the first offer.
+            if outcome is CallOutcome.NOT_RUN or not progress.tried:
+                self._allowances.give_back(admission)
         if result.outcome is CallOutcome.COMPLETE:
             self._guard.record_completion(fingerprint)
-        elif result.outcome is CallOutcome.NOT_RUN:
-            self._allowances.give_back(admission)
         return result
 
     def refuse_unread(
@@ -421,10 +427,13 @@
         return CallResult(CallOutcome.NOT_RUN, error.code)
 
     def _dispatch(
-        self, call: IncomingCall, route: MeshRoute, forwarded: ForwardedCall
+        self,
+        call: IncomingCall,
+        route: MeshRoute,
+        forwarded: ForwardedCall,
+        progress: _Progress,
     ) -> CallResult:
         race = OfferRace()
-        progress = _Progress()
         thread = eventlet.getcurrent()
         self._deadlines_by_thread[thread] = forwarded.deadline
         try:
--- a/src/verbenawick/mesh/_local_upstream.py
+++ b/src/verbenawick/mesh/_local_upstream.py
@@ -8,7 +8,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from verbenawick.mesh._model import StatusReport, UpstreamRecord, UpstreamState
 from verbenawick.runtime._events import Event, emit, register_event
@@ -108,6 +108,8 @@
         self.state = UpstreamState.UNKNOWN
         self.slots = DEFAULT_SLOTS
         self.version = ""
+        # Version of the upstream in the stored record, and its id.
+        self._stored_version = ("", "")
         self._keeps_version = keeps_version
         self._on_change = on_change
         self._sequence = -1
@@ -152,6 +154,8 @@
         record : UpstreamRecord or None
             None if the store has no record of this node.
         """
+        if record is not None and self._keeps_version:
+            self._stored_version = (record.upstream_id, record.version)
         if not self._awaits_record:
             # `skip_restore` allowed requests before the store answered.
             if self.state is UpstreamState.READY and _has_left(record, self):
@@ -164,9 +168,6 @@
         if _has_left(record, found):
             self._set_draining(found, record)
             return
-        if record is not None and record.upstream_id == found.upstream_id:
-            # A health probe does not tell the version.
-            found = replace(found, version=found.version or record.version)
         self._set_ready(found)
 
     def skip_restore(self) -> None:
@@ -324,8 +325,12 @@
     def _set_ready(self, found: ReadyUpstream) -> None:
         self._sequence = found.sequence
         self._born_ms = found.born_ms
-        is_new_version = found.version != self.version
-        self.version = found.version
+        version = found.version
+        if not version and self._stored_version[0] == found.upstream_id:
+            # A health probe does not tell the version.
+            version = self._stored_version[1]
+        is_new_version = version != self.version
+        self.version = version
         self._update(
             UpstreamState.READY,
             found.upstream_id,
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -119,6 +119,8 @@
         Protocol for requests to the upstream.
     metrics : MetricSet
         Shared with the store clients.
+    process_began_at : float or None
+        When the process of this node began, None if it is not the only one in it.
     """
 
     def __init__(
@@ -129,6 +131,7 @@
         protocol: UpstreamProtocol,
         decode: Callable[[bytes, int], MeshConfiguration | None],
         metrics: MetricSet,
+        process_began_at: float | None = None,
     ):
         self.settings = settings
         self.caller_service = settings.upstream.service
@@ -215,6 +218,7 @@
             node_ids=lambda: frozenset(e.node_id for e in self.endpoints.all()),
             is_reachable=self._is_reachable,
             connect=self._connect,
+            process_began_at=process_began_at,
         )
         self.entry = MeshEntry(
             node_id=settings.node_id,
@@ -378,7 +382,9 @@
 
     def _release_tasks(self) -> tuple[Callable[[], None], ...]:
         task = self._release_task
-        return (task.watch_orders, task.conduct, task.report) if task else ()
+        if task is None:
+            return ()
+        return (task.watch_orders, task.conduct, task.store_statuses, task.report)
 
     def stop(
         self,
--- a/src/verbenawick/mesh/_release_task.py
+++ b/src/verbenawick/mesh/_release_task.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import astuple, dataclass
 from random import Random
 
 import eventlet
@@ -26,6 +26,7 @@
 from verbenawick.mesh._model import UpstreamState
 from verbenawick.mesh._node_events import PeerLost
 from verbenawick.mesh._state_store import OrderChange, StateStore
+from verbenawick.mesh._store_era import era_of
 from verbenawick.releases._judgement import RouteTally, UpstreamTally
 from verbenawick.releases._lead import ReleaseLead
 from verbenawick.releases._messages import (
@@ -33,7 +34,7 @@
     ReleaseReceipt,
     ReleaseReport,
 )
-from verbenawick.releases._model import ReleaseView
+from verbenawick.releases._model import ReleaseOrder, ReleaseStatus, ReleaseView
 from verbenawick.releases._shares import VersionShares
 from verbenawick.releases._tally import ReleaseTally
 from verbenawick.runtime._clock import Clock
@@ -141,10 +142,18 @@
         self._random = random
         self._metrics = metrics
         self._lead = ReleaseLead(
-            max_exposure=max_exposure, count_ready=self._count_ready
+            max_exposure=max_exposure,
+            ready_versions=self._ready_versions,
+            is_followed=lambda s: shares.active(s, clock.now()) is not None,
         )
-        # Store revision that the watch continues from, 0 while this is not the relay.
+        # Store revision that the watch continues from, 0 if all orders have to be read.
         self._revision = 0
+        # Whether the orders were read since this node became the relay.
+        self._is_conducting = False
+        # Set when a write failed: the order may have changed or the write taken effect.
+        self._must_read = False
+        # Era of the store in which the orders were read.
+        self._era = 0
         self._relay_since: float | None = None
         self._next_beacon_at = float("-inf")
         links.register_notice(ReleaseBeacon, self._on_beacon)
@@ -155,6 +164,8 @@
         while True:
             if not self._is_settled_relay():
                 self._revision = 0
+                self._is_conducting = False
+                self._lead.clear()
                 eventlet.sleep(RELAY_CHECK_INTERVAL_S)
                 continue
             try:
@@ -170,8 +181,18 @@
         """Advance the releases as the relay until the green thread is killed."""
         while True:
             eventlet.sleep(STEP_INTERVAL_S)
-            if self._revision and self._beacons.is_relay():
-                self._advance()
+            if self._is_conducting and self._beacons.is_relay():
+                now = self._clock.now()
+                self._lead.advance(now)
+                self._announce(now)
+
+    def store_statuses(self) -> None:
+        """Store the progress of the releases until the green thread is killed."""
+        while True:
+            eventlet.sleep(STEP_INTERVAL_S)
+            if self._is_conducting and self._beacons.is_relay():
+                for order, status in self._lead.unstored(self._clock.now()):
+                    self._store(order, status)
 
     def report(self) -> None:
         """Report on the own upstream until the green thread is killed."""
@@ -195,18 +216,24 @@
         return now >= self._relay_since + RELAY_SETTLED_S
 
     def _watch_once(self) -> None:
-        if self._revision:
+        if self._revision and not self._must_read:
             change = self._watch_store.watch_orders(self._revision, wait_s=WATCH_WAIT_S)
         else:
+            self._must_read = False
             change = self._watch_store.read_orders()
         self._apply(change)
 
     def _apply(self, change: OrderChange) -> None:
         now = self._clock.now()
         orders = change.orders_by_name
+        is_older_copy = era_of(change.revision) > self._era > 0
         self._revision = change.revision
+        self._era = era_of(change.revision)
         if change.is_complete:
-            self._lead.replace_orders(list(orders.values()), now)
+            self._is_conducting = True
+            self._lead.replace_orders(
+                list(orders.values()), now, is_older_copy=is_older_copy
+            )
             return
         for name, order in orders.items():
             if order is None:
@@ -214,30 +241,27 @@
             else:
                 self._lead.put_order(order, now)
 
-    def _advance(self) -> None:
+    def _store(self, order: ReleaseOrder, status: ReleaseStatus) -> None:
+        try:
+            revision = self._write_store.write_order_status(order, status)
+        except VerbenawickError as error:
+            emit(ReleaseNotStored(order.service, str(error)))
+            self._must_read = True
+            eventlet.sleep(RETRY_DELAY_S)
+            return
         now = self._clock.now()
-        unstored = self._lead.advance(now)
-        self._announce(now)
-        for order, status in unstored:
-            try:
-                revision = self._write_store.write_order_status(order, status)
-            except VerbenawickError as error:
-                emit(ReleaseNotStored(order.service, str(error)))
-                # The order may have changed, or the write may have taken effect.
-                self._revision = 0
-                return
-            self._lead.on_stored(order, status, revision)
-            emit(
-                ReleaseStored(
-                    order.service,
-                    status.target_version,
-                    status.state,
-                    status.share,
-                    round(status.remaining_s, 3),
-                    status.reason,
-                )
+        self._lead.on_stored(order, status, revision, now)
+        emit(
+            ReleaseStored(
+                order.service,
+                status.target_version,
+                status.state,
+                status.share,
+                round(status.remaining_s, 3),
+                status.reason,
             )
-            self._announce(self._clock.now())
+        )
+        self._announce(now)
 
     def _announce(self, now: float) -> None:
         """Send the views that have changed, and all of them from time to time."""
@@ -246,16 +270,7 @@
             self._next_beacon_at = now + BEACON_INTERVAL_S
         for view in self._lead.views(now):
             if self._put(view) or is_due:
-                self._beacons.broadcast(
-                    ReleaseBeacon(
-                        view.service,
-                        view.target_version,
-                        view.state,
-                        view.share,
-                        view.is_final,
-                        view.revision,
-                    )
-                )
+                self._beacons.broadcast(ReleaseBeacon(*astuple(view)))
 
     def _put(self, view: ReleaseView) -> bool:
         if not self._shares.put(view, self._clock.now()):
@@ -275,14 +290,7 @@
 
     def _on_beacon(self, peer: NodeIdentity, beacon: ReleaseBeacon) -> None:
         self._beacons.forward(peer, beacon)
-        view = ReleaseView(
-            beacon.service,
-            beacon.target_version,
-            beacon.state,
-            beacon.share,
-            beacon.is_final,
-            beacon.revision,
-        )
+        view = ReleaseView(*astuple(beacon))
         self._put(view)
         if view == self._shares.active(self._upstream.service, self._clock.now()):
             self._follow(view)
@@ -297,6 +305,7 @@
             view.target_version,
             self._upstream.version,
             self._in_progress(),
+            view.is_final,
             tuple(
                 (route, tally.calls, tally.failures, tally.busy_s)
                 for route, tally in self._tally.by_route.items()
@@ -327,13 +336,15 @@
             region,
             report.in_progress,
             {route: RouteTally(*counts) for route, *counts in report.routes},
+            report.is_final,
         )
         self._lead.put_report(
             report.service, report.target_version, tally, self._clock.now()
         )
 
-    def _count_ready(self, service: str, version: str) -> int:
-        return sum(
-            endpoint.version == version and endpoint.state is UpstreamState.READY
+    def _ready_versions(self, service: str) -> dict[str, str]:
+        return {
+            endpoint.node_id: endpoint.version
             for endpoint in self._endpoints.of_service(service)
-        )
+            if endpoint.state is UpstreamState.READY
+        }
--- a/src/verbenawick/platform/__main__.py
+++ b/src/verbenawick/platform/__main__.py
@@ -24,6 +24,7 @@
     from pathlib import Path
     from warnings import filterwarnings
 
+    import verbenawick.runtime._process_start  # noqa: F401
     from verbenawick.runtime._deferred_imports import (
         defer_module,
         unavailable_modules,
--- a/src/verbenawick/platform/_daemon.py
+++ b/src/verbenawick/platform/_daemon.py
@@ -27,6 +27,7 @@
 from verbenawick.platform._events import AddressesUsed, NodeFailed
 from verbenawick.platform._node_server import NodeServer
 from verbenawick.runtime._events import emit
+from verbenawick.runtime._process_start import PROCESS_BEGAN_AT
 from verbenawick.runtime._signals import ignore_signals
 from verbenawick.runtime._sockets import is_used
 
@@ -80,7 +81,7 @@
     _wait_for_addresses(settings, stop_requested)
     if stop_requested.ready():
         return
-    server = NodeServer(settings)
+    server = NodeServer(settings, process_began_at=PROCESS_BEGAN_AT)
     server.start()
     eventlet.spawn_n(_watch_settings, server, path, reload_causes, fingerprint)
     # A collection first would take a tenth of the processor time of the start, and free
--- a/src/verbenawick/platform/_node_server.py
+++ b/src/verbenawick/platform/_node_server.py
@@ -34,10 +34,16 @@
     ----------
     shutdown_delay_s : float
         Time after a stop request during which new callers are still served.
+    process_began_at : float or None
+        See `MeshNode`.
     """
 
     def __init__(
-        self, settings: MeshSettings, *, shutdown_delay_s: float = SHUTDOWN_DELAY_S
+        self,
+        settings: MeshSettings,
+        *,
+        shutdown_delay_s: float = SHUTDOWN_DELAY_S,
+        process_began_at: float | None = None,
     ):
         self.settings = settings
         self.shutdown_delay_s = shutdown_delay_s
@@ -46,6 +52,7 @@
         metrics = MetricSet()
         self.node = MeshNode(
             settings,
+            process_began_at=process_began_at,
             open_store=partial(
                 PlatformStore,
                 settings.store_address,
--- a/src/verbenawick/releases/_lead.py
+++ b/src/verbenawick/releases/_lead.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from verbenawick.releases._judgement import UpstreamTally, judge
+from verbenawick.releases._judgement import UpstreamTally
 from verbenawick.releases._model import (
     ReleaseOrder,
     ReleaseState,
@@ -11,13 +11,14 @@
     ReleaseView,
 )
 from verbenawick.releases._plan import Evidence, ReleasePlan
+from verbenawick.releases._reports import ReleaseReports
 
-# Time after which a report says nothing about the calls in progress, seconds.
-REPORT_VALID_S = 2.5
 # Time for which the end of a release is announced, seconds. The upstreams of a version
 # that was rolled back run on for some seconds; the others stop at once after the end of
 # a release.
 ANNOUNCED_S = {ReleaseState.ROLLED_BACK: 30.0, ReleaseState.COMPLETED: 3.0}
+# Interval at which the time left is stored, so that the next leader continues from it.
+REFRESH_S = 2.0
 
 
 class ReleaseLead:
@@ -28,50 +29,81 @@
 
     Parameters
     ----------
-    count_ready : callable
-        Returns the number of ready upstreams of a service and version.
+    ready_versions : callable
+        Returns the versions of the ready upstreams of a service by node id.
+    is_followed : callable
+        Returns whether this node has followed a release of a service until now.
     """
 
-    def __init__(self, *, max_exposure: float, count_ready: Callable[[str, str], int]):
+    def __init__(
+        self,
+        *,
+        max_exposure: float,
+        ready_versions: Callable[[str], dict[str, str]],
+        is_followed: Callable[[str], bool] = lambda service: False,
+    ):
+        self._is_followed = is_followed
         self._max_exposure = max_exposure
-        self._count_ready = count_ready
+        self._ready_versions = ready_versions
         self.plans_by_service: dict[str, ReleasePlan] = {}
-        self._stored_by_service: dict[str, ReleaseStatus] = {}
-        # Tally and the time until which it is valid, by service and node.
-        self._reports: dict[str, dict[str, tuple[UpstreamTally, float]]] = {}
-
-    def put_order(self, order: ReleaseOrder, now: float) -> None:
+        # Status and the time at which it was stored or read.
+        self._stored_by_service: dict[str, tuple[ReleaseStatus, float]] = {}
+        self._reports_by_service: dict[str, ReleaseReports] = {}
+
+    def clear(self) -> None:
+        """Forget everything, since another node leads."""
+        self.plans_by_service.clear()
+        self._stored_by_service.clear()
+        self._reports_by_service.clear()
+
+    def put_order(
+        self, order: ReleaseOrder, now: float, *, is_older_copy: bool = False
+    ) -> None:
         """Apply an order that was read from the store.
 
-        A plan of the same order is kept unless the stored progress is ahead of it: the
-        store may have come back from an older copy.
+        Parameters
+        ----------
+        is_older_copy : bool
+            Whether the store has come back from an older copy. A plan of the same order
+            then goes on, whatever the store says of its progress.
         """
         service = order.service
         plan = self.plans_by_service.get(service)
         if plan is not None and plan.is_same_order(order):
-            if not plan.is_behind(order.progress):
+            is_anew = order.progress is None and service in self._stored_by_service
+            is_kept = not is_anew and not plan.is_behind(order.progress)
+            if is_kept or is_older_copy:
                 plan.order = order
-                self._set_stored(service, order.progress)
+                self._set_stored(service, order.progress, now)
                 return
         else:
-            self._reports.pop(service, None)
-        self.plans_by_service[service] = ReleasePlan(
-            order, now, max_exposure=self._max_exposure
-        )
-        self._set_stored(service, order.progress)
+            self._reports_by_service.pop(service, None)
+        next_plan = ReleasePlan(order, now, max_exposure=self._max_exposure)
+        was_open = plan is not None and plan.ended_at is None
+        if next_plan.ended_at is not None and (was_open or self._is_followed(service)):
+            # The leader that ended the release may be lost.
+            next_plan.ended_at = now
+        self.plans_by_service[service] = next_plan
+        self._set_stored(service, order.progress, now)
+
+    def replace_orders(
+        self, orders: list[ReleaseOrder], now: float, *, is_older_copy: bool = False
+    ) -> None:
+        """Apply all orders of the store; the others were deleted.
 
-    def replace_orders(self, orders: list[ReleaseOrder], now: float) -> None:
-        """Apply all orders of the store; the others were deleted."""
-        for service in self.plans_by_service.keys() - {o.service for o in orders}:
-            self.remove_order(service)
+        An older copy may lack an order; what the operator wrote is written again.
+        """
+        if not is_older_copy:
+            for service in self.plans_by_service.keys() - {o.service for o in orders}:
+                self._remove(service)
         for order in orders:
-            self.put_order(order, now)
+            self.put_order(order, now, is_older_copy=is_older_copy)
 
-    def remove_order(self, service: str) -> None:
-        """Forget the order of a service."""
-        self.plans_by_service.pop(service, None)
-        self._stored_by_service.pop(service, None)
-        self._reports.pop(service, None)
+    def remove_order(self, name: str) -> None:
+        """Forget the order that was stored under `name`."""
+        for service, plan in list(self.plans_by_service.items()):
+            if plan.order.name == name:
+                self._remove(service)
 
     def put_report(
         self, service: str, target_version: str, tally: UpstreamTally, now: float
@@ -79,29 +111,40 @@
         """Keep what a node reports of its upstream."""
         plan = self.plans_by_service.get(service)
         if plan is not None and plan.order.target_version == target_version:
-            reports = self._reports.setdefault(service, {})
-            reports[tally.node_id] = (tally, now + REPORT_VALID_S)
+            reports = self._reports_by_service.setdefault(service, ReleaseReports())
+            reports.put(tally, now)
 
-    def advance(self, now: float) -> list[tuple[ReleaseOrder, ReleaseStatus]]:
-        """Advance all plans; return the statuses that the store lacks."""
-        unstored = []
+    def advance(self, now: float) -> None:
+        """Advance all plans."""
         for service, plan in self.plans_by_service.items():
-            plan.advance(now, self._evidence(service, plan, now))
-            stored = self._stored_by_service.get(service)
-            status = plan.status(now)
-            if stored is None or _progress(stored) != _progress(status):
-                unstored.append((plan.order, status))
-        return unstored
+            evidence = self._evidence(service, plan, now)
+            plan.advance(now, evidence, is_stored=self._is_stored(service, plan, now))
+
+    def unstored(self, now: float) -> list[tuple[ReleaseOrder, ReleaseStatus]]:
+        """Return the statuses that the store lacks, or has for `REFRESH_S`."""
+        statuses = []
+        for service, plan in self.plans_by_service.items():
+            is_stored = self._is_stored(service, plan, now)
+            if is_stored and plan.state is ReleaseState.ACTIVE:
+                _, stored_at = self._stored_by_service[service]
+                is_stored = now < stored_at + REFRESH_S
+            if not is_stored:
+                statuses.append((plan.order, plan.status(now)))
+        return statuses
 
     def on_stored(
-        self, order: ReleaseOrder, status: ReleaseStatus, revision: int
+        self, order: ReleaseOrder, status: ReleaseStatus, revision: int, now: float
     ) -> None:
         """Note that the status of `order` was stored, which gave it `revision`."""
         plan = self.plans_by_service.get(order.service)
         # A watch may have brought a later order meanwhile.
-        if plan is not None and plan.order is order:
-            plan.order = replace(order, revision=revision, status=status)
-            self._stored_by_service[order.service] = status
+        if plan is None or plan.order is not order:
+            return
+        plan.order = replace(order, revision=revision, status=status)
+        earlier = self._stored_by_service.get(order.service)
+        self._stored_by_service[order.service] = (status, now)
+        if earlier is None or _progress(earlier[0]) != _progress(status):
+            plan.note_stored(now)
 
     def views(self, now: float) -> list[ReleaseView]:
         """Return what the nodes have to know."""
@@ -111,47 +154,54 @@
             if plan.state is ReleaseState.ROLLED_BACK:
                 state, share = plan.state, 0.0
             elif stored is not None:
-                state, share = stored.state, stored.share
+                state, share = stored[0].state, stored[0].share
             else:
                 continue
             if plan.ended_at is not None and (
                 now > plan.ended_at + ANNOUNCED_S[plan.state]
             ):
                 continue
+            target_version = plan.order.target_version
+            # Without upstreams of the version, the others have to take the calls.
+            has_targets = target_version in self._ready_versions(service).values()
+            is_final = share >= 1 and has_targets and plan.is_final(now)
+            revision = plan.order.revision
             views.append(
-                ReleaseView(
-                    service,
-                    plan.order.target_version,
-                    state,
-                    share,
-                    share >= 1 and plan.is_final(now),
-                    plan.order.revision,
-                )
+                ReleaseView(service, target_version, state, share, is_final, revision)
             )
         return views
 
     def _evidence(self, service: str, plan: ReleasePlan, now: float) -> Evidence:
         target_version = plan.order.target_version
-        targets, others = [], []
-        in_progress = 0
-        for tally, valid_until in self._reports.get(service, {}).values():
-            if tally.version == target_version:
-                targets.append(tally)
-                continue
-            others.append(tally)
-            if now <= valid_until:
-                in_progress += tally.in_progress
+        versions_by_node_id = self._ready_versions(service)
+        target_ids = {n for n, v in versions_by_node_id.items() if v == target_version}
+        other_ids = versions_by_node_id.keys() - target_ids
+        reports = self._reports_by_service.get(service) or ReleaseReports()
         return Evidence(
-            self._count_ready(service, target_version),
-            judge(targets, others),
-            in_progress,
+            len(target_ids),
+            reports.verdict(target_ids, target_version),
+            len(other_ids),
+            reports.are_idle(other_ids, now),
+        )
+
+    def _is_stored(self, service: str, plan: ReleasePlan, now: float) -> bool:
+        stored = self._stored_by_service.get(service)
+        return stored is not None and _progress(stored[0]) == _progress(
+            plan.status(now)
         )
 
-    def _set_stored(self, service: str, status: ReleaseStatus | None) -> None:
+    def _set_stored(
+        self, service: str, status: ReleaseStatus | None, now: float
+    ) -> None:
         if status is None:
             self._stored_by_service.pop(service, None)
         else:
-            self._stored_by_service[service] = status
+            self._stored_by_service[service] = (status, now)
+
+    def _remove(self, service: str) -> None:
+        self.plans_by_service.pop(service, None)
+        self._stored_by_service.pop(service, None)
+        self._reports_by_service.pop(service, None)
 
 
 def _progress(status: ReleaseStatus) -> tuple:
--- a/src/verbenawick/releases/_messages.py
+++ b/src/verbenawick/releases/_messages.py
@@ -29,6 +29,8 @@
 
     Attributes
     ----------
+    is_final : bool
+        Whether the sender knew already that its upstream gets no further calls.
     routes : tuple
         Name, calls, failures and total seconds of each route since the release began.
     """
@@ -38,6 +40,7 @@
     target_version: str
     version: str
     in_progress: int
+    is_final: bool
     routes: tuple[tuple[str, int, int, float], ...]
 
 
--- a/src/verbenawick/releases/_plan.py
+++ b/src/verbenawick/releases/_plan.py
@@ -6,6 +6,7 @@
 that a version that turns bad late has had few calls.
 """
 
+import math
 from dataclasses import dataclass
 
 from verbenawick.releases._judgement import Verdict
@@ -23,6 +24,11 @@
 # The same beyond that exposure, as a share of all calls.
 LAST_STEPS = ((0.75, 0.25), (0.8, 0.5), (0.85, 1.0))
 MIN_STEP_S = 0.5
+# Digits of a share after the decimal point, also in the store.
+SHARE_DIGITS = 4
+# Upstreams of the version needed for a share of the calls, relative to those of the
+# others for all of them.
+MIN_CAPACITY = 0.5
 # Time for which suspicion against a part of the upstreams keeps the share from rising.
 SUSPICION_S = 2.0
 # Time without any upstream of the version after which it is given up.
@@ -41,13 +47,17 @@
     ----------
     ready_targets : int
         Ready upstreams of the target version.
-    others_in_progress : int
-        Calls in progress at the upstreams of other versions.
+    ready_others : int
+        Ready upstreams of other versions.
+    are_others_idle : bool
+        Whether each of these has reported, after it was told to accept no further
+        calls, that none is in progress.
     """
 
     ready_targets: int
     verdict: Verdict
-    others_in_progress: int
+    ready_others: int = 0
+    are_others_idle: bool = True
 
 
 class ReleasePlan:
@@ -67,9 +77,14 @@
         self.reason = progress.reason if progress else ""
         left_s = progress.remaining_s if progress else order.duration_s
         self._ends_at = now + left_s
-        self.ended_at = now if self.state is not ReleaseState.ACTIVE else None
+        # When the end was stored; an end that an earlier leader stored is long known.
+        is_ended = self.state is not ReleaseState.ACTIVE
+        self.ended_at = -math.inf if is_ended else None
         self._steps = (
-            *((part, max_exposure * factor) for part, factor in EXPOSED_STEPS),
+            *(
+                (part, round(max_exposure * factor, SHARE_DIGITS))
+                for part, factor in EXPOSED_STEPS
+            ),
             *((part, share) for part, share in LAST_STEPS if share > max_exposure),
         )
         self._started_at: float | None = None
@@ -83,12 +98,18 @@
         return known == (order.target_version, order.duration_s)
 
     def is_behind(self, progress: ReleaseStatus | None) -> bool:
-        """Return whether another leader has brought the release further."""
-        if progress is None or self.state is not ReleaseState.ACTIVE:
+        """Return whether another leader has ended the release or brought it further."""
+        if progress is None:
             return False
         if progress.state is not ReleaseState.ACTIVE:
-            return True
-        return progress.share > self.share
+            return progress.state is not self.state
+        return self.state is ReleaseState.ACTIVE and progress.share > self.share
+
+    def note_stored(self, now: float) -> None:
+        """Note that the present state and share were stored for the first time."""
+        self._stepped_at = now
+        if self.state is not ReleaseState.ACTIVE:
+            self.ended_at = now
 
     def status(self, now: float) -> ReleaseStatus:
         """Return the status to be stored."""
@@ -107,33 +128,46 @@
         is_settled = now >= self._stepped_at + SETTLE_S / 2
         return self.state is ReleaseState.ACTIVE and self.share >= 1 and is_settled
 
-    def advance(self, now: float, evidence: Evidence) -> bool:
-        """Decide the next state and share; return whether they have changed."""
+    def advance(
+        self, now: float, evidence: Evidence, *, is_stored: bool = True
+    ) -> None:
+        """Decide the next state and share.
+
+        Parameters
+        ----------
+        is_stored : bool
+            Whether the present ones are stored. Otherwise only a roll-back is decided.
+        """
         if self.state is not ReleaseState.ACTIVE:
-            return False
+            return
         if evidence.verdict is Verdict.BAD:
-            return self._roll_back(now, "the version does worse than the others")
-        if not evidence.ready_targets:
-            return self._wait_for_upstreams(now)
-        self._absent_since = None
-        if self._started_at is None:
-            self._started_at = now
+            self._roll_back("the version does worse than the others")
+        elif not evidence.ready_targets:
+            self._wait_for_upstreams(now)
+        else:
+            self._absent_since = None
+            if self._started_at is None:
+                self._started_at = now
+            if is_stored:
+                self._proceed(now, evidence)
+
+    def _proceed(self, now: float, evidence: Evidence) -> None:
         if self.share >= 1:
-            return self._complete(now, evidence)
-        if self._is_held(now, evidence.verdict) or now < self._stepped_at + MIN_STEP_S:
-            return False
-        return self._step(now)
+            self._complete(now, evidence)
+            return
+        is_held = self._is_held(now, evidence.verdict)
+        if not is_held and now >= self._stepped_at + MIN_STEP_S:
+            self._step(now, evidence)
 
-    def _wait_for_upstreams(self, now: float) -> bool:
+    def _wait_for_upstreams(self, now: float) -> None:
         if self._started_at is None and not self.share:
-            if now < self._ends_at:
-                return False
-            return self._roll_back(now, "no upstream of the version became ready")
+            if now >= self._ends_at:
+                self._roll_back("no upstream of the version became ready")
+            return
         if self._absent_since is None:
             self._absent_since = now
-        if now < self._absent_since + ABSENCE_S:
-            return False
-        return self._roll_back(now, "all upstreams of the version are gone")
+        if now >= self._absent_since + ABSENCE_S:
+            self._roll_back("all upstreams of the version are gone")
 
     def _is_held(self, now: float, verdict: Verdict) -> bool:
         if verdict is not Verdict.SUSPECT:
@@ -143,31 +177,29 @@
             self._suspect_since = now
         return now < self._suspect_since + SUSPICION_S
 
-    def _step(self, now: float) -> bool:
+    def _step(self, now: float, evidence: Evidence) -> None:
         span_s = max(self._ends_at - FINISH_S - self._started_at, MIN_STEP_S)
         part = (now - self._started_at) / span_s
         due = [share for begins_at, share in self._steps if part >= begins_at]
         # One step at a time, also after a change of the leader or a suspicion.
         higher = [share for share in due if share > self.share]
         if not higher:
-            return False
-        self.share = higher[0]
-        self._stepped_at = now
-        return True
-
-    def _complete(self, now: float, evidence: Evidence) -> bool:
+            return
+        needed = MIN_CAPACITY * higher[0] * evidence.ready_others
+        if evidence.ready_targets >= needed:
+            self.share = higher[0]
+            self._stepped_at = now
+        elif now >= self._ends_at:
+            self._roll_back("too few upstreams of the version are ready")
+
+    def _complete(self, now: float, evidence: Evidence) -> None:
         if now < self._stepped_at + SETTLE_S:
-            return False
-        if evidence.others_in_progress and now < self._ends_at - LAST_MOMENT_S:
-            return False
-        self.state = ReleaseState.COMPLETED
-        self.reason = "all calls go to the version"
-        self.ended_at = now
-        return True
+            return
+        if evidence.are_others_idle or now >= self._ends_at - LAST_MOMENT_S:
+            self.state = ReleaseState.COMPLETED
+            self.reason = "all calls go to the version"
 
-    def _roll_back(self, now: float, reason: str) -> bool:
+    def _roll_back(self, reason: str) -> None:
         self.state = ReleaseState.ROLLED_BACK
         self.share = 0.0
         self.reason = reason
-        self.ended_at = now
-        return True
