Use the operator's tolerance of allowances

The allowance that counts is that of a window of 5 s, burst and tolerance included; the bucket of the owner kept the rate alone, once the burst was used.

Change: the settings have the tolerance that the operator states, and the bucket gets the rate that keeps within it. Without the setting, nothing changes.

--- a/src/verbenawick/allowances/_allowances.py
+++ b/src/verbenawick/allowances/_allowances.py
@@ -33,6 +33,7 @@
     GRANT_S,
     Admission,
     Grant,
+    Tolerance,
     group_of,
     limited_groups,
 )
@@ -96,6 +97,8 @@
     process_began_at : float or None
         When this process began, which is after the end of the node's earlier one; now
         if None.
+    tolerance : Tolerance or None
+        By how much allowances may be passed; None for not at all.
     """
 
     def __init__(
@@ -110,6 +113,7 @@
         is_reachable: Callable[[str], bool],
         connect: Callable[[str], Member | None],
         process_began_at: float | None = None,
+        tolerance: Tolerance | None = None,
     ):
         self._node_id = node_id
         self._epoch = epoch
@@ -119,7 +123,7 @@
         self._node_ids = node_ids
         self._is_other_reachable = is_reachable
         self._connect = connect
-        self._owner = AllowanceOwner(epoch=epoch)
+        self._owner = AllowanceOwner(epoch=epoch, tolerance=tolerance)
         began_at = clock.now() if process_began_at is None else process_began_at
         self._delegations = Delegations(starts_at=began_at + DELEGATION_S)
         self._pool = GrantPool()
--- a/src/verbenawick/allowances/_owner.py
+++ b/src/verbenawick/allowances/_owner.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from verbenawick.allowances._messages import AllowanceAnswer, AllowanceAsk
-from verbenawick.allowances._model import AHEAD_S, group_of
+from verbenawick.allowances._model import AHEAD_S, Tolerance, group_of
 from verbenawick.workspaces._model import Workspace, Workspaces
 
 # A bucket takes whole requests. An owner with at least this part of a small burst may
@@ -56,11 +56,13 @@
     retry_at: float = 0.0
     granted: int = 0
     refused: int = 0
+    tolerance: Tolerance = Tolerance()
 
     @property
     def rate_per_s(self) -> float:
         """Return the requests per second of the delegated shares."""
-        return self.workspace.rate_per_s * self.fraction
+        extra_per_s = self.tolerance.extra_rate_per_s(self.workspace)
+        return (self.workspace.rate_per_s + extra_per_s) * self.fraction
 
     @property
     def depth(self) -> float:
@@ -196,8 +198,9 @@
         Number of this process, not 0.
     """
 
-    def __init__(self, *, epoch: int):
+    def __init__(self, *, epoch: int, tolerance: Tolerance | None = None):
         self._epoch = epoch
+        self._tolerance = tolerance or Tolerance()
         # False until a version is in force, and once the node stops.
         self._is_granting = False
         self._is_released = False
@@ -224,7 +227,7 @@
         for name, workspace in self._limited_by_group.get(number, {}).items():
             bucket = earlier_by_name.get(name)
             if bucket is None:
-                bucket = Bucket(workspace, now)
+                bucket = Bucket(workspace, now, tolerance=self._tolerance)
             else:
                 bucket.set_workspace(workspace, now)
             group.buckets_by_name[name] = bucket
@@ -286,7 +289,7 @@
         if is_delegating:
             if group is None:
                 buckets_by_name = {
-                    name: Bucket(workspace, now)
+                    name: Bucket(workspace, now, tolerance=self._tolerance)
                     for name, workspace in self._limited_by_group[ask.group].items()
                 }
                 group = self._groups[ask.group] = _Group(buckets_by_name)
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -7,6 +7,7 @@
 import eventlet
 
 from verbenawick.allowances._allowances import Allowances
+from verbenawick.allowances._model import Tolerance
 from verbenawick.calls._entry_server import EntryServer
 from verbenawick.links._call_links import CallLinks, PeerSilence
 from verbenawick.links._component import NodeIdentity
@@ -219,6 +220,7 @@
             is_reachable=self._is_reachable,
             connect=self._connect,
             process_began_at=process_began_at,
+            tolerance=Tolerance(settings.allowances.excess, settings.allowances.slack),
         )
         self.entry = MeshEntry(
             node_id=settings.node_id,
--- a/src/verbenawick/mesh/_settings.py
+++ b/src/verbenawick/mesh/_settings.py
@@ -65,6 +65,21 @@
     max_exposure: Annotated[float, Meta(gt=0, le=1)]
 
 
+class AllowanceSettings(_Section):
+    """By how much the allowances of workspaces may be passed.
+
+    Attributes
+    ----------
+    excess : float
+        Part of the allowance of each window of 5 s, 0 to 1.
+    slack : float
+        Requests in each of these windows in addition.
+    """
+
+    excess: Share = 0.0
+    slack: Annotated[float, Meta(ge=0)] = 0.0
+
+
 class MeshSettings(_Section):
     """Settings of a node.
 
@@ -82,6 +97,8 @@
         HTTP listener that serves metrics in the Prometheus text format.
     store_address : str
         HTTP address of the platform's store.
+    allowances : AllowanceSettings
+        Tolerance of the allowances of workspaces.
     releases : ReleaseSettings or None
         None if the node follows no orders of releases.
     stop_grace_s : float
@@ -101,6 +118,7 @@
     store_address: str
     upstream: LocalUpstreamSettings
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
+    allowances: AllowanceSettings = AllowanceSettings()
     releases: ReleaseSettings | None = None
     stop_grace_s: Seconds = 6.0
     log_level: str = "INFO"
--- a/tests/test_allowances_owner.py
+++ b/tests/test_allowances_owner.py
@@ -10,7 +10,14 @@
 )
 from verbenawick.allowances._grants import REFUSAL_HOLD_S, GrantPool
 from verbenawick.allowances._messages import AllowanceAsk
-from verbenawick.allowances._model import AHEAD_S, GRANT_S, Grant, group_of
+from verbenawick.allowances._model import (
+    AHEAD_S,
+    GRANT_S,
+    WINDOW_S,
+    Grant,
+    Tolerance,
+    group_of,
+)
 from verbenawick.allowances._owner import AllowanceOwner, Bucket
 from verbenawick.workspaces._model import Workspace, Workspaces
 
@@ -27,6 +34,20 @@
 class BucketTest(TestCase):
     """One bucket with all shares."""
 
+    def test_tolerance_is_kept_in_each_window(self):
+        """Callers within the operator's tolerance would be refused for nothing."""
+        for rate, burst in ((1.0, 1.0), (26.0, 26.0), (187.0, 400.0)):
+            bucket = Bucket(
+                Workspace("a", None, rate, burst), 0.0, tolerance=Tolerance(0.1, 20.0)
+            )
+            bucket.set_fraction(1.0, 0.0)
+            bucket.grant(1000, 30.0)
+            # A full bucket, then all that it gets until the last grant can be used.
+            granted = bucket.depth + bucket.rate_per_s * (WINDOW_S + GRANT_S)
+            allowance = rate * WINDOW_S + burst
+            self.assertLessEqual(granted, 1.1 * allowance + 20)
+            self.assertGreater(granted, 1.02 * allowance)
+
     def setUp(self):
         super().setUp()
         self.bucket = Bucket(ACME, 0.0)
