--- a/src/verbenawick/mesh/_endpoints.py
+++ b/src/verbenawick/mesh/_endpoints.py
@@ -208,6 +208,10 @@
         if endpoint is not None:
             endpoint.avoided_until = now + AVOIDANCE_S
 
+    def expected_calls(self, endpoint: Endpoint, now: float) -> float:
+        """Return the calls expected to run or wait at a gateway now."""
+        return endpoint.current_load(self._usual.use(endpoint.group, now), now)
+
     def candidate(
         self,
         endpoint: Endpoint,
@@ -236,8 +240,7 @@
         slots = endpoint.estimate.slots
         wait_s = 0.0
         if slots:
-            calls = endpoint.current_load(self._usual.use(endpoint.group, now), now)
-            excess = max(calls + 1 - slots, 0)
+            excess = max(self.expected_calls(endpoint, now) + 1 - slots, 0)
             if goes_first:
                 excess = min(excess, 1)
             wait_s = excess * service_s / slots
--- a/src/verbenawick/mesh/_route_preview.py
+++ b/src/verbenawick/mesh/_route_preview.py
@@ -31,6 +31,8 @@
     ----------
     passed_over : str
         Why it would not be chosen; empty for the one that would.
+    calls, slots : float, int
+        Calls expected to run or wait there, and how many its upstream takes at once.
     expected_s : float
         Expected time until the response, with the network.
     cost : float
@@ -43,7 +45,7 @@
     passed_over: str = ""
     expected_s: float = 0.0
     failure_rate: float = 0.0
-    calls: int = 0
+    calls: float = 0.0
     slots: int = 0
     cost: float = 0.0
 
@@ -138,8 +140,8 @@
             reason,
             round(candidate.completion_s, 4),
             round(candidate.failure_rate, 4),
-            endpoint.current_load(),
-            endpoint.load.slots,
+            round(self._endpoints.expected_calls(endpoint, now), 1),
+            endpoint.estimate.slots,
             round(cost, 4),
         )
 
