--- a/review/standin2/memory.py
+++ b/review/standin2/memory.py
@@ -1,4 +1,4 @@
-"""The platform's memory limit: a process that exceeds it is killed and started again."""
+"""The memory limit of the platform, which kills and restarts a larger process."""
 
 import asyncio
 from collections import Counter
