--- a/review/standin2/world.py
+++ b/review/standin2/world.py
@@ -25,6 +25,8 @@
 RESTART_DELAY_S = 0.4
 # Descriptors of a process on the smallest machines of the sites.
 MAX_DESCRIPTORS = 4100
+# With these, the cases can open all their channels.
+MIN_DESCRIPTORS = 2000
 
 
 class Record:
@@ -251,11 +253,16 @@
 
     Raises
     ------
-    OSError, ValueError
-        The hard limit is lower.
+    OSError
+        The hard limit is too low for the cases.
     """
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, hard))
+    soft = MAX_DESCRIPTORS
+    if hard != resource.RLIM_INFINITY:
+        soft = min(soft, hard)
+    if soft < MIN_DESCRIPTORS:
+        raise OSError(f"only {soft} descriptors are allowed")
+    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
 
 
 def is_troubled() -> bool:
