Add review case 10: a late report revives a backend that left

Claim: a status report that was sent before an acknowledged leave and arrives after it makes the backend ready again, if an earlier process of the id was known. Run: review/10/run.sh twice with and once without the delay of the report.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # modules without dependencies; compiling them shows that this Python can run them.
 set -eu
 cd "$(dirname "$0")"
-python3 -m compileall -q standin2 6 7 8 9
+python3 -m compileall -q standin2 6 7 8 9 10
--- a/review/standin2/backend.py
+++ b/review/standin2/backend.py
@@ -61,10 +61,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    async def report(self, control: str) -> int:
-        """Send a status report to the node; return the status, 0 without an answer."""
+    def next_report(self) -> dict:
+        """Return the next status report."""
         self.sequence += 1
-        content = {
+        return {
             "service": self.service,
             "address": self.address,
             "zone": "zone",
@@ -75,8 +75,15 @@
             "sequence": self.sequence,
             "born": self.born_ms,
         }
+
+    async def deliver(self, control: str, content: dict) -> int:
+        """Send a status report to the node; return the status, 0 without an answer."""
         return await self._call(control, "PUT", json.dumps(content).encode())
 
+    async def report(self, control: str) -> int:
+        """Send the next status report to the node."""
+        return await self.deliver(control, self.next_report())
+
     async def leave(self, control: str) -> int:
         """Tell the node that this backend leaves."""
         return await self._call(control, "DELETE", b"")
