--- a/review/standin2/world.py
+++ b/review/standin2/world.py
@@ -27,6 +27,8 @@
 MAX_DESCRIPTORS = 4100
 # With these, the cases can open all their channels.
 MIN_DESCRIPTORS = 2000
+# A case that takes longer could not run.
+MAX_LENGTH_S = 116.0
 
 
 class Record:
@@ -270,13 +272,21 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def _end(number, frame) -> None:
+    """End as the case would, so that its processes are ended."""
+    sys.exit(2)
+
+
 def run_case(main, folder: Path) -> int:
     """Run the coroutine `main(folder, record)`; return the exit code of the case."""
     record = Record(folder / "record.txt")
     with tempfile.TemporaryDirectory() as temporary:
         try:
+            signal.signal(signal.SIGTERM, _end)
             raise_descriptor_limit()
-            code = asyncio.run(main(Path(temporary), record))
+            code = asyncio.run(
+                asyncio.wait_for(main(Path(temporary), record), MAX_LENGTH_S)
+            )
         except Exception as error:
             record("could not run", error=repr(error))
             print(f"could not run: {error!r}")
