--- a/review/10/case.py
+++ b/review/10/case.py
@@ -13,7 +13,8 @@
 from standin2.world import World, is_troubled, run_case  # noqa: E402
 
 SERVICE = "despacho"
-SERVICES = [SERVICE, SERVICE, "archivo"]
+# One of seven backends crashes and leaves.
+SERVICES = [*[SERVICE] * 7, "archivo"]
 PATH = "/despacho/visits/"
 TIME_LEFT_MS = 1200
 WORK_S = 0.078
@@ -26,7 +27,7 @@
 # The backend serves on for `drain_ms` and some seconds after the acknowledgement.
 SERVES_S = DRAIN_S + 4.0
 # Each node gets requests from the requesters beside it.
-INTERVAL_S = 0.02
+INTERVAL_S = 0.05
 
 
 def unix_ms() -> int:
