Use an upstream that left only after a health probe

Cause: a leave names an id only. The node took the start of the process before it for that of the one that left, so that a late report of the latter, whose start is later, passed for a return. Unknown starts, clock steps, the end of the window for late reports and a restart of the node lead to the same, as does a leave of another id than the known one, which was acknowledged without being stored.

A ready report after a leave or a drain is now used only if the process at the address answers a health probe under the reported id, which the platform's upstreams do not while they drain or leave. An idle connection, kept since the leave, shows that the process still runs, so that the window no longer bars a process that starts after it. A restarted node that knows its upstream from a report only, with or without a record, asks it as well.

--- a/src/verbenawick/mesh/_local_upstream.py
+++ b/src/verbenawick/mesh/_local_upstream.py
@@ -4,23 +4,33 @@
 whether new work reaches it: after a leave is acknowledged nothing more is sent,
 whatever the other nodes know. A restarted node learns from its record in the store
 which leaves its previous process acknowledged.
+
+A leave or a drain binds until a process that started later reports. Reports can arrive
+late by any time, a leave does not contain the start of its process, and start times are
+read from clocks that step, so neither their order nor a time limit tells a later
+process from the one that left. Such a report is used only if the process at the address
+answers a health probe under the reported id: one that drains or leaves does not.
 """
 
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol, TypeVar
 
 from verbenawick.mesh._model import StatusReport, UpstreamRecord, UpstreamState
 from verbenawick.runtime._events import Event, emit, register_event
 
 # Number of slots assumed until a report or a probe contains it.
 DEFAULT_SLOTS = 8
-# Time after a leave during which reports from the same or an earlier process are
-# ignored, seconds. Reports can arrive seconds late, and one sent before the leave must
-# not be taken for a return.
+# Time after a leave during which reports are ignored, whatever a health probe says, if
+# they are from the process known as the one that left, or if the process that served at
+# the time of the leave still runs. It is limited because the leave itself may be a late
+# one of an earlier process with the same id.
 LATE_REPORT_WINDOW_S = 10.0
 MAX_DEPARTURES = 64
 
+Decision = TypeVar("Decision")
+
 
 @register_event(710)
 @dataclass(frozen=True, slots=True)
@@ -77,6 +87,29 @@
     version: str = ""
 
 
+class AddressObserver(Protocol):
+    """Evidence about the process that serves at the address of the upstream."""
+
+    def is_healthy(self, upstream_id: str, service: str) -> bool:
+        """Return whether it answers a health probe of `service` as `upstream_id`.
+
+        May block for a fraction of a second.
+        """
+        ...
+
+    def watch_process(self) -> None:
+        """Observe the process that serves now; may block for a fraction of a second."""
+        ...
+
+    def is_watched_process_running(self) -> bool:
+        """Return whether it is certain that the observed process still runs."""
+        ...
+
+    def stop_watching(self) -> None:
+        """Stop observing the process."""
+        ...
+
+
 class LocalUpstream:
     """State of the upstream on this VM.
 
@@ -84,6 +117,8 @@
     ----------
     address : str
         Address at which the upstream listens.
+    observer : AddressObserver
+        Observes the process at that address.
     on_change : callable
         Called after each change of state, id, service or slots, and when an upstream is
         found that waits for `restore`.
@@ -98,6 +133,7 @@
         *,
         address: str,
         service: str,
+        observer: AddressObserver,
         on_change: Callable[[], None],
         awaits_record: bool = False,
         keeps_version: bool = False,
@@ -111,12 +147,20 @@
         # Version of the upstream in the stored record, and its id.
         self._stored_version = ("", "")
         self._keeps_version = keeps_version
+        self._observer = observer
         self._on_change = on_change
         self._sequence = -1
         self._born_ms = 0
         self._departures_by_id: OrderedDict[str, tuple[int, float]] = OrderedDict()
+        # Time up to which the observed process, if it runs, is the one that left.
+        self._watched_until = 0.0
+        # Counts what a decision that waits for a health probe must not miss.
+        self._generation = 0
         self._awaits_record = awaits_record
         self._candidate: ReadyUpstream | None = None
+        # Whether the candidate needs a successful health probe: its report may be late,
+        # and no record tells whether it has left since.
+        self._is_unconfirmed = False
         # Upstream id, start, sequence and time of the last report; unlike the fields
         # above, never reset.
         self._last_report = ("", 0, 0, 0.0)
@@ -156,32 +200,31 @@
         """
         if record is not None and self._keeps_version:
             self._stored_version = (record.upstream_id, record.version)
-        if not self._awaits_record:
-            # `skip_restore` allowed requests before the store answered.
-            if self.state is UpstreamState.READY and _has_left(record, self):
-                self._set_draining(self, record)
-            return
+        has_left, is_confirmed = self._decide(
+            lambda: (self._has_left(record), self._is_candidate_confirmed())
+        )
+        found = self._usable_upstream()
         self._awaits_record = False
-        found, self._candidate = self._candidate, None
-        if found is None:
-            return
-        if _has_left(record, found):
-            self._set_draining(found, record)
-            return
-        self._set_ready(found)
+        if has_left:
+            self._set_draining(record)
+        elif found is not None and found is self._candidate:
+            if is_confirmed:
+                self._set_ready(found)
+            else:
+                self._is_unconfirmed = True
 
     def skip_restore(self) -> None:
         """Use an upstream that reported itself ready although the store is away.
 
-        A health probe is no sufficient reason, since an upstream that is leaving may be
-        healthy.
+        A health probe alone is no sufficient reason, since it does not tell the start
+        of the process, by which other nodes know the one that left.
         """
         if self._candidate is not None and self._candidate.cause == "report":
             self.restore(None)
 
     def on_report(self, report: StatusReport, now: float) -> None:
         """Apply a status report; late reports and those of others are ignored."""
-        reason = self._reason_to_ignore(report, now)
+        reason = self._decide(lambda: self._reason_to_ignore(report, now))
         if reason:
             emit(
                 ReportIgnored(
@@ -190,12 +233,12 @@
             )
             return
         self._log_missed_reports(report, now)
-        is_same = report.upstream_id == self.upstream_id and self._born_ms in (
-            0,
-            report.born_ms,
+        is_same_draining = (
+            self.state is UpstreamState.DRAINING and self._is_known_process(report)
         )
-        if report.is_draining or (is_same and self.state is UpstreamState.DRAINING):
-            self._candidate = None
+        if report.is_draining or is_same_draining:
+            self._clear_candidate()
+            self._generation += 1
             self._sequence = report.sequence
             self._born_ms = report.born_ms
             self._update(
@@ -220,10 +263,12 @@
 
     def on_leave(self, upstream_id: str, now: float) -> None:
         """Handle an upstream's announcement that it leaves permanently."""
-        born_ms = self._birth_of(upstream_id)
-        self._note_departure(upstream_id, born_ms, now)
-        if upstream_id == self.upstream_id or not self.upstream_id:
-            self._set_gone(upstream_id, born_ms, cause="leave")
+        self._note_departure(upstream_id, self._birth_of(upstream_id), now)
+        if self._decide(lambda: self._is_leave_of_other(upstream_id)):
+            return
+        self._set_gone(upstream_id, self._birth_of(upstream_id), cause="leave")
+        self._watched_until = now + LATE_REPORT_WINDOW_S
+        self._observer.watch_process()
 
     def on_earlier_leave(self, upstream_id: str, born_ms: int, now: float) -> None:
         """Apply a leave that the previous process of this node acknowledged.
@@ -233,20 +278,25 @@
         born_ms : int
             Start time of the process that left, 0 if unknown.
         """
-        known_born_ms = self._birth_of(upstream_id)
-        if self.is_leaving or (born_ms and known_born_ms > born_ms):
+        if self.is_leaving or self._decide(
+            lambda: self._has_returned(upstream_id, born_ms)
+        ):
             return
         self._note_departure(upstream_id, born_ms, now)
-        candidate = self._candidate
-        candidate_id = candidate.upstream_id if candidate is not None else ""
-        if upstream_id in (self.upstream_id, candidate_id):
-            self._set_gone(upstream_id, born_ms or known_born_ms, cause="earlier leave")
+        found = self._usable_upstream()
+        if found is not None and found.upstream_id == upstream_id:
+            self._set_gone(upstream_id, born_ms or found.born_ms, cause="earlier leave")
 
     def on_probe(self, upstream_id: str, slots: int) -> None:
         """Apply a successful health probe; ignored unless the state is unknown."""
         if self.state is not UpstreamState.UNKNOWN:
             return
-        if upstream_id in self._departures_by_id or self._candidate is not None:
+        if upstream_id in self._departures_by_id:
+            return
+        candidate = self._candidate
+        if candidate is not None:
+            if self._is_unconfirmed and candidate.upstream_id == upstream_id:
+                self._set_ready(candidate)
             return
         self._find_ready(
             ReadyUpstream(
@@ -283,6 +333,9 @@
         if address == self.address:
             return
         self.address = address
+        self._watched_until = 0.0
+        self._observer.stop_watching()
+        self._clear_candidate()
         self._forget_process()
         self._update(UpstreamState.UNKNOWN, "", service, self.slots, cause="settings")
 
@@ -293,17 +346,88 @@
 
     def _note_departure(self, upstream_id: str, born_ms: int, now: float) -> None:
         """Ignore late reports of a process from now on."""
+        self._generation += 1
         self._departures_by_id[upstream_id] = (born_ms, now + LATE_REPORT_WINDOW_S)
         while len(self._departures_by_id) > MAX_DEPARTURES:
             self._departures_by_id.popitem(last=False)
 
     def _set_gone(self, upstream_id: str, born_ms: int, *, cause: str) -> None:
-        self._candidate = None
+        self._clear_candidate()
+        if (upstream_id, born_ms) != (self.upstream_id, self._born_ms) or not born_ms:
+            self._sequence = -1
         self._born_ms = born_ms
         self._update(
             UpstreamState.GONE, upstream_id, self.service, self.slots, cause=cause
         )
 
+    def _clear_candidate(self) -> None:
+        self._candidate = None
+        self._is_unconfirmed = False
+
+    def _usable_upstream(self) -> "ReadyUpstream | LocalUpstream | None":
+        """Return the upstream that is ready, or may become ready without a report."""
+        if self._candidate is not None:
+            return self._candidate
+        return self if self.state is UpstreamState.READY else None
+
+    def _decide(self, decision: Callable[[], Decision]) -> Decision:
+        """Return a decision that nothing changed during its health probe."""
+        while True:
+            generation = self._generation
+            result = decision()
+            if generation == self._generation:
+                return result
+
+    def _has_left(self, record: UpstreamRecord | None) -> bool:
+        """Return whether the ready upstream is the one whose leave is stored."""
+        found = self._usable_upstream()
+        if (
+            found is None
+            or record is None
+            or record.state is not UpstreamState.DRAINING
+        ):
+            return False
+        if found.upstream_id == record.upstream_id and found.born_ms in (
+            0,
+            record.born_ms,
+        ):
+            return True
+        return not self._observer.is_healthy(found.upstream_id, found.service)
+
+    def _is_candidate_confirmed(self) -> bool:
+        """Return whether a health probe shows that the candidate is not leaving."""
+        found = self._candidate
+        return found is not None and (
+            found.cause == "probe"
+            or self._observer.is_healthy(found.upstream_id, found.service)
+        )
+
+    def _has_returned(self, upstream_id: str, born_ms: int) -> bool:
+        """Return whether the ready upstream is a later process than one that left."""
+        found = self._usable_upstream()
+        return (
+            found is not None
+            and found.upstream_id == upstream_id
+            and found.born_ms not in (0, born_ms)
+            and self._observer.is_healthy(upstream_id, found.service)
+        )
+
+    def _is_leave_of_other(self, upstream_id: str) -> bool:
+        """Return whether another upstream than the one that leaves is known here."""
+        if self.upstream_id in ("", upstream_id):
+            return False
+        return self.is_leaving or self._is_current_healthy()
+
+    def _is_current_healthy(self) -> bool:
+        return self._observer.is_healthy(self.upstream_id, self.service)
+
+    def _is_known_process(self, report: StatusReport) -> bool:
+        """Return whether a report is certainly from the process that is known."""
+        return (
+            report.upstream_id == self.upstream_id
+            and report.born_ms == self._born_ms != 0
+        )
+
     def _birth_of(self, upstream_id: str) -> int:
         """Return the start time of the process of `upstream_id`, 0 if unknown."""
         if upstream_id == self.upstream_id:
@@ -318,13 +442,19 @@
             self._set_ready(found)
             return
         is_first = self._candidate is None
+        self._generation += 1
         self._candidate = found
         if is_first:
             self._on_change()
 
     def _set_ready(self, found: ReadyUpstream) -> None:
+        if found.born_ms != self._born_ms:
+            self._generation += 1
         self._sequence = found.sequence
         self._born_ms = found.born_ms
+        self._clear_candidate()
+        self._watched_until = 0.0
+        self._observer.stop_watching()
         version = found.version
         if not version and self._stored_version[0] == found.upstream_id:
             # A health probe does not tell the version.
@@ -340,36 +470,65 @@
             is_new_version=is_new_version,
         )
 
-    def _set_draining(
-        self, found: "ReadyUpstream | LocalUpstream", record: UpstreamRecord
-    ) -> None:
-        """Apply the stored leave of an upstream that seemed to be ready."""
-        self._born_ms = max(record.born_ms, found.born_ms)
+    def _set_draining(self, record: UpstreamRecord) -> None:
+        """Apply the stored leave of the upstream on this VM."""
+        self._clear_candidate()
+        self._sequence = -1
+        self._born_ms = record.born_ms
         self._update(
             UpstreamState.DRAINING,
-            found.upstream_id,
-            found.service,
-            found.slots,
+            record.upstream_id,
+            record.service,
+            record.slots,
             cause="record",
         )
 
     def _reason_to_ignore(self, report: StatusReport, now: float) -> str:
         if report.address != self.address:
             return "address"
-        departed = self._departures_by_id.get(report.upstream_id)
-        if departed is not None:
-            born_ms, until = departed
-            # If the start of the process that left is unknown, the report may be its.
-            if now < until and (not born_ms or report.born_ms <= born_ms):
-                return "departed"
-        if report.upstream_id == self.upstream_id:
-            if report.born_ms < self._born_ms:
-                return "earlier process"
-            if report.born_ms == self._born_ms and report.sequence <= self._sequence:
-                return "late"
-        elif self.upstream_id and report.born_ms < self._born_ms:
-            return "earlier process"
-        return ""
+        is_known = self._is_known_process(report)
+        if is_known and report.sequence <= self._sequence:
+            return "late"
+        born_ms, until = self._departures_by_id.get(report.upstream_id, (0, 0.0))
+        if now < until and report.born_ms == born_ms != 0:
+            return "departed"
+        if (
+            self.state is UpstreamState.GONE
+            and now < self._watched_until
+            and self._observer.is_watched_process_running()
+        ):
+            return "departed"
+        if report.is_draining:
+            return self._reason_to_ignore_drain(report)
+        if self.is_leaving or self._is_unconfirmed or self._may_have_left(report):
+            is_draining = is_known and self.state is UpstreamState.DRAINING
+            if is_draining or self._observer.is_healthy(
+                report.upstream_id, report.service
+            ):
+                return ""
+            return "departed"
+        return "" if self._is_later(report) else "earlier process"
+
+    def _reason_to_ignore_drain(self, report: StatusReport) -> str:
+        """Return why a draining report does not apply, empty if it does."""
+        if self.state is not UpstreamState.READY or self._is_later(report):
+            return ""
+        return "earlier process"
+
+    def _may_have_left(self, report: StatusReport) -> bool:
+        """Return whether a report may be from a process that left, by its id."""
+        return (
+            report.upstream_id in self._departures_by_id
+            and report.upstream_id != self.upstream_id
+        )
+
+    def _is_later(self, report: StatusReport) -> bool:
+        """Return whether a report seems to be newer than what is known."""
+        if not self.upstream_id:
+            return True
+        if report.upstream_id != self.upstream_id:
+            return report.born_ms >= self._born_ms
+        return (report.born_ms, report.sequence) > (self._born_ms, self._sequence)
 
     def _log_missed_reports(self, report: StatusReport, now: float) -> None:
         """Log how many numbers lie between the last report and this one."""
@@ -407,6 +566,7 @@
         previous = (self.state, self.upstream_id, self.service, self.slots)
         if (state, upstream_id, service, slots) == previous and not is_new_version:
             return
+        self._generation += 1
         self.state = state
         self.upstream_id = upstream_id
         self.service = service
@@ -424,15 +584,3 @@
             )
         )
         self._on_change()
-
-
-def _has_left(
-    record: UpstreamRecord | None, found: ReadyUpstream | LocalUpstream
-) -> bool:
-    """Return whether `record` says that the process of `found` is leaving."""
-    return (
-        record is not None
-        and record.state is UpstreamState.DRAINING
-        and record.upstream_id == found.upstream_id
-        and (not record.born_ms or found.born_ms <= record.born_ms)
-    )
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -22,7 +22,8 @@
 from verbenawick.mesh._entry import MeshEntry
 from verbenawick.mesh._followers import ConfigurationFollower
 from verbenawick.mesh._gateway import MeshGateway, UpstreamProtocol
-from verbenawick.mesh._local_upstream import LocalUpstream, ReadyUpstream
+from verbenawick.mesh._health_probe import HealthProbe
+from verbenawick.mesh._local_upstream import LocalUpstream
 from verbenawick.mesh._messages import (
     CrashNotice,
     ForwardedCall,
@@ -49,6 +50,7 @@
     SettingsRejected,
     SettingsReloaded,
 )
+from verbenawick.mesh._own_state import desired_record, gateway_notice, record_of
 from verbenawick.mesh._peer_connectors import PeerConnectors
 from verbenawick.mesh._peer_leaves import PeerLeaves
 from verbenawick.mesh._publisher import RecordPublisher
@@ -61,6 +63,7 @@
 from verbenawick.mesh._state_exchange import StateExchange
 from verbenawick.mesh._state_store import RecordChange, StateStore
 from verbenawick.mesh._upstream_channels import UpstreamChannels
+from verbenawick.mesh._upstream_observer import UpstreamObserver
 from verbenawick.mesh._upstream_prober import UpstreamProber
 from verbenawick.releases._shares import VersionShares
 from verbenawick.releases._tally import ReleaseTally
@@ -164,13 +167,6 @@
         self._address_owners = AddressOwners(
             node_id=settings.node_id, peer_address=settings.peer_address
         )
-        self.upstream = LocalUpstream(
-            address=settings.upstream.address,
-            service=settings.upstream.service,
-            on_change=self._on_upstream_change,
-            awaits_record=True,
-            keeps_version=settings.releases is not None,
-        )
         self.links = CallLinks(
             self.identity,
             clock=self.clock,
@@ -191,6 +187,23 @@
             clock=self.clock,
             metrics=self.metrics,
         )
+        self._observer = UpstreamObserver(
+            self.channels,
+            HealthProbe(
+                channels=self.channels,
+                protocol=protocol,
+                clock=self.clock,
+                configuration=lambda: self.entry.configuration,
+            ),
+        )
+        self.upstream = LocalUpstream(
+            address=settings.upstream.address,
+            service=settings.upstream.service,
+            observer=self._observer,
+            on_change=self._on_upstream_change,
+            awaits_record=True,
+            keeps_version=settings.releases is not None,
+        )
         shares = VersionShares()
         tally = ReleaseTally()
         self.gateway = MeshGateway(
@@ -271,7 +284,10 @@
             node_id=settings.node_id,
             desired=self._desired_record,
             random=self.random,
-            on_first_answer=self.upstream.restore,
+            # A health probe would hold up the writes of the record.
+            on_first_answer=lambda record: eventlet.spawn(
+                self.upstream.restore, record
+            ),
             on_failure=self.upstream.skip_restore,
         )
         self._configuration_follower = ConfigurationFollower(
@@ -459,6 +475,7 @@
         for task in self._tasks:
             task.kill()
         self._prober.close()
+        self._observer.stop_watching()
         self.allowances.close()
         self._connectors.close()
         self.links.close()
@@ -612,7 +629,10 @@
         now = self.clock.now()
         # Later, this process knows more of its upstream than its peers.
         if now < self._started_at + LEAVE_NOTICE_WINDOW_S:
-            self.upstream.on_earlier_leave(notice.upstream_id, notice.born_ms, now)
+            # A health probe would hold up the messages of the link.
+            eventlet.spawn(
+                self.upstream.on_earlier_leave, notice.upstream_id, notice.born_ms, now
+            )
 
     def _on_gateway_notice(self, peer: NodeIdentity, notice: GatewayNotice) -> None:
         self._leaves.on_notice(peer.node_id, notice)
@@ -664,53 +684,15 @@
         self.links.notify_all(self._gateway_notice())
 
     def _gateway_notice(self) -> GatewayNotice:
-        state = (
-            UpstreamState.DRAINING if self.is_gateway_draining else self.upstream.state
-        )
-        return GatewayNotice(
-            self.upstream.service,
-            self.upstream.upstream_id,
-            state,
-            self.upstream.slots,
-            self.upstream.is_leaving,
-            self.upstream.born_ms,
-            self.upstream.version,
-        )
+        return gateway_notice(self.upstream, is_draining=self.is_gateway_draining)
 
     def _put_own_endpoint(self) -> None:
-        self.endpoints.put_record(self._record(self.upstream, self.upstream.state))
-
-    def _desired_record(self) -> UpstreamRecord | None:
         upstream = self.upstream
-        if upstream.state is UpstreamState.UNKNOWN:
-            if upstream.candidate is None:
-                return None
-            return self._record(upstream.candidate, UpstreamState.READY)
-        if upstream.state is UpstreamState.GONE:
-            # Until the upstream has ended, the next process of this node needs the
-            # record: a late report would make it use the upstream again.
-            return (
-                None
-                if self._is_upstream_closed
-                else self._record(upstream, UpstreamState.DRAINING)
-            )
-        return self._record(upstream, upstream.state)
+        self.endpoints.put_record(record_of(upstream, upstream.state, self.settings))
 
-    def _record(
-        self, upstream: LocalUpstream | ReadyUpstream, state: UpstreamState
-    ) -> UpstreamRecord:
-        settings = self.settings
-        return UpstreamRecord(
-            settings.node_id,
-            upstream.service,
-            settings.data_centre,
-            settings.region,
-            settings.peer_address,
-            upstream.upstream_id,
-            state,
-            upstream.slots,
-            upstream.born_ms,
-            version=upstream.version,
+    def _desired_record(self) -> UpstreamRecord | None:
+        return desired_record(
+            self.upstream, self.settings, is_upstream_closed=self._is_upstream_closed
         )
 
 
--- a/src/verbenawick/mesh/_peer_leaves.py
+++ b/src/verbenawick/mesh/_peer_leaves.py
@@ -33,9 +33,13 @@
 
 
 def _is_other_process(notice: GatewayNotice, leave: LeaveNotice) -> bool:
-    """Return whether `notice` is about a later process than the one that left."""
+    """Return whether `notice` is about another process than the one that left.
+
+    A node that says so has confirmed that its upstream does not leave, so the order of
+    the start times, which are read from clocks that step, does not matter.
+    """
     if not notice.upstream_id:
         return False
     return notice.upstream_id != leave.upstream_id or (
-        0 < leave.born_ms < notice.born_ms
+        notice.born_ms not in (0, leave.born_ms)
     )
--- a/src/verbenawick/mesh/_upstream_channels.py
+++ b/src/verbenawick/mesh/_upstream_channels.py
@@ -243,6 +243,23 @@
         self.reader.close()
 
 
+class HeldChannel:
+    """A channel without a request, taken from those of `UpstreamChannels`."""
+
+    def __init__(self, channel: _Channel, discard: Callable[[_Channel], None]):
+        self._channel = channel
+        self._discard = discard
+
+    @property
+    def is_silent(self) -> bool:
+        """Return whether the channel is open and nothing arrived on it."""
+        return not is_readable(self._channel.sock.fileno())
+
+    def close(self) -> None:
+        """Close the channel; call it once."""
+        self._discard(self._channel)
+
+
 class UpstreamChannels:
     """Channels to one upstream, at most `max_channels` of them open.
 
@@ -275,6 +292,11 @@
         # reused.
         self._generation = 0
 
+    @property
+    def address(self) -> str:
+        """Return the address of the upstream, ``"ip:port"``."""
+        return self._address
+
     @property
     def open_count(self) -> int:
         """Return the number of open channels."""
@@ -347,6 +369,16 @@
             self._release(channel, answer if is_reusable else None)
         return kind, answer
 
+    def hold(self, *, timeout_s: float) -> HeldChannel | None:
+        """Return a channel that carries no request, None if none can be opened."""
+        channel = self._take_idle("")
+        if channel is None and self._open_count < self.max_channels:
+            try:
+                channel = self._open(timeout_s=timeout_s)
+            except UpstreamUnreachableError:
+                return None
+        return channel and HeldChannel(channel, self._discard)
+
     def is_reachable(self) -> bool:
         """Return whether the upstream accepts a new connection now."""
         try:
@@ -425,19 +457,9 @@
 
     def _acquire(self, request_id: str, deadline: float) -> _Channel:
         self._check_deadline(deadline)
-        now = self._clock.now()
-        while self._idle:
-            channel = self._idle.pop()
-            # Readable while idle: closed by the upstream, or unsolicited bytes. A
-            # repetition of the answer to an earlier request with the same id could not
-            # be told from the answer to this one.
-            if (
-                now < channel.idle_until
-                and request_id not in channel.request_ids
-                and not is_readable(channel.sock.fileno())
-            ):
-                return self._start(channel, request_id)
-            self._discard(channel)
+        channel = self._take_idle(request_id)
+        if channel is not None:
+            return self._start(channel, request_id)
         if self._open_count >= self.max_channels:
             raise UpstreamUnreachableError(
                 f"all {self.max_channels} channels are in use",
@@ -456,6 +478,23 @@
             raise
         return self._start(channel, request_id)
 
+    def _take_idle(self, request_id: str) -> _Channel | None:
+        """Return an idle channel fit for a request; close those that are not."""
+        now = self._clock.now()
+        while self._idle:
+            channel = self._idle.pop()
+            # Readable while idle: closed by the upstream, or unsolicited bytes. A
+            # repetition of the answer to an earlier request with the same id could not
+            # be told from the answer to this one.
+            if (
+                now < channel.idle_until
+                and request_id not in channel.request_ids
+                and not is_readable(channel.sock.fileno())
+            ):
+                return channel
+            self._discard(channel)
+        return None
+
     def _check_deadline(self, deadline: float) -> None:
         if deadline <= self._clock.now():
             raise DeadlineUnreachableError(
--- a/src/verbenawick/mesh/_upstream_prober.py
+++ b/src/verbenawick/mesh/_upstream_prober.py
@@ -4,14 +4,12 @@
 
 import eventlet
 
-from verbenawick.errors import CallError
 from verbenawick.mesh._gateway import UpstreamProtocol
+from verbenawick.mesh._health_probe import HealthProbe
 from verbenawick.mesh._local_upstream import LocalUpstream
-from verbenawick.mesh._model import MeshConfiguration, ServiceSpec, UpstreamState
-from verbenawick.mesh._node_events import UpstreamProbeFailed
-from verbenawick.mesh._upstream_channels import AnswerKind, RawAnswer, UpstreamChannels
+from verbenawick.mesh._model import MeshConfiguration, UpstreamState
+from verbenawick.mesh._upstream_channels import UpstreamChannels
 from verbenawick.runtime._clock import Clock
-from verbenawick.runtime._events import emit
 
 # The upstream answers a health probe within a millisecond unless its slots are in use.
 PROBE_TIMEOUT_S = 0.5
@@ -37,10 +35,12 @@
         configuration: Callable[[], MeshConfiguration | None],
     ):
         self._upstream = upstream
-        self._channels = channels
-        self._protocol = protocol
-        self._clock = clock
-        self._configuration = configuration
+        self._probe = HealthProbe(
+            channels=channels,
+            protocol=protocol,
+            clock=clock,
+            configuration=configuration,
+        )
         self._thread = None
 
     def start_if_unknown(self) -> None:
@@ -53,39 +53,18 @@
         if self._thread:
             self._thread.kill()
 
+    def probe(self) -> None:
+        """Send one health probe and apply its answer."""
+        upstream_id, slots = self._probe.ask(
+            self._upstream.service, timeout_s=PROBE_TIMEOUT_S
+        )
+        if upstream_id:
+            self._upstream.on_probe(upstream_id, slots)
+
     def _probe_until_known(self) -> None:
         try:
             while self._upstream.state is UpstreamState.UNKNOWN:
-                configuration = self._configuration()
-                services = configuration.services_by_name if configuration else {}
-                service = services.get(self._upstream.service)
-                if service is not None:
-                    self._probe(service)
+                self.probe()
                 eventlet.sleep(PROBE_INTERVAL_S)
         finally:
             self._thread = None
-
-    def _probe(self, service: ServiceSpec) -> None:
-        try:
-            _, answer = self._channels.exchange(
-                request_id="",
-                method="GET",
-                target=service.health_path,
-                headers=self._protocol.health_headers(self._upstream.address),
-                body=b"",
-                deadline=self._clock.now() + PROBE_TIMEOUT_S,
-                classify=self._classify,
-            )
-        except CallError as error:
-            emit(UpstreamProbeFailed(str(error)))
-            return
-        upstream_id, slots = self._protocol.read_health(answer)
-        if upstream_id:
-            self._upstream.on_probe(upstream_id, slots)
-        else:
-            emit(UpstreamProbeFailed(f"answered {answer.status}"))
-
-    def _classify(self, answer: RawAnswer) -> AnswerKind:
-        # A health probe has no id, so an answer with one belongs to an earlier request.
-        has_id = answer.header(self._protocol.id_header) is not None
-        return AnswerKind.MISMATCHED if has_id else AnswerKind.MATCHING
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -21,6 +21,8 @@
         Duration of each request.
     sheds : bool
         Whether requests are refused as not run.
+    is_healthy : bool
+        Whether health probes succeed; those of a draining upstream do not.
     said_headers : list
         Further headers of all answers, in which the upstream tells of itself.
     crashes_on : callable
@@ -35,6 +37,7 @@
     service_time_s: float = 0.0
     sheds: bool = False
     status: int = 200
+    is_healthy: bool = True
     said_headers: list[tuple[str, str]] = field(default_factory=list)
     runs_by_request: Counter = field(default_factory=Counter)
     completed_runs: Counter = field(default_factory=Counter)
@@ -88,7 +91,8 @@
         if environ["PATH_INFO"] == "/health":
             load = f"{self.running},0,{self.slots}"
             headers = [("Instance-Id", self.upstream_id), ("Server-Load", load)]
-            start_response("200 OK", [*headers, ("Content-Length", "0")])
+            status = "200 OK" if self.is_healthy else "503 Service Unavailable"
+            start_response(status, [*headers, ("Content-Length", "0")])
             return [b""]
         request_id = environ.get("HTTP_ATTEMPT_ID", "")
         expected = environ.get("HTTP_TARGET_INSTANCE", self.upstream_id)
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -187,6 +187,49 @@
         self.assertEqual(503, answer.status)
         self.assertEqual(0, sum(self.b1.upstream.runs_by_request.values()))
 
+    def start_again_without_a_report(self, *, born_ms: int):
+        """Crash the upstream; its next process has the same id."""
+        self.cluster.crash_upstream(self.b1)
+        self.cluster.revive_upstream(self.b1, keeps_id=True)
+        self.b1.is_reporting = False
+        self.b1.upstream.born_ms = born_ms
+
+    def leave_and_report_late(self, *, restarts_node: bool):
+        """Let the upstream leave before its first report arrives."""
+        self.b1.upstream.is_healthy = False
+        self.acknowledge_leave(lambda: self.b1.upstream.leave(self.b1.report_address))
+        if restarts_node:
+            self.cluster.restart_node(self.b1)
+            wait_until(lambda: self.b1.server.node.is_ready, 3)
+        late_report = self.b1.upstream.report(
+            self.b1.report_address, self.b1.upstream_address
+        )
+        self.assertEqual(200, late_report)
+        answer = self.cluster.call(self.b1, "/booking/1", method="POST", body=b"x")
+        self.assertEqual(503, answer.status)
+        self.assertEqual(0, sum(self.b1.upstream.runs_by_request.values()))
+
+    def test_late_report_of_a_later_process_than_the_known_one_is_ignored(self):
+        """Guards against calls after a leave whose process the node took for another.
+
+        The leave names an id only, and the node knows an earlier process with it.
+        """
+        for restarts_node in (False, True):
+            self.start_again_without_a_report(born_ms=self.b1.upstream.born_ms + 5)
+            self.leave_and_report_late(restarts_node=restarts_node)
+
+    def test_process_that_starts_after_a_leave_is_used_at_once(self):
+        """Guards against a window for late reports that bars a new process."""
+        self.b1.upstream.is_healthy = False
+        self.acknowledge_leave(lambda: self.b1.upstream.leave(self.b1.report_address))
+        # The clock of the VM has gone back since.
+        self.start_again_without_a_report(born_ms=self.b1.upstream.born_ms - 1)
+        self.b1.upstream.is_healthy = True
+        self.b1.is_reporting = True
+        wait_until(lambda: self.b1.server.node.upstream.accepts_work, 1)
+        answer = self.cluster.call(self.b1, "/booking/1", method="POST", body=b"x")
+        self.assertEqual(200, answer.status)
+
     def test_leave_acknowledged_in_an_outage_survives_a_restart_in_it(self):
         """Guards against a leave that only the previous process knew."""
         self.cluster.store.faults.status = 503
--- a/tests/test_mesh_gateway.py
+++ b/tests/test_mesh_gateway.py
@@ -3,6 +3,7 @@
 from loguru import logger
 from testtools import TestCase
 
+from tests.address_observer import FakeAddressObserver
 from verbenawick.errors import (
     CallTimeoutError,
     DrainingError,
@@ -102,7 +103,10 @@
         self.metrics = MetricSet()
         self.guard = CrashGuard()
         self.upstream = LocalUpstream(
-            address=ADDRESS, service="s", on_change=lambda: None
+            observer=FakeAddressObserver(),
+            address=ADDRESS,
+            service="s",
+            on_change=lambda: None,
         )
         self.upstream.on_report(report(1), 0.0)
         self.gateway = MeshGateway(
--- a/tests/test_mesh_local_upstream.py
+++ b/tests/test_mesh_local_upstream.py
@@ -3,6 +3,7 @@
 from loguru import logger
 from testtools import TestCase
 
+from tests.address_observer import FakeAddressObserver
 from verbenawick.mesh._local_upstream import LATE_REPORT_WINDOW_S, LocalUpstream
 from verbenawick.mesh._model import StatusReport, UpstreamRecord, UpstreamState
 
@@ -33,7 +34,10 @@
         super().setUp()
         self.changes = 0
         self.upstream = LocalUpstream(
-            address=ADDRESS, service="s", on_change=self.count_change
+            observer=FakeAddressObserver(),
+            address=ADDRESS,
+            service="s",
+            on_change=self.count_change,
         )
 
     def count_change(self):
@@ -104,7 +108,10 @@
         )
         for name, steps, expected in rows:
             upstream = LocalUpstream(
-                address=ADDRESS, service="s", on_change=lambda: None
+                observer=FakeAddressObserver(),
+                address=ADDRESS,
+                service="s",
+                on_change=lambda: None,
             )
             for step in steps:
                 if step == leave:
@@ -191,7 +198,10 @@
         )
         for name, steps in rows:
             self.upstream = LocalUpstream(
-                address=ADDRESS, service="s", on_change=lambda: None
+                address=ADDRESS,
+                service="s",
+                observer=FakeAddressObserver("u1", is_running=True),
+                on_change=lambda: None,
             )
             other = self.upstream.on_other_upstream
             for step in steps:
@@ -207,6 +217,37 @@
             self.send_reports(report(sequence=9), now=1.0 + LATE_REPORT_WINDOW_S)
             self.assertEqual(READY, self.upstream.state, name)
 
+    def test_leave_binds_until_a_later_process_reports(self):
+        """Guards against calls after a late report of the process that left.
+
+        The node knows an earlier process under the id, another upstream, or none, and
+        the report is later than any window.
+        """
+        rows = (
+            ("earlier process", [report(born=100)], 200),
+            ("earlier process, its clock was ahead", [report(born=300)], 200),
+            ("another upstream", [report("u0", born=100)], 200),
+            ("another upstream, its clock was ahead", [report("u0", born=300)], 200),
+            ("no upstream", [], 200),
+            ("its start", [report(born=200)], 200),
+        )
+        for name, reports, born in rows:
+            for delay_s in (1.0, LATE_REPORT_WINDOW_S + 50.0):
+                observer = FakeAddressObserver(healthy_id="")
+                self.upstream = LocalUpstream(
+                    address=ADDRESS,
+                    service="s",
+                    observer=observer,
+                    on_change=lambda: None,
+                )
+                self.send_reports(*reports)
+                self.upstream.on_leave("u1", 1.0)
+                self.send_reports(report(sequence=9, born=born), now=1.0 + delay_s)
+                self.assertEqual(GONE, self.upstream.state, name)
+                observer.healthy_id = "u1"
+                self.send_reports(report(born=199), now=1.1 + delay_s)
+                self.assertEqual(READY, self.upstream.state, name)
+
     def test_gaps_between_reports_are_logged(self):
         """Without the line, failed calls of the upstream cannot be found in the log."""
         records = []
@@ -243,8 +284,13 @@
         self.restart()
 
     def restart(self):
+        self.observer = FakeAddressObserver()
         self.upstream = LocalUpstream(
-            address=ADDRESS, service="s", on_change=lambda: None, awaits_record=True
+            address=ADDRESS,
+            service="s",
+            observer=self.observer,
+            on_change=lambda: None,
+            awaits_record=True,
         )
 
     def record(self, state, *, upstream_id="u1", born=100):
@@ -262,6 +308,8 @@
         )
         for name, record, born, expected in rows:
             self.restart()
+            # An upstream that drains or leaves answers no health probe.
+            self.observer.healthy_id = "" if expected is DRAINING else "u1"
             self.upstream.on_report(report(born=born), 0.0)
             self.assertEqual((UNKNOWN, "u1"), self.state(), name)
             self.upstream.restore(record)
@@ -282,6 +330,22 @@
         self.upstream.skip_restore()
         self.assertEqual(READY, self.upstream.state)
 
+    def test_report_before_the_record_is_read_needs_a_health_probe(self):
+        """Guards against calls after a leave that the record does not contain yet.
+
+        The store was away when the previous process of the node acknowledged it.
+        """
+        for record in (None, self.record(READY)):
+            self.restart()
+            self.observer.healthy_id = ""
+            self.upstream.on_report(report(), 0.0)
+            self.upstream.restore(record)
+            self.upstream.on_report(report(sequence=2), 1.0)
+            self.assertEqual(UNKNOWN, self.upstream.state)
+            self.observer.healthy_id = "u1"
+            self.upstream.on_probe("u1", 4)
+            self.assertEqual((READY, 100), (self.upstream.state, self.upstream.born_ms))
+
     def test_leave_read_after_the_outage_applies(self):
         """Guards against a stored leave that is ignored once the store answers."""
         rows = (
@@ -304,6 +368,7 @@
             ("unknown", [], 100, UNKNOWN),
             ("candidate", [u1], 100, GONE),
             ("candidate, start unknown", [u1], 0, GONE),
+            ("candidate, start wrong", [u1], 99, GONE),
             ("later process", [report(born=101)], 100, READY),
             ("another upstream", [u2], 100, READY),
             ("already used", [u1, None], 100, GONE),
@@ -316,6 +381,8 @@
                     self.upstream.skip_restore()
                 else:
                     self.upstream.on_report(step, 0.0)
+            if expected is GONE:
+                self.observer.healthy_id = ""
             self.upstream.on_earlier_leave("u1", born, 1.0)
             self.upstream.restore(None)
             self.assertEqual(expected, self.upstream.state, name)
--- a/tests/test_mesh_upstream_channels.py
+++ b/tests/test_mesh_upstream_channels.py
@@ -11,6 +11,7 @@
 from greenlet import GreenletExit
 from testtools import TestCase
 
+from tests.address_observer import FakeAddressObserver
 from tests.call_support import INVALID_STATUSES, wait_until
 from verbenawick.errors import (
     BadCallError,
@@ -22,7 +23,7 @@
     UpstreamUnreachableError,
 )
 from verbenawick.mesh._local_upstream import LocalUpstream
-from verbenawick.mesh._model import ServiceSpec
+from verbenawick.mesh._model import MeshConfiguration, ServiceSpec
 from verbenawick.mesh._upstream_channels import (
     MAX_BODY_BYTES,
     MAX_BUFFERED_BYTES,
@@ -485,18 +486,22 @@
             ["request", healthy, 0.1],
         )
         upstream = LocalUpstream(
-            address=self.address, service="s", on_change=lambda: None
+            observer=FakeAddressObserver(),
+            address=self.address,
+            service="s",
+            on_change=lambda: None,
         )
+        configuration = MeshConfiguration(1, 1, (), {"s": ServiceSpec("s")})
         prober = UpstreamProber(
             upstream,
             channels=self.channels,
             protocol=PlatformUpstreamProtocol(),
             clock=self.clock,
-            configuration=lambda: None,
+            configuration=lambda: configuration,
         )
         self.exchange("q1")
         for expected in ("", "", "i-1"):
-            prober._probe(ServiceSpec("s"))
+            prober.probe()
             self.assertEqual(expected, upstream.upstream_id)
             self.assertEqual(0, self.channels.open_count)
 
