Apply a drain of a process whose clock went back

Cause: a report with a lower start than the known one was taken for a late one of an earlier process, ignored and acknowledged. An upstream that started while the clock of its VM was ahead, and again when it was right, has a lower start.

--- a/src/verbenawick/mesh/_local_upstream.py
+++ b/src/verbenawick/mesh/_local_upstream.py
@@ -510,10 +510,14 @@
         return "" if self._is_later(report) else "earlier process"
 
     def _reason_to_ignore_drain(self, report: StatusReport) -> str:
-        """Return why a draining report does not apply, empty if it does."""
+        """Return why a draining report does not apply, empty if it does.
+
+        It applies unless it is certainly not from the process at the address: once it
+        is acknowledged, nothing more may be sent to its sender.
+        """
         if self.state is not UpstreamState.READY or self._is_later(report):
             return ""
-        return "earlier process"
+        return "earlier process" if self._is_current_healthy() else ""
 
     def _may_have_left(self, report: StatusReport) -> bool:
         """Return whether a report may be from a process that left, by its id."""
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -230,6 +230,20 @@
         answer = self.cluster.call(self.b1, "/booking/1", method="POST", body=b"x")
         self.assertEqual(200, answer.status)
 
+    def test_drain_after_the_clock_went_back_is_not_ignored(self):
+        """Guards against an acknowledged drain of a seemingly earlier process."""
+        self.start_again_without_a_report(born_ms=self.b1.upstream.born_ms - 1)
+        upstream = self.b1.upstream
+        upstream.is_healthy = False
+        self.acknowledge_leave(
+            lambda: upstream.report(
+                self.b1.report_address, self.b1.upstream_address, state="draining"
+            )
+        )
+        answer = self.cluster.call(self.b1, "/booking/1", method="POST", body=b"x")
+        self.assertEqual(503, answer.status)
+        self.assertEqual(0, sum(upstream.runs_by_request.values()))
+
     def test_leave_acknowledged_in_an_outage_survives_a_restart_in_it(self):
         """Guards against a leave that only the previous process knew."""
         self.cluster.store.faults.status = 503
