Free the bodies of calls that the slot queue refused

Cause: _wait_for_slot kept the error that it raised in a variable. The frame, the error and its traceback form a reference cycle, which keeps the call with its body until the garbage collector runs, and the nodes make that rare. Two other places that raise stored errors while they handle calls are changed likewise.

--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -558,9 +558,7 @@
                 "no slot became free before the deadline", step="gateway.queue"
             )
         if verdict[0] is Verdict.REFUSED:
-            error = QueueFullError("slot queue refused the call", step="gateway.queue")
-            error.retry_after_s = verdict[1]
-            raise error
+            raise _queue_refusal(verdict[1])
 
     def _grant_free_slots(self) -> None:
         self._queue.grant_free_slots(self._clock.now())
@@ -754,3 +752,14 @@
         offset = max(known - fall_s, seen)
         self._clock_offset_by_peer[key] = offset, now
         return offset
+
+
+def _queue_refusal(retry_after_s: float) -> QueueFullError:
+    """Return the error for a call that the slot queue refused.
+
+    A caller that kept it in a variable would form a reference cycle with its traceback,
+    which keeps the call and its body until the next garbage collection.
+    """
+    error = QueueFullError("slot queue refused the call", step="gateway.queue")
+    error.retry_after_s = retry_after_s
+    return error
--- a/src/verbenawick/mesh/_offer_race.py
+++ b/src/verbenawick/mesh/_offer_race.py
@@ -94,7 +94,12 @@
             return offer()
         event = self._events.get()
         if isinstance(event, Exception):
-            raise event
+            try:
+                raise event
+            finally:
+                # The variable would form a reference cycle with the traceback, which
+                # keeps the call and its body until the next garbage collection.
+                del event
         self._silent_count -= event.was_silent
         return event
 
--- a/src/verbenawick/mesh/_upstream_channels.py
+++ b/src/verbenawick/mesh/_upstream_channels.py
@@ -431,7 +431,8 @@
             data = channel.receive()
             if not data:
                 if request.error is not None:
-                    raise request.error
+                    # The stored error would form a reference cycle with its traceback.
+                    raise OSError(*request.error.args)
                 reader.end()
                 if not reader.complete:
                     raise ConnectionResetError("upstream closed the channel")
--- a/tests/test_mesh_gateway.py
+++ b/tests/test_mesh_gateway.py
@@ -1,5 +1,8 @@
 """Tests of the calls a gateway sends to its upstream and the results it returns."""
 
+import gc
+import tracemalloc
+
 from loguru import logger
 from testtools import TestCase
 
@@ -19,6 +22,7 @@
 from verbenawick.mesh._local_upstream import LocalUpstream
 from verbenawick.mesh._messages import ForwardedCall
 from verbenawick.mesh._model import CallOutcome, StatusReport
+from verbenawick.mesh._slot_queue import Verdict
 from verbenawick.mesh._upstream_channels import AnswerKind, RawAnswer
 from verbenawick.platform._calls import PlatformUpstreamProtocol
 from verbenawick.runtime._clock import ManualClock
@@ -207,6 +211,23 @@
             self.assertFalse(result.has_arrived, code)
         self.assertEqual([], self.channels.sent)
 
+    def test_refused_calls_free_their_bodies_at_once(self):
+        """Guards against memory that refusals of the queue keep until a collection."""
+        body_bytes = 1_000_000
+        gc.disable()
+        self.addCleanup(gc.enable)
+        self.gateway._queue.enter = lambda request, now: request.on_verdict(
+            Verdict.REFUSED, 1.0
+        )
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for number in range(5):
+            result = self.handle(body=bytes(body_bytes), request_id=f"q{number}")
+            self.assertEqual(CallOutcome.NOT_RUN, result.outcome)
+            del result
+        held_bytes, _ = tracemalloc.get_traced_memory()
+        self.assertLess(held_bytes, body_bytes // 2)
+
     def test_equal_requests_of_other_callers_are_told_apart(self):
         """Guards against completions of others that let a crashing request pass."""
         fingerprint = fingerprint_of(call(target="/crash"))
