--- a/src/verbenawick/calls/_http_messages.py
+++ b/src/verbenawick/calls/_http_messages.py
@@ -70,11 +70,8 @@
     if not has_body(environ):
         return b""
     length = environ.get("CONTENT_LENGTH")
-    too_large = RequestTooLargeError(
-        f"request body exceeds {max_bytes} bytes", step="entry.body"
-    )
     if length is not None and int(length) > max_bytes:
-        raise too_large
+        raise _too_large(max_bytes)
     if length is not None:
         reserve(int(length))
     body = bytearray()
@@ -84,12 +81,23 @@
             reserve(len(piece))
         body += piece
         if len(body) > max_bytes:
-            raise too_large
+            raise _too_large(max_bytes)
     if length is not None and len(body) != int(length):
         raise BadCallError("body is shorter than its length", step="entry.body")
     return bytes(body)
 
 
+def _too_large(max_bytes: int) -> RequestTooLargeError:
+    """Return the error for a body.
+
+    A reader that kept it in a variable would form a reference cycle with its traceback,
+    which keeps the body until the next garbage collection.
+    """
+    return RequestTooLargeError(
+        f"request body exceeds {max_bytes} bytes", step="entry.body"
+    )
+
+
 def _read_piece(environ, max_bytes: int) -> bytes:
     try:
         return environ["wsgi.input"].read(min(PIECE_BYTES, max_bytes))
--- a/tests/test_mesh_body_memory.py
+++ b/tests/test_mesh_body_memory.py
@@ -1,13 +1,20 @@
 """Tests of the limit on the request bodies that a node holds."""
 
+import gc
+import io
+import tracemalloc
+
 from testtools import TestCase
 
-from verbenawick.errors import BodiesFullError
+from verbenawick.errors import BodiesFullError, BodyNotCarriedError
+from verbenawick.links._call_messages import MAX_MESSAGE_BODY_BYTES
 from verbenawick.mesh._body_memory import (
     MAX_HELD_BYTES,
     SMALL_BODY_BYTES,
     BodyMemory,
+    receive_body,
 )
+from verbenawick.mesh._model import RequestLimits
 
 
 class BodyMemoryTest(TestCase):
@@ -44,3 +51,26 @@
             except ValueError:
                 pass
             self.assertEqual(0, self.memory.held_bytes)
+
+    def test_refused_bodies_in_chunks_are_freed_at_once(self):
+        """Guards against memory that refused uploads keep until a collection."""
+        gc.disable()
+        self.addCleanup(gc.enable)
+        limits = RequestLimits()
+        upload = bytes(MAX_MESSAGE_BODY_BYTES + 1)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for _ in range(3):
+            environ = {
+                "HTTP_TRANSFER_ENCODING": "chunked",
+                "wsgi.input": io.BytesIO(upload),
+            }
+            # `assertRaises` would keep the error with its traceback.
+            try:
+                with self.memory.reservation() as reserve:
+                    receive_body(environ, limits, reserve)
+                self.fail("the body is too large")
+            except BodyNotCarriedError:
+                pass
+        held_bytes, _ = tracemalloc.get_traced_memory()
+        self.assertLess(held_bytes, MAX_MESSAGE_BODY_BYTES // 4)
