Serve new connections of callers beside 1,024 kept ones

Cause: the server took 1,024 connections, then its accept loop waited until one ended. It takes 3,072 now, or what the descriptors of the process allow, and beyond three quarters of that each response announces the close of its connection.

test_new_connections_are_served_beside_kept_ones failed before: no answer within 2 s.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -236,6 +236,9 @@
         By default the time set for the server applies.
     is_stopping : callable
         Returns whether the server is stopping.
+    is_crowded : callable
+        Returns whether the server has so many connections that each has to be closed
+        after its response, to leave places for others.
     on_end : callable
         Called with the `ConnectionEnd` when the connection has ended.
     read_ahead : ReadAhead or None
@@ -251,6 +254,7 @@
         connections: set["CallerProtocol"] | None = None,
         idle_timeout_s: Callable[[], float] | None = None,
         is_stopping: Callable[[], bool] = lambda: False,
+        is_crowded: Callable[[], bool] = lambda: False,
         on_end: Callable[[ConnectionEnd], None] = lambda end: None,
         read_ahead: ReadAhead | None = None,
     ):
@@ -261,6 +265,7 @@
         self._connections = set() if connections is None else connections
         self._idle_timeout_s = idle_timeout_s
         self._is_stopping = is_stopping
+        self._is_crowded = is_crowded
         self._on_end = on_end
         # Whether eventlet has left the connection open at the end of its accept loop,
         # at which it shuts down the idle ones.
@@ -355,8 +360,8 @@
     def handle_one_response(self) -> None:
         """Call the application and write its response.
 
-        While the server stops, the response announces the close of the connection
-        unless a further request has arrived, which is served first.
+        While the server stops or is crowded, the response announces the close of the
+        connection unless a further request has arrived, which is served first.
         """
         self._requests += 1
         self._has_begun_request = False
@@ -374,7 +379,7 @@
 
             with self._reading_ahead(is_last=asked_for_end):
                 chunks = self._run(application, environ, start)
-            if self._is_stopping() and not asked_for_end:
+            if (self._is_stopping() or self._is_crowded()) and not asked_for_end:
                 has_next = body.is_read and self._has_next_request()
                 self.close_connection = not has_next
                 self._has_begun_request = has_next
--- a/src/verbenawick/calls/_entry_server.py
+++ b/src/verbenawick/calls/_entry_server.py
@@ -1,5 +1,6 @@
 """HTTP server of the entry role, based on eventlet's WSGI server."""
 
+import resource
 from collections.abc import Callable
 from contextlib import suppress
 from functools import partial
@@ -17,7 +18,13 @@
 from verbenawick.runtime._metrics import MetricSet
 from verbenawick.runtime._sockets import listen
 
-MAX_CONNECTIONS = 1024
+# An idle connection takes some 32 KB.
+MAX_CONNECTIONS = 3072
+# Descriptors that remain for links, channels to the upstream, the store and files.
+RESERVED_DESCRIPTORS = 512
+# Share of the connections from which on each is closed after its next response. If all
+# were kept until they are idle, new ones would wait without an answer.
+CROWDED_SHARE = 0.75
 # Idle connections of callers are closed after this time unless the configuration names
 # another one.
 KEEP_ALIVE_TIMEOUT_S = 75.0
@@ -47,6 +54,15 @@
         ...
 
 
+def connection_limit() -> int:
+    """Return how many connections of callers the process can keep."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return MAX_CONNECTIONS
+    remaining = max(descriptors - RESERVED_DESCRIPTORS, descriptors // 2)
+    return min(MAX_CONNECTIONS, remaining)
+
+
 class EntryServer:
     """HTTP server of the entry role.
 
@@ -70,7 +86,7 @@
         idle_timeout_s: Callable[[], float] = lambda: KEEP_ALIVE_TIMEOUT_S,
     ):
         self._application = application
-        self._max_connections = max_connections or MAX_CONNECTIONS
+        self._max_connections = max_connections or connection_limit()
         self._idle_timeout_s = idle_timeout_s
         self._listener = None
         self._thread = None
@@ -98,6 +114,7 @@
                 connections=self._connections,
                 idle_timeout_s=self._idle_timeout_s,
                 is_stopping=lambda: self._is_stopping,
+                is_crowded=self._is_crowded,
                 on_end=self._ends.record,
                 read_ahead=self._read_ahead,
             ),
@@ -111,6 +128,9 @@
             capitalize_response_headers=False,
         )
 
+    def _is_crowded(self) -> bool:
+        return len(self._connections) > CROWDED_SHARE * self._max_connections
+
     def stop(self, *, grace_s: float, timeout_s: float) -> bool:
         """Stop gracefully; return whether all calls in flight ended in time.
 
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -1,8 +1,10 @@
 """Requests on kept connections to an entry that stops, over real sockets."""
 
+import resource
 import time
 from contextlib import suppress
 from typing import ClassVar
+from unittest import mock
 
 import eventlet
 from eventlet.green import socket
@@ -11,7 +13,12 @@
 from tests.call_support import free_port, responses_until_close, wait_until
 from verbenawick.calls._caller_protocol import CALLER_LEFT_STATUS, LINGER_S
 from verbenawick.calls._connection_ends import ENDS_BY_CAUSE, EndCause
-from verbenawick.calls._entry_server import LAST_REQUESTS_S, EntryServer
+from verbenawick.calls._entry_server import (
+    LAST_REQUESTS_S,
+    MAX_CONNECTIONS,
+    EntryServer,
+    connection_limit,
+)
 from verbenawick.runtime._calls_in_flight import CallsInFlight
 from verbenawick.runtime._metrics import MetricSet
 
@@ -356,3 +363,45 @@
         sender.kill()
         sock.close()
         wait_until(lambda: self.metrics.totals().get(ENDS_BY_CAUSE[EndCause.BROKEN]))
+
+
+class CrowdedEntryServerTest(TestCase):
+    """Callers that keep more connections than the server takes."""
+
+    def setUp(self):
+        super().setUp()
+        self.server = EntryServer(
+            _Application(), metrics=MetricSet(), max_connections=8
+        )
+        self.address = ("127.0.0.1", free_port())
+        self.server.listen("{}:{}".format(*self.address))
+        self.server.start()
+        self.addCleanup(self.server.close)
+
+    def test_new_connections_are_served_beside_kept_ones(self):
+        """Guards against a ready node that answers nothing on new connections."""
+        kept = []
+        for number in range(12):
+            sock = socket.create_connection(self.address, 5)
+            self.addCleanup(sock.close)
+            sock.sendall(request(f"/{number}"))
+            with eventlet.Timeout(2):
+                answer = sock.recv(65_536)
+            self.assertIn(b"200 OK", answer)
+            if b"connection: close" in answer.lower():
+                sock.close()
+            else:
+                kept.append(sock)
+        self.assertEqual(6, len(kept))
+
+    def test_connections_fit_into_the_descriptors_of_the_process(self):
+        """Guards against connections that leave none to links and the store."""
+        for descriptors, expected in (
+            (resource.RLIM_INFINITY, MAX_CONNECTIONS),
+            (4100, 3072),
+            (2048, 1536),
+            (600, 300),
+        ):
+            limits = (descriptors, descriptors)
+            with mock.patch.object(resource, "getrlimit", return_value=limits):
+                self.assertEqual(expected, connection_limit(), descriptors)
