Play leaves before late reports in the soak

An upstream crashes, starts again under its id with a clock that may step, leaves, and its first report arrives after that. The history tells processes with the same id apart, draining upstreams answer no health probe, and a replaced one resets its connections.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -15,6 +15,7 @@
 STORM_CHANGES = 8
 STORM_INTERVAL_S = 0.2
 DRAIN_S = 3.0
+CLOCK_STEPS_MS = (-2400, 0, 0, 2400)
 RUNNING_POLL_S = 0.1
 # Nodes need this long to find the silence of a link.
 MIN_SILENCE_S = 1.0
@@ -139,11 +140,34 @@
     """Drain an upstream and replace it by a new process."""
     node = choose_node(world, random)
     if node.state == "ready":
+        node.upstream.is_healthy = False
         node.state = "draining"
         eventlet.sleep(DRAIN_S)
         node.replace_upstream()
 
 
+@register_fault()
+def leave_before_late_report(world, random, duration_s):
+    """Let an upstream crash, start again under its id and leave at once.
+
+    The report of its start arrives after its leave. The clock may step at each start.
+    """
+    node = choose_node(world, random)
+    if node.state != "ready":
+        return
+    node.replace_upstream(keeps_id=True, step_ms=random.choice(CLOCK_STEPS_MS))
+    upstream = node.upstream
+    upstream.sequence += 1
+    late_sequence = upstream.sequence
+    node.leave()
+    eventlet.sleep(duration_s)
+    node.report_late(late_sequence)
+    eventlet.sleep(DRAIN_S)
+    node.replace_upstream(
+        keeps_id=random.random() < 0.5, step_ms=random.choice(CLOCK_STEPS_MS)
+    )
+
+
 @register_fault()
 def kill(world, random, duration_s):
     """Kill a node process."""
--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -62,10 +62,16 @@
 
 @dataclass(slots=True)
 class Run:
-    """A request that an upstream began to run."""
+    """A request that an upstream began to run.
+
+    Attributes
+    ----------
+    process : str
+        Process of the upstream; several can have the same upstream id.
+    """
 
     request_id: str
-    upstream_id: str
+    process: str
     at: float
 
 
@@ -76,7 +82,7 @@
     Attributes
     ----------
     drained_at : dict
-        Time of the acknowledgement, by upstream id.
+        Time of the acknowledgement of a drain or leave, by process.
     stops : list
         Node and time of each planned stop.
     disturbed : list
@@ -143,11 +149,11 @@
 
 @register_promise
 def nothing_after_drain(history: History) -> Iterator[str]:
-    """Yield requests that reached an upstream long after its drain."""
+    """Yield requests that reached an upstream long after its drain or leave."""
     for run in history.runs:
-        acknowledged_at = history.drained_at.get(run.upstream_id)
+        acknowledged_at = history.drained_at.get(run.process)
         if acknowledged_at is not None and run.at > acknowledged_at + DRAIN_S:
-            yield f"{run.request_id} at {run.upstream_id} {run.at - acknowledged_at}"
+            yield f"{run.request_id} at {run.process} {run.at - acknowledged_at}"
 
 
 @register_promise
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -42,13 +42,16 @@
         """Change the mode; `Mode.RESET` also resets the open connections."""
         self.mode = mode
         if mode is Mode.RESET:
-            for pair in list(self._pairs):
-                self._reset(pair)
+            self.reset_connections()
 
     def close(self) -> None:
         """Close the listener and all connections."""
         self._thread.kill()
         self._listener.close()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset the open connections."""
         for pair in list(self._pairs):
             self._reset(pair)
 
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -5,7 +5,7 @@
 import signal
 import subprocess
 import sys
-from contextlib import ExitStack, contextmanager
+from contextlib import ExitStack, contextmanager, suppress
 from http.client import HTTPConnection, HTTPException
 from itertools import count
 from pathlib import Path
@@ -25,6 +25,8 @@
 
 REPORT_INTERVAL_S = 0.3
 RESTART_DELAY_S = 0.4
+# Between the starts of two upstream processes, if no clock steps.
+BIRTH_INTERVAL_MS = 1000
 # Service times of upstreams. Requests behind a slow one wait longer than the slack of
 # `sent_requests_are_answered`.
 FAST_S = (0.005, 0.08)
@@ -43,8 +45,13 @@
         self._history = history
         self._random = random
 
+    @property
+    def process(self) -> str:
+        """Return what tells this process from others, also from those with its id."""
+        return f"{self.upstream_id}/{self.born_ms}"
+
     def _run(self, environ, start_response, request_id):
-        run = Run(request_id, self.upstream_id, monotonic())
+        run = Run(request_id, self.process, monotonic())
         self._history.runs.append(run)
         is_slow = self._random.random() < SLOW_RATIO
         self.service_time_s = self._random.uniform(*(SLOW_S if is_slow else FAST_S))
@@ -97,14 +104,25 @@
         }
         self._settings_path.write_text(json.dumps(settings))
 
-    def replace_upstream(self) -> None:
-        """Start a new upstream process in place of the last one."""
-        upstream_id = f"i-{self.node_id}-{next(self.boots)}"
+    def replace_upstream(self, *, keeps_id: bool = False, step_ms: int = 0) -> None:
+        """Start a new upstream process in place of the last one.
+
+        Parameters
+        ----------
+        step_ms : int
+            How far the clock from which it takes its start is ahead.
+        """
+        self.upstream_proxy.reset_connections()
         world = self.world
+        upstream_id = (
+            self.upstream.upstream_id
+            if keeps_id
+            else f"i-{self.node_id}-{next(self.boots)}"
+        )
         self.upstream = SoakUpstream(
             upstream_id, self.service, world.history, world.random
         )
-        self.upstream.born_ms = next(world.births)
+        self.upstream.born_ms = BIRTH_INTERVAL_MS * next(world.births) + step_ms
         self.state = "ready"
 
     def serve_upstream(self) -> None:
@@ -120,6 +138,9 @@
         """Send status reports until the green thread is killed."""
         while True:
             upstream, state = self.upstream, self.state
+            if state == "leaving":
+                eventlet.sleep(REPORT_INTERVAL_S)
+                continue
             try:
                 status = upstream.report(
                     self.addresses["report"], self.upstream_proxy.address, state=state
@@ -127,10 +148,30 @@
             except (OSError, HTTPException):
                 status = 0  # the node is down; the next report retries
             if status == 200 and state == "draining":
-                drained_at = self.world.history.drained_at
-                drained_at.setdefault(upstream.upstream_id, monotonic())
+                self._note_acknowledgement(upstream)
             eventlet.sleep(REPORT_INTERVAL_S)
 
+    def leave(self) -> None:
+        """Tell the node that the upstream leaves, which goes on serving."""
+        self.state = "leaving"
+        upstream = self.upstream
+        upstream.is_healthy = False
+        with suppress(OSError, HTTPException):
+            if upstream.leave(self.addresses["report"]) == 200:
+                self._note_acknowledgement(upstream)
+
+    def report_late(self, sequence: int) -> None:
+        """Deliver an earlier report, according to which the upstream is ready."""
+        with suppress(OSError, HTTPException):
+            self.upstream.report(
+                self.addresses["report"],
+                self.upstream_proxy.address,
+                sequence=sequence,
+            )
+
+    def _note_acknowledgement(self, upstream: SoakUpstream) -> None:
+        self.world.history.drained_at.setdefault(upstream.process, monotonic())
+
     def start(self) -> None:
         """Start the node process, with its output in a file of its own."""
         self._log = self.world.folder / f"{self.node_id}.{monotonic():.3f}.log"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 import json
 import subprocess
 import sys
+from dataclasses import asdict
 from random import Random
 from types import SimpleNamespace
 
@@ -217,3 +218,18 @@
     assert line["faults"]["stop_several"] >= 2
     # Without a status: the node was down. Refused: all nodes of the service stopped.
     assert line["statuses"].keys() <= {"200", "0", "503"}
+
+
+def test_nothing_is_sent_after_leaves_whose_reports_are_late(tmp_path):
+    """Guards against late reports that make upstreams ready again after a leave."""
+    events = [
+        asdict(Event(0.5 + 1.2 * number, "leave_before_late_report", late_s, number))
+        for number, late_s in enumerate((1.0, 2.5) * 3)
+    ]
+    schedule = tmp_path / "schedule.json"
+    schedule.write_text(json.dumps(events))
+    (line,), errors = run_soak(
+        tmp_path, "--seed", "1", "--seconds", "8", "--schedule", str(schedule)
+    )
+    assert line["violations"] == {}, errors
+    assert line["faults"] == {"leave_before_late_report": 6}
