Let the client read in the test of a response without end

test_response_without_end_is_rejected_early failed once in a whole run beside four busy processes: 16,973,824 bytes sent, 16,777,216 allowed.

Cause: the test counts what its server has sent, of which several megabytes wait in the kernel's buffers (up to 36 MiB on this machine), so the figure depends on when the two green threads run. The server now lets the client read after each part.

--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -131,6 +131,8 @@
                 while True:
                     sock.sendall(part)
                     self.sent_bytes += len(part)
+                    # Lets the client read; what the kernel buffers would count too.
+                    eventlet.sleep(0)
             except OSError:
                 sock.close()
 
