--- a/tests/test_mesh_local_upstream.py
+++ b/tests/test_mesh_local_upstream.py
@@ -370,6 +370,7 @@
             ("candidate, start unknown", [u1], 0, GONE),
             ("candidate, start wrong", [u1], 99, GONE),
             ("later process", [report(born=101)], 100, READY),
+            ("later process, its clock back", [report(born=99)], 100, READY),
             ("another upstream", [u2], 100, READY),
             ("already used", [u1, None], 100, GONE),
             ("later process already used", [report(born=101), None], 100, READY),
--- a/tests/test_mesh_peer_leaves.py
+++ b/tests/test_mesh_peer_leaves.py
@@ -29,6 +29,12 @@
             ("late report", [notice(GONE), notice(READY)], left),
             ("known from a probe", [notice(GONE), notice(READY, "u1", 0)], left),
             ("new process", [notice(GONE), notice(READY, born_ms=101)], None),
+            ("clock went back", [notice(GONE), notice(READY, born_ms=99)], None),
+            (
+                "start unknown",
+                [notice(GONE, born_ms=0), notice(READY, born_ms=101)],
+                None,
+            ),
             ("new upstream", [notice(GONE), notice(READY, "u2", 0)], None),
         )
         for name, notices, expected in rows:
