--- a/review/11/case.py
+++ b/review/11/case.py
@@ -63,7 +63,7 @@
             ask(node.address["outbound"], "POST", target, headers, BODY), 7.0
         )
         status = answer.status if answer else "closed"
-    except (OSError, asyncio.TimeoutError) as error:
+    except (TimeoutError, OSError) as error:
         status = type(error).__name__
     answers[status] += 1
     world.record(f"caller of {request_id} gets {status}")
--- a/review/standin3/world.py
+++ b/review/standin3/world.py
@@ -9,13 +9,15 @@
 import json
 import os
 import re
+import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
 import time
 import tomllib
-from contextlib import suppress
+from contextlib import ExitStack, suppress
 from pathlib import Path
 from random import randrange
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -47,6 +49,7 @@
         return time.monotonic() - self._started_at
 
     def __call__(self, text: str) -> None:
+        """Write a line with the time."""
         self._file.write(f"{self.now():8.3f} {text}\n")
         self._file.flush()
 
@@ -58,7 +61,6 @@
         self.start = start
         self.headers = headers
         self.body = body
-        self.is_complete = True
 
     def header(self, name: str) -> str | None:
         """Return the value of a header, None without it."""
@@ -83,9 +85,7 @@
         return self.start.split()[1]
 
 
-async def read_message(
-    reader, *, is_request: bool, limits_body: int | None = None
-) -> Message | None:
+async def read_message(reader, *, is_request: bool) -> Message | None:
     """Return the next message of a channel, None if the channel has ended before it."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
@@ -367,7 +367,7 @@
                 ),
                 1.0,
             )
-        except (OSError, asyncio.TimeoutError):
+        except (TimeoutError, OSError):
             return 0
         return answer.status if answer else 0
 
@@ -554,7 +554,7 @@
             answer = await asyncio.wait_for(
                 ask(self.address["ready"], "GET", "/readiness", [("Host", "ready")]), 1
             )
-        except (OSError, asyncio.TimeoutError):
+        except (TimeoutError, OSError):
             return False
         return answer is not None and answer.status == 200
 
@@ -576,17 +576,18 @@
         self.slots = slots
         self.bounds = {**BOUNDS, **(bounds or {})}
         self.network = randrange(20, 240)
-        self.port = randrange(20_000, 30_000)
+        self.port = free_ports(len(PORTS))
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store(record)
         self.store_address = f"127.{self.network}.0.1:{self.port}"
-        self.nodes = [
-            Node(self, number, *place) for number, place in enumerate(places)
-        ]
+        self.nodes = [Node(self, number, *place) for number, place in enumerate(places)]
         self.version = 0
         self._ids = 0
 
     async def __aenter__(self) -> "World":
+        # All processes are ended, too, if the case is.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         await self.store.listen(self.store_address)
         for node in self.nodes:
             node.backend.address = node.app_address
@@ -603,6 +604,7 @@
                 node.process.wait()
             node.backend.stop()
         self.store.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     def configure(self, routes: list[dict], *, services=None, tenants=(), **limits):
         """Write the next version of the configuration as the operator."""
@@ -611,7 +613,9 @@
         names = services or sorted({node.service for node in self.nodes})
         spec = {"health_path": "/health", "max_connections": 120, "protocol": "h1"}
         resources += [_resource("services", name, spec) for name in names]
-        resources += [_resource("tenants", t.pop("name"), t) for t in map(dict, tenants)]
+        resources += [
+            _resource("tenants", t.pop("name"), t) for t in map(dict, tenants)
+        ]
         bounds = {
             "max_header_bytes": 16384,
             "max_body_bytes": 67108864,
@@ -643,6 +647,20 @@
         return f"{randrange(16**8):08x}{self._ids:08x}"
 
 
+def free_ports(count: int) -> int:
+    """Return the first of `count` ports that are free on all addresses.
+
+    They are below those that the kernel gives to outgoing connections.
+    """
+    while True:
+        first = randrange(20_000, 30_000)
+        with ExitStack() as sockets, suppress(OSError):
+            for port in range(first, first + count):
+                sock = sockets.enter_context(socket.socket())
+                sock.bind(("0.0.0.0", port))
+            return first
+
+
 def _resource(resource_type: str, name: str, spec: dict) -> dict:
     return {"resource_type": resource_type, "metadata": {"name": name}, "spec": spec}
 
@@ -687,5 +705,7 @@
             return json.dumps(value)
         return "" if value is None else str(value)
 
-    template = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.S)
+    template = re.sub(
+        r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.S
+    )
     return re.sub(r"\{\{([\w.|]+)\}\}", placeholder, template)
