Add the review case of a roll-back that the next leader undoes

Claim: a leader that is cut off from the store announces a roll-back which the next leader does not know, so the bad version gets requests again.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,10 +1,12 @@
-"""A body in very small chunks: other callers of the node wait until it is read."""
+"""A second leader of a roll-out undoes the roll-back of the first."""
 
 import asyncio
+import json
 import os
+import random
 import sys
 import time
-from contextlib import suppress
+from collections import Counter
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -12,142 +14,256 @@
 
 from world import (  # noqa: E402
     HOST,
+    Backend,
+    Message,
     Record,
+    Store,
     World,
-    encode_request,
-    read_answer,
+    ask,
+    encode_answer,
+    read_message,
     route,
 )
 
-BODY_BYTES = 4_000_000
 HAS_TROUBLE = os.environ.get("TROUBLE") != "0"
-CHUNK_BYTES = 1 if HAS_TROUBLE else 16_384
-CALLERS = 24
-TIMEOUT_S = 1.0
-# The rule: no final answer half a second after the timeout of the route.
-ANSWERED_WITHIN_S = TIMEOUT_S + 0.5
-PATIENCE_S = 3.0
-TRAFFIC_S = 25.0
-UPLOAD_AT_S = 4.0
-MIN_UNANSWERED = 8
-MIN_SHARE = 0.25
-
-
-async def upload(world, node) -> None:
-    """Send one unsafe request whose body comes in chunks."""
-    await asyncio.sleep(UPLOAD_AT_S)
-    host, _, port = node.address["outbound"].rpartition(":")
+EXPOSURE_SHARE = 0.1
+ROLLBACK_S = 5.0
+BAD_ANSWERS = 50
+DURATION_S = 40.0
+RATE_PER_S = 300.0
+BAD_PART = 0.9
+WORK_S = 0.02
+# The version turns bad while it gets this share of the calls.
+BAD_FROM_SHARE = 0.5
+BAD_AFTER_S = 0.3
+CUT_AFTER_S = 0.35
+CUT_S = 5.5
+REST_S = 6.0
+# At `rolled_back`, the new backends drain some seconds later.
+DRAIN_AFTER_S = 3.0
+OLD, NEW = "v1", "v2"
+
+
+class CutStore(Store):
+    """A store that some machines cannot reach; calls of these get no answer."""
+
+    def __init__(self, record: Record):
+        super().__init__(record)
+        self.cut: set[str] = set()
+
+    async def serve(self, reader, writer) -> None:
+        """Serve the calls of one channel."""
+        address = writer.get_extra_info("sockname")[0]
+        while (request := await read_message(reader, is_request=True)) is not None:
+            await self._wait_while_cut(address)
+            status, content = await self._answer(request)
+            await self._wait_while_cut(address)
+            if "rollouts" in request.target and request.method == "PUT":
+                body = json.loads(request.body).get("status")
+                self._record(f"PUT {request.target} {body}: {status}")
+            headers = [("Content-Type", "application/json")]
+            writer.write(encode_answer(status, headers, json.dumps(content).encode()))
+            await writer.drain()
+
+    async def _wait_while_cut(self, address: str) -> None:
+        while address in self.cut:
+            await asyncio.sleep(0.02)
+
+
+class VersionedBackend(Backend):
+    """A backend of one version, a part of whose answers may be failures."""
+
+    version = OLD
+    is_bad = False
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.bad_answers: list[float] = []
+
+    async def report(self) -> int:
+        """Send a status report; return the status of its answer, 0 without one."""
+        self.sequence += 1
+        content = {
+            "service": self.service,
+            "address": self.address,
+            "zone": "andina-a",
+            "version": self.version,
+            "slots": self.slots,
+            "state": self.state,
+            "cold_left_ms": 0,
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+        return await self._tell("PUT", json.dumps(content).encode())
+
+    async def run(self, request: Message, request_id: str, writer) -> bytes:
+        """Run a request and return its answer."""
+        await asyncio.sleep(WORK_S)
+        if not self.is_bad or random.random() >= BAD_PART:
+            return self.success(request, request_id)
+        self.bad_answers.append(self._record.now())
+        headers = [("Attempt-Id", request_id), ("Response-Seal", "bad"), self.load]
+        return encode_answer(500, headers, b"bad")
+
+
+PLACES = [
+    ("andina-a", "andina", "archivo", OLD),
+    ("andina-b", "andina", "archivo", NEW),
+    ("pacifico-a", "pacifico", "archivo", OLD),
+    ("pacifico-b", "pacifico", "archivo", OLD),
+    ("andina-a", "andina", "archivo", NEW),
+    ("pacifico-a", "pacifico", "archivo", NEW),
+    ("andina-b", "andina", "despacho", OLD),
+    ("pacifico-b", "pacifico", "despacho", OLD),
+]
+
+
+async def prepare(world: World) -> None:
+    """Give each node a path of its own to the store, and each backend its version."""
+    store = CutStore(world.record)
+    world.store.stop()
+    world.store = store
+    for number, (node, place) in enumerate(zip(world.nodes, PLACES, strict=True)):
+        host = f"127.{world.network}.0.{number + 10}"
+        node.store_address = f"{host}:{world.port}"
+        await asyncio.start_server(store._accept, host, world.port, limit=2**24)
+        node.backend.stop()
+        node.backend = VersionedBackend(world.record, node.service)
+        node.backend.version = place[3]
+        node.backend.address = node.app_address
+        node.backend.control = node.address["control"]
+        await node.backend.listen(node.app_address)
+
+
+async def call(world, node, sent: dict, answers: Counter) -> None:
+    """Send one request and count its answer."""
     request_id = world.next_id()
     headers = [
         ("Host", HOST),
         ("Attempt-Id", request_id),
-        ("Deadline-Remaining", "20000"),
-        ("Transfer-Encoding", "chunked"),
+        ("Deadline-Remaining", "1000"),
     ]
-    chunk = b"%x\r\n" % CHUNK_BYTES + b"a" * CHUNK_BYTES + b"\r\n"
-    piece = chunk * max(65_536 // len(chunk), 1)
-    left = BODY_BYTES // CHUNK_BYTES
-    per_piece = len(piece) // len(chunk)
-    reader, writer = await asyncio.open_connection(host, int(port))
-    world.record(f"caller sends {request_id}, {BODY_BYTES} bytes by {CHUNK_BYTES}")
-
-    async def send() -> None:
-        nonlocal left
-        writer.write(encode_request("POST", "/despacho/unsafe/x", headers))
-        while left:
-            count = min(left, per_piece)
-            writer.write(chunk * count)
-            await writer.drain()
-            left -= count
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-
-    sending = asyncio.ensure_future(send())
-    answer = await read_answer(reader)
-    sending.cancel()
-    with suppress(asyncio.CancelledError, OSError):
-        await sending
-    writer.close()
-    world.record(f"caller of {request_id} gets {answer and answer.status}")
-
-
-async def call(world, node, number: int, ends_at: float, waits: list) -> None:
-    """Send safe requests on kept channels, and note how long each is unanswered."""
-    host, _, port = node.address["outbound"].rpartition(":")
-    channel = None
-    while time.monotonic() < ends_at:
-        request_id = world.next_id()
-        headers = [
-            ("Host", HOST),
-            ("Attempt-Id", request_id),
-            ("Deadline-Remaining", str(int(PATIENCE_S * 1000))),
-        ]
-        started_at = time.monotonic()
-        try:
-            if channel is None:
-                channel = await asyncio.wait_for(
-                    asyncio.open_connection(host, int(port)), 1.0
-                )
-            target = f"/archivo/safe/{number}"
-            channel[1].write(encode_request("GET", target, headers))
-            answer = await asyncio.wait_for(read_answer(channel[0]), PATIENCE_S)
-            status = answer.status if answer else "closed"
-        except (OSError, asyncio.TimeoutError) as error:
-            status, answer = type(error).__name__, None
-        if answer is None and channel is not None:
-            channel[1].close()
-            channel = None
-        waited_s = time.monotonic() - started_at
-        waits.append((waited_s, status))
-        if waited_s > TIMEOUT_S or status != 200:
-            world.record(f"caller of {request_id} gets {status} after {waited_s:.2f} s")
-        await asyncio.sleep(0.15)
-
-
-async def ask_readiness(world, node, misses: list) -> None:
-    """Ask each second whether the node is ready, as the platform does."""
+    sent[request_id] = world.record.now()
+    try:
+        answer = await asyncio.wait_for(
+            ask(node.address["outbound"], "POST", "/archivo/unsafe/x", headers, b"x"), 2
+        )
+        answers[answer.status if answer else "closed"] += 1
+    except (TimeoutError, OSError) as error:
+        answers[type(error).__name__] += 1
+
+
+async def send_traffic(world, sent: dict, answers: Counter) -> None:
+    """Send requests at an even rate until the task is cancelled."""
+    started_at = time.monotonic()
+    number = 0
+    tasks = set()
     while True:
-        if not await node.is_ready():
-            misses.append(world.record.now())
-            world.record(f"{node.node_id} misses the question for readiness")
-        await asyncio.sleep(1.0)
+        due = started_at + number / RATE_PER_S
+        await asyncio.sleep(max(due - time.monotonic(), 0))
+        node = world.nodes[number % len(world.nodes)]
+        task = asyncio.ensure_future(call(world, node, sent, answers))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        number += 1
+
+
+async def drain_after_roll_back(world, nodes: list) -> None:
+    """Let the backends of a version drain once it is rolled back."""
+    item = world.store.objects["rollouts", "archivo"]
+    while (item["status"] or {}).get("state") != "rolled_back":
+        await asyncio.sleep(0.05)
+        item = world.store.objects["rollouts", "archivo"]
+    world.record("the status is rolled_back")
+    await asyncio.sleep(DRAIN_AFTER_S)
+    for node in nodes:
+        node.backend.state = "draining"
+        status = await node.backend.report()
+        world.record(f"{node.backend.backend_id} reports draining: {status}")
+
+
+def leader_of(world) -> object:
+    """Return the node whose status of the order was stored last, by its log."""
+    stored_at = {}
+    for node in world.nodes:
+        for line in node.logs().splitlines():
+            if '"ReleaseStored"' in line:
+                stored_at[node.node_id] = (json.loads(line)["time"], node)
+    return max(stored_at.values(), key=lambda pair: pair[0])[1]
 
 
 async def main() -> int:
     """Play the case and return its exit code."""
     record = Record(FOLDER / "record.txt")
-    places = [
-        ("andina-a", "andina", "archivo"),
-        ("andina-b", "andina", "despacho"),
-        ("andina-b", "andina", "archivo"),
-    ]
-    waits, misses = [], []
-    async with World(record, places) as world:
-        world.configure(
-            [
-                route("archivo", "safe", timeout_ms=int(TIMEOUT_S * 1000)),
-                route("despacho", "unsafe", timeout_ms=20_000),
-            ]
-        )
+    sent, answers = {}, Counter()
+    bounds = {"exposure_share": EXPOSURE_SHARE, "rollback_ms": 5000}
+    places = [place[:3] for place in PLACES]
+    async with World(record, places, bounds=bounds) as world:
+        await prepare(world)
+        world.configure([route("archivo", "unsafe", timeout_ms=1000)])
         await world.start()
-        node = world.nodes[0]
-        ends_at = time.monotonic() + TRAFFIC_S
-        readiness = asyncio.ensure_future(ask_readiness(world, node, misses))
-        calls = [call(world, node, n, ends_at, waits) for n in range(CALLERS)]
-        await asyncio.gather(upload(world, node), *calls)
-        readiness.cancel()
-    late = [waited for waited, _ in waits if waited > TIMEOUT_S]
-    unanswered = [waited for waited in late if waited > ANSWERED_WITHIN_S]
+        traffic = asyncio.ensure_future(send_traffic(world, sent, answers))
+        order = {
+            "service": "archivo",
+            "target_version": NEW,
+            "duration_s": DURATION_S,
+        }
+        world.store.put("rollouts", "archivo", order)
+        record(f"operator orders {order}")
+        new = [node for node in world.nodes if node.backend.version == NEW]
+        draining = asyncio.ensure_future(drain_after_roll_back(world, new))
+
+        def status() -> dict:
+            return world.store.objects["rollouts", "archivo"]["status"] or {}
+
+        while status().get("share", 0) < BAD_FROM_SHARE:
+            if record.now() > 60:
+                raise RuntimeError("the roll-out does not advance")
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(BAD_AFTER_S)
+        leader = leader_of(world)
+        for node in new:
+            node.backend.is_bad = True
+        bad_from = record.now()
+        record(f"{NEW} turns bad: {BAD_PART:.0%} of its answers are failures")
+        await asyncio.sleep(CUT_AFTER_S)
+        if HAS_TROUBLE:
+            record(f"{leader.node_id}, the leader, is cut off from the store")
+            world.store.cut.add(leader.store_address.partition(":")[0])
+        await asyncio.sleep(CUT_S)
+        world.store.cut.clear()
+        record("the cut ends")
+        await asyncio.sleep(REST_S)
+        traffic.cancel()
+        draining.cancel()
+        await asyncio.sleep(1.5)
+        for node in world.nodes:
+            for line in node.logs().splitlines():
+                if '"ReleaseChanged"' in line and node is world.nodes[-1]:
+                    event = json.loads(line)
+                    record(
+                        f"log of {node.node_id}: {event['time']} {event['state']} "
+                        f"share {event['share']} revision {event['revision']}"
+                    )
+    bad = sorted(at for node in new for at in node.backend.bad_answers)
+    sent_to_new = sorted(sent[i] for node in new for i in node.backend.runs)
+    is_broken = False
+    if len(bad) >= BAD_ANSWERS:
+        limit = bad[BAD_ANSWERS - 1] + ROLLBACK_S
+        late = [at for at in sent_to_new if at > limit]
+        is_broken = bool(late)
+        record(
+            f"answer {BAD_ANSWERS} that is bad: {bad[BAD_ANSWERS - 1] - bad_from:.2f} "
+            f"s after the first failures; {len(late)} requests sent later than "
+            f"{ROLLBACK_S} s after it reached {NEW}"
+        )
+    per_second = Counter(int(at - bad_from) for at in sent_to_new if at >= bad_from)
     summary = (
-        f"{len(waits)} requests, {len(late)} longer than {TIMEOUT_S} s, "
-        f"{len(unanswered)} of these without an answer at {ANSWERED_WITHIN_S} s, "
-        f"longest {max(waited for waited, _ in waits):.2f} s, "
-        f"{len(misses)} questions for readiness missed"
-    )
-    is_broken = (
-        len(unanswered) >= MIN_UNANSWERED and len(unanswered) > MIN_SHARE * len(late)
+        f"{len(bad)} bad answers, requests to {NEW} by second after it turned bad: "
+        f"{dict(sorted(per_second.items()))}, status {status().get('state')}"
     )
     record(summary)
+    record(f"answers {dict(answers)}")
     record("rule broken" if is_broken else "rule held")
     print(summary)
     return int(is_broken)
