--- a/review/15/case.py
+++ b/review/15/case.py
@@ -66,7 +66,7 @@
             ask(node.address["outbound"], "POST", target, headers, BODY), patience_s
         )
         status = answer.status if answer else "closed"
-    except asyncio.TimeoutError:
+    except TimeoutError:
         status = "left" if leaves else "no answer"
     except OSError as error:
         status = type(error).__name__
