--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,7 +1,9 @@
-"""A body in very small chunks: other callers of the node wait until it is read."""
+"""A request that crashes backends comes again after planned restarts."""
 
 import asyncio
 import os
+import random
+import signal
 import sys
 import time
 from contextlib import suppress
@@ -10,143 +12,177 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standin3"))
 
-from world import (  # noqa: E402
-    HOST,
-    Record,
-    World,
-    encode_request,
-    read_answer,
-    route,
-)
+from world import HOST, Backend, Message, Record, World, ask, route  # noqa: E402
 
-BODY_BYTES = 4_000_000
 HAS_TROUBLE = os.environ.get("TROUBLE") != "0"
-CHUNK_BYTES = 1 if HAS_TROUBLE else 16_384
-CALLERS = 24
-TIMEOUT_S = 1.0
-# The rule: no final answer half a second after the timeout of the route.
-ANSWERED_WITHIN_S = TIMEOUT_S + 0.5
-PATIENCE_S = 3.0
-TRAFFIC_S = 25.0
-UPLOAD_AT_S = 4.0
-MIN_UNANSWERED = 8
-MIN_SHARE = 0.25
-
-
-async def upload(world, node) -> None:
-    """Send one unsafe request whose body comes in chunks."""
-    await asyncio.sleep(UPLOAD_AT_S)
-    host, _, port = node.address["outbound"].rpartition(":")
-    request_id = world.next_id()
+BACK_AFTER_S = 2.0
+TARGET = "/archivo/unsafe/poison"
+COMES_EACH_S = 7.0
+STABILITY_S = 3.0
+# The rule: more than three retries later than `STABILITY_S` after the third crash.
+MAX_RETRIES = 3
+ROLLS_AT_S = (19.0, 46.0, 73.0)
+GAP_S = 2.0
+GRACE_S = 6.0
+RESTART_DELAY_S = 0.3
+END_S = 100.0
+USUAL_EACH_S = 0.05
+
+PLACES = [
+    ("andina-a", "andina", "archivo"),
+    ("andina-b", "andina", "archivo"),
+    ("pacifico-a", "pacifico", "archivo"),
+    ("andina-a", "andina", "despacho"),
+    ("andina-b", "andina", "despacho"),
+    ("pacifico-a", "pacifico", "despacho"),
+]
+
+
+class FragileBackend(Backend):
+    """A backend that the request under `TARGET` crashes; it is back after seconds."""
+
+    crashes: list[tuple[float, str, str]] = []
+
+    async def run(self, request: Message, request_id: str, writer) -> bytes | None:
+        """Run a request and return its answer, or crash."""
+        if request.target != TARGET:
+            return await super().run(request, request_id, writer)
+        self.crashes.append((self._record.now(), request_id, self.address))
+        self._record(f"{request_id} crashes {self.backend_id}")
+        self.stop_reports()
+        self.stop(resets=True)
+        asyncio.get_running_loop().call_later(
+            BACK_AFTER_S, lambda: asyncio.ensure_future(self.start_again())
+        )
+        return None
+
+    async def start_again(self) -> None:
+        """Start as a new boot, which knows nothing of before."""
+        self.backend_id = f"i-{random.randrange(16**8):08x}"
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.running = self.waiting = 0
+        self._free = asyncio.Semaphore(self.slots)
+        await self.listen(self.address)
+        self.start_reports()
+
+
+async def send(world, node, target: str, request_id: str) -> object:
+    """Send an unsafe request; return the status of its answer."""
     headers = [
         ("Host", HOST),
         ("Attempt-Id", request_id),
-        ("Deadline-Remaining", "20000"),
-        ("Transfer-Encoding", "chunked"),
+        ("Deadline-Remaining", "1200"),
     ]
-    chunk = b"%x\r\n" % CHUNK_BYTES + b"a" * CHUNK_BYTES + b"\r\n"
-    piece = chunk * max(65_536 // len(chunk), 1)
-    left = BODY_BYTES // CHUNK_BYTES
-    per_piece = len(piece) // len(chunk)
-    reader, writer = await asyncio.open_connection(host, int(port))
-    world.record(f"caller sends {request_id}, {BODY_BYTES} bytes by {CHUNK_BYTES}")
-
-    async def send() -> None:
-        nonlocal left
-        writer.write(encode_request("POST", "/despacho/unsafe/x", headers))
-        while left:
-            count = min(left, per_piece)
-            writer.write(chunk * count)
-            await writer.drain()
-            left -= count
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-
-    sending = asyncio.ensure_future(send())
-    answer = await read_answer(reader)
-    sending.cancel()
-    with suppress(asyncio.CancelledError, OSError):
-        await sending
-    writer.close()
-    world.record(f"caller of {request_id} gets {answer and answer.status}")
-
-
-async def call(world, node, number: int, ends_at: float, waits: list) -> None:
-    """Send safe requests on kept channels, and note how long each is unanswered."""
-    host, _, port = node.address["outbound"].rpartition(":")
-    channel = None
-    while time.monotonic() < ends_at:
+    try:
+        answer = await asyncio.wait_for(
+            ask(node.address["outbound"], "PUT", target, headers, b"same"), 2.0
+        )
+        return answer.status if answer else "closed"
+    except (OSError, TimeoutError) as error:
+        return type(error).__name__
+
+
+async def send_poison(world, callers: list, sent: dict) -> None:
+    """Send the request that crashes backends again and again, at each machine."""
+    number = 0
+    while world.record.now() < END_S:
+        node = callers[number % len(callers)]
+        number += 1
         request_id = world.next_id()
-        headers = [
-            ("Host", HOST),
-            ("Attempt-Id", request_id),
-            ("Deadline-Remaining", str(int(PATIENCE_S * 1000))),
-        ]
-        started_at = time.monotonic()
-        try:
-            if channel is None:
-                channel = await asyncio.wait_for(
-                    asyncio.open_connection(host, int(port)), 1.0
-                )
-            target = f"/archivo/safe/{number}"
-            channel[1].write(encode_request("GET", target, headers))
-            answer = await asyncio.wait_for(read_answer(channel[0]), PATIENCE_S)
-            status = answer.status if answer else "closed"
-        except (TimeoutError, OSError) as error:
-            status, answer = type(error).__name__, None
-        if answer is None and channel is not None:
-            channel[1].close()
-            channel = None
-        waited_s = time.monotonic() - started_at
-        waits.append((waited_s, status))
-        if waited_s > TIMEOUT_S or status != 200:
-            world.record(f"caller of {request_id} gets {status} after {waited_s:.2f} s")
-        await asyncio.sleep(0.15)
-
-
-async def ask_readiness(world, node, misses: list) -> None:
-    """Ask each second whether the node is ready, as the platform does."""
-    while True:
-        if not await node.is_ready():
-            misses.append(world.record.now())
-            world.record(f"{node.node_id} misses the question for readiness")
-        await asyncio.sleep(1.0)
+        sent[request_id] = world.record.now(), node.node_id
+        status = await send(world, node, TARGET, request_id)
+        world.record(f"{request_id} at {node.node_id} gets {status}")
+        await asyncio.sleep(COMES_EACH_S)
+
+
+async def send_usual(world, callers: list, statuses: list) -> None:
+    """Send other requests, each with a path of its own."""
+    number = 0
+    while world.record.now() < END_S:
+        node = callers[number % len(callers)]
+        number += 1
+        target = f"/archivo/unsafe/{number}"
+        statuses.append(await send(world, node, target, world.next_id()))
+        await asyncio.sleep(USUAL_EACH_S)
+
+
+async def restart(world, node, disturbed: list) -> None:
+    """Stop a node as planned and start it again."""
+    began_at = world.record.now()
+    node.signal(signal.SIGTERM)
+    deadline = time.monotonic() + GRACE_S
+    while node.process.poll() is None:
+        if time.monotonic() > deadline:
+            node.signal(signal.SIGKILL)
+            node.process.wait()
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(RESTART_DELAY_S)
+    node.start()
+    disturbed.append((node.node_id, began_at, world.record.now()))
+
+
+async def roll(world, disturbed: list) -> None:
+    """Stop and start all nodes in turn, at set times."""
+    for at in ROLLS_AT_S:
+        await asyncio.sleep(max(at - world.record.now(), 0))
+        tasks = []
+        for node in world.nodes:
+            tasks.append(asyncio.ensure_future(restart(world, node, disturbed)))
+            await asyncio.sleep(GAP_S)
+        await asyncio.gather(*tasks)
+        world.record("all nodes have been stopped and started")
 
 
 async def main() -> int:
     """Play the case and return its exit code."""
     record = Record(FOLDER / "record.txt")
-    places = [
-        ("andina-a", "andina", "archivo"),
-        ("andina-b", "andina", "despacho"),
-        ("andina-b", "andina", "archivo"),
-    ]
-    waits, misses = [], []
-    async with World(record, places) as world:
-        world.configure(
-            [
-                route("archivo", "safe", timeout_ms=int(TIMEOUT_S * 1000)),
-                route("despacho", "unsafe", timeout_ms=20_000),
-            ]
-        )
+    sent, statuses, disturbed = {}, [], []
+    async with World(record, PLACES) as world:
+        for node in world.nodes:
+            node.backend.stop()
+            node.backend = FragileBackend(record, node.service)
+            node.backend.address = node.app_address
+            node.backend.control = node.address["control"]
+            await node.backend.listen(node.app_address)
+        world.configure([route("archivo", "unsafe")])
         await world.start()
-        node = world.nodes[0]
-        ends_at = time.monotonic() + TRAFFIC_S
-        readiness = asyncio.ensure_future(ask_readiness(world, node, misses))
-        calls = [call(world, node, n, ends_at, waits) for n in range(CALLERS)]
-        await asyncio.gather(upload(world, node), *calls)
-        readiness.cancel()
-    late = [waited for waited, _ in waits if waited > TIMEOUT_S]
-    unanswered = [waited for waited in late if waited > ANSWERED_WITHIN_S]
+        callers = [node for node in world.nodes if node.service == "despacho"]
+        tasks = [
+            send_poison(world, callers, sent),
+            send_usual(world, callers, statuses),
+        ]
+        if HAS_TROUBLE:
+            tasks.append(roll(world, disturbed))
+        await asyncio.gather(*tasks)
+        for node in world.nodes:
+            with suppress(ProcessLookupError):
+                node.backend.stop_reports()
+    crashes = sorted(FragileBackend.crashes)
+    third_at = crashes[2][0] if len(crashes) > 2 else float("inf")
+    node_id_by_address = {node.app_address: node.node_id for node in world.nodes}
+
+    def is_in_touch(node_id: str, at: float) -> bool:
+        return not any(
+            node_id == disturbed_id and begin <= at <= end + STABILITY_S
+            for disturbed_id, begin, end in disturbed
+        )
+
+    retries = []
+    for crashed_at, request_id, address in crashes[3:]:
+        sent_at, caller_id = sent[request_id]
+        path = (caller_id, node_id_by_address[address])
+        if sent_at > third_at + STABILITY_S and all(
+            is_in_touch(node_id, crashed_at) for node_id in path
+        ):
+            retries.append(sent_at)
     summary = (
-        f"{len(waits)} requests, {len(late)} longer than {TIMEOUT_S} s, "
-        f"{len(unanswered)} of these without an answer at {ANSWERED_WITHIN_S} s, "
-        f"longest {max(waited for waited, _ in waits):.2f} s, "
-        f"{len(misses)} questions for readiness missed"
-    )
-    is_broken = len(unanswered) >= MIN_UNANSWERED and len(unanswered) > MIN_SHARE * len(
-        late
+        f"{len(crashes)} crashes, {len(retries)} retries by machines in touch later "
+        f"than {STABILITY_S} s after the third: {[round(at, 1) for at in retries]}; "
+        f"of {len(statuses)} other requests {statuses.count(200)} served"
     )
+    is_broken = len(retries) > MAX_RETRIES
+    record(f"restarts: {disturbed}")
     record(summary)
     record("rule broken" if is_broken else "rule held")
     print(summary)
