--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,276 +1,177 @@
-"""A second leader of a roll-out undoes the roll-back of the first."""
+"""Two crashes of upstreams that run equal requests: all nodes hang."""
 
 import asyncio
-import json
 import os
-import random
 import sys
 import time
 from collections import Counter
+from contextlib import suppress
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standin3"))
 
-from world import (  # noqa: E402
-    HOST,
-    Backend,
-    Message,
-    Record,
-    Store,
-    World,
-    ask,
-    encode_answer,
-    read_message,
-    route,
-)
+from world import HOST, Record, World, ask, route  # noqa: E402
 
 HAS_TROUBLE = os.environ.get("TROUBLE") != "0"
-EXPOSURE_SHARE = 0.1
-ROLLBACK_S = 5.0
-BAD_ANSWERS = 50
-DURATION_S = 40.0
-RATE_PER_S = 300.0
-BAD_PART = 0.9
-WORK_S = 0.02
-# The version turns bad while it gets this share of the calls.
-BAD_FROM_SHARE = 1.0
-BAD_AFTER_S = 0.05
-CUT_AFTER_S = 0.45
-CUT_S = 5.0
-REST_S = 6.0
-# At `rolled_back`, the new backends drain some seconds later.
-DRAIN_AFTER_S = 3.0
-OLD, NEW = "v1", "v2"
-
-
-class CutStore(Store):
-    """A store that some machines cannot reach; calls of these get no answer."""
-
-    def __init__(self, record: Record):
-        super().__init__(record)
-        self.cut: set[str] = set()
-
-    async def serve(self, reader, writer) -> None:
-        """Serve the calls of one channel."""
-        address = writer.get_extra_info("sockname")[0]
-        while (request := await read_message(reader, is_request=True)) is not None:
-            await self._wait_while_cut(address)
-            status, content = await self._answer(request)
-            await self._wait_while_cut(address)
-            if "rollouts" in request.target and request.method == "PUT":
-                body = json.loads(request.body).get("status")
-                self._record(f"PUT {request.target} {body}: {status}")
-            headers = [("Content-Type", "application/json")]
-            writer.write(encode_answer(status, headers, json.dumps(content).encode()))
-            await writer.drain()
-
-    async def _wait_while_cut(self, address: str) -> None:
-        while address in self.cut:
-            await asyncio.sleep(0.02)
-
-
-class VersionedBackend(Backend):
-    """A backend of one version, a part of whose answers may be failures."""
-
-    version = OLD
-    is_bad = False
-
-    def __init__(self, *arguments, **options):
-        super().__init__(*arguments, **options)
-        self.bad_answers: list[float] = []
-
-    async def report(self) -> int:
-        """Send a status report; return the status of its answer, 0 without one."""
-        self.sequence += 1
-        content = {
-            "service": self.service,
-            "address": self.address,
-            "zone": "andina-a",
-            "version": self.version,
-            "slots": self.slots,
-            "state": self.state,
-            "cold_left_ms": 0,
-            "sequence": self.sequence,
-            "born": self.born,
-        }
-        return await self._tell("PUT", json.dumps(content).encode())
-
-    async def run(self, request: Message, request_id: str, writer) -> bytes:
-        """Run a request and return its answer."""
-        await asyncio.sleep(WORK_S)
-        if not self.is_bad or random.random() >= BAD_PART:
-            return self.success(request, request_id)
-        self.bad_answers.append(self._record.now())
-        headers = [("Attempt-Id", request_id), ("Response-Seal", "bad"), self.load]
-        return encode_answer(500, headers, b"bad")
-
-
+TARGET = "/archivo/safe/duct"
+RATE_PER_S = 240.0
+WORK_S = 0.08
+TRAFFIC_S = 30.0
+# The nodes are watched this much longer, without any request.
+REST_S = 10.0
+# Each time one of the six backends of the service crashes.
+CRASHES_AT_S = (5.0, 12.0)
+DOWN_S = 3.8
+TIMEOUT_S = 1.0
+# The rule: no final answer half a second after the timeout of the route.
+ANSWERED_WITHIN_S = TIMEOUT_S + 0.5
+PATIENCE_S = 3.0
+MIN_UNANSWERED = 8
+MIN_SHARE = 0.25
 PLACES = [
-    ("andina-a", "andina", "archivo", OLD),
-    ("andina-b", "andina", "archivo", NEW),
-    ("pacifico-a", "pacifico", "archivo", OLD),
-    ("pacifico-b", "pacifico", "archivo", OLD),
-    ("andina-a", "andina", "archivo", NEW),
-    ("pacifico-a", "pacifico", "archivo", NEW),
-    ("andina-b", "andina", "despacho", OLD),
-    ("pacifico-b", "pacifico", "despacho", OLD),
+    ("andina-a", "andina", "archivo"),
+    ("andina-b", "andina", "archivo"),
+    ("andina-c", "andina", "archivo"),
+    ("pacifico-a", "pacifico", "archivo"),
+    ("pacifico-b", "pacifico", "archivo"),
+    ("pacifico-c", "pacifico", "archivo"),
+    ("andina-a", "andina", "despacho"),
+    ("pacifico-a", "pacifico", "despacho"),
 ]
 
 
-async def prepare(world: World) -> None:
-    """Give each node a path of its own to the store, and each backend its version."""
-    store = CutStore(world.record)
-    world.store.stop()
-    world.store = store
-    for number, (node, place) in enumerate(zip(world.nodes, PLACES, strict=True)):
-        host = f"127.{world.network}.0.{number + 10}"
-        node.store_address = f"{host}:{world.port}"
-        await asyncio.start_server(store._accept, host, world.port, limit=2**24)
-        node.backend.stop()
-        node.backend = VersionedBackend(world.record, node.service)
-        node.backend.version = place[3]
-        node.backend.address = node.app_address
-        node.backend.control = node.address["control"]
-        await node.backend.listen(node.app_address)
-
-
-async def call(world, node, sent: dict, answers: Counter) -> None:
-    """Send one request and count its answer."""
+async def call(world, node, waits: list) -> None:
+    """Send one of the equal requests and note how long it is unanswered."""
     request_id = world.next_id()
     headers = [
         ("Host", HOST),
         ("Attempt-Id", request_id),
-        ("Deadline-Remaining", "1000"),
+        ("Deadline-Remaining", str(int(PATIENCE_S * 1000))),
     ]
-    sent[request_id] = world.record.now(), node.node_id
+    started_at = time.monotonic()
     try:
         answer = await asyncio.wait_for(
-            ask(node.address["outbound"], "POST", "/archivo/unsafe/x", headers, b"x"), 2
+            ask(node.address["outbound"], "GET", TARGET, headers), PATIENCE_S
         )
-        answers[answer.status if answer else "closed"] += 1
+        status = answer.status if answer else "closed"
     except (TimeoutError, OSError) as error:
-        answers[type(error).__name__] += 1
+        status = type(error).__name__
+    waited_s = time.monotonic() - started_at
+    waits.append((world.record.now() - waited_s, waited_s, status))
+    if waited_s > TIMEOUT_S or status != 200:
+        world.record(
+            f"request {request_id} to {node.node_id}: {status} after {waited_s:.2f} s"
+        )
 
 
-async def send_traffic(world, sent: dict, answers: Counter) -> None:
-    """Send requests at an even rate until the task is cancelled."""
+async def send_traffic(world, waits: list) -> None:
+    """Send equal requests at an even rate from the callers of one service."""
     started_at = time.monotonic()
-    number = 0
+    callers = [node for node in world.nodes if node.service == "despacho"]
     tasks = set()
-    while True:
+    for number in range(int(RATE_PER_S * TRAFFIC_S)):
         due = started_at + number / RATE_PER_S
         await asyncio.sleep(max(due - time.monotonic(), 0))
-        node = world.nodes[number % len(world.nodes)]
-        task = asyncio.ensure_future(call(world, node, sent, answers))
+        node = callers[number % len(callers)]
+        task = asyncio.ensure_future(call(world, node, waits))
         tasks.add(task)
         task.add_done_callback(tasks.discard)
-        number += 1
+    await asyncio.gather(*tasks)
+
+
+async def crash(world, node) -> None:
+    """Let a backend crash; it is back as a new process some seconds later."""
+    backend = node.backend
+    running = backend.running
+    backend.stop_reports()
+    backend.stop(resets=True)
+    world.record(f"backend {backend.backend_id} crashes, {running} requests run there")
+    await asyncio.sleep(DOWN_S)
+    backend.born = int(time.time() * 1000)
+    backend.sequence = 0
+    await backend.listen(node.address["app"])
+    backend.start_reports()
+    world.record(f"backend {backend.backend_id} is back as a new process")
+
+
+async def crash_in_turn(world) -> None:
+    """Let one backend crash at each of the times."""
+    started_at = time.monotonic()
+    for at, number in zip(CRASHES_AT_S, (0, 3), strict=True):
+        await asyncio.sleep(started_at + at - time.monotonic())
+        await crash(world, world.nodes[number])
 
 
-async def drain_after_roll_back(world, nodes: list) -> None:
-    """Let the backends of a version drain once it is rolled back."""
-    item = world.store.objects["rollouts", "archivo"]
-    while (item["status"] or {}).get("state") != "rolled_back":
-        await asyncio.sleep(0.05)
-        item = world.store.objects["rollouts", "archivo"]
-    world.record("the status is rolled_back")
-    await asyncio.sleep(DRAIN_AFTER_S)
-    for node in nodes:
-        node.backend.state = "draining"
-        status = await node.backend.report()
-        world.record(f"{node.backend.backend_id} reports draining: {status}")
+def cpu_s(node) -> float:
+    """Return the processor time of a process so far."""
+    try:
+        fields = Path(f"/proc/{node.process.pid}/stat").read_text().rpartition(")")[2]
+    except OSError:
+        return 0.0
+    user, system = fields.split()[11:13]
+    return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
 
 
-def leader_of(world) -> object:
-    """Return the node whose status of the order was stored last, by its log."""
-    stored_at = {}
-    for node in world.nodes:
-        for line in node.logs().splitlines():
-            if '"ReleaseStored"' in line:
-                stored_at[node.node_id] = (json.loads(line)["time"], node)
-    return max(stored_at.values(), key=lambda pair: pair[0])[1]
+async def watch_processes(world, misses: list) -> None:
+    """Ask each second whether the nodes are ready, and note their processor time."""
+    before = [cpu_s(node) for node in world.nodes]
+    while True:
+        await asyncio.sleep(1.0)
+        answers = await asyncio.gather(*(node.is_ready() for node in world.nodes))
+        now = [cpu_s(node) for node in world.nodes]
+        used = [round(b - a, 2) for a, b in zip(before, now, strict=True)]
+        before = now
+        missed = answers.count(False)
+        misses.append(missed)
+        world.record(f"{missed} of 8 nodes not ready, processor time {used}")
 
 
 async def main() -> int:
     """Play the case and return its exit code."""
     record = Record(FOLDER / "record.txt")
-    sent, answers = {}, Counter()
-    bounds = {"exposure_share": EXPOSURE_SHARE, "rollback_ms": 5000}
-    places = [place[:3] for place in PLACES]
-    async with World(record, places, bounds=bounds) as world:
-        await prepare(world)
-        world.configure([route("archivo", "unsafe", timeout_ms=1000)])
+    waits, misses = [], []
+    async with World(record, PLACES) as world:
+        for node in world.nodes:
+            node.backend.work_s = WORK_S
+        world.configure([route("archivo", "safe", timeout_ms=int(TIMEOUT_S * 1000))])
         await world.start()
-        traffic = asyncio.ensure_future(send_traffic(world, sent, answers))
-        order = {
-            "service": "archivo",
-            "target_version": NEW,
-            "duration_s": DURATION_S,
-        }
-        world.store.put("rollouts", "archivo", order)
-        record(f"operator orders {order}")
-        new = [node for node in world.nodes if node.backend.version == NEW]
-        draining = asyncio.ensure_future(drain_after_roll_back(world, new))
-
-        def status() -> dict:
-            return world.store.objects["rollouts", "archivo"]["status"] or {}
-
-        while status().get("share", 0) < BAD_FROM_SHARE:
-            if record.now() > 60:
-                raise RuntimeError("the roll-out does not advance")
-            await asyncio.sleep(0.02)
-        await asyncio.sleep(BAD_AFTER_S)
-        leader = leader_of(world)
-        for node in new:
-            node.backend.is_bad = True
-        bad_from = record.now()
-        record(f"{NEW} turns bad: {BAD_PART:.0%} of its answers are failures")
-        await asyncio.sleep(CUT_AFTER_S)
+        tasks = [asyncio.ensure_future(watch_processes(world, misses))]
         if HAS_TROUBLE:
-            record(f"{leader.node_id}, the leader, is cut off from the store")
-            world.store.cut.add(leader.store_address.partition(":")[0])
-        await asyncio.sleep(CUT_S)
-        world.store.cut.clear()
-        record("the cut ends")
+            tasks.append(asyncio.ensure_future(crash_in_turn(world)))
+        await send_traffic(world, waits)
+        record("the requests end")
         await asyncio.sleep(REST_S)
-        traffic.cancel()
-        draining.cancel()
-        await asyncio.sleep(1.5)
-        for node in world.nodes:
-            for line in node.logs().splitlines():
-                if '"ReleaseChanged"' in line and node is world.nodes[-1]:
-                    event = json.loads(line)
-                    record(
-                        f"log of {node.node_id}: {event['time']} {event['state']} "
-                        f"share {event['share']} revision {event['revision']}"
-                    )
-    bad = sorted(at for node in new for at in node.backend.bad_answers)
-    # The leader that was cut off is not in touch, as sender or beside a backend.
+        for task in tasks:
+            task.cancel()
+            with suppress(asyncio.CancelledError):
+                await task
     runs = [
-        sent[request_id]
-        for node in new
-        if node is not leader
-        for request_id in node.backend.runs
+        int(at)
+        for node in world.nodes
+        for times in node.backend.run_times.values()
+        for at in times
     ]
-    sent_to_new = sorted(at for at, sender_id in runs if sender_id != leader.node_id)
-    is_broken = False
-    if len(bad) >= BAD_ANSWERS:
-        limit = bad[BAD_ANSWERS - 1] + ROLLBACK_S
-        late = [at for at in sent_to_new if at > limit]
-        is_broken = bool(late)
+    sent = Counter(int(at) for at, *_ in waits)
+    served = Counter(int(at) for at, _, status in waits if status == 200)
+    run = Counter(runs)
+    for second in sorted(sent | run):
         record(
-            f"answer {BAD_ANSWERS} that is bad: {bad[BAD_ANSWERS - 1] - bad_from:.2f} "
-            f"s after the first failures; {len(late)} requests sent later than "
-            f"{ROLLBACK_S} s after it reached {NEW}"
+            f"second {second}: {sent[second]} requests sent, {served[second]} of these "
+            f"answered with 200, {run[second]} run"
         )
-    per_second = Counter(int(at - bad_from) for at in sent_to_new if at >= bad_from)
+    late = [waited for _, waited, _ in waits if waited > TIMEOUT_S]
+    unanswered = [waited for waited in late if waited > ANSWERED_WITHIN_S]
+    is_broken = len(unanswered) >= MIN_UNANSWERED and len(unanswered) > MIN_SHARE * len(
+        late
+    )
+    answered = sum(status == 200 for *_, status in waits)
     summary = (
-        f"{len(bad)} bad answers, requests to {NEW} by second after it turned bad: "
-        f"{dict(sorted(per_second.items()))}, status {status().get('state')}"
+        f"{len(waits)} requests, {answered} answered with 200, {len(late)} longer than "
+        f"{TIMEOUT_S} s, {len(unanswered)} of these without an answer at "
+        f"{ANSWERED_WITHIN_S} s, {sum(misses)} questions for readiness missed"
     )
     record(summary)
-    record(f"answers {dict(answers)}")
     record("rule broken" if is_broken else "rule held")
     print(summary)
     return int(is_broken)
