Let review case 12 fail only if the rule breaks in both readings

Claim: EXPOSURE; if the cut of a machine from the store counted as a disturbance of the core, bad answers would count from 3 s after its end, with a bound of 10 s. The case watches 10 s longer and asks for that too.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -40,7 +40,12 @@
 BAD_AFTER_S = 0.05
 CUT_AFTER_S = 0.3
 CUT_S = 5.0
-REST_S = 6.0
+# Long enough to see requests that are late also if the cut counted as a disturbance of
+# the core: then the count of bad answers begins anew once the core has been stable
+# again, and the bound is longer by `outer_bound_ms`.
+REST_S = 16.0
+STABILITY_S = 3.0
+OUTER_BOUND_S = 5.0
 # At `rolled_back`, the new backends drain some seconds later.
 DRAIN_AFTER_S = 3.0
 OLD, NEW = "v1", "v2"
@@ -266,6 +271,7 @@
             world.store.cut.add(leader.store_address.partition(":")[0])
         await asyncio.sleep(CUT_S)
         world.store.cut.clear()
+        stable_from = record.now() + STABILITY_S
         record("the cut ends")
         await asyncio.sleep(REST_S)
         traffic.cancel()
@@ -289,15 +295,23 @@
     ]
     sent_to_new = sorted(at for at, sender_id in runs if sender_id != leader.node_id)
     is_broken = False
-    if len(bad) >= BAD_ANSWERS:
-        limit = bad[BAD_ANSWERS - 1] + ROLLBACK_S
-        late = [at for at in sent_to_new if at > limit]
+    for counted_from, bound_s, what in (
+        (0.0, ROLLBACK_S, "store undisturbed"),
+        (stable_from, ROLLBACK_S + OUTER_BOUND_S, "core disturbed by the cut"),
+    ):
+        counted = [at for at in bad if at >= counted_from]
+        late = []
+        if len(counted) >= BAD_ANSWERS:
+            limit = counted[BAD_ANSWERS - 1] + bound_s
+            late = [at for at in sent_to_new if at > limit]
+            after_s = counted[BAD_ANSWERS - 1] - bad_from
+            record(
+                f"{what}: answer {BAD_ANSWERS} that is bad {after_s:.2f} s after the "
+                f"first failures; {len(late)} requests sent later than {bound_s} s "
+                f"after it reached {NEW}"
+            )
+        # The second reading excuses more, so that it decides.
         is_broken = bool(late)
-        record(
-            f"answer {BAD_ANSWERS} that is bad: {bad[BAD_ANSWERS - 1] - bad_from:.2f} "
-            f"s after the first failures; {len(late)} requests sent later than "
-            f"{ROLLBACK_S} s after it reached {NEW}"
-        )
     per_second = Counter(int(at - bad_from) for at in sent_to_new if at >= bad_from)
     summary = (
         f"{len(bad)} bad answers, requests to {NEW} by second after it turned bad: "
