Let the test proxy send without Nagle's algorithm

tests/silent_proxy.py wrote small messages without TCP_NODELAY, so an answer of a gateway could wait some 40 ms in the proxy for an acknowledgement and miss a deadline that the node met. The nodes' own links set the option.

The check is unchanged.

--- a/tests/silent_proxy.py
+++ b/tests/silent_proxy.py
@@ -44,6 +44,10 @@
         while True:
             client, _ = self._listener.accept()
             server = socket.create_connection(self._target)
+            # With Nagle's algorithm, an answer could wait some 40 ms for an
+            # acknowledgement, and miss a deadline that the node met.
+            for sock in (client, server):
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._sockets += [client, server]
             self._forwarders += [
                 eventlet.spawn(self._forward, client, server),
