Merge what nodes know of crashes instead of dropping it

Cause: a completion dropped the suspect with its crashes. A notice of the same crash that was still on its way was new again and was forwarded to the other region, where the notice that the request is harmless was new again as well, and so on without end.

Change: a crash of a process with a request is unknown, known or cleared, and merging takes the later state, so that a late or repeated notice changes nothing. A cleared crash stays known until it expires. A completion also clears the crashes that become known up to 3 s after it, is told from the first crash on, and by few nodes: after a random delay that the notice of another node cancels.

--- a/src/verbenawick/links/_call_links.py
+++ b/src/verbenawick/links/_call_links.py
@@ -302,6 +302,11 @@
         """Return the open links that this node dialled, one per peer."""
         return [link for link in self._links if link.is_dialled and link.is_open]
 
+    def open_links(self) -> list[Link]:
+        """Return one open link to each peer, the dialled one if there are two."""
+        links = sorted(self._links, key=lambda link: link.is_dialled)
+        return list({link.peer: link for link in links if link.is_open}.values())
+
     def accepted_peers(self) -> list[NodeIdentity]:
         """Return the nodes that have dialled this one."""
         return [link.peer for link in self._links if not link.is_dialled]
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -386,7 +386,7 @@
             if outcome is CallOutcome.NOT_RUN or not progress.tried:
                 self._allowances.give_back(admission)
         if result.outcome is CallOutcome.COMPLETE:
-            self._guard.record_completion(fingerprint)
+            self._guard.record_completion(fingerprint, self._clock.now())
         return result
 
     def refuse_unread(
--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -454,7 +454,7 @@
                 step="gateway.run",
                 peer=self._upstream.upstream_id,
             )
-        self._guard.record_completion(fingerprint)
+        self._guard.record_completion(fingerprint, self._clock.now())
         self._count_outcome(is_failure=answer.status >= 500)
         return CallResult(
             CallOutcome.COMPLETE,
--- a/src/verbenawick/mesh/_messages.py
+++ b/src/verbenawick/mesh/_messages.py
@@ -103,26 +103,3 @@
 
     upstream_id: str
     born_ms: int
-
-
-@register_message(93)
-@dataclass(frozen=True, slots=True)
-class CrashNotice(Message):
-    """Requests that were running when the sender's upstream crashed.
-
-    Attributes
-    ----------
-    process_id : str
-        The process that crashed; another one may have the same upstream id.
-    """
-
-    process_id: str
-    fingerprints: tuple[bytes, ...]
-
-
-@register_message(101)
-@dataclass(frozen=True, slots=True)
-class HarmlessNotice(Message):
-    """A request completed although upstreams crashed while running equal ones."""
-
-    fingerprint: bytes
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -17,6 +17,10 @@
 from verbenawick.mesh._beacons import Beacons
 from verbenawick.mesh._configuration_relay import RelayState
 from verbenawick.mesh._confirmation import Confirmation
+from verbenawick.mesh._crash_exchange import (
+    CrashExchange,
+    CrashNotice,
+)
 from verbenawick.mesh._crash_guard import CrashGuard
 from verbenawick.mesh._endpoints import Endpoints
 from verbenawick.mesh._entry import MeshEntry
@@ -25,10 +29,8 @@
 from verbenawick.mesh._health_probe import HealthProbe
 from verbenawick.mesh._local_upstream import LocalUpstream
 from verbenawick.mesh._messages import (
-    CrashNotice,
     ForwardedCall,
     GatewayNotice,
-    HarmlessNotice,
     LeaveNotice,
 )
 from verbenawick.mesh._metrics_page import MetricsPage
@@ -177,8 +179,15 @@
             # Traffic inside a data centre is free, so it is not compressed.
             is_compressed_to=lambda m: m.data_centre != settings.data_centre,
         )
-        guard = CrashGuard(on_harmless=self._on_harmless)
+        guard = CrashGuard()
         self._guard = guard
+        self._crashes = CrashExchange(
+            guard,
+            self.links,
+            region=settings.region,
+            clock=self.clock,
+            random=self.random,
+        )
         self.channels = UpstreamChannels(
             settings.upstream.address,
             # Replaced by `max_connections` of the service in each configuration.
@@ -212,7 +221,7 @@
             guard=guard,
             clock=self.clock,
             metrics=self.metrics,
-            on_crash=self._on_crash,
+            on_crash=self._crashes.on_crash,
             observe=self.metrics_page.observe_upstream,
             shares=shares,
             tally=tally,
@@ -258,8 +267,7 @@
             is_cancellable=self.gateway.is_cancellable,
         )
         self.links.register_notice(GatewayNotice, self._on_gateway_notice)
-        self.links.register_notice(CrashNotice, self._on_crash_notice)
-        self.links.register_notice(HarmlessNotice, self._on_harmless_notice)
+        self.links.register_notice(CrashNotice, self._crashes.on_notice)
         self.links.register_notice(LeaveNotice, self._on_leave_notice)
         self._leaves = PeerLeaves()
         relay = RelayState(node_id=settings.node_id)
@@ -636,35 +644,6 @@
             version=notice.version,
         )
 
-    def _on_crash_notice(self, peer: NodeIdentity, notice: CrashNotice) -> None:
-        is_new = self._guard.record_crash(
-            notice.process_id, notice.fingerprints, self.clock.now()
-        )
-        if is_new:
-            self._forward(notice, sender=peer)
-
-    def _on_harmless_notice(self, peer: NodeIdentity, notice: HarmlessNotice) -> None:
-        if self._guard.discard(notice.fingerprint):
-            self._forward(notice, sender=peer)
-
-    def _forward(
-        self, notice: CrashNotice | HarmlessNotice, *, sender: NodeIdentity
-    ) -> None:
-        """Forward a notice to the nodes to which its sender may have no link."""
-        region = self.settings.region
-        is_from_own_region = sender.region == region
-        for link in self.links.dialled_links():
-            if (link.peer.region == region) != is_from_own_region:
-                self.links.notify(link, notice)
-
-    def _on_crash(self, process_id: str, fingerprints: tuple[bytes, ...]) -> None:
-        notice = CrashNotice(process_id, fingerprints)
-        self._guard.record_crash(process_id, fingerprints, self.clock.now())
-        self.links.notify_all(notice)
-
-    def _on_harmless(self, fingerprint: bytes) -> None:
-        self.links.notify_all(HarmlessNotice(fingerprint))
-
     def _on_upstream_change(self) -> None:
         self.gateway.on_upstream_change()
         self._prober.start_if_unknown()
