Give starting nodes the crashes that others know

Cause: crashes were told once, to the processes that ran then. A process that started knew none and asked nobody, and a lost notice was lost for good.

Change: nodes that know of crashes send a hash of them when a link opens, and every 2 s to one other node. A node with another hash asks for the facts, at most 400, and merges them, so that a cleared crash does not count again through a node that has missed the completion. Nodes without crashes send nothing, and no call to the store is needed.

--- a/src/verbenawick/links/_call_links.py
+++ b/src/verbenawick/links/_call_links.py
@@ -321,6 +321,12 @@
         with suppress(LinkClosedError, LinkOverflowError):
             link.post(message)
 
+    def notify_peer(self, peer: NodeIdentity, message: Message) -> None:
+        """Send a notice to a peer; it is dropped without an open link."""
+        for link in self.open_links():
+            if link.peer == peer:
+                self.notify(link, message)
+
     def await_any_receipt(self, *, timeout_s: float) -> bool:
         """Return whether a peer handles what was sent to it, within `timeout_s`."""
         pings = []
--- a/src/verbenawick/mesh/_crash_guard.py
+++ b/src/verbenawick/mesh/_crash_guard.py
@@ -15,6 +15,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from hashlib import blake2b
 
 from verbenawick.runtime._events import Event, emit, register_event
 
@@ -26,6 +27,7 @@
 # notices and the completion may arrive in either order.
 COMPLETION_TTL_S = 3.0
 MAX_COMPLETIONS = 1000
+DIGEST_BYTES = 8
 
 
 @register_event(725, level="WARNING")
@@ -89,10 +91,16 @@
         )
         self._completed_until: OrderedDict[bytes, float] = OrderedDict()
         self._count = 0
+        self._digest = 0
 
     def __len__(self) -> int:
         return self._count
 
+    @property
+    def digest(self) -> bytes:
+        """Return a hash of all crashes and whether they are cleared."""
+        return self._digest.to_bytes(DIGEST_BYTES)
+
     def record_crash(
         self, process_id: str, fingerprints: Iterable[bytes], now: float
     ) -> list[CrashFact]:
@@ -172,9 +180,13 @@
             crashes[fact.process_id] = _Crash(now + left_s, fact.is_cleared)
             self._count += 1
         elif fact.is_cleared and not crash.is_cleared:
+            self._digest ^= _hash_of(fingerprint, fact.process_id, is_cleared=False)
             crash.is_cleared = True
         else:
             return False
+        self._digest ^= _hash_of(
+            fingerprint, fact.process_id, is_cleared=fact.is_cleared
+        )
         self._crashes_by_fingerprint.move_to_end(fingerprint)
         counted = [crash for crash in crashes.values() if not crash.is_cleared]
         expires_at = max((crash.expires_at for crash in counted), default=0.0)
@@ -189,6 +201,8 @@
             if not crash.is_cleared:
                 crash.is_cleared = True
                 keys.add((fingerprint, process_id))
+                self._digest ^= _hash_of(fingerprint, process_id, is_cleared=False)
+                self._digest ^= _hash_of(fingerprint, process_id, is_cleared=True)
         if keys:
             self.on_cleared(keys)
 
@@ -201,8 +215,9 @@
 
     def _remove(self, fingerprint: bytes, process_id: str) -> None:
         crashes = self._crashes_by_fingerprint[fingerprint]
-        crashes.pop(process_id)
+        crash = crashes.pop(process_id)
         self._count -= 1
+        self._digest ^= _hash_of(fingerprint, process_id, is_cleared=crash.is_cleared)
         if not crashes:
             del self._crashes_by_fingerprint[fingerprint]
 
@@ -212,3 +227,9 @@
         counted = [name for name, crash in crashes.items() if not crash.is_cleared]
         if len(counted) == CRASH_THRESHOLD:
             emit(CrashingRequestRefused(fingerprint.hex(), ",".join(sorted(counted))))
+
+
+def _hash_of(fingerprint: bytes, process_id: str, *, is_cleared: bool) -> int:
+    """Return a hash of a crash; those of all crashes are combined by XOR."""
+    content = fingerprint + bytes([is_cleared]) + process_id.encode()
+    return int.from_bytes(blake2b(content, digest_size=DIGEST_BYTES).digest())
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -18,8 +18,10 @@
 from verbenawick.mesh._configuration_relay import RelayState
 from verbenawick.mesh._confirmation import Confirmation
 from verbenawick.mesh._crash_exchange import (
+    CrashDigest,
     CrashExchange,
     CrashNotice,
+    CrashQuery,
 )
 from verbenawick.mesh._crash_guard import CrashGuard
 from verbenawick.mesh._endpoints import Endpoints
@@ -268,6 +270,8 @@
         )
         self.links.register_notice(GatewayNotice, self._on_gateway_notice)
         self.links.register_notice(CrashNotice, self._crashes.on_notice)
+        self.links.register_notice(CrashDigest, self._crashes.on_digest)
+        self.links.register_notice(CrashQuery, self._crashes.on_query)
         self.links.register_notice(LeaveNotice, self._on_leave_notice)
         self._leaves = PeerLeaves()
         relay = RelayState(node_id=settings.node_id)
@@ -379,6 +383,7 @@
                 self._record_follower.run,
                 self._record_follower.send_beacons,
                 self._state_exchange.run,
+                self._crashes.run,
                 self._publisher.run,
                 self._detect_silent_peers,
                 self._beacons.run,
@@ -619,6 +624,7 @@
 
     def _on_link_open(self, link: Link) -> None:
         self.gateway.on_link_open(link)
+        self._crashes.on_link_open(link)
         leave = self._leaves.of(link.peer.node_id)
         if leave is not None:
             self.links.notify(link, leave)
--- a/tests/crash_network.py
+++ b/tests/crash_network.py
@@ -5,7 +5,12 @@
 
 from verbenawick.links._component import NodeIdentity
 from verbenawick.links._messages import Message, decode_message, encode_message
-from verbenawick.mesh._crash_exchange import CrashExchange
+from verbenawick.mesh._crash_exchange import (
+    CrashDigest,
+    CrashExchange,
+    CrashNotice,
+    CrashQuery,
+)
 from verbenawick.mesh._crash_guard import CrashGuard
 from verbenawick.runtime._clock import ManualClock
 
@@ -61,6 +66,11 @@
         """Send a message that the test delivers, or does not."""
         self.network.send(self, link.peer, message)
 
+    def notify_peer(self, peer: NodeIdentity, message: Message) -> None:
+        """Send a message to a process that still runs."""
+        if self.network.by_id[peer.node_id].identity == peer:
+            self.network.send(self, peer, message)
+
     def crash(self, process_id: str, *fingerprints: bytes) -> None:
         """Let the upstream crash while it runs requests."""
         self.exchange.on_crash(process_id, fingerprints)
@@ -75,7 +85,12 @@
 
     def receive(self, sender: NodeIdentity, message: Message) -> None:
         """Handle a message of another node."""
-        self.exchange.on_notice(sender, message)
+        handler = {
+            CrashNotice: self.exchange.on_notice,
+            CrashDigest: self.exchange.on_digest,
+            CrashQuery: self.exchange.on_query,
+        }[type(message)]
+        handler(sender, message)
 
     def run_timers(self) -> None:
         """Call what the node has delayed."""
@@ -159,5 +174,21 @@
             if self.sent > limit:
                 raise AssertionError(f"more than {most} messages are sent")
 
+    def compare(self) -> None:
+        """Let each pair of linked nodes compare what they know, without losses."""
+        for node in self.nodes:
+            for link in node.open_links():
+                # The nodes do not ask again at once.
+                self.clock.advance(0.3)
+                node.exchange.on_link_open(link)
+                self.deliver_all(most=4 * self.link_count)
+
+    def restart(self, node_id: str) -> None:
+        """Replace a node process; its links are opened by both ends."""
+        region = self.by_id[node_id].identity.region
+        self.by_id[node_id] = node = self.node_type(self, node_id, region)
+        for peer in self.peers_of(node):
+            peer.exchange.on_link_open(NodeLink(node.identity))
+
     def _is_contact(self, node: Node) -> bool:
         return int(node.node_id.split("-")[1]) < CONTACTS
--- a/tests/test_mesh_crash_exchange.py
+++ b/tests/test_mesh_crash_exchange.py
@@ -4,7 +4,8 @@
 
 from testtools import TestCase
 
-from tests.crash_network import CrashNetwork
+from tests.crash_network import CrashNetwork, NodeLink
+from verbenawick.mesh._crash_exchange import MAX_FACTS_PER_ANSWER
 from verbenawick.mesh._crash_guard import CRASH_THRESHOLD
 
 READ = b"read"
@@ -58,6 +59,7 @@
                     network.deliver_all(most=4 * network.link_count)
             network.random.choice(network.nodes).complete(READ)
             network.deliver_all(most=20 * network.link_count)
+            network.compare()
             self.assertEqual([], self.refusing(network, READ))
 
     def test_late_and_repeated_notices_bring_no_crash_back(self):
@@ -96,3 +98,73 @@
             network.nodes[number].crash(f"u{number}/2", POISON)
         network.deliver_all(most=20 * network.link_count)
         self.assertEqual(len(network.nodes), len(self.refusing(network, POISON)))
+
+    def test_crashes_outlive_restarts_of_all_nodes_in_turn(self):
+        """Guards against a crashing request that is run again (review/15)."""
+        for network in self.each_network():
+            for number in range(CRASH_THRESHOLD):
+                network.nodes[number].crash(f"u{number}/1", POISON)
+            network.deliver_all(most=20 * network.link_count)
+            for node_id in list(network.by_id):
+                # The links of other nodes to the new process open at once.
+                network.restart(node_id)
+                network.deliver_all(most=4 * network.link_count)
+                network.clock.advance(2.0)
+            self.assertEqual(len(network.nodes), len(self.refusing(network, POISON)))
+
+    def test_restarted_node_refuses_no_harmless_request(self):
+        """Guards against the crashes of a node that has missed a completion."""
+        for network in self.each_network():
+            behind = network.nodes[1]
+            for number in range(CRASH_THRESHOLD):
+                network.nodes[number].crash(f"u{number}/1", READ)
+            network.deliver_all(most=20 * network.link_count)
+            network.nodes[0].complete(READ)
+            network.nodes[0].run_timers()
+            network.envelopes = [
+                envelope
+                for envelope in network.envelopes
+                if envelope.receiver_id != behind.node_id
+            ]
+            network.deliver_all(most=20 * network.link_count)
+            network.clock.advance(30.0)
+            network.restart("0-2")
+            network.deliver_all(most=20 * network.link_count)
+            network.compare()
+            self.assertEqual([], self.refusing(network, READ))
+
+    def test_answers_to_a_starting_node_are_bounded(self):
+        """Guards against a start that fetches all crashes from all nodes."""
+        network = CrashNetwork(regions=1, nodes_per_region=10)
+        for number in range(2 * MAX_FACTS_PER_ANSWER):
+            network.nodes[0].crash(f"u{number}/1", b"%d" % number)
+        network.deliver_all(most=10 * 2 * MAX_FACTS_PER_ANSWER)
+        before = network.sent
+        network.restart("0-5")
+        network.deliver_all(most=30)
+        # A hash from each node, one query and one answer.
+        self.assertEqual(9 + 2, network.sent - before)
+        self.assertEqual(MAX_FACTS_PER_ANSWER, len(network.by_id["0-5"].guard))
+
+    def test_nodes_without_crashes_send_nothing(self):
+        """Guards against messages on days without a crash."""
+        network = CrashNetwork()
+        for node in network.nodes:
+            node.complete(READ)
+            node.exchange.check()
+            for link in node.open_links():
+                node.exchange.on_link_open(NodeLink(link.peer))
+        self.assertEqual(0, network.sent)
+
+    def test_crashes_expire(self):
+        """Guards against crashes that nodes bring back to each other."""
+        network = CrashNetwork()
+        for number in range(CRASH_THRESHOLD):
+            network.nodes[0].crash(f"u{number}/1", POISON)
+        network.deliver_all(most=20 * network.link_count)
+        network.clock.advance(700.0)
+        network.compare()
+        for node in network.nodes:
+            node.exchange.check()
+            self.assertEqual(0, len(node.guard))
+            self.assertEqual(bytes(8), node.guard.digest)
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -423,7 +423,7 @@
         self.assertEqual(MAX_CRASHES, len(guard))
         self.assertEqual(MAX_CRASHES, len(guard.facts(1.0)))
         guard.expire(1.0 + CRASH_TTL_S)
-        self.assertEqual(0, len(guard))
+        self.assertEqual((0, bytes(8)), (len(guard), guard.digest))
 
     def test_crashes_of_a_request_expire_together(self):
         """Guards against a request that crashes upstreams again after the first one."""
--- a/tests/test_mesh_standing_links.py
+++ b/tests/test_mesh_standing_links.py
@@ -197,6 +197,15 @@
         nodes = [node.server.node for node in self.north + self.south]
         wait_until(lambda: all(refuses(mesh, b"poison") for mesh in nodes), 2)
 
+    def test_crashes_are_known_after_restarts_of_all_nodes_in_turn(self):
+        """Guards against a crashing request that runs again after planned restarts."""
+        for number, node in enumerate(self.south):
+            node.server.node._crashes.on_crash(f"crashed-{number}/1", (b"poison",))
+        for node in self.north + self.south:
+            self.cluster.restart_node(node)
+            wait_until(lambda n=node: n.server.node.is_ready, 3)
+            wait_until(lambda n=node: refuses(n.server.node, b"poison"), 1)
+
 
 def refuses(mesh, fingerprint: bytes) -> bool:
     """Return whether a node refuses requests that crashed upstreams."""
