Let an announced roll-back bind the next leaders of its order

Cause: a roll-back is announced before it is stored. The next leader built its plan from the stored status alone, and its first status had a higher revision than the roll-back, which all nodes then took for older.

Change: the status and the views of an order name the revision at which the operator wrote it (ordered_at), and views are ordered by that, then by state, then by revision. A leader asks what its node was told with each step. A node that hears of progress after a roll-back tells the sender. A repeated roll-back prolongs what is known of it.

--- a/src/verbenawick/mesh/_release_task.py
+++ b/src/verbenawick/mesh/_release_task.py
@@ -145,6 +145,7 @@
             max_exposure=max_exposure,
             ready_versions=self._ready_versions,
             is_followed=lambda s: shares.active(s, clock.now()) is not None,
+            is_rolled_back=lambda *order: shares.roll_back_of(*order) is not None,
         )
         # Store revision that the watch continues from, 0 if all orders have to be read.
         self._revision = 0
@@ -163,13 +164,11 @@
         """Watch the orders while this node is the relay, until the thread is killed."""
         while True:
             if not self._is_settled_relay():
-                self._revision = 0
-                self._is_conducting = False
-                self._lead.clear()
+                self.stop_conducting()
                 eventlet.sleep(RELAY_CHECK_INTERVAL_S)
                 continue
             try:
-                self._watch_once()
+                self.watch_once()
             except StoreHistoryGoneError:
                 self._revision = 0
                 eventlet.sleep(HISTORY_DELAY_S)
@@ -177,22 +176,45 @@
                 # Logged by the followers of the configuration and of the records.
                 eventlet.sleep(RETRY_DELAY_S * (0.5 + self._random.random()))
 
+    def watch_once(self) -> None:
+        """Read the orders, or wait for a change of them."""
+        if self._revision and not self._must_read:
+            change = self._watch_store.watch_orders(self._revision, wait_s=WATCH_WAIT_S)
+        else:
+            self._must_read = False
+            change = self._watch_store.read_orders()
+        self._apply(change)
+
+    def stop_conducting(self) -> None:
+        """Forget the releases that this node conducted, since another one does."""
+        self._revision = 0
+        self._is_conducting = False
+        self._lead.clear()
+
     def conduct(self) -> None:
         """Advance the releases as the relay until the green thread is killed."""
         while True:
             eventlet.sleep(STEP_INTERVAL_S)
-            if self._is_conducting and self._beacons.is_relay():
-                now = self._clock.now()
-                self._lead.advance(now)
-                self._announce(now)
+            self.advance()
+
+    def advance(self) -> None:
+        """Decide the next steps of the releases as the relay, and announce them."""
+        if self._is_conducting and self._beacons.is_relay():
+            now = self._clock.now()
+            self._lead.advance(now)
+            self._announce(now)
 
     def store_statuses(self) -> None:
         """Store the progress of the releases until the green thread is killed."""
         while True:
             eventlet.sleep(STEP_INTERVAL_S)
-            if self._is_conducting and self._beacons.is_relay():
-                for order, status in self._lead.unstored(self._clock.now()):
-                    self._store(order, status)
+            self.store_progress()
+
+    def store_progress(self) -> None:
+        """Store as the relay what the store lacks of the progress."""
+        if self._is_conducting and self._beacons.is_relay():
+            for order, status in self._lead.unstored(self._clock.now()):
+                self._store(order, status)
 
     def report(self) -> None:
         """Report on the own upstream until the green thread is killed."""
@@ -215,14 +237,6 @@
             self._relay_since = now
         return now >= self._relay_since + RELAY_SETTLED_S
 
-    def _watch_once(self) -> None:
-        if self._revision and not self._must_read:
-            change = self._watch_store.watch_orders(self._revision, wait_s=WATCH_WAIT_S)
-        else:
-            self._must_read = False
-            change = self._watch_store.read_orders()
-        self._apply(change)
-
     def _apply(self, change: OrderChange) -> None:
         now = self._clock.now()
         orders = change.orders_by_name
@@ -292,6 +306,10 @@
         self._beacons.forward(peer, beacon)
         view = ReleaseView(*astuple(beacon))
         self._put(view)
+        roll_back = self._shares.roll_back_against(view, self._clock.now())
+        if roll_back is not None:
+            # The leader may not have been told of it.
+            self._links.notify_peer(peer, ReleaseBeacon(*astuple(roll_back)))
         if view == self._shares.active(self._upstream.service, self._clock.now()):
             self._follow(view)
 
--- a/src/verbenawick/platform/_objects.py
+++ b/src/verbenawick/platform/_objects.py
@@ -182,6 +182,7 @@
     share: float = 0.0
     remaining_s: float = 0.0
     reason: str = ""
+    ordered_at: int = 0
 
 
 class _Order(msgspec.Struct):
@@ -389,6 +390,7 @@
                 round(status.share, 4),
                 round(status.remaining_s, 3),
                 status.reason,
+                status.ordered_at,
             ),
         }
         path = f"/objects/{ORDER_KIND}/{quote(order.name)}/status"
@@ -454,6 +456,8 @@
                 status.share,
                 status.remaining_s,
                 status.reason,
+                # No order was written after its status.
+                status.ordered_at if 0 < status.ordered_at <= order.revision else 0,
             ),
         )
 
--- a/src/verbenawick/releases/_lead.py
+++ b/src/verbenawick/releases/_lead.py
@@ -25,7 +25,8 @@
     """Plans of all orders, and the reports that they are judged by.
 
     A raised share is announced once it is stored: the condition of the write lets a
-    single leader raise it. A roll-back is announced at once.
+    single leader raise it. A roll-back is announced at once, so it binds the leaders
+    that follow before it is stored: they ask what this node has been told.
 
     Parameters
     ----------
@@ -33,6 +34,9 @@
         Returns the versions of the ready upstreams of a service by node id.
     is_followed : callable
         Returns whether this node has followed a release of a service until now.
+    is_rolled_back : callable
+        Returns whether this node knows a roll-back of an order, given its service, its
+        target version, the revision at which it was written, and the current time.
     """
 
     def __init__(
@@ -41,7 +45,9 @@
         max_exposure: float,
         ready_versions: Callable[[str], dict[str, str]],
         is_followed: Callable[[str], bool] = lambda service: False,
+        is_rolled_back: Callable[[str, str, int, float], bool] = lambda *order: False,
     ):
+        self._is_rolled_back = is_rolled_back
         self._is_followed = is_followed
         self._max_exposure = max_exposure
         self._ready_versions = ready_versions
@@ -71,6 +77,7 @@
         plan = self.plans_by_service.get(service)
         if plan is not None and plan.is_same_order(order):
             is_anew = order.progress is None and service in self._stored_by_service
+            is_anew |= plan.is_earlier_than(order.progress)
             is_kept = not is_anew and not plan.is_behind(order.progress)
             if is_kept or is_older_copy:
                 plan.order = order
@@ -85,6 +92,7 @@
             next_plan.ended_at = now
         self.plans_by_service[service] = next_plan
         self._set_stored(service, order.progress, now)
+        self._follow_roll_back(service, next_plan, now)
 
     def replace_orders(
         self, orders: list[ReleaseOrder], now: float, *, is_older_copy: bool = False
@@ -117,6 +125,7 @@
     def advance(self, now: float) -> None:
         """Advance all plans."""
         for service, plan in self.plans_by_service.items():
+            self._follow_roll_back(service, plan, now)
             evidence = self._evidence(service, plan, now)
             plan.advance(now, evidence, is_stored=self._is_stored(service, plan, now))
 
@@ -167,10 +176,29 @@
             is_final = share >= 1 and has_targets and plan.is_final(now)
             revision = plan.order.revision
             views.append(
-                ReleaseView(service, target_version, state, share, is_final, revision)
+                ReleaseView(
+                    service,
+                    target_version,
+                    state,
+                    share,
+                    is_final,
+                    revision,
+                    plan.ordered_at,
+                )
             )
         return views
 
+    def _follow_roll_back(self, service: str, plan: ReleasePlan, now: float) -> None:
+        """Roll back what another leader has rolled back, unless its end is stored."""
+        is_ended = plan.state is ReleaseState.ROLLED_BACK or (
+            plan.state is ReleaseState.COMPLETED and self._is_stored(service, plan, now)
+        )
+        target_version = plan.order.target_version
+        if not is_ended and self._is_rolled_back(
+            service, target_version, plan.ordered_at, now
+        ):
+            plan.roll_back("another leader has rolled the version back")
+
     def _evidence(self, service: str, plan: ReleasePlan, now: float) -> Evidence:
         target_version = plan.order.target_version
         versions_by_node_id = self._ready_versions(service)
--- a/src/verbenawick/releases/_messages.py
+++ b/src/verbenawick/releases/_messages.py
@@ -20,6 +20,7 @@
     share: float
     is_final: bool
     revision: int
+    ordered_at: int
 
 
 @register_message(121)
--- a/src/verbenawick/releases/_model.py
+++ b/src/verbenawick/releases/_model.py
@@ -15,6 +15,15 @@
     ROLLED_BACK = "rolled-back"  # no calls go to the target version
 
 
+# A completed release is stored, and the other versions are stopped then, whatever a
+# leader that has lost the store announced.
+_PRECEDENCE = {
+    ReleaseState.ACTIVE: 0,
+    ReleaseState.ROLLED_BACK: 1,
+    ReleaseState.COMPLETED: 2,
+}
+
+
 @dataclass(frozen=True, slots=True)
 class ReleaseStatus:
     """Progress of a release as the store keeps it.
@@ -26,6 +35,8 @@
     remaining_s : float
         Time left of the release when the status was written, seconds. The clocks of
         VMs differ, so the store keeps no instant.
+    ordered_at : int
+        Revision of the object when the operator wrote the order, 0 if unknown.
     """
 
     state: ReleaseState
@@ -33,6 +44,7 @@
     share: float = 0.0
     remaining_s: float = 0.0
     reason: str = ""
+    ordered_at: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +78,12 @@
             return None
         return status
 
+    @property
+    def ordered_at(self) -> int:
+        """Return the revision at which the operator wrote the order."""
+        progress = self.progress
+        return (progress and progress.ordered_at) or self.revision
+
 
 def check_order(order: ReleaseOrder) -> None:
     """Raise `ValueError` if no leader can follow `order`, naming the field."""
@@ -89,7 +107,9 @@
         Whether gateways of other versions accept no further calls, so that their
         upstreams can be stopped.
     revision : int
-        Revision of the order when its status was written last; orders the views.
+        Revision of the order when its status was written last.
+    ordered_at : int
+        Revision at which the operator wrote the order, 0 if unknown.
     """
 
     service: str
@@ -98,3 +118,13 @@
     share: float
     is_final: bool
     revision: int
+    ordered_at: int = 0
+
+    @property
+    def precedence(self) -> tuple[int, int, int]:
+        """Return the order of views: of two, the greater one applies.
+
+        A later order comes before an earlier one, and the end of a release before its
+        progress, whichever leader announced it and whether it is stored yet.
+        """
+        return self.ordered_at, _PRECEDENCE[self.state], self.revision
--- a/src/verbenawick/releases/_plan.py
+++ b/src/verbenawick/releases/_plan.py
@@ -75,6 +75,7 @@
         self.state = progress.state if progress else ReleaseState.ACTIVE
         self.share = progress.share if progress else 0.0
         self.reason = progress.reason if progress else ""
+        self.ordered_at = order.ordered_at
         left_s = progress.remaining_s if progress else order.duration_s
         self._ends_at = now + left_s
         # When the end was stored; an end that an earlier leader stored is long known.
@@ -105,6 +106,10 @@
             return progress.state is not self.state
         return self.state is ReleaseState.ACTIVE and progress.share > self.share
 
+    def is_earlier_than(self, progress: ReleaseStatus | None) -> bool:
+        """Return whether the progress is that of an order that was written later."""
+        return progress is not None and progress.ordered_at > self.ordered_at
+
     def note_stored(self, now: float) -> None:
         """Note that the present state and share were stored for the first time."""
         self._stepped_at = now
@@ -119,8 +124,15 @@
             self.share,
             max(self._ends_at - now, 0.0),
             self.reason,
+            self.ordered_at,
         )
 
+    def roll_back(self, reason: str) -> None:
+        """End the release without the version."""
+        self.state = ReleaseState.ROLLED_BACK
+        self.share = 0.0
+        self.reason = reason
+
     def is_final(self, now: float) -> bool:
         """Return whether the other versions have to complete their calls."""
         if self.state is ReleaseState.COMPLETED:
@@ -141,7 +153,7 @@
         if self.state is not ReleaseState.ACTIVE:
             return
         if evidence.verdict is Verdict.BAD:
-            self._roll_back("the version does worse than the others")
+            self.roll_back("the version does worse than the others")
         elif not evidence.ready_targets:
             self._wait_for_upstreams(now)
         else:
@@ -162,12 +174,12 @@
     def _wait_for_upstreams(self, now: float) -> None:
         if self._started_at is None and not self.share:
             if now >= self._ends_at:
-                self._roll_back("no upstream of the version became ready")
+                self.roll_back("no upstream of the version became ready")
             return
         if self._absent_since is None:
             self._absent_since = now
         if now >= self._absent_since + ABSENCE_S:
-            self._roll_back("all upstreams of the version are gone")
+            self.roll_back("all upstreams of the version are gone")
 
     def _is_held(self, now: float, verdict: Verdict) -> bool:
         if verdict is not Verdict.SUSPECT:
@@ -190,7 +202,7 @@
             self.share = higher[0]
             self._stepped_at = now
         elif now >= self._ends_at:
-            self._roll_back("too few upstreams of the version are ready")
+            self.roll_back("too few upstreams of the version are ready")
 
     def _complete(self, now: float, evidence: Evidence) -> None:
         if now < self._stepped_at + SETTLE_S:
@@ -198,8 +210,3 @@
         if evidence.are_others_idle or now >= self._ends_at - LAST_MOMENT_S:
             self.state = ReleaseState.COMPLETED
             self.reason = "all calls go to the version"
-
-    def _roll_back(self, reason: str) -> None:
-        self.state = ReleaseState.ROLLED_BACK
-        self.share = 0.0
-        self.reason = reason
--- a/src/verbenawick/releases/_shares.py
+++ b/src/verbenawick/releases/_shares.py
@@ -18,6 +18,9 @@
 # the change of the leader. Versions are started again after the end of a release, for
 # example with a replaced VM, and get calls then.
 VIEW_VALID_S = 10.0
+# Time after its last beacon for which a roll-back binds the leaders of its order,
+# seconds. The store may be away when the leader that decided it is lost.
+ROLL_BACK_VALID_S = 600.0
 # The sum of ten shares of 0.1 is below 1 by a rounding error.
 ROUNDING = 1e-9
 
@@ -39,24 +42,44 @@
         self._by_service: dict[str, ReleaseView] = {}
         self._valid_until_by_service: dict[str, float] = {}
         self._credit_by_service: dict[str, float] = {}
+        # The last roll-back of a service, and until when it binds.
+        self._roll_back_by_service: dict[str, tuple[ReleaseView, float]] = {}
 
     def put(self, view: ReleaseView, now: float) -> bool:
-        """Apply a view unless it is older than the known one; return whether it is new.
-
-        A lower share of the same revision is a roll-back that is not stored yet.
-        """
+        """Apply a view unless the known one precedes; return whether it is new."""
         known = self._current(view.service, now)
-        if known is not None:
-            if view.revision < known.revision:
-                return False
-            if known.state is ReleaseState.ROLLED_BACK:
-                is_same = view.target_version == known.target_version
-                if is_same and view.revision == known.revision:
-                    return False
+        if known is not None and view.precedence < known.precedence:
+            return False
+        if self.roll_back_against(view, now) is not None:
+            return False
+        if view.state is ReleaseState.ROLLED_BACK:
+            until = now + ROLL_BACK_VALID_S
+            self._roll_back_by_service[view.service] = (view, until)
         self._by_service[view.service] = view
         self._valid_until_by_service[view.service] = now + VIEW_VALID_S
         return view != known
 
+    def roll_back_against(self, view: ReleaseView, now: float) -> ReleaseView | None:
+        """Return the roll-back of the order that a view says is in progress, if any."""
+        if view.state is not ReleaseState.ACTIVE or not view.ordered_at:
+            return None
+        return self.roll_back_of(
+            view.service, view.target_version, view.ordered_at, now
+        )
+
+    def roll_back_of(
+        self, service: str, target_version: str, ordered_at: int, now: float
+    ) -> ReleaseView | None:
+        """Return the roll-back of the order that was written at a revision, if any."""
+        known, until = self._roll_back_by_service.get(service, (None, 0.0))
+        if known is None or now > until:
+            return None
+        is_same = (known.target_version, known.ordered_at) == (
+            target_version,
+            ordered_at,
+        )
+        return known if is_same else None
+
     def active(self, service: str, now: float) -> ReleaseView | None:
         """Return the release of a service that is in progress, if there is one."""
         view = self._current(service, now)
--- a/tests/test_platform_objects.py
+++ b/tests/test_platform_objects.py
@@ -28,6 +28,7 @@
     PlatformStore,
     _record_spec,
 )
+from verbenawick.releases._model import ReleaseState, ReleaseStatus
 from verbenawick.runtime._clock import ManualClock
 
 
@@ -96,6 +97,22 @@
         self.assertEqual(1, first.configuration.version)
         self.assertEqual(3, change.configuration.version)
 
+    def test_status_of_an_order_names_when_it_was_written(self):
+        """Guards against a status that binds a later order, or none."""
+        spec = {"service": "s", "target_version": "v2", "duration_s": 8.0}
+        self.standin.put("rollouts", "s", spec)
+        written_at = self.read_order().ordered_at
+        for ordered_at, is_valid in ((written_at, True), (-1, False), (2**60, False)):
+            status = ReleaseStatus(ReleaseState.ACTIVE, "v2", ordered_at=ordered_at)
+            self.client.write_order_status(self.read_order(), status)
+            order = self.read_order()
+            expected = written_at if is_valid else order.revision
+            self.assertEqual(expected, order.ordered_at)
+
+    def read_order(self):
+        (order,) = self.client.read_orders().orders_by_name.values()
+        return order
+
     def test_keys_of_workspaces_are_not_handed_to_other_nodes(self):
         """The document of a configuration is sent to nodes that do not read it."""
         content = document(1)
--- a/tests/test_releases_lead.py
+++ b/tests/test_releases_lead.py
@@ -91,6 +91,37 @@
         self.play(lead, 3, 4)
         self.assertEqual(ROLLED_BACK, self.store.order.status.state)
 
+    def test_roll_back_that_was_announced_binds_the_next_leader(self):
+        """Guards against a bad version that is brought in by a leader that knows it."""
+        self.play(self.lead(), 0, 2)
+        known = ("s", "v2", ORDER.revision)
+        lead = ReleaseLead(
+            max_exposure=0.1,
+            ready_versions=lambda service: VERSIONS,
+            is_rolled_back=lambda *order: order[:3] == known,
+        )
+        lead.put_order(self.store.order, 2)
+        self.play(lead, 2, 3)
+        self.assertEqual(ROLLED_BACK, self.store.order.status.state)
+        self.assertEqual(ORDER.revision, self.store.order.ordered_at)
+        anew = ReleaseOrder("o", "s", "v2", 15.0, 9)
+        self.store.order = anew
+        lead.put_order(anew, 3)
+        self.play(lead, 3, 6)
+        self.assertEqual(ACTIVE, self.store.order.status.state)
+        self.assertGreater(self.store.order.status.share, 0)
+
+    def test_later_order_of_another_leader_replaces_a_roll_back(self):
+        """Guards against a suspended leader that ends an order it has not read."""
+        lead = self.lead()
+        self.play(lead, 0, 2)
+        self.report(lead, 2, failures=10)
+        lead.advance(2.0)
+        self.assertEqual(ROLLED_BACK, lead.plans_by_service["s"].state)
+        status = ReleaseStatus(ACTIVE, "v2", 0.05, 12.0, ordered_at=9)
+        lead.put_order(ReleaseOrder("o", "s", "v2", 15.0, 10, status), 3)
+        self.assertEqual(ACTIVE, lead.plans_by_service["s"].state)
+
     def test_two_leaders_raise_the_share_once_a_step(self):
         """The conditional write lets one of two leaders decide each step."""
         first, second = self.lead(), self.lead()
--- a/tests/test_releases_shares.py
+++ b/tests/test_releases_shares.py
@@ -21,9 +21,11 @@
 NEW = [Gateway(f"new-{n:02}", "v2") for n in range(20)]
 
 
-def view(state=ReleaseState.ACTIVE, share=0.1, *, is_final=False, revision=1):
+def view(
+    state=ReleaseState.ACTIVE, share=0.1, *, is_final=False, revision=1, ordered_at=0
+):
     """Return the view of a release to v2."""
-    return ReleaseView("s", "v2", state, share, is_final, revision)
+    return ReleaseView("s", "v2", state, share, is_final, revision, ordered_at)
 
 
 class SharesTest(TestCase):
@@ -75,6 +77,42 @@
         self.assertFalse(shares.put(view(share=0.5, revision=4), 0.0))
         self.assertEqual(OLD, shares.select("s", OLD + NEW, 0.0))
 
+    def test_roll_back_precedes_later_progress_of_its_order(self):
+        """Guards against a leader that was not told of a roll-back of another one."""
+        rolled_back = view(ReleaseState.ROLLED_BACK, 0.0, revision=4, ordered_at=1)
+        later = view(share=1.0, revision=7, ordered_at=1)
+        for views in ((rolled_back, later), (later, rolled_back)):
+            shares = self.shares(*views)
+            self.assertEqual(OLD, shares.select("s", OLD + NEW, 0.0))
+            self.assertEqual(rolled_back, shares.roll_back_against(later, 0.0))
+            self.assertFalse(shares.put(later, VIEW_VALID_S + 0.1))
+
+    def test_version_that_is_ordered_anew_gets_calls(self):
+        """Guards against a roll-back that binds the next order as well."""
+        rolled_back = view(ReleaseState.ROLLED_BACK, 0.0, revision=4, ordered_at=1)
+        anew = view(share=1.0, revision=6, ordered_at=5)
+        for views in ((rolled_back, anew), (anew, rolled_back)):
+            shares = self.shares(*views)
+            self.assertIsNone(shares.roll_back_against(anew, 0.0))
+            self.assertEqual(NEW, shares.select("s", OLD + NEW, 0.0))
+
+    def test_stored_end_precedes_a_roll_back(self):
+        """Guards against calls to upstreams that were stopped after the end."""
+        rolled_back = view(ReleaseState.ROLLED_BACK, 0.0, revision=4, ordered_at=1)
+        completed = view(ReleaseState.COMPLETED, 1.0, revision=5, ordered_at=1)
+        for views in ((rolled_back, completed), (completed, rolled_back)):
+            self.assertEqual(
+                NEW, self.shares(*views).select("s", OLD + NEW, 0.0), views
+            )
+
+    def test_roll_back_is_known_while_it_is_repeated(self):
+        """Guards against calls to a bad version for half a second every 10 s."""
+        shares = VersionShares()
+        rolled_back = view(ReleaseState.ROLLED_BACK, 0.0, revision=4, ordered_at=1)
+        for number in range(60):
+            self.assertEqual(number == 0, shares.put(rolled_back, number / 2))
+            self.assertEqual(OLD, shares.select("s", OLD + NEW, number / 2))
+
     def test_retired_versions(self):
         """Upstreams of unknown version are not taken for another version."""
         shares = self.shares(view(share=1.0, is_final=True))
