Refuse requests with other transfer codings than chunked

Cause: httptools, which checks the head, accepts a list that ends in chunked; eventlet, which reads the body, compares the whole field with chunked and otherwise takes the body for the next request on the connection.

Change: unless there is one field with the value chunked, the request is answered 501 and its connection closed.

--- a/src/verbenawick/calls/_caller_protocol.py
+++ b/src/verbenawick/calls/_caller_protocol.py
@@ -96,6 +96,16 @@
         self.method = parser.get_method().decode("latin-1")
         self.version = parser.get_http_version()
 
+    @property
+    def has_unsupported_coding(self) -> bool:
+        """Return whether the body has another transfer coding than chunks.
+
+        httptools takes each list that ends in chunked as chunks, eventlet any but the
+        single word as a body of no length, which makes the body a further request.
+        """
+        codings = self.headers.get_all("Transfer-Encoding")
+        return codings is not None and [c.lower() for c in codings] != ["chunked"]
+
     def on_url(self, url: bytes) -> None:
         self.target += url
 
@@ -598,6 +608,9 @@
         if lines[-1] == b"" or not head.target:
             # The connection was closed before the head was complete.
             return False
+        if head.has_unsupported_coding:
+            self.send_error(501, "Not Implemented")
+            return False
         self._take(head)
         self.close_connection = not head.keeps_connection
         if (
--- a/tests/test_caller_protocol.py
+++ b/tests/test_caller_protocol.py
@@ -31,6 +31,21 @@
     "control byte in a name": b"Ho\x01st: h.example\r\n",
 }
 
+# Values of the fields Transfer-Encoding of one request.
+OTHER_CODINGS = (
+    (b"gzip, chunked",),
+    (b", chunked",),
+    (b"chunked,",),
+    (b"chunked, chunked",),
+    (b"gzip", b"chunked"),
+    (b"chunked", b"chunked"),
+    (b"identity",),
+    (b"gzip",),
+    (b"",),
+    (b"x-chunked",),
+    (b"chunked;q=1",),
+)
+
 
 class CallerProtocolTest(TestCase):
     """Request heads sent to the server over a real socket."""
@@ -134,6 +149,25 @@
             self.assertEqual(b"HTTP/1.1 400 Bad Request", status, name)
         self.assertEqual([], self.seen)
 
+    def test_other_transfer_codings_reach_no_application(self):
+        """Guards against bodies that are dropped, and served as a further request."""
+        smuggled = b"PUT /smuggled HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+        chunks = b"3\r\nabc\r\n0\r\n\r\n"
+        for codings in OTHER_CODINGS:
+            fields = b"".join(b"Transfer-Encoding: %b\r\n" % c for c in codings)
+            head = b"PUT /c HTTP/1.1\r\nHost: h\r\n" + fields + b"\r\n"
+            for body in (chunks, smuggled):
+                self.assertIn(
+                    self.status_of(head + body),
+                    (b"HTTP/1.1 501 Not Implemented", b"HTTP/1.1 400 Bad Request"),
+                    codings,
+                )
+        self.assertEqual([], self.seen)
+        for name in (b"chunked", b"Chunked", b"  chunked"):
+            head = b"PUT /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding:%b\r\n\r\n" % name
+            self.assertEqual(b"HTTP/1.1 200 OK", self.status_of(head + chunks), name)
+            self.assertEqual(b"abc", self.seen.pop()[1])
+
     def test_small_chunks_take_little_more_memory_than_their_bytes(self):
         """Guards against bodies whose chunks are kept as an object each."""
         count = 500_000
