Free calls whose callers left at once

Cause: a cancelled call is killed, and a green thread keeps the exception that ended it with its traceback, whose frames refer to the thread and the call: a cycle that only a full garbage collection frees, and these are rare by design.

Change: the functions of green threads that run calls return when they are killed.

--- a/src/verbenawick/links/_call_links.py
+++ b/src/verbenawick/links/_call_links.py
@@ -26,6 +26,7 @@
 from verbenawick.runtime._clock import Clock
 from verbenawick.runtime._events import Event as LogEvent
 from verbenawick.runtime._events import emit, register_event
+from verbenawick.runtime._killable import returns_when_killed
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 from verbenawick.runtime._reused_threads import ReusedThreads
 
@@ -625,6 +626,7 @@
         )
         self._running[key] = (thread, message)
 
+    @returns_when_killed
     def _run_handler(self, handler, link, message, sent_at, key) -> None:
         try:
             answer = handler(link.peer, message, sent_at)
--- a/src/verbenawick/mesh/_entry.py
+++ b/src/verbenawick/mesh/_entry.py
@@ -68,6 +68,7 @@
 from verbenawick.runtime._clock import Clock
 from verbenawick.runtime._events import Event as LogEvent
 from verbenawick.runtime._events import emit, register_event
+from verbenawick.runtime._killable import returns_when_killed
 from verbenawick.runtime._metrics import MetricKind, MetricSet, register_metric
 from verbenawick.sharing._steps import STEP_PRIORITY, StepRecognition
 from verbenawick.workspaces._authentication import find_workspace
@@ -715,7 +716,8 @@
             return self._gateway.handle(forwarded, **options)
         # A non-idempotent call runs in its own green thread, so that it completes even
         # if the caller disconnects after the request reached the upstream.
-        thread = eventlet.spawn(self._gateway.handle, forwarded, **options)
+        handle = returns_when_killed(self._gateway.handle)
+        thread = eventlet.spawn(handle, forwarded, **options)
         try:
             return thread.wait()
         except BaseException:
--- a/src/verbenawick/mesh/_offer_race.py
+++ b/src/verbenawick/mesh/_offer_race.py
@@ -13,6 +13,7 @@
 from eventlet.queue import LightQueue
 
 from verbenawick.mesh._model import CallResult
+from verbenawick.runtime._killable import returns_when_killed
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +118,7 @@
     def _spawn(self, offer: Callable[[], OfferEvent]) -> None:
         self._threads.append(eventlet.spawn(self._run, offer))
 
+    @returns_when_killed
     def _run(self, offer: Callable[[], OfferEvent]) -> None:
         if self._is_cancelled:
             return
--- a/src/verbenawick/runtime/_concurrent_send.py
+++ b/src/verbenawick/runtime/_concurrent_send.py
@@ -10,6 +10,8 @@
 
 import eventlet
 
+from verbenawick.runtime._killable import returns_when_killed
+
 
 class ConcurrentSend:
     """Progress of data that is being sent.
@@ -29,6 +31,7 @@
         self.is_complete = False
         self.error: OSError | None = None
 
+    @returns_when_killed
     def run(self, sock, data) -> None:
         """Send `data`; blocks while the send buffer is full."""
         try:
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -1,5 +1,6 @@
 """End-to-end tests of the mesh on the stand-in platform."""
 
+import gc
 import time
 import tracemalloc
 from http.client import HTTPException, parse_headers
@@ -20,6 +21,7 @@
 from verbenawick.links._call_messages import MAX_MESSAGE_BODY_BYTES
 from verbenawick.mesh._crash_guard import CRASH_THRESHOLD
 from verbenawick.mesh._entry import RETRIES
+from verbenawick.mesh._messages import ForwardedCall
 from verbenawick.mesh._model import UpstreamState
 from verbenawick.mesh._node import SILENCE_CHECK_INTERVAL_S, STALL_LOGGED_S
 from verbenawick.mesh._node_events import ProcessStalled
@@ -28,6 +30,11 @@
 from verbenawick.runtime._events import number_of
 
 
+def count_calls() -> int:
+    """Return the number of forwarded calls in memory, with their bodies."""
+    return sum(type(item) is ForwardedCall for item in gc.get_objects())
+
+
 class MeshClusterTest(TestCase):
     """A service with two upstreams and a service with one."""
 
@@ -685,6 +692,34 @@
         thread.kill()
         wait_until(lambda: not sum(g.in_flight for g in gateways), 0.5)
 
+    def test_calls_whose_callers_left_are_freed_at_once(self):
+        """Guards against bodies that stay until the next full garbage collection."""
+        self.addCleanup(gc.enable)
+        gc.disable()
+        self.a1.upstream.service_time_s = self.a2.upstream.service_time_s = 3.0
+        self.leave_calls(6)
+        # The first and the last call of a link may stay referenced.
+        kept = count_calls()
+        self.leave_calls(12)
+        wait_until(lambda: count_calls() <= kept, 2.0)
+
+    def leave_calls(self, count):
+        """Let callers with large bodies leave, in turn at each node."""
+        nodes = (self.a1, self.a2, self.b1)
+        gateways = [node.server.node.gateway for node in nodes]
+        for number in range(count):
+            entry = nodes[number % len(nodes)]
+            thread = eventlet.spawn(
+                self.cluster.call,
+                entry,
+                "/archive/1",
+                method="PUT",
+                body=bytes(200_000),
+            )
+            wait_until(lambda: sum(g.in_flight for g in gateways), 2.0)
+            thread.kill()
+            wait_until(lambda: not sum(g.in_flight for g in gateways), 2.0)
+
     def test_running_unsafe_request_is_not_cancelled_by_caller_disconnect(self):
         """A booking that has started must complete even if its caller disconnects."""
         self.b1.upstream.service_time_s = 0.4
