Give a starting node the limit that its upstream named before

Cause: only the node beside an upstream sees its answers. A new process knew no limit until the first one, and its slots were the bound.

Change: the node tells the others the limit with the state of its upstream, when it begins, ends or changes by half. They tell its next process when a link to it opens, and it applies to the same upstream until that answers.

--- a/src/verbenawick/mesh/_gateway.py
+++ b/src/verbenawick/mesh/_gateway.py
@@ -33,6 +33,7 @@
     GatewayLoad,
     Headers,
 )
+from verbenawick.mesh._named_limits import LimitNotice, NamedLimit
 from verbenawick.mesh._placement import ends_before_stop
 from verbenawick.mesh._slot_queue import SlotQueue, SlotRequest, Verdict
 from verbenawick.mesh._upstream_channels import AnswerKind, RawAnswer, UpstreamChannels
@@ -263,6 +264,7 @@
         on_crash: Callable[
             [str, tuple[bytes, ...]], None
         ] = lambda process_id, fingerprints: None,
+        on_limit: Callable[[], None] = lambda: None,
         observe: Callable[[float], None] = lambda seconds: None,
         shares: VersionShares | None = None,
         tally: ReleaseTally | None = None,
@@ -278,6 +280,7 @@
         self._clock = clock
         self._metrics = metrics
         self._on_crash = on_crash
+        self._on_limit = on_limit
         self._queue = SlotQueue(slots=upstream.slots)
         self._failure_rate = MovingAverage(FAILURE_WEIGHT, 0.0)
         self._calls = CallsInFlight()
@@ -289,7 +292,7 @@
         self._running_fingerprints: dict[int, bytes] = {}
         # Offset and the local time at which it was estimated.
         self._clock_offset_by_peer: dict[tuple[str, int], tuple[float, float]] = {}
-        self._limited_upstream_id = upstream.upstream_id
+        self._named_limit = NamedLimit(upstream.upstream_id)
         self._is_grant_scheduled = False
         # Limit in the last log event about it.
         self._reported_limit = upstream.slots
@@ -335,16 +338,26 @@
         """Apply a change of the upstream's state or slot count to the queue."""
         now = self._clock.now()
         self._queue.slots = max(self._upstream.slots, 1)
-        if self._upstream.upstream_id != self._limited_upstream_id:
+        if self._upstream.upstream_id != self._named_limit.upstream_id:
             # The limits of the previous upstream do not apply to its successor.
-            self._limited_upstream_id = self._upstream.upstream_id
-            self._set_limit(None, now)
+            self._named_limit.follow(self._upstream.upstream_id)
+            self._set_limit(self._named_limit.rate_limit, now)
             self._queue.forget_limit()
             self._reported_limit = self._queue.slots
         if not self._upstream.accepts_work:
             self._queue.refuse_waiting(now)
         self._grant_free_slots()
 
+    @property
+    def rate_limit(self) -> float | None:
+        """Return the limit that the upstream names, as in `GatewayNotice`."""
+        return self._named_limit.rate_limit
+
+    def on_limit_notice(self, notice: LimitNotice) -> None:
+        """Keep the limit that the upstream named to an earlier process of this node."""
+        self._named_limit.on_notice(notice)
+        self._set_limit(self._named_limit.rate_limit, self._clock.now())
+
     def load(self, route: str) -> GatewayLoad:
         """Return the load that is reported with each answer."""
         now = self._clock.now()
@@ -581,7 +594,7 @@
     def _set_limit(self, limit: float | None, now: float) -> None:
         rate = self._queue.rate
         earlier = rate.limit
-        rate.set_limit(limit, now)
+        rate.set_limit(limit or None, now)
         self._metrics.gauge(RATE_LIMIT, rate.limit or 0.0)
         if (earlier is None) != (rate.limit is None):
             emit(
@@ -659,7 +672,10 @@
             return
         if self._protocol.is_leaving(answer):
             self._upstream.on_leaving(self._upstream.upstream_id)
-        self._set_limit(self._protocol.rate_limit_of(answer), self._clock.now())
+        limit = self._protocol.rate_limit_of(answer)
+        self._set_limit(limit, self._clock.now())
+        if self._named_limit.on_answer(limit):
+            self._on_limit()
         if not self._queue.learns_limit:
             load = self._protocol.load_of(answer)
             # On a VM that others use too, the slots do not tell what it takes well.
--- a/src/verbenawick/mesh/_messages.py
+++ b/src/verbenawick/mesh/_messages.py
@@ -82,6 +82,9 @@
         Start time of the upstream's process as in `StatusReport`, 0 if unknown.
     version : str
         Version of the upstream's software as in `UpstreamRecord`.
+    rate_limit : float or None
+        Limit that the upstream names, requests per second; 0 if it names none, None if
+        it has not answered the sender yet.
     """
 
     service: str
@@ -91,6 +94,7 @@
     is_leaving: bool
     born_ms: int
     version: str = ""
+    rate_limit: float | None = None
 
 
 @register_message(102)
--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -41,6 +41,7 @@
     UpstreamRecord,
     UpstreamState,
 )
+from verbenawick.mesh._named_limits import LimitNotice, PeerLimits
 from verbenawick.mesh._node_events import (
     ConfigurationInForce,
     LeaveNotKept,
@@ -224,6 +225,7 @@
             clock=self.clock,
             metrics=self.metrics,
             on_crash=self._crashes.on_crash,
+            on_limit=self._notify_state,
             observe=self.metrics_page.observe_upstream,
             shares=shares,
             tally=tally,
@@ -273,7 +275,11 @@
         self.links.register_notice(CrashDigest, self._crashes.on_digest)
         self.links.register_notice(CrashQuery, self._crashes.on_query)
         self.links.register_notice(LeaveNotice, self._on_leave_notice)
+        self.links.register_notice(
+            LimitNotice, lambda peer, notice: self.gateway.on_limit_notice(notice)
+        )
         self._leaves = PeerLeaves()
+        self._limits = PeerLimits()
         relay = RelayState(node_id=settings.node_id)
         self._beacons = Beacons(
             region=settings.region,
@@ -587,6 +593,7 @@
     def _forget(self, node_id: str) -> None:
         self.endpoints.remove(node_id)
         self._leaves.forget(node_id)
+        self._limits.forget(node_id)
         self._connectors.stop_connector(node_id)
 
     def _detect_silent_peers(self) -> None:
@@ -625,9 +632,10 @@
     def _on_link_open(self, link: Link) -> None:
         self.gateway.on_link_open(link)
         self._crashes.on_link_open(link)
-        leave = self._leaves.of(link.peer.node_id)
-        if leave is not None:
-            self.links.notify(link, leave)
+        node_id = link.peer.node_id
+        for notice in (self._leaves.of(node_id), self._limits.of(node_id)):
+            if notice is not None:
+                self.links.notify(link, notice)
         if not link.is_dialled:
             self.links.notify(link, self._gateway_notice())
 
@@ -642,6 +650,7 @@
 
     def _on_gateway_notice(self, peer: NodeIdentity, notice: GatewayNotice) -> None:
         self._leaves.on_notice(peer.node_id, notice)
+        self._limits.on_notice(peer.node_id, notice)
         self.endpoints.put_state(
             peer.node_id,
             service=notice.service,
@@ -661,7 +670,11 @@
         self.links.notify_all(self._gateway_notice())
 
     def _gateway_notice(self) -> GatewayNotice:
-        return gateway_notice(self.upstream, is_draining=self.is_gateway_draining)
+        return gateway_notice(
+            self.upstream,
+            is_draining=self.is_gateway_draining,
+            rate_limit=self.gateway.rate_limit,
+        )
 
     def _put_own_endpoint(self) -> None:
         upstream = self.upstream
--- a/src/verbenawick/mesh/_own_state.py
+++ b/src/verbenawick/mesh/_own_state.py
@@ -49,13 +49,17 @@
     )
 
 
-def gateway_notice(upstream: LocalUpstream, *, is_draining: bool) -> GatewayNotice:
+def gateway_notice(
+    upstream: LocalUpstream, *, is_draining: bool, rate_limit: float | None = None
+) -> GatewayNotice:
     """Return the notice about the upstream for other nodes.
 
     Parameters
     ----------
     is_draining : bool
         Whether the node itself accepts no more calls, because it stops.
+    rate_limit : float or None
+        As in `GatewayNotice`.
     """
     return GatewayNotice(
         upstream.service,
@@ -65,4 +69,5 @@
         upstream.is_leaving,
         upstream.born_ms,
         upstream.version,
+        rate_limit,
     )
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -104,6 +104,29 @@
         )
         self.assertIsNone(self.b1.server.node.gateway._queue.rate.limit)
 
+    def test_limit_of_an_upstream_holds_after_a_restart_of_its_node(self):
+        """Guards against requests for all slots before the first answer names it."""
+        upstream = self.b1.upstream
+        upstream.said_headers = [("Server-Limit", "2.0")]
+        upstream.service_time_s = 0.3
+        self.cluster.call(self.a1, "/booking/0", method="POST", body=b"x")
+        for is_planned in (False, True):
+            self.cluster.restart_node(self.b1, is_planned=is_planned)
+            self.cluster.wait_ready()
+            before = sum(upstream.runs_by_request.values())
+            for number in range(12):
+                eventlet.spawn_n(
+                    self.cluster.call,
+                    (self.a1, self.a2)[number % 2],
+                    "/booking/1",
+                    method="POST",
+                    body=b"x",
+                )
+            eventlet.sleep(1.0)
+            runs = sum(upstream.runs_by_request.values()) - before
+            self.assertLessEqual(runs, 2 * (1.0 + BURST_S) + 1)
+            self.assertGreaterEqual(runs, 1)
+
     def test_draining_upstream_gets_nothing_after_its_ack(self):
         """A request sent to an upstream after the drain ack would be cut off."""
         self.b1.is_reporting = False
