Keep no request in idle green threads

A green thread that ReusedThreads keeps held the first and the last request that it ran, each with its body of up to 7.75 MB, until it ran another one or for ever. With 16 idle threads that can exceed the 31 MB that bodies may take.

test_idle_threads_keep_no_arguments failed before. The log event of a refused request is also no longer repeated when some of its crashes are cleared.

--- a/src/verbenawick/mesh/_crash_guard.py
+++ b/src/verbenawick/mesh/_crash_guard.py
@@ -122,6 +122,7 @@
         for fingerprint in fingerprints:
             if now < self._completed_until.get(fingerprint, now):
                 self._clear(fingerprint)
+        for fingerprint in {f.fingerprint for f in changed if not f.is_cleared}:
             self._log_refusal(fingerprint)
         keys = {fact.key for fact in changed}
         known = [fact for fact in self.facts(now, fingerprints) if fact.key in keys]
--- a/src/verbenawick/runtime/_reused_threads.py
+++ b/src/verbenawick/runtime/_reused_threads.py
@@ -29,11 +29,15 @@
                 hub = hubs.get_hub()
                 hub.schedule_call_global(0, thread.switch, function, arguments)
                 return thread
-        return eventlet.spawn(self._run, function, arguments)
+        return eventlet.spawn(self._run, [(function, arguments)])
 
-    def _run(self, function: Callable, arguments: tuple) -> None:
+    def _run(self, first: list[tuple[Callable, tuple]]) -> None:
+        # A green thread keeps its own arguments, and an idle one its variables: the
+        # first and the last request with their bodies.
+        function, arguments = first.pop()
         while True:
             function(*arguments)
+            function, arguments = None, ()
             if len(self._idle) >= self._max_idle:
                 return
             self._idle.append(getcurrent())
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -720,11 +720,9 @@
         self.addCleanup(gc.enable)
         gc.disable()
         self.a1.upstream.service_time_s = self.a2.upstream.service_time_s = 3.0
-        self.leave_calls(6)
-        # The first and the last call of a link may stay referenced.
-        kept = count_calls()
+        before = count_calls()
         self.leave_calls(12)
-        wait_until(lambda: count_calls() <= kept, 2.0)
+        wait_until(lambda: count_calls() == before, 2.0)
 
     def leave_calls(self, count):
         """Let callers with large bodies leave, in turn at each node."""
--- a/tests/test_runtime_reused_threads.py
+++ b/tests/test_runtime_reused_threads.py
@@ -1,11 +1,17 @@
 """Green threads that run one function after another."""
 
+import weakref
+
 import eventlet
 from testtools import TestCase
 
 from verbenawick.runtime._reused_threads import ReusedThreads
 
 
+class Request:
+    """An argument that a weak reference may refer to."""
+
+
 class ReusedThreadsTest(TestCase):
     """Functions that end, wait or are killed."""
 
@@ -37,6 +43,16 @@
         self.assertIsNot(reused, self.run_one(4))
         self.assertEqual([1, 2, 4], self.results)
 
+    def test_idle_threads_keep_no_arguments(self):
+        """Guards against up to 16 requests with their bodies that stay in memory."""
+        for _ in range(3):
+            request = Request()
+            kept = weakref.ref(request)
+            self.run_one(request)
+            self.results.clear()
+            del request
+            self.assertIsNone(kept())
+
     def test_idle_threads_over_the_limit_end(self):
         """Guards against memory that a wave of calls leaves behind."""
         threads = [self.threads.spawn(self.results.append, n) for n in range(5)]
