Apply a stored leave before the record is written

A node that began to use its upstream while the store was away read the record of a leave, wrote its own state, ready, over it, and wrote the leave again some 3 ms later. A kill between the two writes would have lost the leave. Seen as a failure of test_stored_leave_applies_once_the_store_answers, which read the record in between (once in five runs of its file and 1 of 12 alone beside other work).

Cause: the record was restored in a green thread of its own, so that a health probe does not hold up the writes. Now a record of a leave is restored first; others as before.

--- a/src/verbenawick/mesh/_node.py
+++ b/src/verbenawick/mesh/_node.py
@@ -300,10 +300,7 @@
             node_id=settings.node_id,
             desired=self._desired_record,
             random=self.random,
-            # A health probe would hold up the writes of the record.
-            on_first_answer=lambda record: eventlet.spawn(
-                self.upstream.restore, record
-            ),
+            on_first_answer=self._restore_upstream,
             on_failure=self.upstream.skip_restore,
         )
         self._configuration_follower = ConfigurationFollower(
@@ -629,6 +626,14 @@
             self.standing_links.open(endpoint)
         return endpoint.member if self.links.is_connected(endpoint.member) else None
 
+    def _restore_upstream(self, record: UpstreamRecord | None) -> None:
+        if record is not None and record.state is UpstreamState.DRAINING:
+            # Otherwise the present state would replace the leave before it applies.
+            self.upstream.restore(record)
+        else:
+            # A health probe would hold up the writes of the record.
+            eventlet.spawn(self.upstream.restore, record)
+
     def _on_link_open(self, link: Link) -> None:
         self.gateway.on_link_open(link)
         self._crashes.on_link_open(link)
--- a/tests/test_mesh_cluster.py
+++ b/tests/test_mesh_cluster.py
@@ -293,9 +293,16 @@
         self.cluster.restart_node(self.b1)
         self.b1.upstream.report(self.b1.report_address, self.b1.upstream_address)
         wait_until(lambda: self.b1.server.node.upstream.state == "ready", 3)
-        self.cluster.store.faults.status = 0
+        store = self.cluster.store
+        revision = store.get(RECORD_KIND, self.b1.node_id)["metadata"]["revision"]
+        store.faults.status = 0
         wait_until(lambda: self.b1.server.node.upstream.state == "draining", 3)
+        eventlet.sleep(0.1)
         self.assertEqual("draining", self.stored_state(self.b1))
+        # Otherwise a node that is killed between two writes would lose the leave.
+        changes = store._events_since(RECORD_KIND, revision)
+        states = {change["object"]["spec"]["state"] for change in changes}
+        self.assertNotIn("ready", states)
 
     def test_restarted_node_keeps_the_acknowledged_drain_of_a_healthy_upstream(self):
         """Guards against calls after a drain that only the previous process knew."""
