--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -117,6 +117,9 @@
 
     def test_hangup_stops_a_node_cleanly(self):
         """Guards against calls that are cut off when a terminal is closed."""
+        # The node would inherit that the test process ignores hangups, as with nohup.
+        earlier = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+        self.addCleanup(signal.signal, signal.SIGHUP, earlier)
         with run_deployment(PLAN) as deployment:
             vm = deployment.vms[0]
             deployment.start_node(vm)
